--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load at one pool of targets: admission, queue, fairness, placement, retries.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `dunlinrock` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination parts without I/O: configuration spread, membership, leases.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! One entry host: duties, rings, HTTP.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution without storage, as state machines without I/O.
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load between regions: spread, capped shifts, grants, look-up.
