--- /dev/null
+++ b/crates/fakes/src/answer.rs
@@ -0,0 +1,71 @@
+//! Answers, and reading of requests.
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+/// The connection ends here, without an answer or in the middle of one.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the connection is closed on purpose")]
+pub(crate) struct Closed;
+
+/// Body of an answer; it may fail midway, which cuts the connection.
+pub(crate) type Body = BoxBody<Bytes, Closed>;
+
+/// What a handler gives: an answer, or a closed connection.
+pub(crate) type Answer = Result<Response<Body>, Closed>;
+
+/// Gives a body that is sent whole.
+pub(crate) fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed()
+}
+
+/// Gives an answer with a short text.
+pub(crate) fn text(status: StatusCode, text: impl Into<String>) -> Response<Body> {
+    let mut res = Response::new(whole(text.into() + "\n"));
+    *res.status_mut() = status;
+    res
+}
+
+/// Gives an answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response<Body> {
+    let mut res = Response::new(whole(Bytes::new()));
+    *res.status_mut() = status;
+    res
+}
+
+/// Gives `value` as JSON.
+pub(crate) fn json<T: Serialize>(value: &T) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => {
+            let mut res = Response::new(whole(bytes));
+            let kind = header::HeaderValue::from_static("application/json");
+            res.headers_mut().insert(header::CONTENT_TYPE, kind);
+            res
+        }
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
+}
+
+/// Reads a request's body of at most `limit` bytes; `None` where it is larger or cut short.
+pub(crate) async fn read_body(req: Request<Incoming>, limit: usize) -> Option<Bytes> {
+    let body = Limited::new(req.into_body(), limit).collect().await;
+    Some(body.ok()?.to_bytes())
+}
+
+/// Finds a parameter of the query; its value is taken as it stands.
+pub(crate) fn param<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find_map(|(key, value)| (key == name).then_some(value))
+}
+
+/// Finds a parameter of the query and parses it.
+pub(crate) fn number<T: std::str::FromStr>(uri: &Uri, name: &str) -> Option<T> {
+    param(uri, name)?.parse().ok()
+}
--- /dev/null
+++ b/crates/fakes/src/list/http.rs
@@ -0,0 +1,71 @@
+//! The list's HTTP.
+
+use std::{sync::Arc, time::Duration};
+
+use dunlinrock_schema::store::Listed;
+use http::{Method, Request, Response, StatusCode, Uri};
+use hyper::body::Incoming;
+
+use super::Shared;
+use crate::answer::{Answer, Body, empty, json, number, read_body, text};
+
+/// Largest announcement, in bytes.
+const BODY: usize = 4096;
+
+/// Answers one request.
+pub(super) async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Answer {
+    let path = req.uri().path().to_owned();
+    if let Some(knob) = path.strip_prefix("/fake/") {
+        return Ok(turn(&shared, knob, req.uri()));
+    }
+    if path == "/v1/hosts" && req.method() == Method::GET {
+        let now = shared.now();
+        let mut state = shared.lock();
+        state.reads += 1;
+        return Ok(json(&state.listing(now)));
+    }
+    let Some(name) = path.strip_prefix("/v1/hosts/") else {
+        return Ok(text(StatusCode::NOT_FOUND, "no such path"));
+    };
+    let now = shared.now();
+    match *req.method() {
+        Method::PUT => Ok(announce(&shared, name, req).await),
+        Method::DELETE => {
+            shared.lock().withdraw(name, now);
+            Ok(empty(StatusCode::NO_CONTENT))
+        }
+        _ => Ok(empty(StatusCode::METHOD_NOT_ALLOWED)),
+    }
+}
+
+async fn announce(shared: &Shared, name: &str, req: Request<Incoming>) -> Response<Body> {
+    let Some(body) = read_body(req, BODY).await else {
+        return text(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the announcement is too large",
+        );
+    };
+    let listed: Listed = match serde_json::from_slice(&body) {
+        Ok(listed) => listed,
+        Err(e) => return text(StatusCode::BAD_REQUEST, e.to_string()),
+    };
+    if &*listed.name != name {
+        return text(StatusCode::BAD_REQUEST, "the names differ");
+    }
+    let now = shared.now();
+    shared.lock().announce(listed, now);
+    empty(StatusCode::NO_CONTENT)
+}
+
+/// Turns a knob.
+fn turn(shared: &Shared, knob: &str, uri: &Uri) -> Response<Body> {
+    match knob {
+        "settle" => shared.lock().settle(),
+        "lag" => {
+            let ms = number(uri, "ms").unwrap_or_default();
+            shared.lock().rules.lag = Duration::from_millis(ms);
+        }
+        _ => return text(StatusCode::NOT_FOUND, "no such knob"),
+    }
+    empty(StatusCode::NO_CONTENT)
+}
--- /dev/null
+++ b/crates/fakes/src/list/mod.rs
@@ -0,0 +1,142 @@
+//! The platform's list of hosts, which lags.
+
+mod http;
+mod state;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use dunlinrock_schema::store::{Listed, Listing};
+
+use crate::serve::{Door, Gate, Server};
+use state::State;
+
+/// Limits and delays of a list.
+#[derive(Clone, Debug)]
+pub struct ListRules {
+    /// Time from an announcement to the moment the list shows it.
+    pub lag: Duration,
+    /// Time a host stays announced after its last announcement; the lag comes on top.
+    pub keep: Duration,
+    /// Connections served at once.
+    pub connections: usize,
+}
+
+impl Default for ListRules {
+    /// Shows a change after 2 s, and forgets a silent host after 15 s.
+    fn default() -> Self {
+        Self {
+            lag: Duration::from_secs(2),
+            keep: Duration::from_secs(15),
+            connections: 4096,
+        }
+    }
+}
+
+/// A running list.
+pub struct List {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl List {
+    /// Binds `addr` (`IP:PORT`; port 0 takes a free one) and serves on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound or the thread cannot be started.
+    pub fn bind(addr: &str, rules: ListRules) -> anyhow::Result<Self> {
+        let connections = rules.connections;
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State::open(rules)),
+            gate: Gate::open(),
+            origin: Instant::now(),
+        });
+        let served = Arc::clone(&shared);
+        let handler = Arc::new(move |req| -> futures::future::BoxFuture<'static, _> {
+            Box::pin(http::answer(Arc::clone(&served), req))
+        });
+        let door = Door::bind(addr, connections, shared.gate.clone(), handler)?;
+        let addr = door.addr()?;
+        let server = Server::spawn("fake-list", vec![door])?;
+        Ok(Self {
+            addr,
+            shared,
+            server,
+        })
+    }
+
+    /// Gives the address it serves.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Refuses connections from now on.
+    pub fn down(&self) {
+        self.shared.gate.set(false);
+    }
+
+    /// Serves again; announcements sent meanwhile are missing.
+    pub fn up(&self) {
+        self.shared.gate.set(true);
+    }
+
+    /// Sets the lag of announcements to come.
+    pub fn lag(&self, lag: Duration) {
+        self.shared.lock().rules.lag = lag;
+    }
+
+    /// Shows every announcement made so far at once.
+    pub fn settle(&self) {
+        self.shared.lock().settle();
+    }
+
+    /// Announces a host, as its own `PUT` would.
+    pub fn announce(&self, listed: Listed) {
+        let now = self.shared.now();
+        self.shared.lock().announce(listed, now);
+    }
+
+    /// Takes a host's announcement back, as its own `DELETE` would.
+    pub fn withdraw(&self, name: &str) {
+        let now = self.shared.now();
+        self.shared.lock().withdraw(name, now);
+    }
+
+    /// Gives the list as a reader sees it now.
+    pub fn listing(&self) -> Listing {
+        let now = self.shared.now();
+        self.shared.lock().listing(now)
+    }
+
+    /// Counts the reads of the list since the start.
+    pub fn reads(&self) -> u64 {
+        self.shared.lock().reads
+    }
+
+    /// Ends the list and closes its connections; a drop does the same.
+    pub fn stop(mut self) {
+        self.server.stop();
+    }
+}
+
+/// What the handle and the serving thread share.
+struct Shared {
+    state: Mutex<State>,
+    gate: Gate,
+    origin: Instant,
+}
+
+impl Shared {
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/list/state.rs
@@ -0,0 +1,105 @@
+//! What a list holds, without clock or socket.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use dunlinrock_schema::store::{Listed, Listing};
+
+use super::ListRules;
+
+/// One host: what readers see, and what they will see.
+#[derive(Default)]
+struct Host {
+    shown: Option<Listed>,
+    /// Changes not shown yet, with the time each is due; times never fall.
+    pending: VecDeque<(Duration, Option<Listed>)>,
+    /// Time at which the host counts as silent.
+    silent: Duration,
+}
+
+/// The whole list.
+pub(super) struct State {
+    hosts: BTreeMap<Arc<str>, Host>,
+    pub(super) rules: ListRules,
+    pub(super) reads: u64,
+}
+
+impl State {
+    pub(super) fn open(rules: ListRules) -> Self {
+        Self {
+            hosts: BTreeMap::new(),
+            rules,
+            reads: 0,
+        }
+    }
+
+    pub(super) fn announce(&mut self, listed: Listed, now: Duration) {
+        self.expire(now);
+        let host = self.hosts.entry(Arc::clone(&listed.name)).or_default();
+        host.silent = now + self.rules.keep;
+        host.push(now + self.rules.lag, Some(listed));
+    }
+
+    pub(super) fn withdraw(&mut self, name: &str, now: Duration) {
+        self.expire(now);
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.push(now + self.rules.lag, None);
+        }
+    }
+
+    /// Shows all that is pending.
+    pub(super) fn settle(&mut self) {
+        for host in self.hosts.values_mut() {
+            host.show(Duration::MAX);
+        }
+    }
+
+    pub(super) fn listing(&mut self, now: Duration) -> Listing {
+        self.expire(now);
+        for host in self.hosts.values_mut() {
+            host.show(now);
+        }
+        let hosts = self.hosts.values().filter_map(|h| h.shown.clone());
+        Listing {
+            hosts: hosts.collect(),
+        }
+    }
+
+    /// Withdraws the hosts that fell silent; the lag counts from the moment they did.
+    fn expire(&mut self, now: Duration) {
+        let lag = self.rules.lag;
+        for host in self.hosts.values_mut().filter(|h| h.silent <= now) {
+            if host.last().is_some() {
+                host.push(host.silent + lag, None);
+            }
+        }
+        self.hosts
+            .retain(|_, h| h.shown.is_some() || !h.pending.is_empty());
+    }
+}
+
+impl Host {
+    /// Gives what readers will see when nothing is pending.
+    fn last(&self) -> Option<&Listed> {
+        match self.pending.back() {
+            Some((_, listed)) => listed.as_ref(),
+            None => self.shown.as_ref(),
+        }
+    }
+
+    fn push(&mut self, due: Duration, listed: Option<Listed>) {
+        if self.last() != listed.as_ref() {
+            let due = self.pending.back().map_or(due, |(last, _)| due.max(*last));
+            self.pending.push_back((due, listed));
+        }
+    }
+
+    fn show(&mut self, now: Duration) {
+        while let Some((_, listed)) = self.pending.pop_front_if(|(due, _)| *due <= now) {
+            self.shown = listed;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/store/mod.rs
@@ -0,0 +1,170 @@
+//! The platform's key-value service.
+
+mod http;
+mod rules;
+mod state;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use dunlinrock_schema::store::StoreCounts;
+use tokio::sync::watch;
+
+pub use rules::{Down, StoreRules};
+
+use crate::serve::{Door, Gate, Server};
+use state::State;
+
+/// A running store.
+///
+/// Its values live in memory and go with the handle.
+pub struct Store {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Store {
+    /// Binds `addr` (`IP:PORT`; port 0 takes a free one) and serves on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound or the thread cannot be started.
+    pub fn bind(addr: &str, rules: StoreRules) -> anyhow::Result<Self> {
+        let connections = rules.connections;
+        let shared = Arc::new(Shared::open(rules));
+        let served = Arc::clone(&shared);
+        let handler = Arc::new(move |req| -> futures::future::BoxFuture<'static, _> {
+            Box::pin(http::answer(Arc::clone(&served), req))
+        });
+        let door = Door::bind(addr, connections, shared.gate.clone(), handler)?;
+        let addr = door.addr()?;
+        let server = Server::spawn("fake-store", vec![door])?;
+        Ok(Self {
+            addr,
+            shared,
+            server,
+        })
+    }
+
+    /// Gives the address it serves.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Takes the store down in the way given; waiting watches are cut.
+    pub fn down(&self, down: Down) {
+        self.shared.down(down);
+    }
+
+    /// Brings the store back; it holds what it held.
+    pub fn up(&self) {
+        self.shared.up();
+    }
+
+    /// Delays each answer. A read is delayed before it looks, a write after it took effect, so
+    /// that a writer who gives up early has written all the same.
+    pub fn slow(&self, delay: Duration) {
+        self.shared.lock().delay = delay;
+    }
+
+    /// Lets the next `writes` writes take effect and closes their connections without an answer.
+    pub fn lose_answers(&self, writes: u64) {
+        self.shared.lock().lose = writes;
+    }
+
+    /// Ends a lease at once, as if its holder had paused for longer than its time to live.
+    pub fn lapse(&self, lease: u64) -> bool {
+        let lapsed = self.shared.lock().end_lease(lease);
+        self.shared.announce();
+        lapsed
+    }
+
+    /// Sets new rate limits; the buckets start full.
+    pub fn limit(&self, rules: StoreRules) {
+        let now = self.shared.now();
+        self.shared.lock().limit(rules, now);
+    }
+
+    /// Reads a key past all faults and limits; gives its value and version.
+    pub fn peek(&self, key: &str) -> Option<(Bytes, u64)> {
+        let state = self.shared.current();
+        state.entry(key).map(|e| (e.body.clone(), e.version))
+    }
+
+    /// Writes a key past all faults and limits, without a condition; gives its version.
+    pub fn poke(&self, key: &str, body: impl Into<Bytes>) -> u64 {
+        let version = self.shared.current().write(key, body.into(), None);
+        self.shared.announce();
+        version
+    }
+
+    /// Counts the calls since the start.
+    pub fn counts(&self) -> StoreCounts {
+        self.shared.lock().counts.clone()
+    }
+
+    /// Ends the store and closes its connections; a drop does the same.
+    pub fn stop(mut self) {
+        self.server.stop();
+    }
+}
+
+/// What the handle and the serving thread share.
+struct Shared {
+    state: Mutex<State>,
+    /// Raised after each change, to wake the watches.
+    changed: watch::Sender<u64>,
+    gate: Gate,
+    origin: Instant,
+}
+
+impl Shared {
+    fn open(rules: StoreRules) -> Self {
+        Self {
+            state: Mutex::new(State::open(rules)),
+            changed: watch::Sender::new(0),
+            gate: Gate::open(),
+            origin: Instant::now(),
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the state after the leases that are due have lapsed.
+    fn current(&self) -> MutexGuard<'_, State> {
+        let mut state = self.lock();
+        if state.lapse(self.now()) {
+            self.announce();
+        }
+        state
+    }
+
+    fn announce(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    fn down(&self, down: Down) {
+        self.lock().down = Some(down);
+        if down == Down::Refuse {
+            self.gate.set(false);
+        }
+        // Waiting watches look again, and end the way the store is down.
+        self.announce();
+    }
+
+    fn up(&self) {
+        self.lock().down = None;
+        self.gate.set(true);
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/store/state.rs
@@ -0,0 +1,177 @@
+//! What a store holds, without clock or socket.
+
+use std::{collections::BTreeMap, ops::Bound, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dunlinrock_schema::store::{Key, Lease, StoreCounts};
+
+use super::{Down, StoreRules};
+use crate::bucket::Bucket;
+
+/// A value with its version.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) body: Bytes,
+    /// Taken from the store's one counter: never given twice, not even to another key.
+    pub(super) version: u64,
+    /// Lease that the key goes with.
+    lease: Option<u64>,
+}
+
+/// A condition on a write, from `If-Match`.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Condition {
+    /// No condition.
+    Always,
+    /// The key has this version; 0 stands for a key that does not exist.
+    Version(u64),
+}
+
+/// The whole store.
+pub(super) struct State {
+    entries: BTreeMap<Arc<str>, Entry>,
+    /// Time to live and time of the end, by id.
+    leases: BTreeMap<u64, (Duration, Duration)>,
+    /// Last version or lease id given.
+    last: u64,
+    pub(super) rules: StoreRules,
+    pub(super) reads: Bucket,
+    pub(super) writes: Bucket,
+    pub(super) counts: StoreCounts,
+    pub(super) down: Option<Down>,
+    pub(super) delay: Duration,
+    /// Writes whose answer will be dropped.
+    pub(super) lose: u64,
+}
+
+impl State {
+    pub(super) fn open(rules: StoreRules) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            last: 0,
+            reads: Bucket::open(rules.reads, rules.burst, Duration::ZERO),
+            writes: Bucket::open(rules.writes, rules.burst, Duration::ZERO),
+            rules,
+            counts: NO_COUNTS,
+            down: None,
+            delay: Duration::ZERO,
+            lose: 0,
+        }
+    }
+
+    pub(super) fn limit(&mut self, rules: StoreRules, now: Duration) {
+        self.reads = Bucket::open(rules.reads, rules.burst, now);
+        self.writes = Bucket::open(rules.writes, rules.burst, now);
+        self.rules = rules;
+    }
+
+    pub(super) fn entry(&self, key: &str) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Gives the version of a key, 0 where it does not exist.
+    pub(super) fn version(&self, key: &str) -> u64 {
+        self.entry(key).map_or(0, |e| e.version)
+    }
+
+    /// Lists the keys under a prefix.
+    pub(super) fn keys(&self, prefix: &str) -> Vec<Key> {
+        let bounds = (Bound::Included(prefix), Bound::Unbounded);
+        let from = self.entries.range::<str, _>(bounds);
+        from.take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, e)| Key {
+                key: Arc::clone(key),
+                version: e.version,
+            })
+            .collect()
+    }
+
+    /// Writes a key whatever it holds.
+    pub(super) fn write(&mut self, key: &str, body: Bytes, lease: Option<u64>) -> u64 {
+        let version = self.next();
+        let entry = Entry {
+            body,
+            version,
+            lease,
+        };
+        self.entries.insert(key.into(), entry);
+        version
+    }
+
+    /// Removes a key; tells whether there was one.
+    pub(super) fn remove(&mut self, key: &str) -> bool {
+        self.entries.remove(key).is_some()
+    }
+
+    /// Tells whether a condition holds for a key.
+    pub(super) fn holds(&self, key: &str, condition: Condition) -> bool {
+        match condition {
+            Condition::Always => true,
+            Condition::Version(v) => self.version(key) == v,
+        }
+    }
+
+    /// Grants a lease.
+    pub(super) fn grant(&mut self, ttl: Duration, now: Duration) -> Lease {
+        let id = self.next();
+        self.leases.insert(id, (ttl, now + ttl));
+        lease(id, ttl)
+    }
+
+    /// Renews a lease that has not lapsed.
+    pub(super) fn renew(&mut self, id: u64, now: Duration) -> Option<Lease> {
+        let (ttl, end) = self.leases.get_mut(&id)?;
+        *end = now + *ttl;
+        Some(lease(id, *ttl))
+    }
+
+    pub(super) fn has_lease(&self, id: u64) -> bool {
+        self.leases.contains_key(&id)
+    }
+
+    /// Ends a lease and removes its keys; tells whether there was one.
+    pub(super) fn end_lease(&mut self, id: u64) -> bool {
+        self.entries.retain(|_, e| e.lease != Some(id));
+        self.leases.remove(&id).is_some()
+    }
+
+    /// Ends the leases that are due; tells whether there were any.
+    pub(super) fn lapse(&mut self, now: Duration) -> bool {
+        let due = self.leases.iter().filter(|(_, (_, end))| *end <= now);
+        let due: Vec<u64> = due.map(|(id, _)| *id).collect();
+        for id in &due {
+            self.end_lease(*id);
+        }
+        !due.is_empty()
+    }
+
+    /// Gives the time at which the next lease is due.
+    pub(super) fn next_lapse(&self) -> Option<Duration> {
+        self.leases.values().map(|(_, end)| *end).min()
+    }
+
+    fn next(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+}
+
+fn lease(id: u64, ttl: Duration) -> Lease {
+    Lease {
+        id,
+        ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+const NO_COUNTS: StoreCounts = StoreCounts {
+    conflicts: 0,
+    failed: 0,
+    leases: 0,
+    limited: 0,
+    listings: 0,
+    lost: 0,
+    reads: 0,
+    watches: 0,
+    writes: 0,
+};
--- /dev/null
+++ b/crates/fakes/src/target/mod.rs
@@ -0,0 +1,220 @@
+//! Targets: workers that run requests in slots.
+
+mod http;
+mod rules;
+mod run;
+mod state;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use dunlinrock_schema::store::{TargetCounts, TargetReport};
+use tokio::sync::Semaphore;
+
+pub use rules::{TargetRules, TargetSpec, Work};
+
+use crate::serve::{Door, Gate, Server};
+use state::State;
+
+/// Several running targets on one thread.
+pub struct Targets {
+    targets: BTreeMap<Arc<str>, Target>,
+    server: Server,
+}
+
+impl Targets {
+    /// Binds every target of the list and serves them all on one thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound, a name stands twice, or the thread cannot start.
+    pub fn bind(specs: Vec<TargetSpec>) -> anyhow::Result<Self> {
+        let mut targets = BTreeMap::new();
+        let mut doors = Vec::with_capacity(specs.len());
+        for spec in specs {
+            let name = Arc::clone(&spec.name);
+            let (target, door) = Target::open(spec).with_context(|| format!("target {name}"))?;
+            doors.push(door);
+            let earlier = targets.insert(Arc::clone(&name), target);
+            anyhow::ensure!(earlier.is_none(), "two targets are named {name}");
+        }
+        let server = Server::spawn("fake-targets", doors)?;
+        Ok(Self { targets, server })
+    }
+
+    /// Gives the targets by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values()
+    }
+
+    /// Finds a target.
+    pub fn get(&self, name: &str) -> Option<&Target> {
+        self.targets.get(name)
+    }
+
+    /// Adds up how often the work of each key began, over all targets.
+    pub fn runs(&self) -> BTreeMap<Arc<str>, u64> {
+        let mut sum = BTreeMap::new();
+        for (key, n) in self.iter().flat_map(Target::runs) {
+            *sum.entry(key).or_default() += n;
+        }
+        sum
+    }
+
+    /// Ends the targets and closes their connections; a drop does the same.
+    pub fn stop(mut self) {
+        self.server.stop();
+    }
+}
+
+/// The knobs of one target; a clone turns the same target.
+#[derive(Clone)]
+pub struct Target {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Target {
+    /// Binds one target with a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// As [`Targets::bind`].
+    pub fn bind(addr: &str, rules: TargetRules) -> anyhow::Result<(Self, Targets)> {
+        let spec = TargetSpec {
+            name: "target".into(),
+            addr: addr.into(),
+            rules,
+        };
+        let targets = Targets::bind(vec![spec])?;
+        let target = targets.get("target").cloned().context("one was bound")?;
+        Ok((target, targets))
+    }
+
+    fn open(spec: TargetSpec) -> anyhow::Result<(Self, Door)> {
+        let connections = spec.rules.connections;
+        let gate = Gate::open();
+        let shared = Arc::new(Shared {
+            name: spec.name,
+            slots: Arc::new(Semaphore::new(spec.rules.slots as usize)),
+            state: Mutex::new(State::open(spec.rules)),
+            gate: gate.clone(),
+            origin: Instant::now(),
+        });
+        let served = Arc::clone(&shared);
+        let handler = Arc::new(move |req| -> futures::future::BoxFuture<'static, _> {
+            Box::pin(http::answer(Arc::clone(&served), req))
+        });
+        let door = Door::bind(&spec.addr, connections, gate, handler)?;
+        let addr = door.addr()?;
+        Ok((Self { addr, shared }, door))
+    }
+
+    /// Gives the address it serves.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Gives the name.
+    pub fn name(&self) -> &Arc<str> {
+        &self.shared.name
+    }
+
+    /// Starts or ends leaving: a leaving target finishes what it runs and sheds the rest.
+    pub fn leave(&self, leaving: bool) {
+        self.shared.change(|state| state.leaving = leaving);
+    }
+
+    /// Takes the target down: connections are cut and refused, its work is lost.
+    pub fn down(&self) {
+        self.shared.gate.set(false);
+    }
+
+    /// Brings the target back, with a cold cache.
+    pub fn up(&self) {
+        self.shared.revive();
+    }
+
+    /// Empties the cache: the target is slow until it is warm again.
+    pub fn chill(&self) {
+        self.shared.change(State::chill);
+    }
+
+    /// Multiplies the time of all work to come.
+    pub fn slow(&self, factor: f64) {
+        self.shared.lock().slow = factor;
+    }
+
+    /// Sheds the next `requests` requests, whatever the load.
+    pub fn shed(&self, requests: u64) {
+        self.shared.lock().shed = requests;
+    }
+
+    /// Cuts the bodies of the next `answers` answers short.
+    pub fn truncate(&self, answers: u64) {
+        self.shared.lock().truncate = answers;
+    }
+
+    /// Reports `report` whatever the load, or the truth again with `None`.
+    pub fn report(&self, report: Option<TargetReport>) {
+        self.shared.lock().lie = report;
+    }
+
+    /// Gives the load as it is now.
+    pub fn load(&self) -> TargetReport {
+        self.shared.lock().load()
+    }
+
+    /// Gives the most slots that were in use at once.
+    pub fn peak(&self) -> u32 {
+        self.shared.lock().peak
+    }
+
+    /// Counts what it has done.
+    pub fn counts(&self) -> TargetCounts {
+        self.shared.lock().counts()
+    }
+
+    /// Tells how often the work of each key (`Idempotency-Key`) began.
+    pub fn runs(&self) -> BTreeMap<Arc<str>, u64> {
+        self.shared.lock().runs.clone()
+    }
+}
+
+/// What the handle and the serving thread share.
+struct Shared {
+    name: Arc<str>,
+    slots: Arc<Semaphore>,
+    state: Mutex<State>,
+    gate: Gate,
+    origin: Instant,
+}
+
+impl Shared {
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the state and notes the load that follows from it.
+    fn change<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+        let now = self.now();
+        let mut state = self.lock();
+        let out = f(&mut state);
+        state.note(now);
+        out
+    }
+
+    fn revive(&self) {
+        self.change(State::chill);
+        self.gate.set(true);
+    }
+}
