--- /dev/null
+++ b/crates/fakes/tests/store.rs
@@ -0,0 +1,366 @@
+//! The store: conditions, watches, leases, limits and faults.
+
+mod support;
+
+use std::{future::Future, time::Duration};
+
+use dunlinrock_fakes::{Down, Store, StoreRules};
+use dunlinrock_schema::store::{Keys, Lease, StoreCounts};
+use support::{Reply, block_on, send};
+
+fn store() -> Store {
+    Store::bind("127.0.0.1:0", StoreRules::default()).unwrap()
+}
+
+async fn get(store: &Store, key: &str, headers: &[(&str, &str)]) -> anyhow::Result<Reply> {
+    send(store.addr(), &format!("GET /v1/kv/{key}"), headers, "").await
+}
+
+async fn put(
+    store: &Store,
+    key: &str,
+    headers: &[(&str, &str)],
+    body: &'static str,
+) -> anyhow::Result<Reply> {
+    send(store.addr(), &format!("PUT /v1/kv/{key}"), headers, body).await
+}
+
+async fn post(store: &Store, path: &str) -> Reply {
+    send(store.addr(), &format!("POST {path}"), &[], "")
+        .await
+        .unwrap()
+}
+
+/// Runs `change` once the store has counted a watch.
+async fn once_watched(store: &Store, change: impl Future<Output = ()>) {
+    while store.counts().watches == 0 {
+        tokio::task::yield_now().await;
+    }
+    change.await;
+}
+
+#[test]
+fn a_value_is_read_back_with_the_version_of_its_write() {
+    let store = store();
+    block_on(async {
+        let absent = get(&store, "a/b", &[]).await.unwrap();
+        assert_eq!(
+            (absent.status.as_u16(), absent.header("etag")),
+            (404, "\"0\"")
+        );
+        let wrote = put(&store, "a/b", &[], "one").await.unwrap();
+        assert_eq!(wrote.status, 201);
+        let read = get(&store, "a/b", &[]).await.unwrap();
+        assert_eq!((read.status.as_u16(), &read.body[..]), (200, &b"one"[..]));
+        assert_eq!(read.header("etag"), wrote.header("etag"));
+    });
+}
+
+#[test]
+fn a_compare_and_swap_takes_effect_only_on_its_version() {
+    let store = store();
+    block_on(async {
+        let first = put(&store, "k", &[("if-match", "\"0\"")], "one")
+            .await
+            .unwrap();
+        assert_eq!(first.status, 201);
+        let again = put(&store, "k", &[("if-match", "\"0\"")], "two")
+            .await
+            .unwrap();
+        assert_eq!(again.status, 412);
+        assert_eq!(again.header("etag"), first.header("etag"));
+        let tag = first.header("etag").to_owned();
+        let second = put(&store, "k", &[("if-match", &tag)], "two")
+            .await
+            .unwrap();
+        assert_eq!(second.status, 200);
+        let late = put(&store, "k", &[("if-match", &tag)], "three")
+            .await
+            .unwrap();
+        assert_eq!(late.status, 412);
+        assert_eq!(store.peek("k").unwrap().0, "two");
+        assert_eq!(store.counts().conflicts, 2);
+    });
+}
+
+#[test]
+fn a_condition_that_is_no_version_is_refused_and_writes_nothing() {
+    let store = store();
+    block_on(async {
+        let res = put(&store, "k", &[("if-match", "\"x\"")], "one")
+            .await
+            .unwrap();
+        assert_eq!(res.status, 400);
+        assert_eq!(store.peek("k"), None);
+    });
+}
+
+#[test]
+fn a_version_is_never_given_twice_even_after_a_deletion() {
+    let store = store();
+    block_on(async {
+        let first = put(&store, "k", &[], "one").await.unwrap();
+        let tag = first.header("etag").to_owned();
+        let gone = send(store.addr(), "DELETE /v1/kv/k", &[("if-match", &tag)], "").await;
+        assert_eq!(gone.unwrap().status, 204);
+        let second = put(&store, "k", &[], "one").await.unwrap();
+        assert_ne!(second.header("etag"), tag);
+        let stale = send(store.addr(), "DELETE /v1/kv/k", &[("if-match", &tag)], "").await;
+        assert_eq!(stale.unwrap().status, 412);
+    });
+}
+
+#[test]
+fn a_watch_ends_with_the_new_value_and_counts_once() {
+    let store = store();
+    block_on(async {
+        let watch = [("if-none-match", "\"0\""), ("prefer", "wait=60")];
+        let watch = get(&store, "k", &watch);
+        let change = once_watched(&store, async {
+            put(&store, "other", &[], "noise").await.unwrap();
+            put(&store, "k", &[], "one").await.unwrap();
+        });
+        let (seen, ()) = futures::join!(watch, change);
+        let seen = seen.unwrap();
+        assert_eq!((seen.status.as_u16(), &seen.body[..]), (200, &b"one"[..]));
+        let counts = store.counts();
+        assert_eq!((counts.watches, counts.reads, counts.writes), (1, 0, 2));
+    });
+}
+
+#[test]
+fn a_watch_without_a_change_ends_unchanged_after_its_wait() {
+    let store = store();
+    block_on(async {
+        let tag = format!("\"{}\"", store.poke("k", "one"));
+        let watch = [("if-none-match", tag.as_str()), ("prefer", "wait=0.02")];
+        let res = get(&store, "k", &watch).await.unwrap();
+        assert_eq!(
+            (res.status.as_u16(), res.header("etag")),
+            (304, tag.as_str())
+        );
+        let plain = get(&store, "k", &watch[..1]).await.unwrap();
+        assert_eq!(plain.status, 304);
+    });
+}
+
+#[test]
+fn a_watch_on_a_key_that_is_deleted_ends_with_not_found() {
+    let store = store();
+    block_on(async {
+        let tag = format!("\"{}\"", store.poke("k", "one"));
+        let watch = [("if-none-match", tag.as_str()), ("prefer", "wait=60")];
+        let watch = get(&store, "k", &watch);
+        let change = once_watched(&store, async {
+            let res = send(store.addr(), "DELETE /v1/kv/k", &[], "").await;
+            assert_eq!(res.unwrap().status, 204);
+        });
+        let (seen, ()) = futures::join!(watch, change);
+        assert_eq!(seen.unwrap().status, 404);
+    });
+}
+
+#[test]
+fn a_value_over_the_limit_is_refused() {
+    let store = store();
+    block_on(async {
+        let big = vec![b'x'; (1 << 20) + 1];
+        let res = send(store.addr(), "PUT /v1/kv/k", &[], big.clone())
+            .await
+            .unwrap();
+        assert_eq!(res.status, 413);
+        let fits = send(store.addr(), "PUT /v1/kv/k", &[], big[1..].to_vec())
+            .await
+            .unwrap();
+        assert_eq!(fits.status, 201);
+    });
+}
+
+#[test]
+fn a_listing_names_the_keys_under_a_prefix_in_order() {
+    let store = store();
+    block_on(async {
+        for key in ["p/b", "q/a", "p/a", "o"] {
+            store.poke(key, "v");
+        }
+        let res = send(store.addr(), "GET /v1/keys?prefix=p/", &[], "")
+            .await
+            .unwrap();
+        let keys: Keys = res.json();
+        let names: Vec<&str> = keys.keys.iter().map(|k| &*k.key).collect();
+        assert_eq!(names, ["p/a", "p/b"]);
+        assert_eq!(keys.keys[0].version, store.peek("p/a").unwrap().1);
+    });
+}
+
+#[test]
+fn a_lapsed_lease_takes_its_keys_and_cannot_be_renewed() {
+    // The holder of a lease pauses for longer than its time to live. Its key goes, which ends a
+    // watch of another host. When the holder wakes, it still believes that it holds the lease:
+    // the renewal and a write under the lease tell it otherwise.
+    let store = store();
+    block_on(async {
+        let lease: Lease = post(&store, "/v1/leases?ttl_ms=3600000").await.json();
+        let id = lease.id.to_string();
+        let held = [("store-lease", id.as_str())];
+        let wrote = put(&store, "k", &held, "mine").await.unwrap();
+        let renew = format!("/v1/leases/{id}");
+        assert_eq!(post(&store, &renew).await.json::<Lease>(), lease);
+        let watch = [
+            ("if-none-match", wrote.header("etag")),
+            ("prefer", "wait=60"),
+        ];
+        let watch = get(&store, "k", &watch);
+        let pause = once_watched(&store, async { assert!(store.lapse(lease.id)) });
+        let (seen, ()) = futures::join!(watch, pause);
+        assert_eq!(seen.unwrap().status, 404);
+        assert_eq!(post(&store, &renew).await.status, 404);
+        assert_eq!(put(&store, "k", &held, "mine").await.unwrap().status, 404);
+    });
+}
+
+#[test]
+fn a_lease_that_is_not_renewed_lapses_by_itself() {
+    let store = store();
+    block_on(async {
+        let lease: Lease = post(&store, "/v1/leases?ttl_ms=20").await.json();
+        let id = lease.id.to_string();
+        let wrote = put(&store, "k", &[("store-lease", &id)], "mine")
+            .await
+            .unwrap();
+        // The key may be gone already; either way the watch ends because it is gone.
+        let watch = [
+            ("if-none-match", wrote.header("etag")),
+            ("prefer", "wait=60"),
+        ];
+        assert_eq!(get(&store, "k", &watch).await.unwrap().status, 404);
+        assert_eq!(store.peek("k"), None);
+    });
+}
+
+#[test]
+fn calls_over_the_rate_are_refused_with_the_time_to_wait() {
+    let rules = StoreRules {
+        writes: 1e-3,
+        reads: 1e-3,
+        burst: 1.0,
+        ..StoreRules::default()
+    };
+    let store = Store::bind("127.0.0.1:0", rules).unwrap();
+    block_on(async {
+        assert_eq!(put(&store, "k", &[], "one").await.unwrap().status, 201);
+        let over = put(&store, "k", &[], "two").await.unwrap();
+        assert_eq!(over.status, 429);
+        assert!(over.header("retry-after").parse::<u64>().unwrap() > 1);
+        assert_eq!(get(&store, "k", &[]).await.unwrap().status, 200);
+        assert_eq!(get(&store, "k", &[]).await.unwrap().status, 429);
+        assert_eq!(store.counts().limited, 2);
+        store.limit(StoreRules::default());
+        assert_eq!(put(&store, "k", &[], "three").await.unwrap().status, 200);
+    });
+}
+
+#[test]
+fn a_lost_answer_leaves_the_write_in_effect() {
+    // A writer's compare-and-swap takes effect, the connection closes without an answer. The
+    // writer does not know; when it tries the same again, it is told that the version differs.
+    let store = store();
+    block_on(async {
+        store.lose_answers(1);
+        let create = [("if-match", "\"0\"")];
+        assert!(put(&store, "k", &create, "one").await.is_err());
+        assert_eq!(store.peek("k").unwrap().0, "one");
+        assert_eq!(put(&store, "k", &create, "one").await.unwrap().status, 412);
+        assert_eq!(store.counts().lost, 1);
+    });
+}
+
+#[test]
+fn a_slow_store_has_written_although_its_writer_gave_up() {
+    let store = store();
+    block_on(async {
+        store.slow(Duration::from_secs(3600));
+        let write = put(&store, "k", &[], "one");
+        let seen = async {
+            while store.peek("k").is_none() {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! {
+            _ = write => panic!("the answer came"),
+            () = seen => {}
+        }
+        store.slow(Duration::ZERO);
+        assert_eq!(get(&store, "k", &[]).await.unwrap().body, "one");
+    });
+}
+
+#[test]
+fn a_store_that_is_down_fails_each_call_its_way_and_keeps_its_values() {
+    let store = store();
+    block_on(async {
+        store.poke("k", "one");
+        store.down(Down::Unavailable);
+        assert_eq!(get(&store, "k", &[]).await.unwrap().status, 503);
+        for down in [Down::Close, Down::Refuse] {
+            store.down(down);
+            assert!(get(&store, "k", &[]).await.is_err(), "{down:?}");
+        }
+        store.up();
+        assert_eq!(get(&store, "k", &[]).await.unwrap().body, "one");
+        assert_eq!(store.counts().failed, 2);
+    });
+}
+
+#[test]
+fn a_store_that_goes_down_ends_the_watches_that_wait() {
+    for down in [Down::Unavailable, Down::Close, Down::Refuse] {
+        let store = store();
+        block_on(async {
+            let watch = [("if-none-match", "\"0\""), ("prefer", "wait=60")];
+            let watch = get(&store, "k", &watch);
+            let fall = once_watched(&store, async { store.down(down) });
+            let (seen, ()) = futures::join!(watch, fall);
+            assert_eq!(
+                seen.is_ok_and(|res| res.status == 503),
+                down == Down::Unavailable
+            );
+        });
+    }
+}
+
+#[test]
+fn the_knobs_turn_over_http_too() {
+    let store = store();
+    block_on(async {
+        post(&store, "/fake/down?how=unavailable").await;
+        assert_eq!(get(&store, "k", &[]).await.unwrap().status, 503);
+        post(&store, "/fake/up").await;
+        post(&store, "/fake/lose?writes=1").await;
+        assert!(put(&store, "k", &[], "one").await.is_err());
+        post(&store, "/fake/limit?reads=0.001&burst=1").await;
+        assert_eq!(get(&store, "k", &[]).await.unwrap().status, 200);
+        assert_eq!(get(&store, "k", &[]).await.unwrap().status, 429);
+        let counts: StoreCounts = post(&store, "/fake/counts").await.json();
+        assert_eq!(counts, store.counts());
+        assert_eq!(post(&store, "/fake/nothing").await.status, 404);
+    });
+}
+
+#[test]
+fn a_stopped_store_refuses_connections() {
+    let store = store();
+    let addr = store.addr();
+    store.stop();
+    block_on(async {
+        assert!(send(addr, "GET /v1/kv/k", &[], "").await.is_err());
+    });
+}
+
+#[test]
+fn a_busy_port_is_named_in_the_error() {
+    let store = store();
+    let addr = store.addr().to_string();
+    let error = Store::bind(&addr, StoreRules::default()).err().unwrap();
+    assert_eq!(error.to_string(), format!("binding {addr}"));
+}
