--- /dev/null
+++ b/crates/node/src/call/intake.rs
@@ -0,0 +1,76 @@
+//! Takes a request in: its body within limits of size and time, its timeout field.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dunlinrock_schema::settings::LimitSettings;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::HeaderMap;
+use viz::Body;
+
+use crate::wire::{self, Kind, Trouble};
+
+/// Limits on the body of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Largest body, in bytes.
+    pub bytes: usize,
+    /// Time the body may take to arrive.
+    pub time: Duration,
+}
+
+impl Bounds {
+    /// The limits that the settings give.
+    pub fn open(limits: &LimitSettings) -> Bounds {
+        let bytes = usize::try_from(limits.body_bytes.get()).unwrap_or(usize::MAX);
+        Bounds {
+            bytes,
+            time: Duration::from_millis(limits.body_ms.get()),
+        }
+    }
+}
+
+/// Reads a whole body, or says why it was not taken. Nothing has run at that point.
+pub async fn read_body(body: Body, bounds: Bounds) -> Result<Bytes, Trouble> {
+    let whole = Limited::new(body, bounds.bytes).collect();
+    match tokio::time::timeout(bounds.time, whole).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Trouble::not_run(
+            Kind::TooLarge,
+            format!("the body is larger than {} bytes", bounds.bytes),
+        )),
+        Ok(Err(e)) => Err(Trouble::not_run(
+            Kind::Malformed,
+            format!("the body broke off: {e}"),
+        )),
+        Err(_) => Err(Trouble::not_run(
+            Kind::TooSlow,
+            format!("the body did not arrive within {:?}", bounds.time),
+        )),
+    }
+}
+
+/// The time the caller gives, from its header field, or `default`; never more than `longest`.
+pub fn timeout_field(
+    headers: &HeaderMap,
+    default: Duration,
+    longest: Duration,
+) -> Result<Duration, Trouble> {
+    let Some(value) = headers.get(wire::TIMEOUT) else {
+        return Ok(default.min(longest));
+    };
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok());
+    match millis {
+        Some(0) | None => Err(Trouble::not_run(
+            Kind::Malformed,
+            format!(
+                "the field {} takes a whole number of milliseconds above 0",
+                wire::TIMEOUT
+            ),
+        )),
+        Some(millis) => Ok(Duration::from_millis(millis).min(longest)),
+    }
+}
--- /dev/null
+++ b/crates/node/src/ring/mod.rs
@@ -0,0 +1,103 @@
+//! Bounded rings that join the duties of a host.
+//!
+//! A ring has many senders and one receiver, which waits for the next item without blocking its
+//! thread. A full ring gives the item back: what then happens is the sender's to say, because only
+//! it knows whether the item is a caller's request (turned away, it has not run), a report (the
+//! next one replaces it) or a command (tried again).
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use rtrb::{Consumer, Producer, PushError, RingBuffer};
+use tokio::sync::Notify;
+
+/// The sending end of a ring; clones share the ring.
+#[derive(Debug)]
+pub struct Sender<T> {
+    producer: Arc<Mutex<Producer<T>>>,
+    wake: Arc<Notify>,
+}
+
+/// The receiving end of a ring.
+#[derive(Debug)]
+pub struct Receiver<T> {
+    consumer: Consumer<T>,
+    wake: Arc<Notify>,
+}
+
+/// A ring had no room; the item comes back.
+#[derive(Debug)]
+pub struct Full<T>(pub T);
+
+/// Opens a ring for `capacity` items.
+pub fn open<T>(capacity: usize) -> (Sender<T>, Receiver<T>) {
+    let (producer, consumer) = RingBuffer::new(capacity);
+    let wake = Arc::new(Notify::new());
+    let sender = Sender {
+        producer: Arc::new(Mutex::new(producer)),
+        wake: Arc::clone(&wake),
+    };
+    (sender, Receiver { consumer, wake })
+}
+
+impl<T> Clone for Sender<T> {
+    fn clone(&self) -> Self {
+        Sender {
+            producer: Arc::clone(&self.producer),
+            wake: Arc::clone(&self.wake),
+        }
+    }
+}
+
+impl<T> Sender<T> {
+    /// Appends an item, or gives it back where the ring is full.
+    pub fn push(&self, item: T) -> Result<(), Full<T>> {
+        let mut producer = self.producer.lock().unwrap_or_else(PoisonError::into_inner);
+        let pushed = producer.push(item);
+        drop(producer);
+        match pushed {
+            Ok(()) => {
+                self.wake.notify_one();
+                Ok(())
+            }
+            Err(PushError::Full(item)) => Err(Full(item)),
+        }
+    }
+}
+
+impl<T> Drop for Sender<T> {
+    fn drop(&mut self) {
+        // The receiver finds out that the last sender has gone by looking again. A permit stored
+        // while it is awake is used up by its next wait, so the last drop is never missed.
+        self.wake.notify_one();
+    }
+}
+
+impl<T> Receiver<T> {
+    /// Waits for the next item; `None` once every sender is gone and the ring is empty.
+    pub async fn recv(&mut self) -> Option<T> {
+        loop {
+            if let Some(item) = self.try_recv() {
+                return Some(item);
+            }
+            if self.consumer.is_abandoned() {
+                return self.try_recv();
+            }
+            self.wake.notified().await;
+        }
+    }
+
+    /// Takes the next item if there is one.
+    pub fn try_recv(&mut self) -> Option<T> {
+        self.consumer.pop().ok()
+    }
+
+    /// Items that wait now.
+    pub fn len(&self) -> usize {
+        self.consumer.slots()
+    }
+
+    /// Whether no item waits now.
+    pub fn is_empty(&self) -> bool {
+        self.consumer.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/node/src/store/list.rs
@@ -0,0 +1,78 @@
+//! The platform's list of live and leaving hosts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use dunlinrock_schema::store::{Listed, Listing};
+use http_body_util::Full;
+use hyper::{Request, header};
+
+use super::StoreError;
+use crate::wire::{Answer, Client};
+
+/// Largest listing taken, in bytes: some thousands of hosts at about 250 bytes each.
+const LISTING_BYTES: usize = 4 << 20;
+
+/// A connection to the platform's list.
+#[derive(Clone, Debug)]
+pub struct HostList {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl HostList {
+    /// Opens a connection; nothing is sent yet. A call fails after `timeout`.
+    pub fn open(address: SocketAddr, timeout: Duration) -> HostList {
+        HostList {
+            client: Client::open(LISTING_BYTES),
+            address,
+            timeout,
+        }
+    }
+
+    /// Reads the list.
+    pub async fn read(&self) -> Result<Listing, StoreError> {
+        let request = Request::get(format!("http://{}/v1/hosts", self.address));
+        let answer = self.send(request.body(Full::default())).await?;
+        serde_json::from_slice(&answer.body).map_err(|e| self.failed(&e.to_string()))
+    }
+
+    /// Announces a host on the list.
+    pub async fn announce(&self, host: &Listed) -> Result<(), StoreError> {
+        let body = serde_json::to_vec(host).map_err(|e| self.failed(&e.to_string()))?;
+        let request = Request::put(format!("http://{}/v1/hosts/{}", self.address, host.name))
+            .header(header::CONTENT_TYPE, "application/json");
+        self.send(request.body(Full::new(Bytes::from(body))))
+            .await?;
+        Ok(())
+    }
+
+    /// Takes a host off the list.
+    pub async fn withdraw(&self, name: &str) -> Result<(), StoreError> {
+        let request = Request::delete(format!("http://{}/v1/hosts/{name}", self.address));
+        self.send(request.body(Full::default())).await?;
+        Ok(())
+    }
+
+    async fn send(
+        &self,
+        request: Result<Request<Full<Bytes>>, hyper::http::Error>,
+    ) -> Result<Answer, StoreError> {
+        let request = request.map_err(|e| self.failed(&e.to_string()))?;
+        let sent = self.client.call(request, self.timeout).await;
+        let answer = sent.map_err(|e| self.failed(&e.to_string()))?;
+        if answer.status.is_success() {
+            Ok(answer)
+        } else {
+            Err(self.failed(&format!("it answered {}", answer.status)))
+        }
+    }
+
+    fn failed(&self, detail: &str) -> StoreError {
+        StoreError::Away {
+            address: self.address,
+            detail: format!("list of hosts: {detail}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/store/mod.rs
@@ -0,0 +1,234 @@
+//! The platform's key-value service and its list of hosts, behind a few functions.
+//!
+//! This folder is the only code that knows the service's protocol (HTTP with `ETag`, `If-Match`
+//! and `Prefer: wait`). Another service means another version of [`Store`], nothing else.
+
+mod list;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, header};
+
+pub use list::HostList;
+
+use crate::wire::{Answer, Client};
+
+/// Version of a key that does not exist.
+pub const ABSENT: u64 = 0;
+/// Largest value the store takes, in bytes.
+pub const VALUE_BYTES: usize = 1 << 20;
+/// Time beyond a watch's wait after which the watch counts as lost.
+const WATCH_MARGIN: Duration = Duration::from_secs(2);
+
+/// What a store call did not do, and whether it may have taken effect.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The store did not see the call, or said that it did nothing.
+    #[error("the store at {address} is not available: {detail}")]
+    Away {
+        /// Address of the store.
+        address: SocketAddr,
+        /// What was seen.
+        detail: String,
+    },
+    /// The call may have taken effect: its answer was lost.
+    #[error("the store at {address} gave no answer; a write may have taken effect: {detail}")]
+    Lost {
+        /// Address of the store.
+        address: SocketAddr,
+        /// What was seen.
+        detail: String,
+    },
+    /// The store refused the call for good.
+    #[error("the store at {address} refused the call: {detail}")]
+    Refused {
+        /// Address of the store.
+        address: SocketAddr,
+        /// What was seen.
+        detail: String,
+    },
+}
+
+/// Result of a compare-and-swap that the store answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Swap {
+    /// The write took effect; the key's new version.
+    Done(u64),
+    /// Another version was there; which.
+    Conflict(u64),
+}
+
+/// A value with its version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Versioned {
+    /// Version of the key; [`ABSENT`] where it does not exist.
+    pub version: u64,
+    /// The value; `None` where the key does not exist.
+    pub value: Option<Bytes>,
+}
+
+/// A connection to the platform's key-value service.
+#[derive(Clone, Debug)]
+pub struct Store {
+    client: Client,
+    address: SocketAddr,
+    prefix: String,
+    timeout: Duration,
+}
+
+impl Store {
+    /// Opens a connection; nothing is sent yet. `prefix` goes before every key, and a call fails
+    /// after `timeout`.
+    pub fn open(address: SocketAddr, prefix: &str, timeout: Duration) -> Store {
+        Store {
+            client: Client::open(2 * VALUE_BYTES),
+            address,
+            prefix: prefix.to_owned(),
+            timeout,
+        }
+    }
+
+    /// Reads a key.
+    pub async fn get(&self, key: &str) -> Result<Versioned, StoreError> {
+        let request = self.request(Method::GET, key);
+        let answer = self
+            .send(request.body(Full::default()), self.timeout)
+            .await?;
+        self.versioned(&answer)
+    }
+
+    /// Waits up to `wait` until a key has another version than `known`; `None` where it has not.
+    pub async fn watch(
+        &self,
+        key: &str,
+        known: u64,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, StoreError> {
+        let request = self
+            .request(Method::GET, key)
+            .header(header::IF_NONE_MATCH, etag(known))
+            .header("prefer", format!("wait={:.3}", wait.as_secs_f64()));
+        let answer = self
+            .send(request.body(Full::default()), wait + WATCH_MARGIN)
+            .await?;
+        if answer.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let found = self.versioned(&answer)?;
+        Ok((found.version != known).then_some(found))
+    }
+
+    /// Writes a key where its version is `version` ([`ABSENT`]: where it does not exist).
+    pub async fn swap(&self, key: &str, version: u64, value: Bytes) -> Result<Swap, StoreError> {
+        let request = self
+            .request(Method::PUT, key)
+            .header(header::IF_MATCH, etag(version));
+        let answer = self
+            .send(request.body(Full::new(value)), self.timeout)
+            .await?;
+        self.swapped(&answer)
+    }
+
+    /// Deletes a key where its version is `version`.
+    pub async fn delete(&self, key: &str, version: u64) -> Result<Swap, StoreError> {
+        let request = self
+            .request(Method::DELETE, key)
+            .header(header::IF_MATCH, etag(version));
+        let answer = self
+            .send(request.body(Full::default()), self.timeout)
+            .await?;
+        if answer.status == StatusCode::NO_CONTENT {
+            return Ok(Swap::Done(ABSENT));
+        }
+        self.swapped(&answer)
+    }
+
+    fn request(&self, method: Method, key: &str) -> hyper::http::request::Builder {
+        let uri = format!("http://{}/v1/kv/{}{key}", self.address, self.prefix);
+        Request::builder().method(method).uri(uri)
+    }
+
+    async fn send(
+        &self,
+        request: Result<Request<Full<Bytes>>, hyper::http::Error>,
+        time: Duration,
+    ) -> Result<Answer, StoreError> {
+        let request = request.map_err(|e| self.refused(&e.to_string()))?;
+        match self.client.call(request, time).await {
+            Ok(answer) if answer.status == StatusCode::TOO_MANY_REQUESTS => {
+                Err(self.away("its rate limit is reached"))
+            }
+            Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
+                Err(self.away("it answered 503"))
+            }
+            Ok(answer) if answer.status.is_server_error() => {
+                Err(self.lost(&format!("it answered {}", answer.status)))
+            }
+            Ok(answer) => Ok(answer),
+            Err(e) if e.is_unsent() => Err(self.away(&e.to_string())),
+            Err(e) => Err(self.lost(&e.to_string())),
+        }
+    }
+
+    fn versioned(&self, answer: &Answer) -> Result<Versioned, StoreError> {
+        match answer.status {
+            StatusCode::OK => {
+                let version = self.version(answer)?;
+                Ok(Versioned {
+                    version,
+                    value: Some(answer.body.clone()),
+                })
+            }
+            StatusCode::NOT_FOUND => Ok(Versioned {
+                version: ABSENT,
+                value: None,
+            }),
+            other => Err(self.refused(&format!("it answered {other} to a read"))),
+        }
+    }
+
+    fn swapped(&self, answer: &Answer) -> Result<Swap, StoreError> {
+        match answer.status {
+            StatusCode::PRECONDITION_FAILED => Ok(Swap::Conflict(self.version(answer)?)),
+            StatusCode::NOT_FOUND => Ok(Swap::Conflict(ABSENT)),
+            status if status.is_success() => Ok(Swap::Done(self.version(answer)?)),
+            other => Err(self.refused(&format!("it answered {other} to a write"))),
+        }
+    }
+
+    fn version(&self, answer: &Answer) -> Result<u64, StoreError> {
+        let tag = answer
+            .headers
+            .get(header::ETAG)
+            .and_then(|tag| tag.to_str().ok());
+        let version = tag.and_then(|tag| tag.trim_matches('"').parse().ok());
+        version.ok_or_else(|| self.refused("its answer has no usable ETag"))
+    }
+
+    fn away(&self, detail: &str) -> StoreError {
+        StoreError::Away {
+            address: self.address,
+            detail: detail.to_owned(),
+        }
+    }
+
+    fn lost(&self, detail: &str) -> StoreError {
+        StoreError::Lost {
+            address: self.address,
+            detail: detail.to_owned(),
+        }
+    }
+
+    fn refused(&self, detail: &str) -> StoreError {
+        StoreError::Refused {
+            address: self.address,
+            detail: detail.to_owned(),
+        }
+    }
+}
+
+fn etag(version: u64) -> String {
+    format!("\"{version}\"")
+}
--- /dev/null
+++ b/crates/node/src/wire/client.rs
@@ -0,0 +1,162 @@
+//! A pooled HTTP client that returns whole answers or a typed failure.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+/// Idle connections kept to one address.
+const IDLE_CONNECTIONS: usize = 64;
+/// Time an idle connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+/// Time in which a connection must open. Within a region a round trip takes a few milliseconds and
+/// between regions some tens; one lost SYN is sent again after a second, so that 400 ms tells a
+/// dead address from a far one without waiting for that.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+
+/// How far a call had come when it failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// No connection: not a byte was sent.
+    Connect,
+    /// Something may have been sent, and no whole head came back.
+    Head,
+    /// The head came back, the body did not come whole.
+    Body,
+}
+
+/// A call that gave no whole answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The other side was not reached, or broke off.
+    #[error("{part:?} failed: {detail}")]
+    Broken {
+        /// How far the call had come.
+        part: Part,
+        /// The library's words.
+        detail: String,
+    },
+    /// The time given ran out after something may have been sent.
+    #[error("no whole answer in {0:?}")]
+    Timeout(Duration),
+    /// The answer's body is larger than the limit, in bytes.
+    #[error("the answer is larger than {0} bytes")]
+    Large(usize),
+}
+
+impl Failure {
+    /// Whether the other side certainly never saw the request.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Failure::Broken {
+                part: Part::Connect,
+                ..
+            }
+        )
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its header fields.
+    pub headers: HeaderMap,
+    /// Its body, complete.
+    pub body: Bytes,
+}
+
+/// A pooled client; clones share the pool. Used on one thread's runtime.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    /// Largest answer body taken, in bytes.
+    answer_bytes: usize,
+}
+
+impl Client {
+    /// Opens a client that takes answers up to `answer_bytes`.
+    pub fn open(answer_bytes: usize) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIME));
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            // The library would send a request again on a new connection when a pooled one turns
+            // out closed. It only does so before the first byte, but whether a request goes out
+            // twice is decided in one place, and that is not here.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Client {
+            inner,
+            answer_bytes,
+        }
+    }
+
+    /// Sends a request and waits for its whole answer, at most `time`.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+    ) -> Result<Answer, Failure> {
+        match tokio::time::timeout(time, self.answer(request)).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Timeout(time)),
+        }
+    }
+
+    /// Posts a packed message to a path of another host.
+    pub async fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        time: Duration,
+    ) -> Result<Answer, Failure> {
+        let request = Request::post(format!("http://{address}{path}"))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| broken(Part::Connect, &e))?;
+        self.call(request, time).await
+    }
+
+    async fn answer(&self, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
+        let response = match self.inner.request(request).await {
+            Ok(response) => response,
+            Err(e) if e.is_connect() => return Err(broken(Part::Connect, &e)),
+            Err(e) => return Err(broken(Part::Head, &e)),
+        };
+        let (head, body) = response.into_parts();
+        let body = match Limited::new(body, self.answer_bytes).collect().await {
+            Ok(whole) => whole.to_bytes(),
+            Err(e) if e.is::<LengthLimitError>() => return Err(Failure::Large(self.answer_bytes)),
+            Err(e) => {
+                return Err(Failure::Broken {
+                    part: Part::Body,
+                    detail: e.to_string(),
+                });
+            }
+        };
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+}
+
+fn broken(part: Part, error: &dyn std::error::Error) -> Failure {
+    let detail = match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    };
+    Failure::Broken { part, detail }
+}
--- /dev/null
+++ b/crates/node/src/wire/problem.rs
@@ -0,0 +1,176 @@
+//! Error answers to callers: RFC 9457 with the field `run`.
+
+use std::{sync::Arc, time::Duration};
+
+use dunlinrock_schema::api::{Problem, Run};
+use http_body_util::Full;
+use viz::{Body, Response, StatusCode, header};
+
+/// Kinds of error answers. Each has one status and one title.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The request is malformed.
+    Malformed,
+    /// The service is not in the configuration.
+    UnknownService,
+    /// The body is over the limit.
+    TooLarge,
+    /// The body took too long to arrive.
+    TooSlow,
+    /// The request could not be answered within its deadline, and was turned away.
+    Overloaded,
+    /// This host is not ready: it holds no configuration yet, or has not caught up after a pause.
+    NotReady,
+    /// No target may take the request now.
+    Unavailable,
+    /// The request has made targets crash and is refused.
+    Quarantined,
+    /// The deadline passed after the request may have been sent.
+    DeadlinePassed,
+    /// A target broke off.
+    TargetFailed,
+    /// The key is not one that may run.
+    KeyRefused,
+    /// The key is another caller's, or another request's.
+    KeyMismatch,
+    /// The key has run and its answer is no longer held.
+    AnswerGone,
+    /// The request needs a key.
+    KeyMissing,
+    /// A target's answer was over the limit.
+    AnswerTooLarge,
+}
+
+impl Kind {
+    fn parts(self) -> (StatusCode, &'static str, &'static str) {
+        match self {
+            Kind::Malformed => (StatusCode::BAD_REQUEST, "malformed", "malformed request"),
+            Kind::UnknownService => (StatusCode::NOT_FOUND, "unknown-service", "unknown service"),
+            Kind::TooLarge => (
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "too-large",
+                "request too large",
+            ),
+            Kind::TooSlow => (
+                StatusCode::REQUEST_TIMEOUT,
+                "too-slow",
+                "request took too long to arrive",
+            ),
+            Kind::Overloaded => (StatusCode::SERVICE_UNAVAILABLE, "overloaded", "turned away"),
+            Kind::NotReady => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not-ready",
+                "host not ready",
+            ),
+            Kind::Unavailable => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unavailable",
+                "no target available",
+            ),
+            Kind::Quarantined => (
+                StatusCode::FORBIDDEN,
+                "quarantined",
+                "request crashes targets",
+            ),
+            Kind::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "deadline", "deadline passed"),
+            Kind::TargetFailed => (StatusCode::BAD_GATEWAY, "target-failed", "target failed"),
+            Kind::KeyRefused => (StatusCode::CONFLICT, "key-refused", "key can no longer run"),
+            Kind::KeyMismatch => (
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "key-mismatch",
+                "key belongs to another request",
+            ),
+            Kind::AnswerGone => (StatusCode::GONE, "answer-gone", "answer no longer held"),
+            Kind::KeyMissing => (StatusCode::BAD_REQUEST, "key-missing", "key required"),
+            Kind::AnswerTooLarge => (
+                StatusCode::BAD_GATEWAY,
+                "answer-too-large",
+                "answer too large",
+            ),
+        }
+    }
+}
+
+/// Why a call has no answer, and whether it ran.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trouble {
+    /// What kind of error it is.
+    pub kind: Kind,
+    /// Whether the request ran.
+    pub run: Run,
+    /// What happened, in words for the caller.
+    pub detail: Arc<str>,
+    /// When a new try may help.
+    pub retry_after: Option<Duration>,
+}
+
+impl Trouble {
+    /// A request that did not run and will not.
+    pub fn not_run(kind: Kind, detail: impl Into<Arc<str>>) -> Trouble {
+        Trouble {
+            kind,
+            run: Run::No,
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    /// A request of which nobody knows whether it ran.
+    pub fn unknown(kind: Kind, detail: impl Into<Arc<str>>) -> Trouble {
+        Trouble {
+            kind,
+            run: Run::Unknown,
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    /// The same, with a time after which a new try may help.
+    #[must_use]
+    pub fn retry_after(mut self, time: Duration) -> Trouble {
+        self.retry_after = Some(time);
+        self
+    }
+
+    /// The problem as it is sent to the caller.
+    pub fn problem(&self, request: &str) -> Problem {
+        let (status, name, title) = self.kind.parts();
+        Problem {
+            type_: format!("/problems/{name}").into(),
+            title: title.into(),
+            status: status.as_u16(),
+            detail: Arc::clone(&self.detail),
+            run: self.run,
+            request: request.into(),
+            retry_after_ms: self.retry_after.map(millis),
+        }
+    }
+
+    /// The answer to the caller.
+    pub fn response(&self, request: &str) -> Response {
+        let problem = self.problem(request);
+        let body = serde_json::to_vec(&problem).unwrap_or_default();
+        let mut response = Response::new(Body::from(Full::from(body)));
+        *response.status_mut() = self.kind.parts().0;
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("application/problem+json"),
+        );
+        if let Some(time) = self.retry_after {
+            // The field counts whole seconds; rounding down would call the caller back too early.
+            headers.insert(
+                header::RETRY_AFTER,
+                header::HeaderValue::from(millis(time).div_ceil(1000)),
+            );
+        }
+        if let Ok(id) = header::HeaderValue::from_str(request) {
+            headers.insert(super::REQUEST, id);
+        }
+        response
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
