--- a/crates/node/src/call/mod.rs
+++ b/crates/node/src/call/mod.rs
@@ -39,10 +39,14 @@
     pub kind: u64,
     /// Hash of the whole request, the same when it is sent again.
     pub fingerprint: u64,
+    /// Hash of the caller's name and the whole request: who may see the answer of a key.
+    pub identity: u64,
     /// Whether it may be run more than once.
     pub repeatable: bool,
     /// Key of a request that may not be repeated.
     pub key: Option<Arc<str>>,
+    /// What the caller said of earlier attempts of the key.
+    pub attempts: Option<Arc<str>>,
     /// Hand-overs between hosts so far. Two hosts that disagree about an owner while a membership
     /// change spreads would pass a request to and fro until its deadline; the count ends that.
     pub hops: u8,
--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,33 @@
+//! Time of this process, as the decisions take it.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// A monotonic clock that counts from the host's start; copies agree.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    pub fn open() -> Clock {
+        Clock { origin: Instant::now() }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Time since the start of an instant; zero for one before it.
+    pub fn at(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.origin)
+    }
+
+    /// The instant of a time since the start.
+    pub fn instant(&self, time: Duration) -> Instant {
+        self.origin + time
+    }
+}
--- /dev/null
+++ b/crates/node/src/duties/callers/call.rs
@@ -0,0 +1,217 @@
+//! `ANY /v1/call/{service}/{path}`: runs a request on a target.
+
+use std::{
+    net::IpAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dunlinrock_coord::once::Key;
+use dunlinrock_schema::{api::Run, config::Service};
+use http_body_util::Full;
+use hyper::{HeaderMap, Method};
+use rapidhash::v3::rapidhash_v3;
+use tokio::time::Instant;
+use viz::{Body, Request, Response, header::HeaderValue};
+
+use super::peer;
+use crate::{
+    call::{Bounds, Call, answer_fields, read_body, target_fields, timeout_field},
+    metrics::Count,
+    run::{dispatch, relay, run_keyed},
+    shared::Shared,
+    wire::{self, Answer, Client, Kind, Trouble},
+};
+
+/// Path before the service's name.
+const PREFIX: &str = "/v1/call/";
+
+pub(super) async fn answer(shared: &Arc<Shared>, client: &Client, request: Request) -> Response {
+    shared.metrics.count(Count::Calls);
+    let since = Instant::now();
+    let id: Arc<str> = format!("{:x}-{:x}", shared.me.incarnation, shared.ticket()).into();
+    let result = run(shared, client, request, &id).await;
+    shared.metrics.time("call.time", since.elapsed());
+    match result {
+        Ok(answer) => {
+            shared.metrics.count(Count::Answered);
+            whole(answer, &id)
+        }
+        Err(trouble) => {
+            shared.metrics.count(counter(trouble.run));
+            log::debug!(
+                request = &*id, kind = trouble.kind.name(), run:% = trouble.run,
+                detail = &*trouble.detail; "no answer"
+            );
+            trouble.response(&id)
+        }
+    }
+}
+
+fn counter(run: Run) -> Count {
+    match run {
+        Run::No => Count::NotRun,
+        Run::Unknown => Count::Unknown,
+        Run::Yes => Count::Ran,
+    }
+}
+
+fn whole(answer: Answer, id: &str) -> Response {
+    let mut response = Response::new(Body::from(Full::from(answer.body)));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer_fields(&answer.headers);
+    if let Ok(id) = HeaderValue::from_str(id) {
+        response.headers_mut().insert(wire::REQUEST, id);
+    }
+    response
+}
+
+async fn run(
+    shared: &Arc<Shared>,
+    client: &Client,
+    request: Request,
+    id: &Arc<str>,
+) -> Result<Answer, Trouble> {
+    let arrival = Instant::now();
+    let view = shared.view.load_full();
+    if !view.ready {
+        return Err(not_ready(&request));
+    }
+    let (name, path) = split_path(&request)?;
+    let Some(service) = view.service(name) else {
+        let detail = format!("no service {name} in revision {}", view.revision);
+        return Err(Trouble::not_run(Kind::UnknownService, detail));
+    };
+    let time = time(&request, service)?;
+    let address = peer(&request).map(|address| address.ip());
+    let address = address.ok_or_else(|| malformed("the connection has no address"))?;
+    let (name, path): (Arc<str>, Arc<str>) = (name.into(), path.into());
+    let (head, body) = request.into_parts();
+    let body = read_body(body, Bounds::open(&shared.settings.limits)).await?;
+    let call = make(Parts {
+        id, name, path, method: head.method, headers: &head.headers, body, address, service,
+        deadline: arrival + time,
+    })?;
+    if call.repeatable {
+        return dispatch(shared, client, &call).await;
+    }
+    let key = key(&call)?;
+    let me = shared.me.incarnation;
+    if key.owner.incarnation == me || key.witness.incarnation == me {
+        run_keyed(shared, client, &call, key).await
+    } else {
+        relay(shared, client, &call, &key).await
+    }
+}
+
+/// A host that is not ready knows nothing of earlier attempts of a key.
+fn not_ready(request: &Request) -> Trouble {
+    let detail = "this host holds no configuration yet, or is catching up";
+    let trouble = match request.headers().contains_key(wire::KEY) {
+        true => Trouble::unknown(Kind::NotReady, detail),
+        false => Trouble::not_run(Kind::NotReady, detail),
+    };
+    trouble.retry_after(Duration::from_millis(500))
+}
+
+fn malformed(detail: &str) -> Trouble {
+    Trouble::not_run(Kind::Malformed, detail)
+}
+
+/// Service and path towards the target, query included.
+fn split_path(request: &Request) -> Result<(&str, &str), Trouble> {
+    let whole = request.uri().path_and_query().map_or("", |path| path.as_str());
+    let rest = whole.strip_prefix(PREFIX).unwrap_or_default();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(end);
+    match (service, path) {
+        ("", _) => Err(malformed("the path names no service: /v1/call/{service}/{path}")),
+        (_, "") => Ok((service, "/")),
+        (_, path) if path.starts_with('/') => Ok((service, path)),
+        _ => Err(malformed("a query needs a path: /v1/call/{service}/{path}?{query}")),
+    }
+}
+
+fn time(request: &Request, service: &Service) -> Result<Duration, Trouble> {
+    let default = Duration::from_millis(service.deadline_ms.get());
+    let longest = Duration::from_millis(service.longest_ms.get());
+    timeout_field(request.headers(), default, longest)
+}
+
+struct Parts<'a> {
+    id: &'a Arc<str>,
+    name: Arc<str>,
+    path: Arc<str>,
+    method: Method,
+    headers: &'a HeaderMap,
+    body: Bytes,
+    address: IpAddr,
+    service: &'a Service,
+    deadline: Instant,
+}
+
+fn make(parts: Parts<'_>) -> Result<Call, Trouble> {
+    let Parts { id, name, path, method, headers, body, address, service, deadline } = parts;
+    let caller = caller(headers, service, address)?;
+    let plain = path.split('?').next().unwrap_or_default();
+    let kind = plain.split('/').nth(1).unwrap_or_default();
+    let kind = hash(&[method.as_str().as_bytes(), kind.as_bytes()]);
+    let fingerprint = hash(&[method.as_str().as_bytes(), path.as_bytes(), &body]);
+    Ok(Call {
+        request: Arc::clone(id),
+        headers: target_fields(headers),
+        deadline,
+        client: address,
+        caller,
+        topic: hash(&[plain.as_bytes()]),
+        kind,
+        fingerprint,
+        identity: hash(&[&caller.to_be_bytes(), &fingerprint.to_be_bytes()]),
+        repeatable: service.repeatable.iter().any(|name| **name == *method.as_str()),
+        key: field(headers, wire::KEY)?,
+        attempts: field(headers, wire::ATTEMPTS)?,
+        hops: 0,
+        service: name,
+        method,
+        path,
+        body,
+    })
+}
+
+fn caller(headers: &HeaderMap, service: &Service, address: IpAddr) -> Result<u64, Trouble> {
+    let named = field(headers, &service.caller_header)?;
+    Ok(match named {
+        Some(name) => hash(&[name.as_bytes()]),
+        None => hash(&[address.to_string().as_bytes()]),
+    })
+}
+
+fn field(headers: &HeaderMap, name: &str) -> Result<Option<Arc<str>>, Trouble> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    match value.to_str() {
+        Ok(text) => Ok(Some(text.into())),
+        Err(_) => Err(malformed(&format!("the field {name} is not plain ASCII"))),
+    }
+}
+
+fn key(call: &Call) -> Result<Key, Trouble> {
+    let Some(text) = &call.key else {
+        let detail = format!(
+            "{} requests of {} run at most once and need the field {}: the binding of a look-up, a dot, a nonce",
+            call.method, call.service, wire::KEY
+        );
+        return Err(Trouble::not_run(Kind::KeyMissing, detail));
+    };
+    text.parse().map_err(|e: dunlinrock_coord::once::KeyError| malformed(&e.to_string()))
+}
+
+/// One hash over several parts, each with its length, so that `ab`, `c` and `a`, `bc` differ.
+fn hash(parts: &[&[u8]]) -> u64 {
+    let mut bytes = Vec::with_capacity(parts.iter().map(|part| part.len() + 8).sum());
+    for part in parts {
+        bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
+        bytes.extend_from_slice(part);
+    }
+    rapidhash_v3(&bytes)
+}
--- /dev/null
+++ b/crates/node/src/duties/callers/lookup.rs
@@ -0,0 +1,71 @@
+//! `GET /v1/hosts/{service}`: which hosts to use now.
+//!
+//! Answers are made when a view is published; a look-up finds the caller's region and sends one of
+//! them, without a lock or a computation, so that callers can always ask, also under saturation.
+
+use std::net::IpAddr;
+
+use http_body_util::Full;
+use viz::{
+    Body, Request, Response,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+
+use super::peer;
+use crate::{
+    metrics::Count,
+    shared::Shared,
+    wire::{Kind, Trouble},
+};
+
+/// Path before the service's name.
+const PREFIX: &str = "/v1/hosts/";
+
+pub(super) fn answer(shared: &Shared, request: &Request) -> Response {
+    shared.metrics.count(Count::Lookups);
+    match find(shared, request) {
+        Ok(response) => response,
+        Err(trouble) => trouble.response("-"),
+    }
+}
+
+fn find(shared: &Shared, request: &Request) -> Result<Response, Trouble> {
+    let view = shared.view.load();
+    if !view.ready {
+        let trouble = Trouble::not_run(Kind::NotReady, "this host holds no configuration yet");
+        return Err(trouble.retry_after(std::time::Duration::from_millis(500)));
+    }
+    let service = request.uri().path().strip_prefix(PREFIX).unwrap_or_default();
+    let client = client(request)?;
+    let region = view.region(client, &shared.me.region);
+    let Some(body) = view.answer(service, &region, rand::random()) else {
+        return Err(missing(shared, service));
+    };
+    let mut response = Response::new(Body::from(Full::from(body)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(response)
+}
+
+fn missing(shared: &Shared, service: &str) -> Trouble {
+    let view = shared.view.load();
+    if view.services.contains_key(service) {
+        return Trouble::not_run(Kind::Unavailable, "no host may be used now");
+    }
+    let detail = format!("no service {service} in revision {}", view.revision);
+    Trouble::not_run(Kind::UnknownService, detail)
+}
+
+/// The client that the look-up is for: `?client=IP`, for those who ask on behalf of others, or the
+/// address of the connection.
+fn client(request: &Request) -> Result<IpAddr, Trouble> {
+    let asked = request
+        .uri()
+        .query()
+        .and_then(|query| query.split('&').find_map(|pair| pair.strip_prefix("client=")));
+    if let Some(text) = asked {
+        let detail = || format!("client={text} is no IP address");
+        return text.parse().map_err(|_| Trouble::not_run(Kind::Malformed, detail()));
+    }
+    let address = peer(request).map(|address| address.ip());
+    address.ok_or_else(|| Trouble::not_run(Kind::Malformed, "the connection has no address"))
+}
--- /dev/null
+++ b/crates/node/src/duties/callers/mod.rs
@@ -0,0 +1,80 @@
+//! Serves callers: look-ups and calls.
+
+mod call;
+mod lookup;
+
+use std::{io, net::SocketAddr, sync::Arc, thread::JoinHandle, time::Duration};
+
+use http_body_util::Full;
+use tokio::{net::TcpListener, sync::watch};
+use viz::{Body, Request, Response, Router, StatusCode, Tree};
+
+use super::spawn;
+use crate::{serve, shared::Shared, wire::Client};
+
+/// Spawns the duty on a bound listener; it ends when `stop` turns true and the last answer is out.
+pub fn open(
+    shared: Arc<Shared>,
+    listener: std::net::TcpListener,
+    stop: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<()>> {
+    spawn("callers", move || async move {
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(e) => {
+                log::error!(error:% = e; "the callers' listener cannot be used");
+                return;
+            }
+        };
+        let limits = limits(&shared);
+        let tree = Arc::new(Tree::from(router(shared)));
+        let Ok(()) = serve::serve(listener, tree, limits, stop).await;
+    })
+}
+
+fn limits(shared: &Shared) -> serve::Limits {
+    let limits = &shared.settings.limits;
+    let size = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+    serve::Limits {
+        connections: size(limits.connections.get()),
+        header_bytes: size(limits.header_bytes),
+        header_time: Duration::from_millis(limits.header_ms.get()),
+    }
+}
+
+fn router(shared: Arc<Shared>) -> Router {
+    let answer_bytes = usize::try_from(shared.settings.limits.answer_bytes.get());
+    let client = Client::open(answer_bytes.unwrap_or(usize::MAX));
+    let (look, ready) = (Arc::clone(&shared), Arc::clone(&shared));
+    Router::new()
+        .get("/v1/hosts/:service", move |request: Request| {
+            let shared = Arc::clone(&look);
+            async move { Ok(lookup::answer(&shared, &request)) }
+        })
+        .get("/v1/ready", move |_: Request| {
+            let shared = Arc::clone(&ready);
+            async move { Ok(readiness(&shared)) }
+        })
+        .any("/v1/call/*", move |request: Request| {
+            let (shared, client) = (Arc::clone(&shared), client.clone());
+            async move { Ok(call::answer(&shared, &client, request).await) }
+        })
+}
+
+/// 200 where this host may be used, 503 where it may not (yet, or any more).
+fn readiness(shared: &Shared) -> Response {
+    let view = shared.view.load();
+    let (status, text) = match (view.ready, view.leaving) {
+        (true, false) => (StatusCode::OK, "ready\n"),
+        (_, true) => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+        (false, _) => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    };
+    let mut response = Response::new(Body::from(Full::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+/// Address of the caller on this connection.
+fn peer(request: &Request) -> Option<SocketAddr> {
+    request.extensions().get::<Option<SocketAddr>>().copied().flatten()
+}
--- /dev/null
+++ b/crates/node/src/duties/ledger/mod.rs
@@ -0,0 +1,167 @@
+//! The request ledger: what may run at most once, and what has.
+//!
+//! The duty drives [`dunlinrock_coord::once::Ledger`]. A holder, the task that carries one attempt,
+//! hands it in and is told to run the request, or gets the answer or the refusal. Messages to other
+//! hosts go out on the duty's own runtime; they may be lost, and the ledger sends them again.
+
+mod input;
+mod post;
+
+use std::{
+    collections::BTreeMap,
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use dunlinrock_coord::once::{Action, Ledger, Limits, Outcome};
+use dunlinrock_schema::settings::Settings;
+
+pub use self::{
+    input::{Event, Events, Input, LedgerReport},
+    post::{LEDGER_PATH, read_message},
+};
+use super::spawn;
+use crate::{clock::Clock, ring, view::View, wire::Client};
+
+/// Inputs that may wait for the duty; see the pools duty, whose load it shares.
+pub const RING: usize = 4096;
+/// Largest answer to a ledger message, in bytes: there is none.
+const ANSWER_BYTES: usize = 1024;
+/// Time between two looks at the clock at the most, so that the epoch given out never lags by more.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// A running duty.
+#[derive(Debug)]
+pub struct Handle {
+    /// Its ring.
+    pub sender: ring::Sender<Input>,
+    /// Epoch to bind keys to now.
+    pub epoch: Arc<AtomicU64>,
+    /// Its thread.
+    pub thread: JoinHandle<()>,
+}
+
+/// Limits of the ledger, from the host's settings.
+pub fn limits(settings: &Settings) -> Limits {
+    Limits {
+        claim_timeout: Duration::from_millis(settings.timing.claim_ms.get()),
+        epoch_length: Duration::from_millis(settings.timing.epoch_ms),
+        ..Limits::default()
+    }
+}
+
+/// Spawns the duty for this incarnation.
+pub fn open(me: u64, limits: Limits, clock: Clock, view: Arc<ArcSwap<View>>) -> io::Result<Handle> {
+    let (sender, receiver) = ring::open(RING);
+    let epoch = Arc::new(AtomicU64::new(0));
+    let duty = Duty {
+        ledger: Ledger::open(me, limits, clock.now()),
+        holders: BTreeMap::new(),
+        view,
+        clock,
+        epoch: Arc::clone(&epoch),
+    };
+    let thread = spawn("ledger", move || duty.drive(receiver))?;
+    Ok(Handle { sender, epoch, thread })
+}
+
+struct Duty {
+    ledger: Ledger,
+    /// Holders by ticket. Invariant: an attempt that waits in the ledger has one here.
+    holders: BTreeMap<u64, Events>,
+    view: Arc<ArcSwap<View>>,
+    clock: Clock,
+    epoch: Arc<AtomicU64>,
+}
+
+impl Duty {
+    async fn drive(mut self, mut inputs: ring::Receiver<Input>) {
+        let client = Client::open(ANSWER_BYTES);
+        loop {
+            let now = self.clock.now();
+            self.epoch.store(self.ledger.epoch(now), Ordering::Relaxed);
+            let wake = self.ledger.next_wake().unwrap_or(now + LOOK).min(now + LOOK);
+            let input = tokio::select! {
+                biased;
+                input = inputs.recv() => input,
+                () = tokio::time::sleep_until(self.clock.instant(wake)) => Some(Input::Tick),
+            };
+            let Some(input) = input else { return };
+            if matches!(input, Input::Stop) {
+                return;
+            }
+            let actions = self.apply(input);
+            self.perform(actions, &client);
+        }
+    }
+
+    fn apply(&mut self, input: Input) -> Vec<Action> {
+        let now = self.clock.now();
+        match input {
+            Input::Request { request, events } => {
+                self.holders.insert(request.ticket, events);
+                self.ledger.request(request, now)
+            }
+            Input::Cancel { ticket } => {
+                self.holders.remove(&ticket);
+                self.ledger.cancel(ticket, now)
+            }
+            Input::Finished { key, outcome } => self.ledger.finished(&key, outcome, now),
+            Input::Hear { from, message } => self.ledger.hear(from, message, now),
+            Input::Gone(incarnation) => self.ledger.peer_gone(incarnation, now),
+            Input::HandOver { peers, time } => self.ledger.stop(&peers, now + time, now),
+            Input::Ask(reply) => {
+                let report = LedgerReport {
+                    counts: self.ledger.counts(),
+                    epoch: self.ledger.epoch(now),
+                    stopped: self.ledger.stopped(),
+                };
+                // Whoever asked may have given up waiting.
+                let _ = reply.send(report);
+                Vec::new()
+            }
+            Input::Tick | Input::Stop => self.ledger.tick(now),
+        }
+    }
+
+    fn perform(&mut self, actions: Vec<Action>, client: &Client) {
+        for action in actions {
+            match action {
+                Action::Tell { to, message } => self.post(to, &message, client),
+                Action::Send { key, ticket } => {
+                    let told = self.holders.get(&ticket).is_some_and(|h| h.tell(Event::Run));
+                    if !told {
+                        // The caller went between its request and the claim. Nothing was sent.
+                        let outcome = Outcome::NotRun { retry_after: None };
+                        let more = self.ledger.finished(&key, outcome, self.clock.now());
+                        self.perform(more, client);
+                    }
+                }
+                // The run goes on: a retry with the same key then finds its answer.
+                Action::Abandon { .. } => {}
+                Action::Answer { ticket, answer } => self.end(ticket, Event::Answer(answer)),
+                Action::Refuse { ticket, run, reason, retry_after } => {
+                    self.end(ticket, Event::Refused { run, reason, retry_after });
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, ticket: u64, event: Event) {
+        if let Some(holder) = self.holders.remove(&ticket) {
+            holder.tell(event);
+        }
+    }
+
+    fn post(&self, to: u64, message: &dunlinrock_coord::once::Message, client: &Client) {
+        let view = self.view.load();
+        let Some(member) = view.incarnations.get(&to) else { return };
+        post::send(client, member.peers, self.ledger.incarnation(), message);
+    }
+}
--- /dev/null
+++ b/crates/node/src/duties/ledger/post.rs
@@ -0,0 +1,36 @@
+//! Ledger messages between hosts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use dunlinrock_coord::once::Message;
+
+use crate::wire::{self, Client, PackError};
+
+/// Path on which hosts take ledger messages.
+pub const LEDGER_PATH: &str = "/peer/v1/ledger";
+/// Time after which a message counts as lost. The ledger sends it again long before.
+const POST_TIME: Duration = Duration::from_secs(2);
+
+/// Sends a message without waiting for it to arrive.
+pub(super) fn send(client: &Client, to: SocketAddr, from: u64, message: &Message) {
+    let frame = match wire::pack(message).and_then(|body| wire::join(&from, &body)) {
+        Ok(frame) => frame,
+        Err(e) => {
+            log::error!(error:% = e; "a ledger message could not be written");
+            return;
+        }
+    };
+    let client = client.clone();
+    tokio::spawn(async move {
+        if let Err(e) = client.post(to, LEDGER_PATH, frame, POST_TIME).await {
+            log::debug!(to:% = to, error:% = e; "a ledger message was lost");
+        }
+    });
+}
+
+/// Reads a message and the incarnation that says it sent it.
+pub fn read_message(frame: &Bytes) -> Result<(u64, Message), PackError> {
+    let (from, body) = wire::split::<u64>(frame)?;
+    Ok((from, wire::unpack(&body)?))
+}
--- /dev/null
+++ b/crates/node/src/duties/peers/handlers.rs
@@ -0,0 +1,157 @@
+//! What this host does for other hosts.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dunlinrock_coord::once::Key;
+use http_body_util::Full;
+use tokio::sync::oneshot;
+use viz::{
+    Body, IntoResponse, Request, Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+
+use super::peer;
+use crate::{
+    call::{Bounds, Call, read_body},
+    dump,
+    duties::{control, ledger, pools::PoolId},
+    metrics::Count,
+    run::{self, read_call, run_keyed, write_answer},
+    shared::Shared,
+    wire::{Answer, Client, Kind, Trouble},
+};
+
+/// Room for the head of a request that is handed over, in bytes beyond its body.
+const HEAD_ROOM: usize = 64 << 10;
+/// Time a body of another host may take to arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Largest control message, in bytes: a piece of the configuration is the largest part.
+const CONTROL_BYTES: usize = 4 << 20;
+/// Time the control duty has to answer a message.
+const CONTROL_TIME: Duration = Duration::from_secs(2);
+
+/// Runs a request at a pool that its sender takes for this host's.
+pub(super) async fn run(shared: &Arc<Shared>, client: &Client, request: Request) -> Response {
+    let (pool, call) = match take_call(shared, request).await {
+        Ok(taken) => taken,
+        Err(response) => return response,
+    };
+    shared.metrics.count(Count::Runs);
+    let view = shared.view.load_full();
+    let result = match view.pools.get(&pool) {
+        Some(route) if view.ready => run::run(shared, client, route, &call).await,
+        Some(_) => Err(Trouble::not_run(Kind::NotReady, "the host is catching up")),
+        None => {
+            let detail = format!("no targets of {} in {} here", pool.service, pool.domain);
+            Err(Trouble::not_run(Kind::Unavailable, detail))
+        }
+    };
+    answer(&result)
+}
+
+/// Takes in a keyed request that a third host passes on.
+pub(super) async fn call(shared: &Arc<Shared>, client: &Client, request: Request) -> Response {
+    let (_, call) = match take_call(shared, request).await {
+        Ok(taken) => taken,
+        Err(response) => return response,
+    };
+    let key = call.key.as_deref().map(str::parse::<Key>);
+    let result = match key {
+        Some(Ok(key)) if key.owner.incarnation == shared.me.incarnation => {
+            run_keyed(shared, client, &call, key).await
+        }
+        _ => Err(Trouble::unknown(Kind::KeyRefused, "the key names other hosts")),
+    };
+    answer(&result)
+}
+
+/// Takes in a message for the ledger.
+pub(super) async fn ledger(shared: &Shared, request: Request) -> Response {
+    let from = peer(&request);
+    let Ok(frame) = read_body(request.into_body(), bounds(CONTROL_BYTES)).await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let Ok((sender, message)) = ledger::read_message(&frame) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let view = shared.view.load();
+    let known = view.incarnations.get(&sender).map(|member| member.peers.ip());
+    if known.is_none() || known != from.map(|address| address.ip()) {
+        shared.metrics.count(Count::Strangers);
+        return StatusCode::FORBIDDEN.into_response();
+    }
+    shared.metrics.count(Count::LedgerMessages);
+    match shared.ledger.push(ledger::Input::Hear { from: sender, message }) {
+        Ok(()) => StatusCode::NO_CONTENT.into_response(),
+        // As if the network had lost it: its sender sends it again.
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
+
+/// Takes in a message for the control duty and gives its answer back.
+pub(super) async fn control(shared: &Shared, request: Request) -> Response {
+    let Some(from) = peer(&request) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let Ok(frame) = read_body(request.into_body(), bounds(CONTROL_BYTES)).await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    shared.metrics.count(Count::ControlMessages);
+    shared.metrics.add(Count::ControlIn, frame.len() as u64);
+    let (reply, answer) = oneshot::channel();
+    let input = control::Input::Hear { from: from.ip(), frame, reply };
+    if shared.control.push(input).is_err() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    match tokio::time::timeout(CONTROL_TIME, answer).await {
+        Ok(Ok(control::Reply::Frame(frame))) => {
+            shared.metrics.add(Count::ControlOut, frame.len() as u64);
+            Response::new(Body::from(Full::from(frame)))
+        }
+        Ok(Ok(control::Reply::Stranger)) => {
+            shared.metrics.count(Count::Strangers);
+            StatusCode::FORBIDDEN.into_response()
+        }
+        Ok(Ok(control::Reply::Unreadable)) => StatusCode::BAD_REQUEST.into_response(),
+        _ => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
+
+/// The whole state of this host, as JSON.
+pub(super) async fn dump(shared: &Shared) -> Response {
+    let text = dump::take(shared).await.to_string();
+    let mut response = Response::new(Body::from(Full::from(text)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+async fn take_call(shared: &Shared, request: Request) -> Result<(PoolId, Call), Response> {
+    let from = peer(&request).map(|address| address.ip());
+    let view = shared.view.load_full();
+    if !view.members.values().any(|member| Some(member.peers.ip()) == from) {
+        shared.metrics.count(Count::Strangers);
+        return Err(StatusCode::FORBIDDEN.into_response());
+    }
+    let size = usize::try_from(shared.settings.limits.body_bytes.get()).unwrap_or(usize::MAX);
+    let frame = read_body(request.into_body(), bounds(size.saturating_add(HEAD_ROOM))).await;
+    let frame: Bytes = frame.map_err(|_| StatusCode::BAD_REQUEST.into_response())?;
+    read_call(&frame).map_err(|e| {
+        log::warn!(error:% = e; "a request of another host could not be read");
+        StatusCode::BAD_REQUEST.into_response()
+    })
+}
+
+fn bounds(bytes: usize) -> Bounds {
+    Bounds { bytes, time: BODY_TIME }
+}
+
+fn answer(result: &Result<Answer, Trouble>) -> Response {
+    match write_answer(result) {
+        Ok(frame) => Response::new(Body::from(Full::from(frame))),
+        Err(e) => {
+            log::error!(error:% = e; "an answer to another host could not be written");
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/duties/peers/mod.rs
@@ -0,0 +1,84 @@
+//! Serves other hosts: requests for pools owned here, ledger and control messages, dumps.
+
+mod handlers;
+
+use std::{io, net::SocketAddr, sync::Arc, thread::JoinHandle, time::Duration};
+
+use tokio::{net::TcpListener, sync::watch};
+use viz::{Request, Router, Tree};
+
+use super::{control::CONTROL_PATH, ledger::LEDGER_PATH, spawn};
+use crate::{
+    run::{CALL_PATH, RUN_PATH},
+    serve,
+    shared::Shared,
+    wire::Client,
+};
+
+/// Path of the dump.
+pub const DUMP_PATH: &str = "/peer/v1/dump";
+/// Connections of other hosts served at once: each of 2,400 hosts may keep several, but a host
+/// talks to its own domain and a few relays.
+const CONNECTIONS: usize = 4096;
+/// Largest head, in bytes: hosts send few fields.
+const HEADER_BYTES: usize = 16 << 10;
+/// Time a head may take.
+const HEADER_TIME: Duration = Duration::from_secs(30);
+
+/// Spawns the duty on a bound listener; it ends when `stop` turns true and the last answer is out.
+pub fn open(
+    shared: Arc<Shared>,
+    listener: std::net::TcpListener,
+    stop: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<()>> {
+    spawn("peers", move || async move {
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(e) => {
+                log::error!(error:% = e; "the peers' listener cannot be used");
+                return;
+            }
+        };
+        let limits = serve::Limits {
+            connections: CONNECTIONS,
+            header_bytes: HEADER_BYTES,
+            header_time: HEADER_TIME,
+        };
+        let tree = Arc::new(Tree::from(router(shared)));
+        let Ok(()) = serve::serve(listener, tree, limits, stop).await;
+    })
+}
+
+fn router(shared: Arc<Shared>) -> Router {
+    let answer_bytes = usize::try_from(shared.settings.limits.answer_bytes.get());
+    let client = Client::open(answer_bytes.unwrap_or(usize::MAX));
+    let (run, call) = (Arc::clone(&shared), Arc::clone(&shared));
+    let (ledger, control) = (Arc::clone(&shared), Arc::clone(&shared));
+    let relayed = client.clone();
+    Router::new()
+        .post(RUN_PATH, move |request: Request| {
+            let (shared, client) = (Arc::clone(&run), client.clone());
+            async move { Ok(handlers::run(&shared, &client, request).await) }
+        })
+        .post(CALL_PATH, move |request: Request| {
+            let (shared, client) = (Arc::clone(&call), relayed.clone());
+            async move { Ok(handlers::call(&shared, &client, request).await) }
+        })
+        .post(LEDGER_PATH, move |request: Request| {
+            let shared = Arc::clone(&ledger);
+            async move { Ok(handlers::ledger(&shared, request).await) }
+        })
+        .post(CONTROL_PATH, move |request: Request| {
+            let shared = Arc::clone(&control);
+            async move { Ok(handlers::control(&shared, request).await) }
+        })
+        .get(DUMP_PATH, move |_: Request| {
+            let shared = Arc::clone(&shared);
+            async move { Ok(handlers::dump(&shared).await) }
+        })
+}
+
+/// Address of the host on this connection.
+fn peer(request: &Request) -> Option<SocketAddr> {
+    request.extensions().get::<Option<SocketAddr>>().copied().flatten()
+}
--- /dev/null
+++ b/crates/node/src/metrics/mod.rs
@@ -0,0 +1,92 @@
+//! Counters and timers of a host, sent as StatsD over UDP.
+//!
+//! A count is an atomic that the control duty sends once a second: look-ups come by the ten
+//! thousand, and a datagram for each would cost more than the look-up.
+
+mod count;
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::{Arc, atomic::{AtomicU64, Ordering}},
+    time::Duration,
+};
+
+use cadence::{Counted, Gauged, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+
+pub use count::{COUNTS, Count};
+
+/// Datagrams that may wait to be sent; more are dropped.
+const QUEUE: usize = 8192;
+
+/// Counters and timers; shared by the duties.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    client: Option<StatsdClient>,
+    totals: Vec<AtomicU64>,
+    sent: Vec<AtomicU64>,
+}
+
+impl Metrics {
+    /// Opens metrics that are sent to `receiver`; without one they are only counted.
+    pub fn open(prefix: &str, receiver: Option<SocketAddr>) -> anyhow::Result<Metrics> {
+        let client = receiver.map(|to| client(prefix, to)).transpose()?;
+        let zeros = || COUNTS.iter().map(|_| AtomicU64::new(0)).collect();
+        Ok(Metrics { inner: Arc::new(Inner { client, totals: zeros(), sent: zeros() }) })
+    }
+
+    /// Counts one.
+    pub fn count(&self, count: Count) {
+        self.add(count, 1);
+    }
+
+    /// Counts several.
+    pub fn add(&self, count: Count, n: u64) {
+        if let Some(total) = self.inner.totals.get(count as usize) {
+            total.fetch_add(n, Ordering::Relaxed);
+        }
+    }
+
+    /// Total of a counter since the start.
+    pub fn total(&self, count: Count) -> u64 {
+        self.inner.totals.get(count as usize).map_or(0, |total| total.load(Ordering::Relaxed))
+    }
+
+    /// Sends a time.
+    pub fn time(&self, name: &str, time: Duration) {
+        if let Some(client) = &self.inner.client {
+            // A metric that is lost is missed by nobody but a graph.
+            let _ = client.time(name, time);
+        }
+    }
+
+    /// Sends a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        if let Some(client) = &self.inner.client {
+            let _ = client.gauge(name, value);
+        }
+    }
+
+    /// Sends what was counted since the last flush.
+    pub fn flush(&self) {
+        let Some(client) = &self.inner.client else { return };
+        for ((count, total), sent) in COUNTS.iter().zip(&self.inner.totals).zip(&self.inner.sent) {
+            let total = total.load(Ordering::Relaxed);
+            let before = sent.swap(total, Ordering::Relaxed);
+            if let Ok(n @ 1..) = i64::try_from(total.saturating_sub(before)) {
+                let _ = client.count(count.name(), n);
+            }
+        }
+    }
+}
+
+fn client(prefix: &str, to: SocketAddr) -> anyhow::Result<StatsdClient> {
+    let socket = UdpSocket::bind(if to.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" })?;
+    socket.set_nonblocking(true)?;
+    let sink = QueuingMetricSink::with_capacity(UdpMetricSink::from(to, socket)?, QUEUE);
+    Ok(StatsdClient::from_sink(prefix, sink))
+}
--- a/crates/node/src/ring/mod.rs
+++ b/crates/node/src/ring/mod.rs
@@ -5,11 +5,18 @@
 //! it knows whether the item is a caller's request (turned away, it has not run), a report (the
 //! next one replaces it) or a command (tried again).
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use rtrb::{Consumer, Producer, PushError, RingBuffer};
 use tokio::sync::Notify;
 
+/// Pause before a full ring is tried again. A duty empties its ring of some thousand items in a few
+/// milliseconds; trying more often would only take its processor time.
+const RETRY_PAUSE: Duration = Duration::from_millis(1);
+
 /// The sending end of a ring; clones share the ring.
 #[derive(Debug)]
 pub struct Sender<T> {
@@ -64,6 +71,22 @@
     }
 }
 
+impl<T: Send + 'static> Sender<T> {
+    /// Appends an item that must not be lost, such as the word that a slot is free again: a full
+    /// ring is tried again by a task of its own until it has room. To be called on a runtime.
+    pub fn deliver(&self, item: T) {
+        let Err(Full(item)) = self.push(item) else { return };
+        let sender = self.clone();
+        tokio::spawn(async move {
+            let mut item = item;
+            while let Err(Full(back)) = sender.push(item) {
+                item = back;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        });
+    }
+}
+
 impl<T> Drop for Sender<T> {
     fn drop(&mut self) {
         // The receiver finds out that the last sender has gone by looking again. A permit stored
--- /dev/null
+++ b/crates/node/src/run/dispatch.rs
@@ -0,0 +1,136 @@
+//! Chooses the region and the pool for a request and has it run there.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use dunlinrock_decide::admit::{Candidate, choose};
+use dunlinrock_schema::api::Run;
+use tokio::time::Instant;
+
+use super::{
+    forward,
+    holder::{Held, hold},
+};
+use crate::{
+    call::Call,
+    duties::pools::PoolId,
+    shared::Shared,
+    view::{PoolRoute, View},
+    wire::{Answer, Client, Kind, Trouble},
+};
+
+/// Pools that a request is offered to at the most. The second helps when the load of the first was
+/// heard too long ago, or its owner just died. More would multiply the offers of a region that is
+/// full, where each of its pools refuses.
+const POOL_TRIES: usize = 2;
+
+/// Hand-overs between hosts at the most: one to the owner, one more where the owner changed since.
+pub const MAX_HOPS: u8 = 2;
+
+/// Pause before a new view is looked for when the owner of a pool has changed under a request.
+const VIEW_PAUSE: Duration = Duration::from_millis(20);
+
+/// Runs `call` in the region that its service's shares give it.
+pub async fn dispatch(shared: &Shared, client: &Client, call: &Call) -> Result<Answer, Trouble> {
+    let view = shared.view.load_full();
+    let region = region(shared, &view, call)?;
+    let mut tried: Vec<Arc<PoolId>> = Vec::new();
+    let mut last = None;
+    while tried.len() < POOL_TRIES {
+        let view = shared.view.load_full();
+        let Some(route) = pool(shared, &view, call, &region, &tried) else { break };
+        tried.push(Arc::clone(&route.id));
+        match run(shared, client, &route, call).await {
+            Ok(answer) => return Ok(answer),
+            Err(trouble) if goes_on(&trouble, call) => last = Some(trouble),
+            Err(trouble) => return Err(trouble),
+        }
+    }
+    Err(last.unwrap_or_else(|| {
+        let detail = format!("no host has targets of {} in {region} to offer", call.service);
+        Trouble::not_run(Kind::Unavailable, detail).retry_after(Duration::from_millis(250))
+    }))
+}
+
+/// Runs `call` at one pool, wherever its owner is.
+pub(crate) async fn run(
+    shared: &Shared,
+    client: &Client,
+    route: &PoolRoute,
+    call: &Call,
+) -> Result<Answer, Trouble> {
+    let Some(owner) = &route.owner else {
+        return Err(unowned(&route.id));
+    };
+    if owner.incarnation != shared.me.incarnation {
+        if call.hops >= MAX_HOPS {
+            return Err(unowned(&route.id));
+        }
+        route.sent.fetch_add(1, Ordering::Relaxed);
+        return forward::forward(client, owner, &route.id, call).await;
+    }
+    match hold(shared, client, route, call).await {
+        Held::Answer(answer) => Ok(answer),
+        Held::Trouble(trouble) => Err(trouble),
+        Held::NotOwner => {
+            tokio::time::sleep(VIEW_PAUSE).await;
+            Err(unowned(&route.id))
+        }
+    }
+}
+
+fn unowned(pool: &PoolId) -> Trouble {
+    let detail = format!("the owner of {}'s targets in {} is changing", pool.service, pool.domain);
+    Trouble::not_run(Kind::Unavailable, detail).retry_after(Duration::from_millis(250))
+}
+
+/// Whether another pool may be tried: the request certainly did not run and was not judged by what
+/// it is, or it may run more than once; and there is time.
+fn goes_on(trouble: &Trouble, call: &Call) -> bool {
+    let judged = matches!(trouble.kind, Kind::Quarantined | Kind::DeadlinePassed);
+    let safe = trouble.run == Run::No || (call.repeatable && trouble.kind == Kind::TargetFailed);
+    safe && !judged && Instant::now() < call.deadline
+}
+
+fn region(shared: &Shared, view: &View, call: &Call) -> Result<Arc<str>, Trouble> {
+    let Some(service) = view.services.get(&call.service) else {
+        let detail = format!("no service {} in revision {}", call.service, view.revision);
+        return Err(Trouble::not_run(Kind::UnknownService, detail));
+    };
+    let from = view.region(call.client, &shared.me.region);
+    let Some(pick) = service.picks.get(&from) else {
+        let detail = format!("no spread of {} for callers of {from}", call.service);
+        return Err(Trouble::not_run(Kind::Unavailable, detail));
+    };
+    pick.region(rand::random::<f64>()).map(Arc::clone).ok_or_else(|| {
+        let detail = format!("traffic of {} from {from} moves no faster than its cap", call.service);
+        Trouble::not_run(Kind::Overloaded, detail).retry_after(pick.retry_after)
+    })
+}
+
+fn pool(
+    shared: &Shared,
+    view: &View,
+    call: &Call,
+    region: &str,
+    tried: &[Arc<PoolId>],
+) -> Option<Arc<PoolRoute>> {
+    let routes = view.services.get(&call.service)?.regions.get(region)?;
+    let left: Vec<&Arc<PoolRoute>> =
+        routes.iter().filter(|r| r.owner.is_some() && !tried.contains(&r.id)).collect();
+    let now = shared.now();
+    let candidates: Vec<Candidate> = left.iter().map(|route| candidate(route, now)).collect();
+    let at = choose(&candidates, rand::random())?;
+    left.get(at).map(|route| Arc::clone(route))
+}
+
+fn candidate(route: &PoolRoute, now: Duration) -> Candidate {
+    Candidate {
+        load: route.load,
+        age: now.saturating_sub(route.heard),
+        delay: route.delay,
+        sent: route.sent.load(Ordering::Relaxed),
+    }
+}
--- /dev/null
+++ b/crates/node/src/run/mod.rs
@@ -0,0 +1,17 @@
+//! Runs a request: chooses its pool, waits for a slot, sends it, hands it to the pool's owner.
+
+mod dispatch;
+mod forward;
+mod holder;
+mod keyed;
+mod relay;
+mod target;
+
+pub use self::{
+    dispatch::{MAX_HOPS, dispatch},
+    forward::{RUN_PATH, read_answer, read_call, write_answer},
+    holder::{Held, hold},
+    keyed::run_keyed,
+    relay::{CALL_PATH, relay},
+};
+pub(crate) use self::{dispatch::run, target::load_report};
--- /dev/null
+++ b/crates/node/src/run/target.rs
@@ -0,0 +1,114 @@
+//! Sends a request to one target and tells how the run ended.
+
+use std::{net::SocketAddr, time::Duration};
+
+use dunlinrock_decide::admit::{Outcome, Report};
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
+use tokio::{net::TcpStream, time::Instant};
+
+use crate::{
+    call::Call,
+    wire::{self, Answer, Client, Failure, Part},
+};
+
+/// Time in which a target that broke off must take a connection to count as alive.
+const PROBE_TIME: Duration = Duration::from_millis(200);
+
+/// How a run ended.
+#[derive(Debug)]
+pub(super) struct Ran {
+    /// What the pool is told.
+    pub outcome: Outcome,
+    /// The whole answer, where there is one.
+    pub answer: Option<Answer>,
+    /// What went wrong, where something did.
+    pub detail: String,
+    /// The target's word about its load.
+    pub report: Option<Report>,
+}
+
+/// Sends `call` to the target at `address` and waits for its whole answer until the deadline.
+pub(super) async fn send(client: &Client, call: &Call, address: SocketAddr) -> Ran {
+    let time = call.deadline.saturating_duration_since(Instant::now());
+    let request = match request(call, address, time) {
+        Ok(request) => request,
+        Err(e) => return failed(Outcome::Refused, e.to_string()),
+    };
+    match client.call(request, time).await {
+        Ok(answer) => answered(answer),
+        Err(e) if e.is_unsent() => failed(Outcome::Refused, e.to_string()),
+        Err(e @ Failure::Timeout(_)) => failed(Outcome::TimedOut, e.to_string()),
+        Err(e @ Failure::Large(_)) => failed(Outcome::Failed, e.to_string()),
+        Err(e @ Failure::Broken { part: Part::Body, .. }) => failed(Outcome::Failed, e.to_string()),
+        Err(e) => failed(broken_off(address).await, e.to_string()),
+    }
+}
+
+/// Tells a target that died from one that closed a connection.
+///
+/// A kept connection that a live target closes just as a request goes out looks the same as a
+/// crash. Taken for one, it would put an innocent request under suspicion; a target that crashed
+/// does not take a new connection, so one attempt to connect tells the two apart.
+async fn broken_off(address: SocketAddr) -> Outcome {
+    match tokio::time::timeout(PROBE_TIME, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Outcome::Failed,
+        _ => Outcome::Died,
+    }
+}
+
+fn request(
+    call: &Call,
+    address: SocketAddr,
+    time: Duration,
+) -> Result<Request<Full<bytes::Bytes>>, hyper::http::Error> {
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(format!("http://{address}{}", call.path))
+        .body(Full::new(call.body.clone()))?;
+    *request.headers_mut() = call.headers.clone();
+    let headers = request.headers_mut();
+    headers.insert(wire::REQUEST_ID, HeaderValue::from_str(&call.request)?);
+    let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(wire::REQUEST_TIMEOUT, HeaderValue::from(millis));
+    Ok(request)
+}
+
+fn answered(answer: Answer) -> Ran {
+    let report = load_report(&answer.headers);
+    let shed = answer.headers.contains_key(wire::TARGET_SHED);
+    let outcome = match answer.status {
+        _ if shed => Outcome::Refused,
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT => {
+            Outcome::Failed
+        }
+        _ => Outcome::Ok,
+    };
+    let detail = format!("the target answered {}", answer.status);
+    Ran { outcome, answer: (!shed).then_some(answer), detail, report }
+}
+
+fn failed(outcome: Outcome, detail: String) -> Ran {
+    Ran { outcome, answer: None, detail, report: None }
+}
+
+/// Reads `busy/slots;leaving;cold`, as targets put it into their answers. A field that does not
+/// read so is passed over: the host's own counts are exact without it.
+pub(crate) fn load_report(headers: &HeaderMap) -> Option<Report> {
+    let text = headers.get(wire::TARGET_LOAD)?.to_str().ok()?;
+    let mut parts = text.split(';');
+    let (busy, slots) = parts.next()?.split_once('/')?;
+    let mut report = Report {
+        busy: busy.trim().parse().ok()?,
+        slots: slots.trim().parse().ok()?,
+        ..Report::default()
+    };
+    for flag in parts {
+        match flag.trim() {
+            "leaving" => report.leaving = true,
+            "cold" => report.cold = true,
+            _ => {}
+        }
+    }
+    Some(report)
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,55 @@
+//! What the duties of one host share.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use dunlinrock_schema::settings::Settings;
+
+use crate::{
+    clock::Clock,
+    duties::{control, ledger, pools},
+    metrics::Metrics,
+    ring,
+    view::{Member, View},
+};
+
+/// What the duties of one host share: read by all, the rings written by many.
+#[derive(Debug)]
+pub struct Shared {
+    /// The host's settings.
+    pub settings: Settings,
+    /// This host, as it announces itself.
+    pub me: Member,
+    /// Time of this process.
+    pub clock: Clock,
+    /// The newest view.
+    pub view: Arc<ArcSwap<View>>,
+    /// To the pools duty.
+    pub pools: ring::Sender<pools::Input>,
+    /// To the ledger duty.
+    pub ledger: ring::Sender<ledger::Input>,
+    /// To the control duty.
+    pub control: ring::Sender<control::Input>,
+    /// Counters and timers.
+    pub metrics: Metrics,
+    /// Last ticket given out.
+    pub tickets: AtomicU64,
+}
+
+impl Shared {
+    /// A ticket that no other request of this host has.
+    pub fn ticket(&self) -> u64 {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Time since the host's start.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+}
--- /dev/null
+++ b/crates/node/src/view/mod.rs
@@ -0,0 +1,65 @@
+//! What a host holds to be true now: configuration, members, who owns what, where traffic goes.
+//!
+//! The control duty makes a view and publishes it whole; the other duties read the newest one
+//! without a lock. So no request ever sees one half of a configuration and one half of the next.
+
+mod member;
+mod route;
+
+use std::{collections::BTreeMap, net::IpAddr, sync::Arc};
+
+use bytes::Bytes;
+use dunlinrock_decide::{admit::Word, steer::Blocks};
+use dunlinrock_schema::config::{Config, Service};
+
+pub use self::{
+    member::Member,
+    route::{Pick, PoolRoute, ServiceRoute},
+};
+use crate::duties::pools::PoolId;
+
+/// A host's view. Published whole, never changed.
+#[derive(Debug)]
+pub struct View {
+    /// Number of this view, one more for each that is published.
+    pub number: u64,
+    /// Revision of the configuration; 0 before there is one.
+    pub revision: u64,
+    /// The configuration.
+    pub config: Arc<Config>,
+    /// Whether this host holds a configuration and has heard from others since it last paused.
+    pub ready: bool,
+    /// Whether this host is leaving.
+    pub leaving: bool,
+    /// Live hosts by name, this one included.
+    pub members: BTreeMap<Arc<str>, Arc<Member>>,
+    /// Live hosts by incarnation.
+    pub incarnations: BTreeMap<u64, Arc<Member>>,
+    /// Every pool of the configuration.
+    pub pools: BTreeMap<Arc<PoolId>, Arc<PoolRoute>>,
+    /// Every service of the configuration.
+    pub services: BTreeMap<Arc<str>, Arc<ServiceRoute>>,
+    /// Client blocks and their regions.
+    pub blocks: Arc<Blocks>,
+    /// Requests known to kill their targets.
+    pub words: Arc<Vec<Word>>,
+}
+
+impl View {
+    /// Region that a client address is near to; `fallback` where no block holds it.
+    pub fn region(&self, client: IpAddr, fallback: &Arc<str>) -> Arc<str> {
+        self.blocks.find(client).map_or_else(|| Arc::clone(fallback), Arc::clone)
+    }
+
+    /// Answer to a look-up, ready to send: one of those made for the region, chosen by `draw`.
+    pub fn answer(&self, service: &str, region: &str, draw: u64) -> Option<Bytes> {
+        let answers = self.services.get(service)?.answers.get(region)?;
+        let at = usize::try_from(draw % answers.len().max(1) as u64).ok()?;
+        answers.get(at).cloned()
+    }
+
+    /// Rules of a service.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name).map(|route| &route.rules)
+    }
+}
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -10,5 +10,5 @@
     ATTEMPTS, CALLER, CLIENT, FINGERPRINT, HOPS, KEY, KIND, OUTCOME, REQUEST, REQUEST_ID,
     REQUEST_TIMEOUT, RETRY_SAFE, TARGET_LOAD, TARGET_SHED, TIMEOUT,
 };
-pub use pack::{PackError, pack, unpack};
+pub use pack::{PackError, join, pack, split, unpack};
 pub use problem::{Kind, Trouble};
--- a/crates/node/src/wire/pack.rs
+++ b/crates/node/src/wire/pack.rs
@@ -1,5 +1,6 @@
 //! Bodies between hosts: `MessagePack` with field names, so that a newer host may add a field.
 
+use bytes::Bytes;
 use serde::{Serialize, de::DeserializeOwned};
 
 /// A body could not be written or read.
@@ -11,6 +12,9 @@
     /// A body is not the message that its path promises.
     #[error("decoding a message from another host: {0}")]
     Decode(#[from] rmp_serde::decode::Error),
+    /// A frame is not a head and a body.
+    #[error("reading a frame from another host: {0}")]
+    Frame(&'static str),
 }
 
 /// Encodes a message.
@@ -22,3 +26,30 @@
 pub fn unpack<T: DeserializeOwned>(body: &[u8]) -> Result<T, PackError> {
     Ok(rmp_serde::from_slice(body)?)
 }
+
+/// Bytes of the length that goes before a head.
+const LENGTH_BYTES: usize = 4;
+
+/// Writes a head and, after it, a body as it is. A body packed as an array would grow by half and
+/// be copied once more.
+pub fn join<T: Serialize>(head: &T, body: &[u8]) -> Result<Vec<u8>, PackError> {
+    let head = pack(head)?;
+    let length = u32::try_from(head.len()).map_err(|_| PackError::Frame("its head is too long"))?;
+    let mut out = Vec::with_capacity(LENGTH_BYTES + head.len() + body.len());
+    out.extend_from_slice(&length.to_be_bytes());
+    out.extend_from_slice(&head);
+    out.extend_from_slice(body);
+    Ok(out)
+}
+
+/// Reads what [`join`] wrote; the body shares the frame's memory.
+pub fn split<T: DeserializeOwned>(frame: &Bytes) -> Result<(T, Bytes), PackError> {
+    let Some((length, rest)) = frame.split_first_chunk::<LENGTH_BYTES>() else {
+        return Err(PackError::Frame("it is shorter than a length"));
+    };
+    let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
+    let Some(head) = rest.get(..length) else {
+        return Err(PackError::Frame("it is shorter than its head"));
+    };
+    Ok((unpack(head)?, frame.slice(LENGTH_BYTES + length..)))
+}
--- a/crates/node/src/wire/problem.rs
+++ b/crates/node/src/wire/problem.rs
@@ -41,7 +41,36 @@
     AnswerTooLarge,
 }
 
+/// All kinds, to find one by its name.
+const KINDS: [Kind; 15] = [
+    Kind::Malformed,
+    Kind::UnknownService,
+    Kind::TooLarge,
+    Kind::TooSlow,
+    Kind::Overloaded,
+    Kind::NotReady,
+    Kind::Unavailable,
+    Kind::Quarantined,
+    Kind::DeadlinePassed,
+    Kind::TargetFailed,
+    Kind::KeyRefused,
+    Kind::KeyMismatch,
+    Kind::AnswerGone,
+    Kind::KeyMissing,
+    Kind::AnswerTooLarge,
+];
+
 impl Kind {
+    /// Name of the kind, the last part of its URI.
+    pub fn name(self) -> &'static str {
+        self.parts().1
+    }
+
+    /// The kind of this name.
+    pub fn find(name: &str) -> Option<Kind> {
+        KINDS.into_iter().find(|kind| kind.name() == name)
+    }
+
     fn parts(self) -> (StatusCode, &'static str, &'static str) {
         match self {
             Kind::Malformed => (StatusCode::BAD_REQUEST, "malformed", "malformed request"),
