--- /dev/null
+++ b/crates/once/src/ledger/handover.rs
@@ -0,0 +1,340 @@
+//! Planned stop: the records go to the other sides of their keys.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    time::Duration,
+};
+
+use dunlinrock_schema::once::{EndKind, Handed, Handover, HandoverAnswer, Message};
+
+use super::{
+    Ledger, Role,
+    time::EpochStanding,
+    witness::{bare, end_of, learns},
+};
+use crate::{
+    Action, Key,
+    record::{Other, Record, State, Talk},
+};
+
+/// A planned stop.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Stop {
+    /// Incarnations to hand records to.
+    peers: BTreeSet<u64>,
+    /// When records are handed over though some are still open.
+    deadline: Duration,
+    /// The hand-over, once it has begun.
+    frozen: Option<Frozen>,
+}
+
+/// A hand-over under way. From here on, this side neither takes a key nor ends an epoch, so that
+/// the parts stay what they are until the peer holds them all.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Frozen {
+    at: Duration,
+    /// When to give up on peers that do not answer.
+    until: Duration,
+    /// When to send what is left again.
+    again: Duration,
+    /// Oldest and newest epoch held at `at`.
+    epochs: (u64, u64),
+    /// Number of parts for each peer.
+    totals: BTreeMap<u64, u32>,
+    /// Keys of each part that its peer has not acknowledged, by peer and part.
+    parts: BTreeMap<(u64, u32), Vec<Key>>,
+}
+
+impl Stop {
+    pub(super) fn open(peers: &[u64], deadline: Duration) -> Stop {
+        Stop {
+            peers: peers.iter().copied().collect(),
+            deadline,
+            frozen: None,
+        }
+    }
+
+    pub(super) fn frozen_at(&self) -> Option<Duration> {
+        self.frozen.as_ref().map(|frozen| frozen.at)
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.frozen.as_ref().is_some_and(|f| f.parts.is_empty())
+    }
+
+    pub(super) fn parts_left(&self) -> usize {
+        self.frozen.as_ref().map_or(0, |f| f.parts.len())
+    }
+
+    /// When this stop has something to do next.
+    pub(super) fn due(&self) -> Option<Duration> {
+        match &self.frozen {
+            None => Some(self.deadline),
+            Some(frozen) if frozen.parts.is_empty() => None,
+            Some(frozen) => Some(frozen.again.min(frozen.until)),
+        }
+    }
+
+    /// Gives up on a peer.
+    pub(super) fn drop_peer(&mut self, peer: u64) {
+        self.peers.remove(&peer);
+        if let Some(frozen) = &mut self.frozen {
+            frozen.parts.retain(|(to, _), _| *to != peer);
+        }
+    }
+}
+
+impl Ledger {
+    /// Does what a planned stop has to do now.
+    pub(super) fn go_on_stopping(&mut self, out: &mut Vec<Action>) {
+        let Some(stop) = &self.stop else {
+            return;
+        };
+        if stop.frozen.is_none() {
+            if self.table.open_records() == 0 || self.clock >= stop.deadline {
+                self.freeze(out);
+            }
+            return;
+        }
+        if stop.due().is_some_and(|due| due <= self.clock) {
+            self.offer_again(out);
+        }
+    }
+
+    fn freeze(&mut self, out: &mut Vec<Action>) {
+        self.close_claims(out);
+        let epochs = (self.oldest(), self.epoch(self.clock));
+        let parts = self.cut_parts();
+        let Some(stop) = &mut self.stop else {
+            return;
+        };
+        let mut totals = BTreeMap::new();
+        for (peer, _) in parts.keys() {
+            *totals.entry(*peer).or_default() += 1;
+        }
+        stop.frozen = Some(Frozen {
+            at: self.clock,
+            until: self.clock + self.limits.handover_timeout,
+            again: self.clock + self.limits.resend_interval(),
+            epochs,
+            totals,
+            parts,
+        });
+        self.offer(out);
+    }
+
+    /// Closes the keys whose claim has no answer yet: their callers are told, and no late grant
+    /// sends anything.
+    fn close_claims(&mut self, out: &mut Vec<Action>) {
+        let keys: Vec<Key> = self.table.talking().cloned().collect();
+        for key in keys {
+            let Some(mut record) = self.table.take(&key) else {
+                continue;
+            };
+            if record.state == State::Claiming {
+                self.give_up(&key, &mut record, out);
+            }
+            self.put(key, record);
+        }
+    }
+
+    /// Cuts the records into parts by peer. A peer with none gets one empty part, which tells it
+    /// that this side runs nothing more.
+    fn cut_parts(&self) -> BTreeMap<(u64, u32), Vec<Key>> {
+        let mut parts = BTreeMap::new();
+        let Some(stop) = &self.stop else {
+            return parts;
+        };
+        let mut last: BTreeMap<u64, (u32, usize)> = BTreeMap::new();
+        for peer in &stop.peers {
+            last.insert(*peer, (0, 0));
+            parts.insert((*peer, 0), Vec::new());
+        }
+        for (key, record) in self.table.iter() {
+            let Some((part, bytes)) = last.get_mut(&self.other(key)) else {
+                continue;
+            };
+            if key.is_solo() || !is_handed_on(&record.state) {
+                continue;
+            }
+            let size = answer_len(&record.state);
+            let keys = parts.entry((self.other(key), *part)).or_default();
+            let full = keys.len() >= self.limits.part_records.max(1)
+                || (!keys.is_empty() && *bytes + size > self.limits.part_bytes);
+            if full {
+                *part += 1;
+                *bytes = 0;
+            }
+            *bytes += size;
+            let keys = parts.entry((self.other(key), *part)).or_default();
+            keys.push(key.clone());
+        }
+        parts
+    }
+
+    /// Sends every part that is not acknowledged.
+    fn offer(&self, out: &mut Vec<Action>) {
+        let Some(frozen) = self.stop.as_ref().and_then(|stop| stop.frozen.as_ref()) else {
+            return;
+        };
+        for ((peer, part), keys) in &frozen.parts {
+            let records = keys.iter().filter_map(|key| self.handed(key)).collect();
+            let message = Message::Handover(Handover {
+                first_epoch: frozen.epochs.0,
+                last_epoch: frozen.epochs.1,
+                part: *part,
+                parts: frozen.totals.get(peer).copied().unwrap_or(1),
+                records,
+            });
+            out.push(Action::Tell { to: *peer, message });
+        }
+    }
+
+    fn handed(&self, key: &Key) -> Option<Handed> {
+        let record = self.table.get(key)?;
+        // A request that is still at a target when the deadline comes may have run.
+        let end = end_of(&record.state).unwrap_or_else(|| bare(EndKind::Unknown));
+        Some(Handed {
+            caller: record.caller,
+            end,
+            key: key.to_string().into(),
+        })
+    }
+
+    fn offer_again(&mut self, out: &mut Vec<Action>) {
+        let again = self.clock + self.limits.resend_interval();
+        let clock = self.clock;
+        let Some(frozen) = self.stop.as_mut().and_then(|stop| stop.frozen.as_mut()) else {
+            return;
+        };
+        if frozen.until <= clock {
+            frozen.parts.clear();
+            return;
+        }
+        frozen.again = again;
+        self.offer(out);
+    }
+
+    pub(super) fn on_handover_answer(&mut self, from: u64, answer: &HandoverAnswer) {
+        let Some(stop) = &mut self.stop else {
+            return;
+        };
+        if !answer.accepted {
+            stop.drop_peer(from);
+        } else if let Some(frozen) = &mut stop.frozen {
+            frozen.parts.remove(&(from, answer.part));
+        }
+    }
+
+    /// Takes a part of a peer's hand-over in.
+    pub(super) fn on_handover(&mut self, from: u64, handover: Handover, out: &mut Vec<Action>) {
+        let Handover {
+            first_epoch,
+            last_epoch,
+            part,
+            parts,
+            records,
+        } = handover;
+        let mut accepted = true;
+        for handed in records {
+            accepted &= self.on_handed(from, handed, out);
+        }
+        let message = Message::HandoverAnswer(HandoverAnswer { accepted, part });
+        out.push(Action::Tell { to: from, message });
+        if !accepted {
+            return;
+        }
+        let clock = self.clock;
+        let peer = self.peers.entry(from).or_default();
+        peer.seen = clock;
+        peer.parts.insert(part);
+        let held = u32::try_from(peer.parts.len()).unwrap_or(u32::MAX);
+        if held >= parts || self.limits.faults.first_part {
+            peer.handed = Some((first_epoch, last_epoch));
+            self.on_handed_all(from, out);
+        }
+    }
+
+    /// Takes one record of a hand-over in; `false` where it had to be held and there was no room.
+    fn on_handed(&mut self, from: u64, handed: Handed, out: &mut Vec<Action>) -> bool {
+        let Ok(key) = handed.key.parse::<Key>() else {
+            return true;
+        };
+        let role = self.role(&key);
+        if role == Role::Stranger || key.is_solo() || self.other(&key) != from {
+            return true;
+        }
+        match self.table.take(&key) {
+            Some(record) => {
+                self.on_handed_known(&key, record, handed, out);
+                true
+            }
+            None => role == Role::Witness || self.on_handed_new(key, handed, out),
+        }
+    }
+
+    fn on_handed_known(
+        &mut self,
+        key: &Key,
+        mut record: Record,
+        handed: Handed,
+        out: &mut Vec<Action>,
+    ) {
+        if record.state == State::Claiming || learns(&record.state) {
+            let mismatch = record.caller != handed.caller;
+            let end = if mismatch {
+                bare(EndKind::Mismatch)
+            } else {
+                handed.end
+            };
+            self.learn(key, &mut record, end, out);
+        }
+        self.put(key.clone(), record);
+    }
+
+    /// Holds a key that the witness took and the owner never heard of. Without the record the
+    /// owner, which then asks for no claim, would run it a second time.
+    fn on_handed_new(&mut self, key: Key, handed: Handed, out: &mut Vec<Action>) -> bool {
+        if self.epoch_standing(&key) == EpochStanding::Ended {
+            return true;
+        }
+        if self.is_full() {
+            return false;
+        }
+        let mut record = Record::open(handed.caller, State::Closed(Other::Unsure));
+        self.learn(&key, &mut record, handed.end, out);
+        self.put(key, record);
+        true
+    }
+
+    /// A peer has handed over everything: what waits for its word as a witness has it.
+    fn on_handed_all(&mut self, from: u64, out: &mut Vec<Action>) {
+        for key in self.talking_to(from) {
+            if self.role(&key) != Role::Owner || !self.is_handed(&key) {
+                continue;
+            }
+            let Some(mut record) = self.table.take(&key) else {
+                continue;
+            };
+            match mem::take(&mut record.pending).map(|pending| pending.talk) {
+                Some(Talk::Claim) => self.on_grant(&key, &mut record, out),
+                _ => self.settle(&key, &mut record, out),
+            }
+            self.put(key, record);
+        }
+    }
+}
+
+/// Whether the other side is handed a record in this state. A claim that it granted it knows of;
+/// one that this side granted is the other side's own.
+fn is_handed_on(state: &State) -> bool {
+    !matches!(state, State::Claiming | State::Claimed)
+}
+
+fn answer_len(state: &State) -> usize {
+    match state {
+        State::Answered { answer, .. } => answer.len(),
+        _ => 0,
+    }
+}
--- a/crates/once/src/ledger/mod.rs
+++ b/crates/once/src/ledger/mod.rs
@@ -1,17 +1,63 @@
 //! The ledger: one for each host, owner of some keys and witness of others.
+//!
+//! Load pattern: retries of requests that may not be repeated, which come in bursts just when hosts
+//! fail or are replaced. Without a record of what was sent, a retry runs twice; with a record only
+//! on the owner, its death leaves every caller with `unknown`. Thresholds are [`Limits`]; the notes
+//! in `docs/notes/at-most-once.md` say what chose them.
 
-use std::time::Duration;
+mod handover;
+mod owner;
+mod request;
+mod run;
+mod settle;
+mod table;
+mod time;
+mod witness;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use dunlinrock_schema::once::Message;
 
-use crate::{Action, Key, Limits, Outcome, Request, Seat};
+use self::{handover::Stop, table::Table};
+use crate::{
+    Action, Key, Limits, Outcome, Request, Seat,
+    record::{Record, Waiter},
+};
 
 /// A host's ledger.
+///
+/// Its order and equality are those of its whole state, so that a search over states can tell
+/// which it has seen.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ledger {
     me: u64,
     limits: Limits,
+    /// When epoch 0 began.
     opened: Duration,
+    /// Latest time seen; never goes back.
+    clock: Duration,
+    /// Epochs before this one have been dropped.
+    swept: u64,
+    table: Table,
+    peers: BTreeMap<u64, Peer>,
+    stop: Option<Stop>,
+}
+
+/// What is known of another incarnation.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Peer {
+    /// Whether it is gone, as far as this host was told.
+    gone: bool,
+    /// Epochs for which it has handed over all its records, first and last: it runs nothing more
+    /// of these, and needs not be asked for a claim.
+    handed: Option<(u64, u64)>,
+    /// Parts of its hand-over that are held.
+    parts: BTreeSet<u32>,
+    /// When this was last changed.
+    seen: Duration,
 }
 
 /// What a ledger holds, for metrics and dumps.
@@ -29,6 +75,14 @@
     pub parts_left: usize,
 }
 
+/// Which side of a key a host is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Owner,
+    Witness,
+    Stranger,
+}
+
 impl Ledger {
     /// Opens an empty ledger for an incarnation, which must never have had one before.
     ///
@@ -39,6 +93,11 @@
             me,
             limits,
             opened: now,
+            clock: now,
+            swept: 0,
+            table: Table::open(me),
+            peers: BTreeMap::new(),
+            stop: None,
         }
     }
 
@@ -48,9 +107,11 @@
         self.me
     }
 
-    /// Epoch to bind keys to at `now`.
+    /// Epoch to bind keys to at `now`. Epochs stand still once records are being handed over.
     #[must_use]
     pub fn epoch(&self, now: Duration) -> u64 {
+        let frozen = self.stop.as_ref().and_then(Stop::frozen_at);
+        let now = frozen.map_or(now, |at| at.min(now));
         let length = self.limits.epoch_length.as_nanos().max(1);
         let past = now.saturating_sub(self.opened).as_nanos();
         u64::try_from(past / length).unwrap_or(u64::MAX)
@@ -66,57 +127,172 @@
     }
 
     /// Takes a caller's request in.
-    pub fn request(&mut self, _request: Request, _now: Duration) -> Vec<Action> {
-        Vec::new()
+    pub fn request(&mut self, request: Request, now: Duration) -> Vec<Action> {
+        self.input(now, |ledger, out| ledger.on_request(request, out))
     }
 
     /// Takes a message of another incarnation in. `from` is what the transport knows of the sender.
-    pub fn hear(&mut self, _from: u64, _message: Message, _now: Duration) -> Vec<Action> {
-        Vec::new()
+    ///
+    /// A message that names no key of these two incarnations is ignored.
+    pub fn hear(&mut self, from: u64, message: Message, now: Duration) -> Vec<Action> {
+        self.input(now, |ledger, out| ledger.on_message(from, message, out))
     }
 
     /// Takes the end of a request in that [`Action::Send`] gave out.
-    pub fn finished(&mut self, _key: &Key, _outcome: Outcome, _now: Duration) -> Vec<Action> {
-        Vec::new()
+    pub fn finished(&mut self, key: &Key, outcome: Outcome, now: Duration) -> Vec<Action> {
+        self.input(now, |ledger, out| ledger.on_finished(key, outcome, out))
     }
 
     /// Forgets an attempt whose caller is gone.
-    pub fn cancel(&mut self, _ticket: u64, _now: Duration) -> Vec<Action> {
-        Vec::new()
+    pub fn cancel(&mut self, ticket: u64, now: Duration) -> Vec<Action> {
+        self.input(now, |ledger, out| ledger.on_cancel(ticket, out))
     }
 
-    /// Notes that an incarnation is gone for good, or seems to be: what waits for it is answered now.
-    /// A wrong word costs answers, never a second run.
-    pub fn peer_gone(&mut self, _incarnation: u64, _now: Duration) -> Vec<Action> {
-        Vec::new()
+    /// Notes that an incarnation is gone for good, or seems to be: what waits for it is answered
+    /// now. A wrong word costs answers, never a second run.
+    pub fn peer_gone(&mut self, incarnation: u64, now: Duration) -> Vec<Action> {
+        self.input(now, |ledger, out| ledger.on_gone(incarnation, out))
     }
 
     /// Begins a planned stop: takes no new key, and hands its records to `peers` (the live
     /// incarnations) once nothing is open, or at `deadline`.
-    pub fn stop(&mut self, _peers: &[u64], _deadline: Duration, _now: Duration) -> Vec<Action> {
-        Vec::new()
+    pub fn stop(&mut self, peers: &[u64], deadline: Duration, now: Duration) -> Vec<Action> {
+        self.input(now, |ledger, _| {
+            if ledger.stop.is_none() {
+                ledger.stop = Some(Stop::open(peers, deadline));
+            }
+        })
     }
 
     /// Whether a planned stop has come to its end: the process may exit.
     #[must_use]
     pub fn stopped(&self) -> bool {
-        false
+        self.stop.as_ref().is_some_and(Stop::is_over)
     }
 
     /// Fires what is due at `now`.
-    pub fn tick(&mut self, _now: Duration) -> Vec<Action> {
-        Vec::new()
+    pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        self.input(now, |_, _| ())
     }
 
-    /// When to call [`Ledger::tick`] next; `None` while nothing is due.
+    /// When to call [`Ledger::tick`] next; `None` while nothing is due. Epochs need no wake: they
+    /// are looked at with each input.
     #[must_use]
     pub fn next_wake(&self) -> Option<Duration> {
-        None
+        let talk = self.table.first_timer().map(|(due, _)| *due);
+        let stop = self.stop.as_ref().and_then(Stop::due);
+        [talk, stop].into_iter().flatten().min()
     }
 
     /// What the ledger holds.
     #[must_use]
     pub fn counts(&self) -> Counts {
-        Counts::default()
+        Counts {
+            records: self.table.records(),
+            open: self.table.open_records(),
+            waiting: self.table.waiting(),
+            answer_bytes: self.table.answer_bytes(),
+            parts_left: self.stop.as_ref().map_or(0, Stop::parts_left),
+        }
+    }
+
+    /// Brings the ledger to `now`, does `f`, then whatever a stop has to do.
+    ///
+    /// A host that was paused wakes with messages that were in time for others, not for its own
+    /// clock. What timed out is closed before the input is looked at, so that a late grant finds
+    /// the key closed.
+    fn input(
+        &mut self,
+        now: Duration,
+        f: impl FnOnce(&mut Ledger, &mut Vec<Action>),
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.advance(now, &mut out);
+        f(self, &mut out);
+        self.go_on_stopping(&mut out);
+        out
+    }
+
+    fn on_message(&mut self, from: u64, message: Message, out: &mut Vec<Action>) {
+        match message {
+            Message::Claim(m) => self.with_key(from, &m.key, |l, k| l.on_claim(k, m.caller, out)),
+            Message::ClaimAnswer(m) => {
+                self.with_key(from, &m.key, |l, k| l.on_claim_answer(&k, m.verdict, out));
+            }
+            Message::Close(m) => self.with_key(from, &m.key, |l, k| l.on_close(&k, m.caller, out)),
+            Message::CloseAnswer(m) => {
+                self.with_key(from, &m.key, |l, k| l.on_close_answer(&k, m.closing, out));
+            }
+            Message::AnswerAsk(m) => {
+                self.with_key(from, &m.key, |l, k| l.on_ask(&k, m.caller, out));
+            }
+            Message::AnswerGive(m) => {
+                self.with_key(from, &m.key, |l, k| l.on_give(&k, m.end, out));
+            }
+            Message::Handover(m) => self.on_handover(from, m, out),
+            Message::HandoverAnswer(m) => self.on_handover_answer(from, &m),
+        }
+    }
+
+    /// Does `f` with a key whose other side is `from`; anything else is no message for this host.
+    fn with_key(&mut self, from: u64, text: &str, f: impl FnOnce(&mut Ledger, Key)) {
+        let Ok(key) = text.parse::<Key>() else {
+            return;
+        };
+        if self.role(&key) != Role::Stranger && !key.is_solo() && self.other(&key) == from {
+            f(self, key);
+        }
+    }
+
+    fn role(&self, key: &Key) -> Role {
+        if key.owner.incarnation == self.me {
+            Role::Owner
+        } else if key.witness.incarnation == self.me {
+            Role::Witness
+        } else {
+            Role::Stranger
+        }
+    }
+
+    /// The other side of a key that names this host.
+    fn other(&self, key: &Key) -> u64 {
+        if key.owner.incarnation == self.me {
+            key.witness.incarnation
+        } else {
+            key.owner.incarnation
+        }
+    }
+
+    fn is_gone(&self, incarnation: u64) -> bool {
+        self.peers.get(&incarnation).is_some_and(|peer| peer.gone)
+    }
+
+    /// Whether the witness of a key of this host's has handed over what it held of the key's epoch:
+    /// it will never run the request, and what it ran is among this host's records.
+    fn is_handed(&self, key: &Key) -> bool {
+        let peer = self.peers.get(&key.witness.incarnation);
+        let handed = peer.and_then(|peer| peer.handed);
+        handed.is_some_and(|(first, last)| (first..=last).contains(&key.witness.epoch))
+    }
+
+    fn is_full(&self) -> bool {
+        self.table.records() >= self.limits.records
+    }
+
+    /// Puts a record back, unless its epoch has ended and nobody waits for it any more.
+    fn put(&mut self, key: Key, record: Record) {
+        let epoch = self.table.epoch_of(&key);
+        if epoch < self.swept && !record.is_open() && record.waiters.is_empty() {
+            self.table.release(&record);
+            self.table.trim(epoch);
+            return;
+        }
+        self.table.put(key, record);
+    }
+
+    /// Adds an attempt that waits for the key's end.
+    fn join(&mut self, key: &Key, record: &mut Record, waiter: Waiter) {
+        self.table.add_ticket(waiter.ticket, key.clone());
+        record.waiters.push(waiter);
     }
 }
--- /dev/null
+++ b/crates/once/src/ledger/request.rs
@@ -0,0 +1,125 @@
+//! Requests of callers.
+
+use std::time::Duration;
+
+use super::{Ledger, Role, time::EpochStanding};
+use crate::{
+    Action, Key, Reason, Request, Run,
+    record::{Other, Record, State, Talk, Waiter},
+};
+
+impl Ledger {
+    pub(super) fn on_request(&mut self, request: Request, out: &mut Vec<Action>) {
+        let role = self.role(&request.key);
+        if role == Role::Stranger {
+            let run = no_if(request.attempts.is_first());
+            self.refuse(request.ticket, run, Reason::Stranger, None, out);
+            return;
+        }
+        match self.table.take(&request.key) {
+            Some(record) => self.on_known(role, &request, record, out),
+            None => self.on_new(role, request, out),
+        }
+    }
+
+    /// Whether the caller may have reached the key's other side with an earlier attempt.
+    fn elsewhere(&self, role: Role, request: &Request) -> bool {
+        let others = match role {
+            Role::Owner => request.attempts.witness,
+            Role::Witness | Role::Stranger => request.attempts.owner,
+        };
+        others > 0 && !request.key.is_solo() && !self.limits.faults.ignore_attempts
+    }
+
+    /// A request whose key has a record.
+    fn on_known(
+        &mut self,
+        role: Role,
+        request: &Request,
+        mut record: Record,
+        out: &mut Vec<Action>,
+    ) {
+        let key = &request.key;
+        let elsewhere = self.elsewhere(role, request);
+        let ticket = request.ticket;
+        if record.caller != request.caller && !self.limits.faults.any_caller {
+            // Whoever came first with the key holds it on this side for as long as the epoch is
+            // held, so no attempt of this caller's runs here.
+            self.refuse(ticket, no_if(!elsewhere), Reason::Mismatch, None, out);
+        } else if record.waiters.len() >= self.limits.waiters {
+            let retry_after = Some(self.limits.ask_timeout);
+            self.refuse(ticket, Run::Unknown, Reason::Crowded, retry_after, out);
+        } else {
+            self.join(key, &mut record, Waiter { ticket, elsewhere });
+            self.serve_known(key, &mut record, out);
+        }
+        self.put(key.clone(), record);
+    }
+
+    /// Serves the attempt that has just joined those who wait.
+    fn serve_known(&mut self, key: &Key, record: &mut Record, out: &mut Vec<Action>) {
+        match record.state {
+            State::Claiming | State::Running => {}
+            State::Claimed if self.limits.faults.run_claimed => self.send(key, record, out),
+            State::Claimed if self.is_gone(self.other(key)) => self.refuse_silent(record, out),
+            State::Claimed if record.pending.is_some() => {}
+            State::Claimed => self.talk(key, record, Talk::Ask, out),
+            _ => self.settle(key, record, out),
+        }
+    }
+
+    /// A request whose key has no record.
+    fn on_new(&mut self, role: Role, request: Request, out: &mut Vec<Action>) {
+        if let Some((run, reason, retry_after)) = self.turn_away(role, &request) {
+            self.refuse(request.ticket, run, reason, retry_after, out);
+            return;
+        }
+        let elsewhere = self.elsewhere(role, &request);
+        let key = request.key;
+        let mut record = Record::open(request.caller, State::Claiming);
+        let ticket = request.ticket;
+        self.join(&key, &mut record, Waiter { ticket, elsewhere });
+        let needs_claim = role == Role::Owner && !key.is_solo() && !self.is_handed(&key);
+        if !needs_claim || self.limits.faults.skip_claim {
+            self.send(&key, &mut record, out);
+        } else if self.is_gone(key.witness.incarnation) {
+            record.state = State::Closed(Other::Unsure);
+            self.settle(&key, &mut record, out);
+        } else {
+            self.talk(&key, &mut record, Talk::Claim, out);
+        }
+        self.put(key, record);
+    }
+
+    /// Why a key without a record is refused, if it is. No record is made, so `no` is said only
+    /// where no attempt so far can run: this is the first, or this side never takes the key again.
+    fn turn_away(&self, role: Role, request: &Request) -> Option<(Run, Reason, Option<Duration>)> {
+        let first = no_if(request.attempts.is_first());
+        let here = no_if(!self.elsewhere(role, request));
+        let key = &request.key;
+        match self.epoch_standing(key) {
+            EpochStanding::Ended => return Some((first, Reason::EpochEnded, None)),
+            EpochStanding::Ahead => return Some((first, Reason::EpochAhead, None)),
+            EpochStanding::Held => {}
+        }
+        if self.stop.is_some() {
+            return Some((here, Reason::Leaving, None));
+        }
+        if self.is_full() {
+            return Some((first, Reason::Full, Some(self.epoch_left())));
+        }
+        None
+    }
+
+    /// Time until the present epoch ends, when a full ledger may have room again.
+    fn epoch_left(&self) -> Duration {
+        let length = self.limits.epoch_length.as_nanos().max(1);
+        let past = self.clock.saturating_sub(self.opened).as_nanos() % length;
+        let left = u64::try_from(length - past).unwrap_or(u64::MAX);
+        Duration::from_nanos(left)
+    }
+}
+
+fn no_if(sure: bool) -> Run {
+    if sure { Run::No } else { Run::Unknown }
+}
--- /dev/null
+++ b/crates/once/src/ledger/run.rs
@@ -0,0 +1,74 @@
+//! The one send of a key, its end, and callers that go away.
+
+use dunlinrock_schema::once::EndKind;
+
+use super::Ledger;
+use crate::{
+    Action, Key, Outcome, Reason, Run,
+    record::{Other, Record, State},
+};
+
+impl Ledger {
+    /// Gives the request of the first attempt that waits out to be sent. There is one.
+    pub(super) fn send(&mut self, key: &Key, record: &mut Record, out: &mut Vec<Action>) {
+        record.pending = None;
+        record.state = State::Running;
+        out.extend(record.waiters.first().map(|waiter| Action::Send {
+            key: key.clone(),
+            ticket: waiter.ticket,
+        }));
+    }
+
+    pub(super) fn on_finished(&mut self, key: &Key, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(mut record) = self.table.take(key) else {
+            return;
+        };
+        if record.state == State::Running {
+            self.end_run(key, &mut record, outcome, out);
+            if self.limits.faults.reopen && record.state == State::Closed(Other::Never) {
+                return;
+            }
+        }
+        self.put(key.clone(), record);
+    }
+
+    fn end_run(&mut self, key: &Key, record: &mut Record, outcome: Outcome, out: &mut Vec<Action>) {
+        match outcome {
+            Outcome::Answered(answer) => {
+                self.settle_answer(key, record, &answer, out);
+                record.state = self.hold(key, answer);
+            }
+            Outcome::Lost => {
+                record.state = State::Lost;
+                self.settle(key, record, out);
+            }
+            Outcome::NotRun { retry_after } => {
+                // The other side granted the claim, or refuses it from now on: the key is dead.
+                record.state = State::Closed(Other::Never);
+                self.give(key, record, EndKind::Closed, out);
+                for waiter in std::mem::take(&mut record.waiters) {
+                    self.refuse(waiter.ticket, Run::No, Reason::NotRun, retry_after, out);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_cancel(&mut self, ticket: u64, out: &mut Vec<Action>) {
+        let Some(key) = self.table.end_ticket(ticket) else {
+            return;
+        };
+        let Some(mut record) = self.table.take(&key) else {
+            return;
+        };
+        record.waiters.retain(|waiter| waiter.ticket != ticket);
+        if record.waiters.is_empty() {
+            match record.state {
+                State::Claiming => {}
+                State::Running if record.asked => {}
+                State::Running => out.push(Action::Abandon { key: key.clone() }),
+                _ => record.pending = None,
+            }
+        }
+        self.put(key, record);
+    }
+}
--- /dev/null
+++ b/crates/once/src/ledger/table.rs
@@ -0,0 +1,187 @@
+//! The records of a ledger, with the indexes that bound and time them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    Key,
+    record::{Record, State},
+};
+
+/// Records by this host's epoch and key.
+///
+/// A record is taken out to be changed and put back, so that every index is kept in two places.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Table {
+    me: u64,
+    epochs: BTreeMap<u64, BTreeMap<Key, Record>>,
+    /// Records in `epochs`.
+    records: usize,
+    /// Records in `epochs` that are open.
+    open: usize,
+    /// For each record with a pending talk, when that is due.
+    timers: BTreeSet<(Duration, Key)>,
+    /// For each attempt that waits, its key.
+    tickets: BTreeMap<u64, Key>,
+    /// Keys with an answer held, in the order the answers came.
+    answers: BTreeMap<u64, Key>,
+    /// Sum of the lengths of the answers held.
+    answer_bytes: usize,
+    /// Order of the next answer.
+    next_order: u64,
+}
+
+impl Table {
+    pub(crate) fn open(me: u64) -> Table {
+        Table {
+            me,
+            ..Table::default()
+        }
+    }
+
+    /// This host's epoch in a key that names it.
+    pub(crate) fn epoch_of(&self, key: &Key) -> u64 {
+        if key.owner.incarnation == self.me {
+            key.owner.epoch
+        } else {
+            key.witness.epoch
+        }
+    }
+
+    pub(crate) fn get(&self, key: &Key) -> Option<&Record> {
+        self.epochs.get(&self.epoch_of(key))?.get(key)
+    }
+
+    /// Takes a record out, to be changed and put back.
+    pub(crate) fn take(&mut self, key: &Key) -> Option<Record> {
+        let epoch = self.epoch_of(key);
+        let record = self.epochs.get_mut(&epoch)?.remove(key)?;
+        self.records -= 1;
+        self.open -= usize::from(record.is_open());
+        if let Some(pending) = record.pending {
+            self.timers.remove(&(pending.due(), key.clone()));
+        }
+        Some(record)
+    }
+
+    /// Puts a record in. The key has none.
+    pub(crate) fn put(&mut self, key: Key, record: Record) {
+        self.records += 1;
+        self.open += usize::from(record.is_open());
+        if let Some(pending) = record.pending {
+            self.timers.insert((pending.due(), key.clone()));
+        }
+        let epoch = self.epoch_of(&key);
+        self.epochs.entry(epoch).or_default().insert(key, record);
+    }
+
+    /// Ends the holding of a record that was taken out and is not put back.
+    pub(crate) fn release(&mut self, record: &Record) {
+        if let State::Answered { order, answer } = &record.state {
+            self.answer_bytes -= answer.len();
+            self.answers.remove(order);
+        }
+    }
+
+    /// Holds an answer for a record that is taken out, and drops the oldest answers beyond `room`.
+    ///
+    /// The answer is no longer than `room`.
+    pub(crate) fn hold(&mut self, key: &Key, answer: Arc<[u8]>, room: usize) -> State {
+        self.answer_bytes += answer.len();
+        while self.answer_bytes > room {
+            let Some((_, oldest)) = self.answers.pop_first() else {
+                break;
+            };
+            self.drop_answer(&oldest);
+        }
+        let order = self.next_order;
+        self.next_order += 1;
+        self.answers.insert(order, key.clone());
+        State::Answered { order, answer }
+    }
+
+    fn drop_answer(&mut self, key: &Key) {
+        let epoch = self.epoch_of(key);
+        let Some(records) = self.epochs.get_mut(&epoch) else {
+            return;
+        };
+        let Some(record) = records.get_mut(key) else {
+            return;
+        };
+        if let State::Answered { answer, .. } = &record.state {
+            self.answer_bytes -= answer.len();
+            record.state = State::Dropped;
+        }
+    }
+
+    /// Drops the records of epochs before `oldest`, but for those on which somebody waits: they go
+    /// when they end.
+    pub(crate) fn end_epochs(&mut self, oldest: u64) {
+        let later = self.epochs.split_off(&oldest);
+        let ended = std::mem::replace(&mut self.epochs, later);
+        for (epoch, mut records) in ended {
+            records.retain(|_, record| {
+                let keep = record.is_open() || !record.waiters.is_empty();
+                if !keep {
+                    self.records -= 1;
+                    if let State::Answered { order, answer } = &record.state {
+                        self.answer_bytes -= answer.len();
+                        self.answers.remove(order);
+                    }
+                }
+                keep
+            });
+            if !records.is_empty() {
+                self.epochs.insert(epoch, records);
+            }
+        }
+    }
+
+    /// Removes the maps of ended epochs that hold nothing any more.
+    pub(crate) fn trim(&mut self, epoch: u64) {
+        if self.epochs.get(&epoch).is_some_and(BTreeMap::is_empty) {
+            self.epochs.remove(&epoch);
+        }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Key, &Record)> {
+        self.epochs.values().flatten()
+    }
+
+    /// The earliest due talk.
+    pub(crate) fn first_timer(&self) -> Option<&(Duration, Key)> {
+        self.timers.first()
+    }
+
+    /// Keys with a talk under way.
+    pub(crate) fn talking(&self) -> impl Iterator<Item = &Key> {
+        self.timers.iter().map(|(_, key)| key)
+    }
+
+    pub(crate) fn add_ticket(&mut self, ticket: u64, key: Key) {
+        self.tickets.insert(ticket, key);
+    }
+
+    pub(crate) fn end_ticket(&mut self, ticket: u64) -> Option<Key> {
+        self.tickets.remove(&ticket)
+    }
+
+    pub(crate) fn records(&self) -> usize {
+        self.records
+    }
+
+    pub(crate) fn open_records(&self) -> usize {
+        self.open
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.tickets.len()
+    }
+
+    pub(crate) fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+}
--- /dev/null
+++ b/crates/once/src/ledger/witness.rs
@@ -0,0 +1,155 @@
+//! The witness's side, and what either side tells the other on request.
+
+use dunlinrock_schema::once::{ClaimAnswer, CloseAnswer, Closing, End, EndKind, Message, Verdict};
+
+use super::{Ledger, Role, time::EpochStanding};
+use crate::{
+    Action, Key,
+    record::{Other, Record, State},
+};
+
+impl Ledger {
+    /// The owner asks for the claim. A grant is for good: this side never runs the request then.
+    pub(super) fn on_claim(&mut self, key: Key, caller: u64, out: &mut Vec<Action>) {
+        if self.role(&key) != Role::Witness {
+            return;
+        }
+        let verdict = match self.table.get(&key) {
+            Some(record) => verdict_on(record),
+            None if self.epoch_standing(&key) != EpochStanding::Held => Verdict::Ended,
+            None if self.is_full() => Verdict::Full,
+            None => Verdict::Granted,
+        };
+        let message = Message::ClaimAnswer(ClaimAnswer {
+            key: key.to_string().into(),
+            verdict,
+        });
+        let to = key.owner.incarnation;
+        out.push(Action::Tell { to, message });
+        if verdict == Verdict::Granted && self.table.get(&key).is_none() {
+            self.put(key, Record::open(caller, State::Claimed));
+        }
+    }
+
+    /// The owner has closed the key and asks this side to do so.
+    pub(super) fn on_close(&mut self, key: &Key, caller: u64, out: &mut Vec<Action>) {
+        if self.role(key) != Role::Witness {
+            return;
+        }
+        let closing = match self.table.take(key) {
+            Some(record) => self.close_known(key, record, out),
+            None => self.close_new(key, caller),
+        };
+        let message = Message::CloseAnswer(CloseAnswer {
+            closing,
+            key: key.to_string().into(),
+        });
+        let to = key.owner.incarnation;
+        out.push(Action::Tell { to, message });
+    }
+
+    fn close_known(&mut self, key: &Key, mut record: Record, out: &mut Vec<Action>) -> Closing {
+        let closing = match record.state {
+            State::Claimed | State::Closed(_) => {
+                record.state = State::Closed(Other::Never);
+                self.settle(key, &mut record, out);
+                Closing::Closed
+            }
+            _ => Closing::Taken,
+        };
+        self.put(key.clone(), record);
+        closing
+    }
+
+    fn close_new(&mut self, key: &Key, caller: u64) -> Closing {
+        if self.epoch_standing(key) != EpochStanding::Held {
+            return Closing::Unknown;
+        }
+        if self.stop.is_some() {
+            // A stopping host takes no key, and holds a record of each that it took.
+            return Closing::Closed;
+        }
+        if self.is_full() {
+            return Closing::Unknown;
+        }
+        let closed = State::Closed(Other::Never);
+        self.put(key.clone(), Record::open(caller, closed));
+        Closing::Closed
+    }
+
+    /// The other side asks how the key ended.
+    pub(super) fn on_ask(&mut self, key: &Key, caller: u64, out: &mut Vec<Action>) {
+        let Some(mut record) = self.table.take(key) else {
+            self.tell_end(key, bare(EndKind::Unknown), out);
+            return;
+        };
+        if record.caller != caller {
+            self.tell_end(key, bare(EndKind::Mismatch), out);
+        } else if record.state == State::Claimed {
+            self.tell_end(key, bare(EndKind::Unknown), out);
+        } else {
+            record.asked = true;
+            self.tell_asked(key, &mut record, out);
+        }
+        self.put(key.clone(), record);
+    }
+
+    /// Tells the end at once where it is known; those who wait here are not touched.
+    fn tell_asked(&mut self, key: &Key, record: &mut Record, out: &mut Vec<Action>) {
+        let end = end_of(&record.state);
+        if let Some(end) = end {
+            record.asked = false;
+            self.tell_end(key, end, out);
+        }
+    }
+
+    /// The other side tells how the key ended.
+    pub(super) fn on_give(&mut self, key: &Key, end: End, out: &mut Vec<Action>) {
+        let Some(mut record) = self.table.take(key) else {
+            return;
+        };
+        if learns(&record.state) {
+            self.learn(key, &mut record, end, out);
+        }
+        self.put(key.clone(), record);
+    }
+}
+
+fn verdict_on(record: &Record) -> Verdict {
+    match record.state {
+        State::Claimed => Verdict::Granted,
+        State::Closed(_) => Verdict::Closed,
+        _ => Verdict::Taken,
+    }
+}
+
+/// Whether a record in this state takes the other side's word: this side never runs the request,
+/// and does not yet know how it ended.
+pub(super) fn learns(state: &State) -> bool {
+    matches!(
+        state,
+        State::Claimed | State::Closed(Other::Unsure | Other::Took)
+    )
+}
+
+/// What a final state tells the other side.
+pub(super) fn end_of(state: &State) -> Option<End> {
+    match state {
+        State::Claiming | State::Claimed | State::Running => None,
+        State::Answered { answer, .. } => Some(End {
+            kind: EndKind::Answered,
+            answer: answer.to_vec(),
+        }),
+        State::Dropped => Some(bare(EndKind::Dropped)),
+        State::Lost => Some(bare(EndKind::Unknown)),
+        State::Closed(_) => Some(bare(EndKind::Closed)),
+    }
+}
+
+/// An end without an answer.
+pub(super) fn bare(kind: EndKind) -> End {
+    End {
+        kind,
+        answer: Vec::new(),
+    }
+}
--- a/crates/once/src/limits.rs
+++ b/crates/once/src/limits.rs
@@ -17,7 +17,7 @@
     pub claim_timeout: Duration,
     /// How long a side waits for the other's answer before it says `unknown`.
     pub ask_timeout: Duration,
-    /// Interval at which an unanswered message is sent again.
+    /// Time after which an unanswered message is sent again; doubles with each further one.
     pub resend: Duration,
     /// Length of an epoch.
     pub epoch_length: Duration,
@@ -33,6 +33,13 @@
     pub faults: Faults,
 }
 
+impl Limits {
+    /// Time to the first repetition of a message; never zero, which would repeat it without end.
+    pub(crate) fn resend_interval(&self) -> Duration {
+        self.resend.max(Duration::from_millis(1))
+    }
+}
+
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -33,10 +33,18 @@
     /// It may have run.
     Lost,
     /// This side did not run it and never will.
-    Closed {
-        /// Whether the other side did not and will not either.
-        dead: bool,
-    },
+    Closed(Other),
+}
+
+/// What a closed side knows of the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Other {
+    /// The other side may run the request.
+    Unsure,
+    /// The other side did not run it and never will.
+    Never,
+    /// The other side took it.
+    Took,
 }
 
 /// What a side waits for from the other.
@@ -59,6 +67,8 @@
     pub(crate) until: Duration,
     /// When to send the message again.
     pub(crate) again: Duration,
+    /// Time between the last message and `again`; doubles, so that a long run is asked for seldom.
+    pub(crate) interval: Duration,
 }
 
 impl Pending {
