--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -12,4 +12,4 @@
 
 mod generated;
 
-pub use generated::{api, config, peer, settings, store};
+pub use generated::{api, config, once, peer, settings, store};
