--- /dev/null
+++ b/crates/admit/src/pool/rules.rs
@@ -0,0 +1,61 @@
+//! What a pool is told: its rules and its targets.
+
+use std::{sync::Arc, time::Duration};
+
+/// Settings of a pool. Each default is the one that the sweep named in its module's doc chose.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolRules {
+    /// Most requests that wait at once. When it is full, the request with the worst rank leaves.
+    pub queue: usize,
+    /// Longest time a request waits, whatever its deadline.
+    pub patience: Duration,
+    /// Work expected to take up to this long is short; the rest is long.
+    pub short: Duration,
+    /// Share of the slots, 0 to 1, that short work is sure of while it competes with long work.
+    pub short_share: f64,
+    /// Guess of the service time of a kind of request that has not been seen yet.
+    pub guess: Duration,
+    /// Time in which a cold target's slots grow from one to all.
+    pub ramp: Duration,
+    /// A target this many times slower than expected is ejected.
+    pub slow: f64,
+    /// Time a slow target stays ejected before it is probed; doubles at each failed probe.
+    pub eject: Duration,
+    /// Reruns and hedges allowed for each first run, 0 to 1.
+    pub retry_share: f64,
+    /// Time for which a report may hold back what a target is given.
+    pub report_life: Duration,
+    /// Seed of the hashing that spreads callers and keys.
+    pub seed: u64,
+}
+
+impl Default for PoolRules {
+    fn default() -> Self {
+        Self {
+            queue: 512,
+            patience: Duration::from_secs(5),
+            short: Duration::from_millis(100),
+            short_share: 0.25,
+            guess: Duration::from_millis(20),
+            ramp: Duration::from_secs(10),
+            slow: 3.0,
+            eject: Duration::from_secs(5),
+            retry_share: 0.1,
+            report_life: Duration::from_secs(2),
+            seed: 1,
+        }
+    }
+}
+
+/// A target as the configuration names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetSpec {
+    /// Name, unique in the pool.
+    pub name: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It is to be given nothing new.
+    pub leaving: bool,
+    /// It starts with cold caches: it is given its slots bit by bit.
+    pub cold: bool,
+}
--- /dev/null
+++ b/crates/admit/src/pool/state.rs
@@ -0,0 +1,66 @@
+//! Snapshots of a pool for dumps and for other hosts.
+
+use std::{sync::Arc, time::Duration};
+
+/// Short summary of a pool's load, for the hosts that hand requests over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that wait.
+    pub queued: u32,
+    /// Slots in use.
+    pub busy: u32,
+    /// Slots that may be used now.
+    pub slots: u32,
+    /// Estimate of the wait of a request that came now.
+    pub wait: Duration,
+}
+
+/// Everything worth a look in a dump.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolState {
+    /// Summary.
+    pub load: Load,
+    /// Runs of short work.
+    pub short_busy: u32,
+    /// Runs of long work.
+    pub long_busy: u32,
+    /// Slots held free for short work.
+    pub reserve: u32,
+    /// Reruns and hedges that the budget allows now.
+    pub budget: f64,
+    /// Requests suspected of killing targets.
+    pub suspects: u32,
+    /// Requests that are refused because they killed targets.
+    pub convicts: u32,
+    /// Requests started, without reruns and hedges.
+    pub started: u64,
+    /// Requests turned away.
+    pub refused: u64,
+    /// Second runs sent to slow or failed first ones: reruns and hedges.
+    pub repeats: u64,
+    /// The targets, by name.
+    pub targets: Vec<TargetState>,
+}
+
+/// One target in a dump.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetState {
+    /// Name.
+    pub name: Arc<str>,
+    /// Requests that run on it.
+    pub busy: u32,
+    /// Slots by configuration.
+    pub slots: u32,
+    /// Slots that may be used now.
+    pub limit: u32,
+    /// Its service time as a ratio to what is expected of the kind.
+    pub ratio: f64,
+    /// It gets nothing new: it is leaving, or no longer configured.
+    pub leaving: bool,
+    /// It was ejected for being slow.
+    pub ejected: bool,
+    /// It died or failed and is left alone for a while.
+    pub down: bool,
+    /// Nothing new starts on it, so that a suspect can run alone.
+    pub held: bool,
+}
