--- /dev/null
+++ b/crates/admit/examples/loads.rs
@@ -0,0 +1,69 @@
+//! Prints the table of all loads on all services: pools beside the naive baseline.
+
+use dunlinrock_admit::{
+    PoolRules,
+    drive::{Figures, Group, LOADS, Policy, SITES, load, play},
+};
+
+const SEED: u64 = 7;
+
+fn main() {
+    println!(
+        "| load | service | policy | p50 ms | p99 ms | goodput | good | refused | failed | missed |"
+    );
+    println!("|---|---|---|---:|---:|---:|---:|---:|---:|---:|");
+    let policies = [
+        ("pools", Policy::Pools(PoolRules::default())),
+        ("random", Policy::Random),
+        ("two choices", Policy::TwoChoices { hosts: 4, tries: 3 }),
+    ];
+    for name in LOADS {
+        for site in SITES {
+            for (policy, p) in &policies {
+                let figures = play(&load(name, site, SEED), p);
+                row(name, site.name, policy, Group::All, &figures);
+                if *policy == "two choices" {
+                    continue;
+                }
+                match name {
+                    "heavy caller" => row(
+                        name,
+                        site.name,
+                        &format!("{policy}, others"),
+                        Group::Light,
+                        &figures,
+                    ),
+                    "hot key" => row(
+                        name,
+                        site.name,
+                        &format!("{policy}, others"),
+                        Group::Other,
+                        &figures,
+                    ),
+                    "long among short" => row(
+                        name,
+                        site.name,
+                        &format!("{policy}, short"),
+                        Group::Kind(0),
+                        &figures,
+                    ),
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+fn row(load: &str, site: &str, policy: &str, group: Group, f: &Figures) {
+    let ms = |p| f.time(group, p).as_secs_f64() * 1e3;
+    println!(
+        "| {load} | {site} | {policy} | {:.1} | {:.1} | {:.3} | {:.3} | {:.3} | {:.4} | {:.4} |",
+        ms(0.5),
+        ms(0.99),
+        f.goodput(),
+        f.good_share(group),
+        f.refused_share(group),
+        f.failed_share(group),
+        f.missed_share(group),
+    );
+}
--- a/crates/admit/src/choose/mod.rs
+++ b/crates/admit/src/choose/mod.rs
@@ -1,11 +1,20 @@
 //! Which pool of a region a request is handed to.
+//!
+//! Load: the pools of a region fill unevenly. A host knows its own pool exactly and the others by
+//! summaries that lag. If every host sent to the pool that looked best, all of them would send to
+//! the same one until the next summary (herding). Each compares two pools drawn at random instead,
+//! and adds what it has itself sent to them since their summaries.
 
 use std::time::Duration;
 
 use crate::Load;
 
+/// Above this age a summary counts as a pool of the usual load: its slots are known, its wait is
+/// not. Summaries come about once a second.
+const STALE: Duration = Duration::from_secs(5);
+
 /// A pool that could take the request.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Candidate {
     /// Its load as last heard.
     pub load: Load,
@@ -17,8 +26,58 @@
     pub sent: u32,
 }
 
-/// Index of the pool to hand a request to: of two drawn at random, the one with the earlier
-/// expected start. None if there is no candidate with a slot.
-pub fn choose(_candidates: &[Candidate], _draw: u64) -> Option<usize> {
-    todo!()
+impl Candidate {
+    /// Time until the answer could be back, less the work itself.
+    fn cost(&self, usual: Duration) -> Duration {
+        let way = 2 * self.delay;
+        if self.age > STALE {
+            return way + usual;
+        }
+        let full = (self.load.busy + self.sent).saturating_sub(self.load.slots);
+        way + self.load.wait + self.load.turn * full
+    }
+}
+
+/// Index of the pool to hand a request to: of two drawn by `draw`, in proportion to their slots,
+/// the one whose answer is expected first. None if no candidate has a slot.
+///
+/// ```
+/// use dunlinrock_admit::{Candidate, Load, choose};
+///
+/// let idle = Candidate { load: Load { slots: 9, ..Load::default() }, ..Candidate::default() };
+/// let none = Candidate::default();
+/// assert_eq!(choose(&[none, idle], 42), Some(1));
+/// assert_eq!(choose(&[none], 42), None);
+/// ```
+pub fn choose(candidates: &[Candidate], draw: u64) -> Option<usize> {
+    let slots: u64 = candidates.iter().map(|c| u64::from(c.load.slots)).sum();
+    if slots == 0 {
+        return None;
+    }
+    let fresh: Vec<&Candidate> = candidates.iter().filter(|c| c.age <= STALE).collect();
+    let total: Duration = fresh.iter().map(|c| c.load.wait).sum();
+    let usual = total / fresh.len().max(1) as u32;
+    let a = pick(candidates, (draw >> 32) % slots, None)?;
+    let rest = slots - u64::from(candidates[a].load.slots);
+    if rest == 0 {
+        return Some(a);
+    }
+    let b = pick(candidates, (draw & 0xffff_ffff) % rest, Some(a))?;
+    let (x, y) = (candidates[a].cost(usual), candidates[b].cost(usual));
+    Some(if y < x { b } else { a })
+}
+
+/// The candidate that holds the slot of this number, not counting those of `skip`.
+fn pick(candidates: &[Candidate], mut number: u64, skip: Option<usize>) -> Option<usize> {
+    for (i, c) in candidates.iter().enumerate() {
+        if Some(i) == skip {
+            continue;
+        }
+        let slots = u64::from(c.load.slots);
+        if number < slots {
+            return Some(i);
+        }
+        number -= slots;
+    }
+    None
 }
--- /dev/null
+++ b/crates/admit/src/drive/mod.rs
@@ -0,0 +1,46 @@
+//! Plays loads against a policy in virtual time.
+//!
+//! This is what the example `loads`, the tests of the bounds and the sweeps run on: arrivals,
+//! service times, lagging reports and a few faults, in a heap of events. It is not a model of a
+//! cluster: hosts neither fail nor talk to each other here, apart from the delay of a hand-over and
+//! the age of the summaries by which a pool is chosen.
+
+mod event;
+mod figures;
+mod naive;
+mod pools;
+mod scenario;
+mod target;
+
+pub use self::{
+    figures::{Figures, Group},
+    scenario::{Fault, LOADS, SITES, Scenario, Site, Work, load},
+};
+
+use crate::PoolRules;
+
+/// How requests find a target.
+#[derive(Clone, Debug)]
+pub enum Policy {
+    /// [`Pool`](crate::Pool)s, one for each failure domain, chosen by [`choose`](crate::choose).
+    Pools(PoolRules),
+    /// A random target of the region with an unbounded first-in-first-out queue.
+    Random,
+    /// Many hosts that each take the less busy of two targets by lagging reports; a full target
+    /// turns work away.
+    TwoChoices {
+        /// Hosts in a region.
+        hosts: usize,
+        /// Tries before the caller is turned away.
+        tries: u32,
+    },
+}
+
+/// Plays a scenario under a policy.
+pub fn play(scenario: &Scenario, policy: &Policy) -> Figures {
+    match policy {
+        Policy::Pools(rules) => pools::play(scenario, rules),
+        Policy::Random => naive::play(scenario, None),
+        Policy::TwoChoices { hosts, tries } => naive::play(scenario, Some((*hosts, *tries))),
+    }
+}
--- /dev/null
+++ b/crates/admit/src/drive/naive.rs
@@ -0,0 +1,311 @@
+//! Plays a scenario without pools: see [`baseline`](crate::baseline).
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use super::{
+    Fault, Figures, Scenario,
+    event::Events,
+    scenario::{DOMAINS, Request},
+    target::Target,
+};
+use crate::baseline::{random, two_choices};
+
+/// Time between two reports of a target.
+const EVERY: Duration = Duration::from_millis(500);
+
+/// Age of a report when it arrives.
+const LAG: Duration = Duration::from_millis(300);
+
+/// Time in which a killed target's process is back.
+const RESTART: Duration = Duration::from_millis(400);
+
+/// After that a killer's work kills its target.
+const KILLS_AFTER: Duration = Duration::from_millis(5);
+
+/// Sends of a killer by its caller.
+const SENDS: u32 = 10;
+
+enum Event {
+    Arrive,
+    Kill,
+    Reach { request: u64, target: usize },
+    End { run: u64 },
+    Measure,
+    Heard { busy: Vec<u32> },
+}
+
+struct Sent {
+    request: Request,
+    host: usize,
+    tries: u32,
+}
+
+struct Play<'a> {
+    scenario: &'a Scenario,
+    choices: Option<(usize, u32)>,
+    rng: StdRng,
+    events: Events<Event>,
+    targets: Vec<Target>,
+    lines: Vec<VecDeque<u64>>,
+    /// What each host believes of each target: reported, and sent by itself since.
+    heard: Vec<u32>,
+    sent: Vec<Vec<u32>>,
+    requests: BTreeMap<u64, Sent>,
+    runs: BTreeMap<u64, (u64, usize, Duration)>,
+    number: u64,
+    figures: Figures,
+}
+
+pub(super) fn play(scenario: &Scenario, choices: Option<(usize, u32)>) -> Figures {
+    let n = scenario.site.targets;
+    let hosts = choices.map_or(1, |c| c.0 * DOMAINS / 2);
+    let mut play = Play {
+        scenario,
+        choices,
+        rng: StdRng::seed_from_u64(scenario.seed),
+        events: Events::open(),
+        targets: vec![Target::default(); n],
+        lines: vec![VecDeque::new(); n],
+        heard: vec![0; n],
+        sent: vec![vec![0; n]; hosts],
+        requests: BTreeMap::new(),
+        runs: BTreeMap::new(),
+        number: 0,
+        figures: Figures::open(scenario),
+    };
+    play.events.push(Duration::ZERO, Event::Arrive);
+    play.events.push(Duration::ZERO, Event::Measure);
+    if scenario.faults.contains(&Fault::Killers) {
+        play.events.push(scenario.warm, Event::Kill);
+    }
+    while let Some((now, event)) = play.events.pop() {
+        play.step(event, now);
+    }
+    play.figures.sort()
+}
+
+impl Play<'_> {
+    fn counts(&self, request: &Request) -> bool {
+        request.kills.is_none() && request.arrived >= self.scenario.warm
+    }
+
+    fn step(&mut self, event: Event, now: Duration) {
+        match event {
+            Event::Arrive => self.arrive(now),
+            Event::Kill => self.kill(now),
+            Event::Reach { request, target } => self.reach(request, target, now),
+            Event::End { run } => self.end(run, now),
+            Event::Measure if now < self.scenario.length => {
+                self.events.push(now + EVERY, Event::Measure);
+                let busy = self
+                    .targets
+                    .iter()
+                    .map(|t| t.running.len() as u32)
+                    .collect();
+                self.events.push(now + LAG, Event::Heard { busy });
+            }
+            Event::Measure => {}
+            Event::Heard { busy } => {
+                self.heard = busy;
+                self.sent.iter_mut().flatten().for_each(|n| *n = 0);
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Duration) {
+        if now >= self.scenario.length {
+            return;
+        }
+        let gap = self.scenario.gap(now, &mut self.rng);
+        self.events.push(now + gap, Event::Arrive);
+        self.number += 1;
+        let request = self.scenario.arrive(self.number, now, &mut self.rng);
+        if self.counts(&request) {
+            self.figures.offered(&request);
+        }
+        self.send(request, 1, now);
+    }
+
+    fn kill(&mut self, now: Duration) {
+        if now >= self.scenario.length {
+            return;
+        }
+        self.events.push(now + Duration::from_secs(2), Event::Kill);
+        self.number += 1;
+        let request = self.scenario.arrive(self.number, now, &mut self.rng);
+        self.send(
+            Request {
+                kills: Some(1),
+                ..request
+            },
+            1,
+            now,
+        );
+    }
+
+    /// Sends a request to a target of its region.
+    fn send(&mut self, request: Request, tries: u32, now: Duration) {
+        let region = request.home / 2;
+        let site = self.scenario.site;
+        let own: Vec<usize> = (0..site.targets)
+            .filter(|t| site.domain(*t) / 2 == region)
+            .collect();
+        let host = self.rng.random_range(0..self.sent.len());
+        let target = match self.choices {
+            None => random(&own, self.rng.random()),
+            Some(_) => {
+                let busy = |t: usize| self.heard[t] + self.sent[host][t];
+                two_choices(&own, busy, self.rng.random())
+            }
+        };
+        let Some(target) = target else { return };
+        self.sent[host][target] += 1;
+        self.number += 1;
+        let hop = self.hop(&request, target);
+        self.requests.insert(
+            self.number,
+            Sent {
+                request,
+                host,
+                tries,
+            },
+        );
+        self.events.push(
+            now + hop,
+            Event::Reach {
+                request: self.number,
+                target,
+            },
+        );
+    }
+
+    fn hop(&self, request: &Request, target: usize) -> Duration {
+        let near = self.scenario.site.domain(target) == request.home;
+        if near {
+            Duration::ZERO
+        } else {
+            self.scenario.site.hop
+        }
+    }
+
+    fn reach(&mut self, request: u64, target: usize, now: Duration) {
+        let slots = self.scenario.site.slots as usize;
+        if now < self.targets[target].down {
+            return self.lost(request, now);
+        }
+        if self.targets[target].running.len() < slots {
+            return self.run(request, target, now);
+        }
+        match self.choices {
+            None => self.lines[target].push_back(request),
+            Some((_, tries)) => self.shed(request, target, tries, now),
+        }
+    }
+
+    /// A full target turns work away; the host tries again.
+    fn shed(&mut self, request: u64, target: usize, tries: u32, now: Duration) {
+        let Some(sent) = self.requests.remove(&request) else {
+            return;
+        };
+        self.figures.shed += 1;
+        if sent.tries < tries {
+            let hop = self.hop(&sent.request, target);
+            self.send(sent.request, sent.tries + 1, now + hop);
+        } else if self.counts(&sent.request) {
+            self.figures.refused(&sent.request);
+        }
+    }
+
+    fn run(&mut self, request: u64, target: usize, now: Duration) {
+        let Some(sent) = self.requests.get(&request) else {
+            return;
+        };
+        let r = sent.request;
+        self.figures.late_starts += u64::from(now > r.deadline);
+        self.number += 1;
+        self.targets[target].running.push(self.number);
+        self.runs.insert(self.number, (request, target, now));
+        let time = match r.kills {
+            Some(_) => KILLS_AFTER,
+            None => {
+                let factor = self.targets[target].factor(target, self.scenario, now);
+                self.scenario.time(r.work, &mut self.rng).mul_f64(factor)
+            }
+        };
+        self.events
+            .push(now + time, Event::End { run: self.number });
+    }
+
+    fn end(&mut self, run: u64, now: Duration) {
+        let Some((request, target, since)) = self.runs.remove(&run) else {
+            return;
+        };
+        self.targets[target].running.retain(|x| *x != run);
+        let Some(sent) = self.requests.get(&request) else {
+            return;
+        };
+        let r = sent.request;
+        if r.kills.is_some() {
+            return self.died(request, target, now);
+        }
+        let at = now + self.hop(&r, target);
+        if now >= self.scenario.warm && now < self.scenario.length && at <= r.deadline {
+            self.figures.good_work += (now - since).as_secs_f64();
+        }
+        if self.counts(&r) {
+            self.figures.answered(&r, at);
+        }
+        let host = sent.host;
+        self.sent[host][target] = self.sent[host][target].saturating_sub(1);
+        self.requests.remove(&request);
+        self.next(target, now);
+    }
+
+    fn next(&mut self, target: usize, now: Duration) {
+        let slots = self.scenario.site.slots as usize;
+        while self.targets[target].running.len() < slots {
+            let Some(request) = self.lines[target].pop_front() else {
+                return;
+            };
+            self.run(request, target, now);
+        }
+    }
+
+    /// A target dies with all that runs and waits on it.
+    fn died(&mut self, request: u64, target: usize, now: Duration) {
+        self.figures.deaths += 1;
+        self.targets[target].down = now + RESTART;
+        let mut lost: Vec<u64> = self.lines[target].drain(..).collect();
+        for run in std::mem::take(&mut self.targets[target].running) {
+            lost.extend(self.runs.remove(&run).map(|r| r.0));
+        }
+        lost.into_iter().for_each(|r| self.lost(r, now));
+        self.lost(request, now);
+    }
+
+    fn lost(&mut self, request: u64, now: Duration) {
+        let Some(sent) = self.requests.remove(&request) else {
+            return;
+        };
+        let r = sent.request;
+        match r.kills {
+            Some(sends) if sends < SENDS => {
+                let again = now + Duration::from_millis(100);
+                let r = Request {
+                    kills: Some(sends + 1),
+                    arrived: again,
+                    ..r
+                };
+                self.send(r, 1, again);
+            }
+            Some(_) => {}
+            None if self.counts(&r) => self.figures.failed(&r),
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/drive/pools.rs
@@ -0,0 +1,418 @@
+//! Plays a scenario against pools.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use super::{
+    Fault, Figures, Scenario,
+    event::Events,
+    scenario::{DOMAINS, Request},
+    target::Target,
+};
+use crate::{
+    Action, Candidate, Ending, Load, Offer, Outcome, Pool, PoolRules, Refusal, Report, TargetSpec,
+    Verdict, choose,
+};
+
+/// Time between two reports of a target, and between two summaries of a pool.
+const EVERY: Duration = Duration::from_millis(500);
+
+/// Age of a report or a summary when it arrives.
+const LAG: Duration = Duration::from_millis(300);
+
+/// Time in which a killed target's process is back.
+const RESTART: Duration = Duration::from_millis(400);
+
+/// After that a killer's work kills its target.
+const KILLS_AFTER: Duration = Duration::from_millis(5);
+
+/// Sends of a killer by its caller.
+const SENDS: u32 = 10;
+
+enum Event {
+    Arrive,
+    Kill,
+    Offer { ticket: u64 },
+    End { run: u64 },
+    Wake { pool: usize },
+    Measure,
+    Report { target: usize, report: Report },
+    Summary { loads: Vec<Load> },
+}
+
+struct Run {
+    ticket: u64,
+    target: usize,
+    since: Duration,
+}
+
+struct Play<'a> {
+    scenario: &'a Scenario,
+    rng: StdRng,
+    events: Events<Event>,
+    pools: Vec<Pool>,
+    wakes: Vec<Option<Duration>>,
+    names: Vec<Arc<str>>,
+    targets: Vec<Target>,
+    loads: Vec<(Load, Duration, u32)>,
+    requests: BTreeMap<u64, (Request, usize)>,
+    runs: BTreeMap<u64, Run>,
+    number: u64,
+    leaving: BTreeMap<usize, Duration>,
+    figures: Figures,
+}
+
+pub(super) fn play(scenario: &Scenario, rules: &PoolRules) -> Figures {
+    let site = scenario.site;
+    let names: Vec<Arc<str>> = (0..site.targets).map(|i| format!("t{i}").into()).collect();
+    let pools = (0..DOMAINS).map(|d| {
+        let own = (0..site.targets).filter(|i| site.domain(*i) == d);
+        let spec = |i: usize| TargetSpec {
+            name: Arc::clone(&names[i]),
+            slots: site.slots,
+            leaving: false,
+            cold: false,
+        };
+        Pool::open(
+            rules.clone(),
+            &own.map(spec).collect::<Vec<_>>(),
+            Duration::ZERO,
+        )
+    });
+    let pools: Vec<Pool> = pools.collect();
+    let loads = pools
+        .iter()
+        .map(|p| (p.load(Duration::ZERO), Duration::ZERO, 0))
+        .collect();
+    let mut play = Play {
+        scenario,
+        rng: StdRng::seed_from_u64(scenario.seed),
+        events: Events::open(),
+        pools,
+        wakes: vec![None; DOMAINS],
+        targets: vec![Target::default(); names.len()],
+        names,
+        loads,
+        requests: BTreeMap::new(),
+        runs: BTreeMap::new(),
+        number: 0,
+        leaving: BTreeMap::new(),
+        figures: Figures::open(scenario),
+    };
+    play.events.push(Duration::ZERO, Event::Arrive);
+    play.events.push(Duration::ZERO, Event::Measure);
+    if scenario.faults.contains(&Fault::Killers) {
+        play.events.push(scenario.warm, Event::Kill);
+    }
+    while let Some((now, event)) = play.events.pop() {
+        play.step(event, now);
+    }
+    play.figures.repeats = play
+        .pools
+        .iter()
+        .map(|p| p.state(scenario.length).counts.repeats)
+        .sum();
+    play.figures.sort()
+}
+
+impl Play<'_> {
+    fn counts(&self, request: &Request) -> bool {
+        request.kills.is_none() && request.arrived >= self.scenario.warm
+    }
+
+    fn step(&mut self, event: Event, now: Duration) {
+        match event {
+            Event::Arrive => self.arrive(now),
+            Event::Kill => self.kill(now),
+            Event::Offer { ticket } => self.offer(ticket, now),
+            Event::End { run } => self.end(run, now),
+            Event::Wake { pool } if self.wakes[pool].is_some_and(|t| t <= now) => {
+                self.wakes[pool] = None;
+                self.poll(pool, now);
+            }
+            Event::Wake { .. } => {}
+            Event::Measure => self.measure(now),
+            Event::Report { target, report } => self.report(target, report, now),
+            Event::Summary { loads } => {
+                self.loads = loads.into_iter().map(|l| (l, now - LAG, 0)).collect();
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Duration) {
+        if now >= self.scenario.length {
+            return;
+        }
+        let gap = self.scenario.gap(now, &mut self.rng);
+        self.events.push(now + gap, Event::Arrive);
+        self.number += 1;
+        let request = self.scenario.arrive(self.number, now, &mut self.rng);
+        if self.counts(&request) {
+            self.figures.offered(&request);
+        }
+        self.route(request, now);
+    }
+
+    /// Hands a request to one of the two pools of its region.
+    fn route(&mut self, request: Request, now: Duration) {
+        let home = request.home;
+        let first = home - home % 2;
+        let candidates = [first, first + 1].map(|d| {
+            if d == home {
+                return Candidate {
+                    load: self.pools[d].load(now),
+                    ..Candidate::default()
+                };
+            }
+            let (load, at, sent) = self.loads[d];
+            Candidate {
+                load,
+                age: now - at,
+                delay: self.scenario.site.hop,
+                sent,
+            }
+        });
+        let pool = first + choose(&candidates, self.rng.random()).unwrap_or(home - first);
+        self.number += 1;
+        let ticket = self.number;
+        self.requests.insert(ticket, (request, pool));
+        let hop = self.hop(&request, pool);
+        if pool != home {
+            self.loads[pool].2 += 1;
+        }
+        self.events.push(now + hop, Event::Offer { ticket });
+    }
+
+    fn hop(&self, request: &Request, pool: usize) -> Duration {
+        if request.home == pool {
+            Duration::ZERO
+        } else {
+            self.scenario.site.hop
+        }
+    }
+
+    fn offer(&mut self, ticket: u64, now: Duration) {
+        let (request, pool) = self.requests[&ticket];
+        let offer = Offer {
+            ticket,
+            caller: request.caller,
+            key: request.key,
+            kind: request.work as u64,
+            fingerprint: request.fingerprint,
+            deadline: request.deadline,
+            repeatable: self.scenario.works[request.work].repeatable,
+            tried: Vec::new(),
+        };
+        match self.pools[pool].offer(offer, now) {
+            Verdict::Start { target } => self.start(ticket, &target, now),
+            Verdict::Queued => {}
+            Verdict::Refused { reason, .. } => self.refuse(ticket, reason),
+        }
+        self.poll(pool, now);
+    }
+
+    fn refuse(&mut self, ticket: u64, reason: Refusal) {
+        let Some((request, _)) = self.requests.remove(&ticket) else {
+            return;
+        };
+        if self.counts(&request) {
+            self.figures.refused(&request);
+            self.figures.innocent += u64::from(reason == Refusal::Quarantined);
+        }
+    }
+
+    fn poll(&mut self, pool: usize, now: Duration) {
+        for action in self.pools[pool].poll(now) {
+            match action {
+                Action::Start { ticket, target } | Action::Hedge { ticket, target } => {
+                    self.start(ticket, &target, now);
+                }
+                Action::Abort { ticket, target } => self.abort(ticket, &target, now),
+                Action::Refuse { ticket, reason, .. } => {
+                    self.figures.refused_late += 1;
+                    self.refuse(ticket, reason);
+                }
+            }
+        }
+        for word in self.pools[pool].words() {
+            self.pools.iter_mut().for_each(|p| p.hear(word, now));
+        }
+        let state = self.pools[pool].next_wake();
+        if let Some(at) = state.filter(|t| self.wakes[pool].is_none_or(|w| *t < w)) {
+            self.wakes[pool] = Some(at.max(now));
+            self.events.push(at.max(now), Event::Wake { pool });
+        }
+    }
+
+    fn start(&mut self, ticket: u64, name: &str, now: Duration) {
+        let target = self.names.iter().position(|n| &**n == name).unwrap_or(0);
+        let (request, _) = self.requests[&ticket];
+        self.figures.late_starts += u64::from(now > request.deadline);
+        self.figures.leaving_starts += u64::from(self.leaving.contains_key(&target));
+        self.number += 1;
+        let run = self.number;
+        self.runs.insert(
+            run,
+            Run {
+                ticket,
+                target,
+                since: now,
+            },
+        );
+        let down = now < self.targets[target].down;
+        self.targets[target].running.push(run);
+        let time = match request.kills {
+            _ if down => Duration::from_millis(1),
+            Some(_) => KILLS_AFTER,
+            None => {
+                let factor = self.targets[target].factor(target, self.scenario, now);
+                self.scenario
+                    .time(request.work, &mut self.rng)
+                    .mul_f64(factor)
+            }
+        };
+        self.events.push(now + time, Event::End { run });
+    }
+
+    fn abort(&mut self, ticket: u64, name: &str, now: Duration) {
+        let found = self
+            .runs
+            .iter()
+            .find(|(_, r)| r.ticket == ticket && &*self.names[r.target] == name);
+        if let Some(run) = found.map(|(n, _)| *n) {
+            self.ended(run, Outcome::Cancelled, now);
+        }
+    }
+
+    fn end(&mut self, run: u64, now: Duration) {
+        let Some(r) = self.runs.get(&run) else { return };
+        let (target, since) = (r.target, r.since);
+        let Some((request, _)) = self.requests.get(&r.ticket).copied() else {
+            return;
+        };
+        if since < self.targets[target].down {
+            self.ended(run, Outcome::Refused, now);
+        } else if request.kills.is_some() {
+            self.figures.deaths += 1;
+            self.targets[target].down = now + RESTART;
+            for lost in self.targets[target].running.clone() {
+                self.ended(lost, Outcome::Died, now);
+            }
+        } else {
+            self.ended(run, Outcome::Ok, now);
+        }
+    }
+
+    fn ended(&mut self, run: u64, outcome: Outcome, now: Duration) {
+        let Some(r) = self.runs.remove(&run) else {
+            return;
+        };
+        let (ticket, target) = (r.ticket, r.target);
+        self.targets[target].running.retain(|x| *x != run);
+        self.drained(target, now);
+        self.figures.shed += u64::from(outcome == Outcome::Refused);
+        let Some((request, pool)) = self.requests.get(&ticket).copied() else {
+            return;
+        };
+        let name = Arc::clone(&self.names[target]);
+        let ending = self.pools[pool].finish(ticket, &name, outcome, now);
+        if let Ending::Final { .. } = ending {
+            self.answer(&request, pool, outcome, now);
+            if outcome == Outcome::Ok {
+                let time = now.saturating_sub(r.since);
+                self.good(&request, pool, time, now);
+            }
+        }
+        self.poll(pool, now);
+    }
+
+    fn good(&mut self, request: &Request, pool: usize, time: Duration, now: Duration) {
+        let window = now >= self.scenario.warm && now < self.scenario.length;
+        if window && now + self.hop(request, pool) <= request.deadline {
+            self.figures.good_work += time.as_secs_f64();
+        }
+    }
+
+    fn answer(&mut self, request: &Request, pool: usize, outcome: Outcome, now: Duration) {
+        if let Some(sends) = request.kills.filter(|s| *s < SENDS) {
+            let again = now + Duration::from_millis(100);
+            let request = Request {
+                kills: Some(sends + 1),
+                arrived: again,
+                deadline: again + Duration::from_secs(2),
+                home: self.rng.random_range(0..DOMAINS),
+                ..*request
+            };
+            self.route(request, again);
+            return;
+        }
+        if !self.counts(request) {
+            return;
+        }
+        match outcome {
+            Outcome::Ok => self
+                .figures
+                .answered(request, now + self.hop(request, pool)),
+            _ => self.figures.failed(request),
+        }
+    }
+
+    fn kill(&mut self, now: Duration) {
+        if now >= self.scenario.length {
+            return;
+        }
+        self.events.push(now + Duration::from_secs(2), Event::Kill);
+        self.number += 1;
+        let request = self.scenario.arrive(self.number, now, &mut self.rng);
+        self.route(
+            Request {
+                kills: Some(1),
+                ..request
+            },
+            now,
+        );
+    }
+
+    /// Reports and summaries set out.
+    fn measure(&mut self, now: Duration) {
+        if now >= self.scenario.length {
+            return;
+        }
+        self.events.push(now + EVERY, Event::Measure);
+        for target in 0..self.targets.len() {
+            if let Some(report) = self.targets[target].report(target, self.scenario, now) {
+                self.events
+                    .push(now + LAG, Event::Report { target, report });
+            }
+        }
+        let loads = self.pools.iter().map(|p| p.load(now)).collect();
+        self.events.push(now + LAG, Event::Summary { loads });
+        for p in &self.pools {
+            let state = p.state(now);
+            let out = state.targets.iter().filter(|t| t.ejected).count();
+            let share = out as f64 / state.targets.len() as f64;
+            self.figures.ejected = self.figures.ejected.max(share);
+        }
+    }
+
+    fn report(&mut self, target: usize, report: Report, now: Duration) {
+        let pool = self.scenario.site.domain(target);
+        let name = Arc::clone(&self.names[target]);
+        self.pools[pool].report(&name, report, now);
+        if report.leaving {
+            self.leaving.entry(target).or_insert(now);
+            self.drained(target, now);
+        }
+        self.poll(pool, now);
+    }
+
+    fn drained(&mut self, target: usize, now: Duration) {
+        if let Some(since) = self.leaving.get(&target).copied()
+            && self.targets[target].running.is_empty()
+            && self.figures.drain.is_none()
+        {
+            self.figures.drain = Some(now - since);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/drive/scenario.rs
@@ -0,0 +1,337 @@
+//! The deployments and the loads.
+
+use std::time::Duration;
+
+use rand::{Rng, rngs::StdRng};
+
+/// A service of one of the deployments. Each has three regions of two failure domains.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Site {
+    /// Name for tables.
+    pub name: &'static str,
+    /// Targets, spread over the six failure domains as evenly as they go.
+    pub targets: usize,
+    /// Requests that a target runs at once.
+    pub slots: u32,
+    /// One-way delay between the failure domains of a region.
+    pub hop: Duration,
+}
+
+/// The services of both deployments.
+pub const SITES: [Site; 4] = [
+    Site {
+        name: "catalogue",
+        targets: 16,
+        slots: 3,
+        hop: Duration::from_micros(500),
+    },
+    Site {
+        name: "records",
+        targets: 12,
+        slots: 3,
+        hop: Duration::from_micros(500),
+    },
+    Site {
+        name: "family portal",
+        targets: 22,
+        slots: 7,
+        hop: Duration::from_micros(1500),
+    },
+    Site {
+        name: "club desk",
+        targets: 14,
+        slots: 8,
+        hop: Duration::from_micros(1500),
+    },
+];
+
+/// Failure domains of a deployment.
+pub(super) const DOMAINS: usize = 6;
+
+impl Site {
+    /// Failure domain of a target.
+    pub(super) fn domain(&self, target: usize) -> usize {
+        target % DOMAINS
+    }
+
+    /// Slots of all targets.
+    pub fn capacity(&self) -> f64 {
+        self.targets as f64 * f64::from(self.slots)
+    }
+}
+
+/// One kind of work in a load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Work {
+    /// Share of the requests.
+    pub share: f64,
+    /// Mean service time. Times are log-normal with sigma 0.5: the 99th percentile is 2.8 means.
+    pub mean: Duration,
+    /// Time that the caller gives.
+    pub deadline: Duration,
+    /// It may run more than once.
+    pub repeatable: bool,
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// A target takes this many times as long, from a time on.
+    Slow {
+        /// Number of the target.
+        target: usize,
+        /// Times as long.
+        factor: f64,
+        /// From then on.
+        from: Duration,
+    },
+    /// A target says that it leaves.
+    Leave {
+        /// Number of the target.
+        target: usize,
+        /// When it says so.
+        at: Duration,
+    },
+    /// A target comes back with cold caches: three times as long, less with each run of 200.
+    Cold {
+        /// Number of the target.
+        target: usize,
+        /// When it comes back.
+        at: Duration,
+    },
+    /// One in three targets claims to be full, another third to be idle with a hundred slots, and
+    /// the last third says nothing.
+    FalseReports,
+    /// Requests, one every two seconds, that kill each target which runs them; their callers send
+    /// them up to ten times.
+    Killers,
+}
+
+/// A load on a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// Name for tables.
+    pub name: &'static str,
+    /// The service.
+    pub site: Site,
+    /// Seed of all chance.
+    pub seed: u64,
+    /// How long requests arrive.
+    pub length: Duration,
+    /// Time at the start that does not count.
+    pub warm: Duration,
+    /// Offered work as a share of the capacity.
+    pub rate: f64,
+    /// From, until, and the share of the capacity offered meanwhile.
+    pub burst: Option<(Duration, Duration, f64)>,
+    /// Kinds of work.
+    pub works: Vec<Work>,
+    /// Callers; each offers the same.
+    pub callers: u64,
+    /// Times the share of another caller that caller 0 offers, on top of `rate`.
+    pub heavy: f64,
+    /// Keys; each is asked for equally often.
+    pub keys: u64,
+    /// Share of the requests that are about key 0.
+    pub hot: f64,
+    /// What goes wrong.
+    pub faults: Vec<Fault>,
+}
+
+/// A catalogue search, a calendar page, a roster.
+const PAGE: Work = Work {
+    share: 1.0,
+    mean: Duration::from_millis(20),
+    deadline: Duration::from_millis(500),
+    repeatable: true,
+};
+
+/// A reservation, a registration, a payment.
+const BOOKING: Work = Work {
+    share: 0.1,
+    mean: Duration::from_millis(40),
+    deadline: Duration::from_secs(2),
+    repeatable: false,
+};
+
+/// An attendance summary.
+const SUMMARY: Work = Work {
+    share: 0.05,
+    mean: Duration::from_millis(800),
+    deadline: Duration::from_secs(20),
+    repeatable: true,
+};
+
+/// Names of the loads that [`load`] makes.
+pub const LOADS: [&str; 9] = [
+    "calm",
+    "burst",
+    "heavy caller",
+    "hot key",
+    "slow target",
+    "long among short",
+    "saturation",
+    "false reports",
+    "killer requests",
+];
+
+/// A named load on a service.
+///
+/// # Panics
+///
+/// Panics if the name is not in [`LOADS`].
+pub fn load(name: &str, site: Site, seed: u64) -> Scenario {
+    let secs = Duration::from_secs;
+    let name = LOADS
+        .iter()
+        .find(|n| **n == name)
+        .expect("a load is one of LOADS");
+    let calm = Scenario {
+        name,
+        site,
+        seed,
+        length: secs(20),
+        warm: secs(4),
+        rate: 0.6,
+        burst: None,
+        works: vec![Work { share: 0.9, ..PAGE }, BOOKING],
+        callers: 50,
+        heavy: 1.0,
+        keys: 200,
+        hot: 0.0,
+        faults: Vec::new(),
+    };
+    match *name {
+        "burst" => Scenario {
+            burst: Some((secs(8), secs(10), 3.0)),
+            ..calm
+        },
+        "heavy caller" => Scenario {
+            rate: 0.9,
+            callers: 20,
+            heavy: 10.0,
+            ..calm
+        },
+        "hot key" => Scenario {
+            rate: 1.3,
+            hot: 0.5,
+            callers: 1_000_000,
+            ..calm
+        },
+        "slow target" => {
+            let slow = Fault::Slow {
+                target: 0,
+                factor: 10.0,
+                from: secs(2),
+            };
+            Scenario {
+                faults: vec![slow],
+                ..calm
+            }
+        }
+        "long among short" => {
+            let works = vec![
+                Work {
+                    share: 0.95,
+                    ..PAGE
+                },
+                SUMMARY,
+            ];
+            Scenario {
+                rate: 1.1,
+                works,
+                length: secs(40),
+                warm: secs(10),
+                ..calm
+            }
+        }
+        "saturation" => Scenario { rate: 2.0, ..calm },
+        "false reports" => Scenario {
+            rate: 0.8,
+            faults: vec![Fault::FalseReports],
+            ..calm
+        },
+        "killer requests" => Scenario {
+            faults: vec![Fault::Killers],
+            ..calm
+        },
+        _ => calm,
+    }
+}
+
+/// One request of a load.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Request {
+    pub(super) work: usize,
+    pub(super) caller: u64,
+    pub(super) key: u64,
+    pub(super) fingerprint: u64,
+    pub(super) arrived: Duration,
+    pub(super) deadline: Duration,
+    /// Failure domain whose host it reaches.
+    pub(super) home: usize,
+    /// It kills its targets; the number of times that it was sent.
+    pub(super) kills: Option<u32>,
+}
+
+impl Scenario {
+    /// Mean service time of the mix.
+    pub(super) fn mean(&self) -> f64 {
+        let total: f64 = self.works.iter().map(|w| w.share).sum();
+        self.works
+            .iter()
+            .map(|w| w.share * w.mean.as_secs_f64())
+            .sum::<f64>()
+            / total
+    }
+
+    /// Time until the next arrival.
+    pub(super) fn gap(&self, now: Duration, rng: &mut StdRng) -> Duration {
+        let rate = match self.burst {
+            Some((from, until, rate)) if now >= from && now < until => rate,
+            _ => self.rate * (self.callers as f64 - 1.0 + self.heavy) / self.callers as f64,
+        };
+        let per_second = rate * self.site.capacity() / self.mean();
+        Duration::from_secs_f64(-rng.random::<f64>().max(1e-12).ln() / per_second)
+    }
+
+    pub(super) fn arrive(&self, number: u64, now: Duration, rng: &mut StdRng) -> Request {
+        let total: f64 = self.works.iter().map(|w| w.share).sum();
+        let mut x = rng.random::<f64>() * total;
+        let work = self.works.iter().position(|w| {
+            x -= w.share;
+            x < 0.0
+        });
+        let work = work.unwrap_or(0);
+        let heavy = rng.random::<f64>() * (self.callers as f64 - 1.0 + self.heavy) < self.heavy;
+        let caller = if heavy {
+            0
+        } else {
+            rng.random_range(1..self.callers.max(2))
+        };
+        let hot = rng.random::<f64>() < self.hot;
+        Request {
+            work,
+            caller,
+            key: if hot {
+                0
+            } else {
+                rng.random_range(1..self.keys)
+            },
+            fingerprint: number,
+            arrived: now,
+            deadline: now + self.works[work].deadline,
+            home: rng.random_range(0..DOMAINS),
+            kills: None,
+        }
+    }
+
+    /// A service time of a kind of work on a target that is neither slow nor cold.
+    pub(super) fn time(&self, work: usize, rng: &mut StdRng) -> Duration {
+        const SIGMA: f64 = 0.5;
+        let (u, v) = (rng.random::<f64>().max(1e-12), rng.random::<f64>());
+        let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+        let factor = (SIGMA * normal - SIGMA * SIGMA / 2.0).exp();
+        self.works[work].mean.mul_f64(factor)
+    }
+}
--- /dev/null
+++ b/crates/admit/src/fair/queue.rs
@@ -0,0 +1,147 @@
+//! A queue in the order of fair ranks.
+
+use std::collections::VecDeque;
+
+use super::sketch::Sketch;
+
+/// A key may have this many times the share of a caller before it ranks behind: callers are who
+/// pays, keys are only what is popular, and a strict share would punish every popular course.
+const KEY_SHARE: u64 = 4;
+
+/// A place in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Slot {
+    /// Virtual start time, in microseconds of work.
+    pub(crate) rank: u64,
+    /// Order of arrival among equal ranks.
+    pub(crate) seq: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    slot: Slot,
+    ticket: u64,
+    work: u64,
+}
+
+/// Requests that wait, best rank first.
+///
+/// Invariants: `list` is sorted by slot; `total` is the sum of the work in `list`.
+#[derive(Debug)]
+pub(crate) struct FairQueue {
+    list: VecDeque<Entry>,
+    /// Rank of the request that was started last.
+    clock: u64,
+    /// Latest rank ever given, to which the clock jumps when the queue has run empty.
+    top: u64,
+    seq: u64,
+    total: u64,
+    callers: Sketch,
+    keys: Sketch,
+}
+
+impl FairQueue {
+    pub(crate) fn open(seed: u64) -> Self {
+        Self {
+            list: VecDeque::new(),
+            clock: 0,
+            top: 0,
+            seq: 0,
+            total: 0,
+            callers: Sketch::open(seed),
+            keys: Sketch::open(!seed),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Work that waits, in microseconds.
+    pub(crate) fn work(&self) -> u64 {
+        self.total
+    }
+
+    /// Rank that a request of this caller about this key would have.
+    pub(crate) fn rank(&self, caller: u64, key: u64) -> u64 {
+        self.clock
+            .max(self.callers.read(caller))
+            .max(self.keys.read(key))
+    }
+
+    /// Number of requests and work, in microseconds, that are served before this rank.
+    pub(crate) fn ahead(&self, rank: u64) -> (usize, u64) {
+        let n = self.list.partition_point(|e| e.slot.rank <= rank);
+        let work = self.total * n as u64 / self.list.len().max(1) as u64;
+        (n, work)
+    }
+
+    /// Adds a request and charges its caller and its key.
+    pub(crate) fn push(&mut self, ticket: u64, caller: u64, key: u64, work: u64) -> Slot {
+        let rank = self.rank(caller, key);
+        let work = work.max(1);
+        let own = self.clock.max(self.callers.read(caller));
+        self.callers.raise(caller, own + work);
+        // A request that waits behind its caller's own backlog takes up its key's turn only later
+        // and less often. Charged in full, a heavy caller would push back everybody else who asks
+        // for the same key.
+        let lead = (own - self.clock) / work;
+        let charge = work / KEY_SHARE / (1 + lead);
+        let spot = self.clock.max(self.keys.read(key));
+        self.keys.raise(key, spot + charge);
+        self.top = self.top.max(own + work).max(spot + charge);
+        self.insert(ticket, rank, work)
+    }
+
+    /// Adds a request at the head, without a charge: it had its turn and has to be run again.
+    pub(crate) fn push_front(&mut self, ticket: u64, work: u64) -> Slot {
+        self.insert(ticket, self.clock, work.max(1))
+    }
+
+    fn insert(&mut self, ticket: u64, rank: u64, work: u64) -> Slot {
+        self.seq += 1;
+        let slot = Slot {
+            rank,
+            seq: self.seq,
+        };
+        let at = self.list.partition_point(|e| e.slot < slot);
+        self.list.insert(at, Entry { slot, ticket, work });
+        self.total += work;
+        slot
+    }
+
+    /// The ticket at a place from the head.
+    pub(crate) fn peek(&self, at: usize) -> Option<u64> {
+        self.list.get(at).map(|e| e.ticket)
+    }
+
+    /// Rank and ticket of the request that would be served last.
+    pub(crate) fn last(&self) -> Option<(u64, u64)> {
+        self.list.back().map(|e| (e.slot.rank, e.ticket))
+    }
+
+    /// Removes a request that starts now: the pool's clock moves to its rank.
+    pub(crate) fn start(&mut self, slot: Slot) {
+        self.clock = self.clock.max(slot.rank);
+        self.remove(slot);
+    }
+
+    /// Removes a request that leaves without having been started.
+    pub(crate) fn remove(&mut self, slot: Slot) {
+        let Ok(at) = self.list.binary_search_by_key(&slot, |e| e.slot) else {
+            return;
+        };
+        if let Some(e) = self.list.remove(at) {
+            self.total -= e.work;
+        }
+        if self.list.is_empty() {
+            self.clock = self.clock.max(self.top);
+            self.callers.reseed();
+            self.keys.reseed();
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/fair/sketch.rs
@@ -0,0 +1,60 @@
+//! Clocks of callers or keys in a table of fixed size.
+
+/// Rows of the table. A light caller is mistaken for a heavy one only if it collides in all rows:
+/// with ten heavy callers among 256 cells that is (10/256)^4, about one in 430,000.
+const ROWS: usize = 4;
+
+/// Cells in a row; a power of two. Both sketches of a queue take 16 KB.
+const CELLS: usize = 256;
+
+/// Clocks by hash, each read as the least of its cells.
+///
+/// Invariant: a read is never below the clock that was last raised for the same id.
+#[derive(Clone, Debug)]
+pub(crate) struct Sketch {
+    seed: u64,
+    cells: Vec<u64>,
+}
+
+impl Sketch {
+    pub(crate) fn open(seed: u64) -> Self {
+        Self {
+            seed,
+            cells: vec![0; ROWS * CELLS],
+        }
+    }
+
+    /// The clock of an id, or a later one if others share its cells.
+    pub(crate) fn read(&self, id: u64) -> u64 {
+        self.spots(id)
+            .map(|i| self.cells[i])
+            .into_iter()
+            .min()
+            .unwrap_or(0)
+    }
+
+    /// Moves the clock of an id forward to `to`.
+    pub(crate) fn raise(&mut self, id: u64, to: u64) {
+        for i in self.spots(id) {
+            self.cells[i] = self.cells[i].max(to);
+        }
+    }
+
+    /// Another hashing, so that a pair that collides does not do so for good. Only right while no
+    /// clock is ahead of the pool's, that is while nothing is queued.
+    pub(crate) fn reseed(&mut self) {
+        self.seed = self.seed.wrapping_add(1);
+    }
+
+    fn spots(&self, id: u64) -> [usize; ROWS] {
+        let hash = mix(id ^ self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        std::array::from_fn(|row| row * CELLS + (hash >> (16 * row)) as usize % CELLS)
+    }
+}
+
+/// The finalizer of splitmix64: each bit of the input changes half of the output's.
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/admit/src/pool/admit.rs
@@ -0,0 +1,205 @@
+//! Admission: start, queue or refuse, at once.
+//!
+//! Load: more work than slots, for a while or for long. A queue without a bound lets every request
+//! wait until its caller has gone; the slots are then busy with answers that nobody reads, and
+//! goodput falls towards zero although all slots are in use. Here a request is let in only if it is
+//! expected to be answered before its deadline, counting the work ahead of its fair rank, the
+//! slots that serve its class and [`SPREAD`] deviations. Everything else is refused in the same
+//! call: it has not run, and its caller can go elsewhere while there is time.
+
+use std::time::Duration;
+
+use super::{
+    Pool,
+    offer::{Offer, Refusal, Verdict},
+    request::{Place, Request},
+};
+use crate::{Grade, work::Class};
+
+/// Deviations of the sum of the service times ahead that are added to the expected wait. At 1, one
+/// admitted request in six would wait longer than estimated; at 2, one in forty.
+const SPREAD: f64 = 2.0;
+
+/// Least time after which a refused caller is asked to come back. Less would let refused callers
+/// make more load than the work itself.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+
+/// Longest time after which a refused caller is asked to come back.
+const RETRY_MAX: Duration = Duration::from_secs(30);
+
+/// What a request that came now would meet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wait {
+    /// Expected wait.
+    pub(super) mean: Duration,
+    /// Wait that is rarely exceeded.
+    pub(super) most: Duration,
+}
+
+impl Pool {
+    /// Decides at once what becomes of a request. Follow it with [`Pool::poll`].
+    ///
+    /// A refusal is final: the request has not run and will not.
+    pub fn offer(&mut self, offer: Offer, now: Duration) -> Verdict {
+        self.targets.refresh(&self.rules, now);
+        let estimate = self.kinds.estimate(offer.kind);
+        let class = self.class(estimate.mean);
+        if let Err(reason) = self.check(&offer, now) {
+            let retry_after = self.retry_after(reason, offer.fingerprint, now);
+            return self.refused(reason, retry_after);
+        }
+        if class == Class::Short {
+            self.short_need.add(estimate.mean, now);
+        }
+        let request = Request::open(offer, class, estimate);
+        if self.quarantine.grade(request.fingerprint, now) == Some(Grade::Suspect) {
+            return self.offer_trial(request, now);
+        }
+        match self.place_now(&request, now) {
+            Some(at) => self.start_offered(request, at, now),
+            None => self.enqueue(request, now),
+        }
+    }
+
+    /// Reasons to refuse that do not depend on the wait.
+    fn check(&mut self, offer: &Offer, now: Duration) -> Result<(), Refusal> {
+        if self.tickets.contains_key(&offer.ticket) {
+            return Err(Refusal::Ticket);
+        }
+        if self.quarantine.grade(offer.fingerprint, now) == Some(Grade::Convict) {
+            return Err(Refusal::Quarantined);
+        }
+        if !self.targets.has_other(&offer.tried, now) {
+            return Err(Refusal::NoTarget);
+        }
+        if now + self.kinds.estimate(offer.kind).mean > offer.deadline {
+            return Err(Refusal::Late);
+        }
+        if !offer.tried.is_empty() && !self.budget.spend() {
+            return Err(Refusal::Budget);
+        }
+        Ok(())
+    }
+
+    /// A free slot, if nobody who waits has a better claim to it.
+    ///
+    /// With a free slot the request is started even if its deadline leaves less than the tail of
+    /// its service time: nobody else needs the slot.
+    fn place_now(&self, request: &Request, now: Duration) -> Option<usize> {
+        if !self.queues[request.class as usize].is_empty() {
+            return None;
+        }
+        let room = self.room(now);
+        if request.class == Class::Long && !room.long_fits() {
+            return None;
+        }
+        self.targets.place(&request.tried, request.spares(now))
+    }
+
+    fn start_offered(&mut self, request: Request, at: usize, now: Duration) -> Verdict {
+        let ticket = request.ticket;
+        self.tickets.insert(ticket, request);
+        let target = self.run(ticket, at, now);
+        self.counts.started += 1;
+        self.budget.earn();
+        Verdict::Start { target }
+    }
+
+    /// Queues a request if it can be answered in time.
+    fn enqueue(&mut self, mut request: Request, now: Duration) -> Verdict {
+        let queue = &self.queues[request.class as usize];
+        let rank = queue.rank(request.caller, request.key);
+        let wait = self.wait(request.class, rank, now);
+        request.wait(self.rules.patience, now);
+        if now + wait.most > request.latest {
+            let over = (now + wait.most).saturating_sub(request.latest);
+            return self.refused(request.reason, bounded(over));
+        }
+        if self.waiting() >= self.rules.queue && !self.displace(request.class, rank, now) {
+            let retry_after = self.retry_after(Refusal::Full, request.fingerprint, now);
+            return self.refused(Refusal::Full, retry_after);
+        }
+        let work = request.estimate.mean.as_micros() as u64;
+        let (ticket, caller, key) = (request.ticket, request.caller, request.key);
+        let slot = self.queues[request.class as usize].push(ticket, caller, key, work);
+        request.place = Place::Queued(slot);
+        self.due.insert((request.latest, ticket));
+        self.tickets.insert(ticket, request);
+        Verdict::Queued
+    }
+
+    /// Makes room in a full queue for a request of this rank: the request that would be served
+    /// last leaves. Without this a heavy caller who came first would keep everybody else out.
+    fn displace(&mut self, class: Class, rank: u64, now: Duration) -> bool {
+        let other = match class {
+            Class::Short => Class::Long,
+            Class::Long => Class::Short,
+        };
+        let own = &self.queues[class as usize];
+        let worst = if self.queues[other as usize].len() > own.len() {
+            self.queues[other as usize].last()
+        } else {
+            own.last().filter(|(last, _)| *last > rank)
+        };
+        let Some((_, ticket)) = worst else {
+            return false;
+        };
+        self.refuse(ticket, Refusal::Full, now);
+        true
+    }
+
+    /// The wait of a request with this rank.
+    pub(super) fn wait(&self, class: Class, rank: u64, now: Duration) -> Wait {
+        let other = &self.queues[1 - class as usize];
+        let slots = f64::from(self.room(now).serving(class, !other.is_empty()));
+        let (n, work) = self.queues[class as usize].ahead(rank);
+        let busy = self.busy[0] + self.busy[1];
+        let running = self.load as f64 / f64::from(busy.max(1)) / 1e6;
+        let ahead = work as f64 / 1e6;
+        let each = if n == 0 { running } else { ahead / n as f64 };
+        let mean = (ahead + running) / slots;
+        let spread = SPREAD * each * ((n + 1) as f64).sqrt() / slots;
+        // With no slot at all, nothing moves until the limits change.
+        let still = match self.targets.slots() {
+            0 => self.targets.until().unwrap_or(now).saturating_sub(now),
+            _ => Duration::ZERO,
+        };
+        Wait {
+            mean: still + Duration::from_secs_f64(mean),
+            most: still + Duration::from_secs_f64(mean + spread),
+        }
+    }
+
+    /// Counts a refusal and puts it into words.
+    pub(super) fn refused(&mut self, reason: Refusal, retry_after: Duration) -> Verdict {
+        self.counts.refused += 1;
+        Verdict::Refused {
+            reason,
+            retry_after,
+        }
+    }
+
+    /// Estimate of the time after which a request refused for `reason` would be let in.
+    pub(super) fn retry_after(&self, reason: Refusal, fingerprint: u64, now: Duration) -> Duration {
+        let time = match reason {
+            Refusal::Quarantined => return self.quarantine.remaining(fingerprint, now),
+            Refusal::NoTarget => Duration::from_secs(1),
+            Refusal::Budget => self.turn() * (1.0 / self.rules.retry_share.max(0.01)) as u32,
+            Refusal::Ticket => self.turn(),
+            // Half of what waits has then been served.
+            Refusal::Late | Refusal::Full | Refusal::Patience => {
+                let rank = self
+                    .queues
+                    .iter()
+                    .map(|q| q.last().map_or(0, |l| l.0))
+                    .max();
+                self.wait(Class::Long, rank.unwrap_or(0), now).mean / 2
+            }
+        };
+        bounded(time)
+    }
+}
+
+pub(super) fn bounded(time: Duration) -> Duration {
+    time.clamp(RETRY_MIN, RETRY_MAX)
+}
--- /dev/null
+++ b/crates/admit/src/pool/due.rs
@@ -0,0 +1,110 @@
+//! What time brings: starts, refusals, late runs.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Pool,
+    offer::{Action, Refusal},
+};
+
+impl Pool {
+    /// All that is due: starts, refusals, hedges, aborts.
+    pub fn poll(&mut self, now: Duration) -> Vec<Action> {
+        self.targets.refresh(&self.rules, now);
+        self.check_late(now);
+        self.targets.refresh(&self.rules, now);
+        self.pump(now);
+        self.try_suspects(now);
+        self.pump(now);
+        self.expire(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When `poll` has to be called next if nothing else happens before.
+    pub fn next_wake(&self) -> Option<Duration> {
+        let due = self.due.first().map(|(t, _)| *t);
+        let check = self.checks.first().map(|(t, _)| *t);
+        let limits = if self.due.is_empty() {
+            None
+        } else {
+            self.targets.until()
+        };
+        [due, check, limits].into_iter().flatten().min()
+    }
+
+    /// Refuses what can no longer be started in time. It has just been tried, so that a request
+    /// which is due at this very moment has had its chance.
+    fn expire(&mut self, now: Duration) {
+        while let Some((at, ticket)) = self.due.first().copied() {
+            let Some(request) = self.tickets.get(&ticket) else {
+                return;
+            };
+            if at > now {
+                break;
+            }
+            let reason = request.reason;
+            self.refuse(ticket, reason, now);
+        }
+        if !self.due.is_empty() && !self.targets.hopeful(now) {
+            let all: Vec<u64> = self.due.iter().map(|(_, t)| *t).collect();
+            all.into_iter()
+                .for_each(|t| self.refuse(t, Refusal::NoTarget, now));
+        }
+    }
+
+    /// Looks at the runs that take longer than all but one in twenty: the target may be slow, and
+    /// a second copy may answer first.
+    fn check_late(&mut self, now: Duration) {
+        while let Some((at, ticket)) = self.checks.first().copied() {
+            if at > now {
+                return;
+            }
+            self.checks.pop_first();
+            let Some(request) = self.tickets.get_mut(&ticket) else {
+                continue;
+            };
+            let Some(run) = request.runs.iter().find(|r| !r.hedge).copied() else {
+                continue;
+            };
+            let age = now.saturating_sub(run.since);
+            let ratio = age.as_secs_f64() / request.estimate.mean.as_secs_f64().max(1e-6);
+            request.check = now + age.max(request.estimate.p95);
+            self.checks.insert((request.check, ticket));
+            self.targets.late(run.target, ratio);
+            self.hedge(ticket, now);
+        }
+    }
+
+    /// Sends a second copy of a late request to another target. Only into a slot that nobody
+    /// waits for: under overload a second copy would take the place of a first run.
+    fn hedge(&mut self, ticket: u64, now: Duration) {
+        let Some(request) = self.tickets.get_mut(&ticket) else {
+            return;
+        };
+        let fits = request.repeatable
+            && !request.hedged
+            && now + request.estimate.mean <= request.deadline
+            && self.due.is_empty()
+            && self.quarantine.grade(request.fingerprint, now).is_none();
+        if !fits {
+            return;
+        }
+        let mut tried = request.tried.clone();
+        tried.extend(
+            request
+                .runs
+                .iter()
+                .map(|r| Arc::clone(&self.targets.get(r.target).name)),
+        );
+        let Some(at) = self.targets.place(&tried, false) else {
+            return;
+        };
+        if !self.budget.spend() {
+            return;
+        }
+        request.hedged = true;
+        self.counts.repeats += 1;
+        let target = self.run(ticket, at, now);
+        self.actions.push(Action::Hedge { ticket, target });
+    }
+}
--- /dev/null
+++ b/crates/admit/src/pool/finish.rs
@@ -0,0 +1,171 @@
+//! The end of a run, and whether there is another.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Pool,
+    offer::{Action, Ending, Outcome},
+    request::{Place, Run},
+};
+use crate::{Grade, Victim, target::Finished};
+
+impl Pool {
+    /// A run at a target has ended, which frees its slot. Follow it with [`Pool::poll`].
+    pub fn finish(&mut self, ticket: u64, target: &str, outcome: Outcome, now: Duration) -> Ending {
+        let Some(run) = self.end_run(ticket, target, outcome, now) else {
+            return Ending::Stale;
+        };
+        if outcome == Outcome::Died && !run.dead {
+            self.died(run, ticket, now);
+        }
+        self.targets.refresh(&self.rules, now);
+        self.conclude(ticket, run, outcome, now)
+    }
+
+    /// Takes a run out of the books and learns from it.
+    fn end_run(
+        &mut self,
+        ticket: u64,
+        target: &str,
+        outcome: Outcome,
+        now: Duration,
+    ) -> Option<Run> {
+        let request = self.tickets.get_mut(&ticket)?;
+        let at = request
+            .runs
+            .iter()
+            .position(|r| &*self.targets.get(r.target).name == target)?;
+        let run = request.runs.remove(at);
+        self.busy[request.class as usize] -= 1;
+        self.load -= request.estimate.mean.as_micros() as u64;
+        let time = now.saturating_sub(run.since);
+        let ratio = time.as_secs_f64() / request.estimate.mean.as_secs_f64().max(1e-6);
+        let end = Finished {
+            target: run.target,
+            ticket,
+            outcome,
+            ratio,
+        };
+        let usual = self.targets.finish(&end, &self.rules, now);
+        if outcome == Outcome::Ok {
+            self.quarantine.ran(request.fingerprint);
+            if usual {
+                self.kinds.sample(request.kind, time, now);
+            }
+        }
+        self.trials.ended(ticket, &mut self.targets);
+        Some(run)
+    }
+
+    /// A target died: everything that ran on it is suspect.
+    fn died(&mut self, run: Run, ticket: u64, now: Duration) {
+        let mut victims = Vec::new();
+        if let Some(r) = self.tickets.get(&ticket) {
+            victims.push(Victim {
+                fingerprint: r.fingerprint,
+                since: run.since,
+            });
+        }
+        for other in &self.targets.get(run.target).running {
+            let Some(r) = self.tickets.get_mut(other) else {
+                continue;
+            };
+            for lost in r
+                .runs
+                .iter_mut()
+                .filter(|x| x.target == run.target && !x.dead)
+            {
+                // Its connection will be reported as dead too: that is the same death.
+                lost.dead = true;
+                victims.push(Victim {
+                    fingerprint: r.fingerprint,
+                    since: lost.since,
+                });
+            }
+        }
+        self.targets.died(run.target, now);
+        self.quarantine.death(&victims, now);
+    }
+
+    /// Decides what the end of a run means for the request.
+    fn conclude(&mut self, ticket: u64, run: Run, outcome: Outcome, now: Duration) -> Ending {
+        let Some(request) = self.tickets.get_mut(&ticket) else {
+            return Ending::Stale;
+        };
+        let more = !request.runs.is_empty();
+        if request.settled {
+            if !more {
+                self.tickets.remove(&ticket);
+            }
+            return Ending::Stale;
+        }
+        let effect = !matches!(outcome, Outcome::Refused);
+        request.ran |= effect;
+        let name = Arc::clone(&self.targets.get(run.target).name);
+        request.tried.push(name);
+        if more && !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
+            return Ending::Other;
+        }
+        if self.reruns(ticket, outcome, now) {
+            self.rerun(ticket, now);
+            return Ending::Again;
+        }
+        self.settle(ticket)
+    }
+
+    /// The request may and should run again, and the budget has paid for it.
+    fn reruns(&mut self, ticket: u64, outcome: Outcome, now: Duration) -> bool {
+        let Some(request) = self.tickets.get(&ticket) else {
+            return false;
+        };
+        let allowed = match outcome {
+            Outcome::Ok | Outcome::Cancelled => false,
+            Outcome::Refused => !request.ran || request.repeatable,
+            Outcome::Failed | Outcome::Died | Outcome::TimedOut => request.repeatable,
+        };
+        allowed
+            && now + request.estimate.mean <= request.deadline
+            && self.quarantine.grade(request.fingerprint, now) != Some(Grade::Convict)
+            && self.targets.has_other(&request.tried, now)
+            && self.budget.spend()
+    }
+
+    /// Puts a request back at the head of its queue, or among the suspects.
+    fn rerun(&mut self, ticket: u64, now: Duration) {
+        self.counts.repeats += 1;
+        let Some(request) = self.tickets.get_mut(&ticket) else {
+            return;
+        };
+        self.checks.remove(&(request.check, ticket));
+        request.wait(self.rules.patience, now);
+        // It was let in; what its first run has cost it must not be the reason to refuse it.
+        request.latest = request.latest.max(now);
+        self.due.insert((request.latest, ticket));
+        if self.quarantine.grade(request.fingerprint, now) == Some(Grade::Suspect) {
+            request.place = Place::Trial;
+            self.trials.push(ticket);
+            return;
+        }
+        let work = request.estimate.mean.as_micros() as u64;
+        let slot = self.queues[request.class as usize].push_front(ticket, work);
+        request.place = Place::Queued(slot);
+    }
+
+    /// The request has its final outcome: other runs of it are aborted.
+    fn settle(&mut self, ticket: u64) -> Ending {
+        let Some(request) = self.tickets.get_mut(&ticket) else {
+            return Ending::Stale;
+        };
+        request.settled = true;
+        self.checks.remove(&(request.check, ticket));
+        let ran = request.ran;
+        for run in &request.runs {
+            let target = Arc::clone(&self.targets.get(run.target).name);
+            self.actions.push(Action::Abort { ticket, target });
+        }
+        if request.runs.is_empty() {
+            self.tickets.remove(&ticket);
+        }
+        Ending::Final { ran }
+    }
+}
--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -1,87 +1,227 @@
 //! The pool: one service's targets in one failure domain.
 
+mod admit;
+mod due;
+mod finish;
 mod offer;
+mod request;
 mod rules;
+mod start;
 mod state;
+mod trial;
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 pub use self::{
     offer::{Action, Cancelled, Ending, Offer, Outcome, Refusal, Report, Verdict},
     rules::{PoolRules, TargetSpec},
-    state::{Load, PoolState, TargetState},
+    state::{Counts, Load, PoolState, TargetState},
+};
+use self::{
+    request::{Place, Request},
+    trial::Trials,
+};
+use crate::{
+    Grade, Quarantine, Word,
+    fair::FairQueue,
+    retry::Budget,
+    room::{Meter, Room},
+    target::Targets,
+    work::{Class, Kinds},
 };
-use crate::Word;
 
 /// The targets of one service in one failure domain, with the requests that wait and run.
+///
+/// After each call other than the read-only ones, call [`Pool::poll`] and perform what it returns.
+///
+/// Invariants: a request is in `tickets` from its offer until its last run has ended; `queues`,
+/// `trials` and `due` hold exactly the tickets that wait, `checks` exactly those that run and are
+/// not settled; no target runs more than its slots.
 #[derive(Debug)]
-pub struct Pool {}
+pub struct Pool {
+    rules: PoolRules,
+    targets: Targets,
+    tickets: BTreeMap<u64, Request>,
+    /// Short work, then long work.
+    queues: [FairQueue; 2],
+    trials: Trials,
+    /// Waiting requests by their last moment to start.
+    due: BTreeSet<(Duration, u64)>,
+    /// Running requests by the time at which they are looked at again.
+    checks: BTreeSet<(Duration, u64)>,
+    /// Runs of short work, then of long work.
+    busy: [u32; 2],
+    /// Sum of the expected times of what runs, in microseconds.
+    load: u64,
+    kinds: Kinds,
+    short_need: Meter,
+    budget: Budget,
+    quarantine: Quarantine,
+    actions: Vec<Action>,
+    counts: Counts,
+}
 
 impl Pool {
     /// Opens a pool. Its targets are warm unless their spec says that they are cold.
-    pub fn open(_rules: PoolRules, _targets: &[TargetSpec], _now: Duration) -> Self {
-        todo!()
+    pub fn open(rules: PoolRules, targets: &[TargetSpec], now: Duration) -> Self {
+        let mut pool = Self {
+            targets: Targets::open(targets, now),
+            tickets: BTreeMap::new(),
+            queues: [FairQueue::open(rules.seed), FairQueue::open(rules.seed + 1)],
+            trials: Trials::default(),
+            due: BTreeSet::new(),
+            checks: BTreeSet::new(),
+            busy: [0; 2],
+            load: 0,
+            kinds: Kinds::open(rules.guess),
+            short_need: Meter::default(),
+            budget: Budget::open(rules.retry_share),
+            quarantine: Quarantine::open(),
+            actions: Vec::new(),
+            counts: Counts::default(),
+            rules,
+        };
+        pool.targets.refresh(&pool.rules, now);
+        pool
     }
 
     /// Takes new rules and targets. Requests that run or wait stay; a target that is no longer
     /// listed finishes its runs and gets nothing new; a target that is new starts cold.
-    pub fn reconfigure(&mut self, _rules: PoolRules, _targets: &[TargetSpec], _now: Duration) {
-        todo!()
-    }
-
-    /// Decides at once what becomes of a request. Follow it with [`Pool::poll`].
-    pub fn offer(&mut self, _offer: Offer, _now: Duration) -> Verdict {
-        todo!()
+    pub fn reconfigure(&mut self, rules: PoolRules, targets: &[TargetSpec], now: Duration) {
+        self.budget.set_share(rules.retry_share);
+        self.rules = rules;
+        self.targets.reconfigure(targets, now);
+        self.targets.refresh(&self.rules, now);
     }
 
     /// The caller is gone or has given up.
-    pub fn cancel(&mut self, _ticket: u64, _now: Duration) -> Cancelled {
-        todo!()
-    }
-
-    /// A run at a target has ended, which frees its slot. Follow it with [`Pool::poll`].
-    pub fn finish(
-        &mut self,
-        _ticket: u64,
-        _target: &str,
-        _outcome: Outcome,
-        _now: Duration,
-    ) -> Ending {
-        todo!()
+    pub fn cancel(&mut self, ticket: u64, _now: Duration) -> Cancelled {
+        let Some(request) = self.tickets.get_mut(&ticket) else {
+            return Cancelled::Unknown;
+        };
+        if request.settled {
+            return Cancelled::Unknown;
+        }
+        if request.place != Place::Running {
+            let ran = request.ran;
+            self.unqueue(ticket);
+            self.tickets.remove(&ticket);
+            return Cancelled::Queued { ran };
+        }
+        request.settled = true;
+        let names = request
+            .runs
+            .iter()
+            .map(|r| Arc::clone(&self.targets.get(r.target).name));
+        let names = names.collect();
+        self.checks.remove(&(request.check, ticket));
+        Cancelled::Running(names)
     }
 
     /// Takes a target's report about itself.
-    pub fn report(&mut self, _target: &str, _report: Report, _now: Duration) {
-        todo!()
+    pub fn report(&mut self, target: &str, report: Report, now: Duration) {
+        self.targets.report(target, report, &self.rules, now);
     }
 
     /// Takes a peer's word about a request that kills its targets.
-    pub fn hear(&mut self, _word: Word, _now: Duration) {
-        todo!()
+    pub fn hear(&mut self, word: Word, now: Duration) {
+        self.quarantine.hear(word, now);
     }
 
     /// Words for the peers since the last call.
     pub fn words(&mut self) -> Vec<Word> {
-        todo!()
-    }
-
-    /// All that is due: starts, refusals, hedges, aborts.
-    pub fn poll(&mut self, _now: Duration) -> Vec<Action> {
-        todo!()
+        self.quarantine.words()
     }
 
-    /// When `poll` has to be called next if nothing else happens before.
-    pub fn next_wake(&self) -> Option<Duration> {
-        todo!()
+    /// All words that hold, for a peer that is new.
+    pub fn all_words(&self, now: Duration) -> Vec<Word> {
+        self.quarantine.all(now)
     }
 
     /// Summary for the hosts that hand requests over.
-    pub fn load(&self, _now: Duration) -> Load {
-        todo!()
+    pub fn load(&self, now: Duration) -> Load {
+        let work: u64 = self.queues.iter().map(FairQueue::work).sum();
+        let slots = self.targets.slots();
+        let busy = self.busy[0] + self.busy[1];
+        let turn = self.turn();
+        let full = if busy >= slots { turn } else { Duration::ZERO };
+        Load {
+            queued: self.waiting() as u32,
+            busy,
+            slots: if self.targets.hopeful(now) { slots } else { 0 },
+            wait: full + Duration::from_micros(work / u64::from(slots.max(1))),
+            turn,
+        }
     }
 
     /// Snapshot for a dump.
-    pub fn state(&self, _now: Duration) -> PoolState {
-        todo!()
+    pub fn state(&self, now: Duration) -> PoolState {
+        PoolState {
+            load: self.load(now),
+            short_busy: self.busy[0],
+            long_busy: self.busy[1],
+            reserve: self.room(now).reserve,
+            budget: self.budget.tokens(),
+            suspects: self.quarantine.count(Grade::Suspect, now) as u32,
+            convicts: self.quarantine.count(Grade::Convict, now) as u32,
+            kinds: self.kinds.len() as u32,
+            counts: self.counts,
+            targets: self
+                .targets
+                .iter()
+                .map(|t| TargetState::read(t, now))
+                .collect(),
+        }
+    }
+
+    /// Requests that wait.
+    fn waiting(&self) -> usize {
+        self.due.len()
+    }
+
+    /// Expected time between two free slots while all slots are in use.
+    fn turn(&self) -> Duration {
+        let busy = u64::from(self.busy[0] + self.busy[1]).max(1);
+        let mean = match self.load {
+            0 => self.rules.guess,
+            work => Duration::from_micros(work / busy),
+        };
+        mean / self.targets.slots().max(1)
+    }
+
+    /// How the slots are divided at this moment.
+    fn room(&self, now: Duration) -> Room {
+        let need = self.short_need.read(now);
+        Room::divide(
+            self.targets.slots(),
+            self.rules.short_share,
+            need,
+            self.busy,
+        )
+    }
+
+    /// Takes a waiting request out of its queue.
+    fn unqueue(&mut self, ticket: u64) {
+        let Some(request) = self.tickets.get(&ticket) else {
+            return;
+        };
+        match request.place {
+            Place::Queued(slot) => self.queues[request.class as usize].remove(slot),
+            Place::Trial => self.trials.remove(ticket),
+            Place::Running => return,
+        }
+        self.due.remove(&(request.latest, ticket));
+    }
+
+    fn class(&self, mean: Duration) -> Class {
+        if mean <= self.rules.short {
+            Class::Short
+        } else {
+            Class::Long
+        }
     }
 }
--- a/crates/admit/src/pool/offer.rs
+++ b/crates/admit/src/pool/offer.rs
@@ -129,7 +129,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ending {
     /// This outcome is the request's: answer the caller.
-    Final,
+    Final {
+        /// Some run of it may have had an effect. If false, `run: no` is true.
+        ran: bool,
+    },
     /// The pool tries again: `poll` will start or refuse it. Say nothing to the caller yet.
     Again,
     /// Another run of the request still goes on. Say nothing to the caller yet.
--- /dev/null
+++ b/crates/admit/src/pool/request.rs
@@ -0,0 +1,109 @@
+//! A request that the pool holds.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    Offer, Refusal,
+    fair::Slot,
+    work::{Class, Estimate},
+};
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Place {
+    /// In the queue of its class.
+    Queued(Slot),
+    /// A suspect that waits for a target of its own.
+    Trial,
+    /// At its targets.
+    Running,
+}
+
+/// One run at a target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run {
+    /// Position of the target.
+    pub(super) target: usize,
+    pub(super) since: Duration,
+    /// A second copy, sent because the first was late.
+    pub(super) hedge: bool,
+    /// The target's death has been counted for this run.
+    pub(super) dead: bool,
+}
+
+/// A request that waits or runs.
+///
+/// Invariants: `place` is `Running` exactly while `runs` is not empty; at most two runs, of which
+/// at most one is a hedge; once `settled`, it never starts again.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) ticket: u64,
+    pub(super) caller: u64,
+    pub(super) key: u64,
+    pub(super) kind: u64,
+    pub(super) fingerprint: u64,
+    pub(super) deadline: Duration,
+    pub(super) repeatable: bool,
+    pub(super) tried: Vec<Arc<str>>,
+    pub(super) class: Class,
+    pub(super) estimate: Estimate,
+    pub(super) place: Place,
+    /// Last moment at which it may start.
+    pub(super) latest: Duration,
+    /// Why it is refused if it has not started by then.
+    pub(super) reason: Refusal,
+    pub(super) runs: Vec<Run>,
+    /// When its run is looked at again.
+    pub(super) check: Duration,
+    /// It has had its second copy.
+    pub(super) hedged: bool,
+    /// An earlier run may have had an effect.
+    pub(super) ran: bool,
+    /// The caller has its answer or is gone.
+    pub(super) settled: bool,
+}
+
+impl Request {
+    pub(super) fn open(offer: Offer, class: Class, estimate: Estimate) -> Self {
+        Self {
+            ticket: offer.ticket,
+            caller: offer.caller,
+            key: offer.key,
+            kind: offer.kind,
+            fingerprint: offer.fingerprint,
+            deadline: offer.deadline,
+            repeatable: offer.repeatable,
+            tried: offer.tried,
+            class,
+            estimate,
+            place: Place::Running,
+            latest: offer.deadline,
+            reason: Refusal::Late,
+            runs: Vec::new(),
+            check: Duration::MAX,
+            hedged: false,
+            ran: false,
+            settled: false,
+        }
+    }
+
+    /// Sets the last moment to start, for a request that begins to wait at `now`.
+    ///
+    /// It has to leave time for the work: a start that ends after the deadline takes a slot from a
+    /// request that could still be answered.
+    pub(super) fn wait(&mut self, patience: Duration, now: Duration) {
+        let deadline = self.deadline.saturating_sub(self.estimate.tail);
+        let patience = now + patience;
+        self.reason = if deadline <= patience {
+            Refusal::Late
+        } else {
+            Refusal::Patience
+        };
+        self.latest = deadline.min(patience);
+    }
+
+    /// It can spare the time that a slow target may take.
+    pub(super) fn spares(&self, now: Duration) -> bool {
+        now + self.estimate.mean * 10 <= self.deadline
+    }
+}
--- /dev/null
+++ b/crates/admit/src/pool/start.rs
@@ -0,0 +1,120 @@
+//! Starting what waits.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Pool,
+    offer::{Action, Refusal},
+    request::{Place, Run},
+};
+use crate::{fair::Slot, work::Class};
+
+/// Requests at the head of a queue that are looked at when the first cannot be placed, because the
+/// only free targets are those that it has tried.
+const SCAN: usize = 4;
+
+impl Pool {
+    /// Starts requests as long as there are free slots.
+    pub(super) fn pump(&mut self, now: Duration) {
+        while let Some(class) = self.next_class(now) {
+            if !self.start_next(class, now) {
+                return;
+            }
+        }
+    }
+
+    fn next_class(&self, now: Duration) -> Option<Class> {
+        let [short, long] = [0, 1].map(|i| !self.queues[i].is_empty());
+        if !short && !long {
+            return None;
+        }
+        self.room(now).next(short, long)
+    }
+
+    /// Starts the best request of a class that can be placed; false if there is none.
+    fn start_next(&mut self, class: Class, now: Duration) -> bool {
+        for i in 0..SCAN {
+            let Some(ticket) = self.queues[class as usize].peek(i) else {
+                return false;
+            };
+            let Some(request) = self.tickets.get(&ticket) else {
+                return false;
+            };
+            if request.latest < now {
+                let reason = request.reason;
+                self.refuse(ticket, reason, now);
+                return true;
+            }
+            let Place::Queued(slot) = request.place else {
+                return false;
+            };
+            if let Some(grade) = self.quarantine.grade(request.fingerprint, now) {
+                self.divert(ticket, grade, now);
+                return true;
+            }
+            if let Some(at) = self.targets.place(&request.tried, request.spares(now)) {
+                self.start_queued(ticket, class, slot, at, now);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn start_queued(&mut self, ticket: u64, class: Class, slot: Slot, at: usize, now: Duration) {
+        self.queues[class as usize].start(slot);
+        self.start_waiting(ticket, at, now);
+    }
+
+    /// Starts a request that has left its queue.
+    pub(super) fn start_waiting(&mut self, ticket: u64, at: usize, now: Duration) {
+        let Some(request) = self.tickets.get(&ticket) else {
+            return;
+        };
+        let first = request.tried.is_empty() && !request.ran;
+        self.due.remove(&(request.latest, ticket));
+        let target = self.run(ticket, at, now);
+        self.actions.push(Action::Start { ticket, target });
+        if first {
+            self.counts.started += 1;
+            self.budget.earn();
+        }
+    }
+
+    /// Notes a run of a request that is in `tickets` and in no queue.
+    pub(super) fn run(&mut self, ticket: u64, at: usize, now: Duration) -> Arc<str> {
+        self.targets.start(at, ticket, now);
+        if let Some(request) = self.tickets.get_mut(&ticket) {
+            let hedge = !request.runs.is_empty();
+            request.place = Place::Running;
+            request.runs.push(Run {
+                target: at,
+                since: now,
+                hedge,
+                dead: false,
+            });
+            self.busy[request.class as usize] += 1;
+            self.load += request.estimate.mean.as_micros() as u64;
+            if !hedge {
+                request.check = now + request.estimate.p95;
+                self.checks.insert((request.check, ticket));
+            }
+        }
+        Arc::clone(&self.targets.get(at).name)
+    }
+
+    /// Refuses a request that waits.
+    pub(super) fn refuse(&mut self, ticket: u64, reason: Refusal, now: Duration) {
+        self.unqueue(ticket);
+        let Some(request) = self.tickets.remove(&ticket) else {
+            return;
+        };
+        let retry_after = self.retry_after(reason, request.fingerprint, now);
+        self.counts.refused += 1;
+        self.actions.push(Action::Refuse {
+            ticket,
+            reason,
+            retry_after,
+            ran: request.ran,
+        });
+    }
+}
--- a/crates/admit/src/pool/state.rs
+++ b/crates/admit/src/pool/state.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use crate::target::Target;
+
 /// Short summary of a pool's load, for the hosts that hand requests over.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -13,6 +15,8 @@
     pub slots: u32,
     /// Estimate of the wait of a request that came now.
     pub wait: Duration,
+    /// Estimate of the time between two free slots while all are in use.
+    pub turn: Duration,
 }
 
 /// Everything worth a look in a dump.
@@ -32,14 +36,23 @@
     pub suspects: u32,
     /// Requests that are refused because they killed targets.
     pub convicts: u32,
+    /// Kinds of work whose service time is known.
+    pub kinds: u32,
+    /// What the pool has done since it was opened.
+    pub counts: Counts,
+    /// The targets, by name.
+    pub targets: Vec<TargetState>,
+}
+
+/// What a pool has done since it was opened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
     /// Requests started, without reruns and hedges.
     pub started: u64,
     /// Requests turned away.
     pub refused: u64,
-    /// Second runs sent to slow or failed first ones: reruns and hedges.
+    /// Reruns and hedges.
     pub repeats: u64,
-    /// The targets, by name.
-    pub targets: Vec<TargetState>,
 }
 
 /// One target in a dump.
@@ -64,3 +77,19 @@
     /// Nothing new starts on it, so that a suspect can run alone.
     pub held: bool,
 }
+
+impl TargetState {
+    pub(super) fn read(target: &Target, now: Duration) -> Self {
+        Self {
+            name: Arc::clone(&target.name),
+            busy: target.busy(),
+            slots: target.slots,
+            limit: target.limit,
+            ratio: target.health.ratio,
+            leaving: !target.hopeful(now),
+            ejected: target.health.ejected(),
+            down: target.health.down(now),
+            held: target.held,
+        }
+    }
+}
--- a/crates/admit/src/quarantine/mod.rs
+++ b/crates/admit/src/quarantine/mod.rs
@@ -1,6 +1,30 @@
 //! Quarantine of requests that kill the targets which run them.
+//!
+//! Load: one request crashes the process that runs it, and its caller (or a retry) sends it again.
+//! Without quarantine it takes the targets down one after the other.
+//!
+//! After a death all requests that ran on the target are suspects, because any of them may have
+//! done it. A suspect runs alone on its target until a run of it has succeeded, which clears it. So
+//! the second death under the same request leaves no doubt, and convicts it; a request that only
+//! shared the first death ends its lone run well. A death counts as the second one only if that run
+//! began after the first was known: when a whole failure domain dies at once, all its targets die
+//! under popular requests, and none of that is evidence.
+//!
+//! Hosts pass [`Word`]s on, so that a resend through another host meets the same record. A word is
+//! idempotent, and each ends by itself: a request that was convicted wrongly, or whose cause has
+//! been mended, is let in again after half an hour.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
+
+/// Records held; above that the weakest and oldest goes. A death leaves as many suspects as a
+/// target has slots, 3 to 8: this is enough for 30 deaths within its time.
+pub(crate) const RECORDS: usize = 256;
+
+/// How long a suspect is remembered: longer than callers wait before they send again.
+pub(crate) const SUSPECT_LIFE: Duration = Duration::from_secs(300);
+
+/// How long a convicted request is refused: long enough for the on-call to act.
+pub(crate) const CONVICT_LIFE: Duration = Duration::from_secs(1800);
 
 /// How sure the evidence is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,6 +46,161 @@
     pub life: Duration,
 }
 
-/// Records of requests that ran on targets which died. Bounded in memory.
-#[derive(Debug)]
-pub struct Quarantine {}
+/// A run that was on a target when it died.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Victim {
+    /// Hash of the request.
+    pub fingerprint: u64,
+    /// When the run began.
+    pub since: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    grade: Grade,
+    /// When the death that made it a suspect became known here.
+    since: Duration,
+    expiry: Duration,
+}
+
+/// Records of requests that ran on targets which died.
+///
+/// Invariant: at most 256 records.
+///
+/// ```
+/// use {
+///     dunlinrock_admit::{Grade, Quarantine, Victim},
+///     std::time::Duration,
+/// };
+///
+/// let at = Duration::from_secs;
+/// let mut q = Quarantine::open();
+/// q.death(&[Victim { fingerprint: 7, since: at(0) }, Victim { fingerprint: 8, since: at(0) }], at(1));
+/// q.ran(8);
+/// assert_eq!(q.grade(8, at(2)), None);
+/// q.death(&[Victim { fingerprint: 7, since: at(2) }], at(3));
+/// assert_eq!(q.grade(7, at(3)), Some(Grade::Convict));
+/// ```
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    records: BTreeMap<u64, Record>,
+    words: Vec<Word>,
+}
+
+impl Quarantine {
+    /// Opens an empty quarantine.
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// What is held against a request.
+    pub fn grade(&self, fingerprint: u64, now: Duration) -> Option<Grade> {
+        let r = self.records.get(&fingerprint)?;
+        (now < r.expiry).then_some(r.grade)
+    }
+
+    /// Time until a convicted request is let in again.
+    pub fn remaining(&self, fingerprint: u64, now: Duration) -> Duration {
+        let expiry = self.records.get(&fingerprint).map_or(now, |r| r.expiry);
+        expiry.saturating_sub(now)
+    }
+
+    /// A target died while these ran on it.
+    pub fn death(&mut self, victims: &[Victim], now: Duration) {
+        let alone = victims.len() == 1;
+        for v in victims {
+            let again = self.records.get(&v.fingerprint).is_some_and(|r| {
+                now < r.expiry && (r.grade == Grade::Convict || (alone && v.since >= r.since))
+            });
+            let (grade, life) = match again {
+                true => (Grade::Convict, CONVICT_LIFE),
+                false => (Grade::Suspect, SUSPECT_LIFE),
+            };
+            let word = Word {
+                fingerprint: v.fingerprint,
+                grade,
+                life,
+            };
+            if self.note(word, now) && self.words.len() < RECORDS {
+                self.words.push(word);
+            }
+        }
+    }
+
+    /// A run ended with an answer: the request does not kill its targets.
+    pub fn ran(&mut self, fingerprint: u64) {
+        if self
+            .records
+            .get(&fingerprint)
+            .is_some_and(|r| r.grade == Grade::Suspect)
+        {
+            self.records.remove(&fingerprint);
+        }
+    }
+
+    /// Takes a peer's word.
+    pub fn hear(&mut self, word: Word, now: Duration) {
+        self.note(word, now);
+    }
+
+    /// Words for the peers since the last call.
+    pub fn words(&mut self) -> Vec<Word> {
+        std::mem::take(&mut self.words)
+    }
+
+    /// All that holds, for a peer that is new.
+    pub fn all(&self, now: Duration) -> Vec<Word> {
+        let list = self.records.iter().filter(|(_, r)| now < r.expiry);
+        list.map(|(f, r)| Word {
+            fingerprint: *f,
+            grade: r.grade,
+            life: r.expiry - now,
+        })
+        .collect()
+    }
+
+    /// Number of records of a grade.
+    pub fn count(&self, grade: Grade, now: Duration) -> usize {
+        self.records
+            .values()
+            .filter(|r| r.grade == grade && now < r.expiry)
+            .count()
+    }
+
+    /// True if this says more than was known.
+    fn note(&mut self, word: Word, now: Duration) -> bool {
+        let life = word.life.min(match word.grade {
+            Grade::Suspect => SUSPECT_LIFE,
+            Grade::Convict => CONVICT_LIFE,
+        });
+        let known = self
+            .records
+            .get(&word.fingerprint)
+            .filter(|r| now < r.expiry);
+        if known.is_some_and(|r| r.grade >= word.grade) {
+            return false;
+        }
+        let record = Record {
+            grade: word.grade,
+            since: now,
+            expiry: now + life,
+        };
+        self.records.insert(word.fingerprint, record);
+        self.trim(now);
+        true
+    }
+
+    fn trim(&mut self, now: Duration) {
+        if self.records.len() <= RECORDS {
+            return;
+        }
+        self.records.retain(|_, r| now < r.expiry);
+        while self.records.len() > RECORDS {
+            let weakest = self.records.iter().min_by_key(|(_, r)| (r.grade, r.expiry));
+            let Some(f) = weakest.map(|(f, _)| *f) else {
+                return;
+            };
+            self.records.remove(&f);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/target/mod.rs
@@ -0,0 +1,106 @@
+//! Placement on the targets of a pool.
+//!
+//! Loads: a target that is slow, starts cold, leaves, dies, or reports what is not so. The pool
+//! counts its own runs exactly; a report can only lower what a target is given, down to half its
+//! slots and for a bounded time, so that a false report costs some capacity and never overruns.
+
+mod health;
+mod limit;
+mod set;
+
+pub(crate) use self::set::{Finished, Targets};
+
+use std::{sync::Arc, time::Duration};
+
+use self::{health::Health, limit::Limits};
+use crate::{PoolRules, Report, TargetSpec};
+
+/// One target.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) name: Arc<str>,
+    pub(crate) slots: u32,
+    /// Tickets that run on it. Invariant: no longer than `slots` was when each of them started.
+    pub(crate) running: Vec<u64>,
+    /// It is in the configuration.
+    pub(crate) listed: bool,
+    /// The configuration says that it leaves.
+    pub(crate) drains: bool,
+    /// Nothing new starts on it, so that a suspect can run alone.
+    pub(crate) held: bool,
+    /// Slots that may be used now; brought up to date by [`Targets::refresh`].
+    pub(crate) limit: u32,
+    pub(crate) health: Health,
+    limits: Limits,
+}
+
+impl Target {
+    fn open(spec: &TargetSpec, now: Duration) -> Self {
+        let mut t = Self {
+            name: Arc::clone(&spec.name),
+            slots: spec.slots,
+            running: Vec::new(),
+            listed: true,
+            drains: spec.leaving,
+            held: false,
+            limit: 0,
+            health: Health::default(),
+            limits: Limits::default(),
+        };
+        if spec.cold {
+            t.limits.ramp(now);
+        }
+        t
+    }
+
+    pub(crate) fn busy(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// It may be given something now or later.
+    pub(crate) fn hopeful(&self, now: Duration) -> bool {
+        self.listed && !self.leaves(now)
+    }
+
+    pub(crate) fn leaves(&self, now: Duration) -> bool {
+        self.drains || self.limits.leaving(now)
+    }
+
+    fn takes(&self) -> bool {
+        !self.held && self.busy() < self.limit
+    }
+
+    /// Slots that may be used at `now`.
+    fn allowed(&self, rules: &PoolRules, now: Duration) -> u32 {
+        if !self.hopeful(now) {
+            return 0;
+        }
+        let n = self.limits.allowed(self.slots, rules, now);
+        n.min(self.health.allowed(self.slots, now))
+    }
+
+    /// The next time at which `allowed` may change by itself.
+    fn changes(&self, rules: &PoolRules, now: Duration) -> Option<Duration> {
+        [
+            self.limits.changes(self.slots, rules, now),
+            self.health.changes(now),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    fn take_report(&mut self, report: Report, rules: &PoolRules, now: Duration) {
+        let busy = self.busy();
+        self.limits.report(report, self.slots, busy, rules, now);
+    }
+
+    /// Rank for the next start, least first: the share of its slots in use, scaled by how slow it
+    /// has lately been. A probe of an ejected target comes first, as it has to come at all.
+    fn cost(&self) -> f64 {
+        if self.health.probes() {
+            return 0.0;
+        }
+        f64::from(self.busy() + 1) / f64::from(self.limit) * self.health.weight()
+    }
+}
--- /dev/null
+++ b/crates/admit/src/target/set.rs
@@ -0,0 +1,265 @@
+//! All targets of a pool.
+
+use std::{cmp::Ordering, sync::Arc, time::Duration};
+
+use super::Target;
+use crate::{Outcome, PoolRules, Report, TargetSpec};
+
+/// Ejections are limited to one target in this many. Above that the fault is likely to be shared,
+/// and the rest of the pool could not carry the load.
+const EJECT_PART: usize = 3;
+
+/// The end of a run, as the targets need to know it.
+pub(crate) struct Finished {
+    pub(crate) target: usize,
+    pub(crate) ticket: u64,
+    pub(crate) outcome: Outcome,
+    /// Measured by expected time.
+    pub(crate) ratio: f64,
+}
+
+/// The targets, at positions that do not change while something runs on them.
+///
+/// Invariants: the limits are those of the time of the last `refresh`; at most a third of the
+/// usable targets is ejected at the end of each call.
+#[derive(Debug)]
+pub(crate) struct Targets {
+    list: Vec<Target>,
+    /// Sum of the limits.
+    slots: u32,
+    /// Usual ratio of measured to expected time: the lower median.
+    norm: f64,
+    /// The limits hold until then.
+    until: Option<Duration>,
+    stale: bool,
+}
+
+impl Targets {
+    pub(crate) fn open(specs: &[TargetSpec], now: Duration) -> Self {
+        let list = specs.iter().map(|s| Target::open(s, now)).collect();
+        Self {
+            list,
+            slots: 0,
+            norm: 1.0,
+            until: None,
+            stale: true,
+        }
+    }
+
+    /// Takes another list. New targets start cold; those no longer listed finish what they run.
+    pub(crate) fn reconfigure(&mut self, specs: &[TargetSpec], now: Duration) {
+        self.stale = true;
+        self.list.iter_mut().for_each(|t| t.listed = false);
+        for spec in specs {
+            if let Some(t) = self.list.iter_mut().find(|t| t.name == spec.name) {
+                t.listed = true;
+                t.slots = spec.slots;
+                t.drains = spec.leaving;
+                continue;
+            }
+            let fresh = Target::open(
+                &TargetSpec {
+                    cold: true,
+                    ..spec.clone()
+                },
+                now,
+            );
+            // A position that nothing refers to any longer is used again: the list stays bounded.
+            match self
+                .list
+                .iter_mut()
+                .find(|t| !t.listed && t.running.is_empty() && !t.held)
+            {
+                Some(t) => *t = fresh,
+                None => self.list.push(fresh),
+            }
+        }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.list.iter()
+    }
+
+    pub(crate) fn get(&self, at: usize) -> &Target {
+        &self.list[at]
+    }
+
+    /// Slots that may be used.
+    pub(crate) fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// When the limits change by themselves.
+    pub(crate) fn until(&self) -> Option<Duration> {
+        self.until
+    }
+
+    pub(crate) fn hopeful(&self, now: Duration) -> bool {
+        self.list.iter().any(|t| t.hopeful(now))
+    }
+
+    /// Brings the limits up to date.
+    pub(crate) fn refresh(&mut self, rules: &PoolRules, now: Duration) {
+        if !self.stale && self.until.is_none_or(|t| now < t) {
+            return;
+        }
+        self.judge(rules, now);
+        self.stale = false;
+        self.slots = 0;
+        self.until = None;
+        for t in &mut self.list {
+            t.limit = t.allowed(rules, now);
+            self.slots += if t.held { 0 } else { t.limit };
+            self.until = [self.until, t.changes(rules, now)]
+                .into_iter()
+                .flatten()
+                .min();
+        }
+    }
+
+    /// Ejects and throttles slow targets.
+    fn judge(&mut self, rules: &PoolRules, now: Duration) {
+        self.norm = self.median(now);
+        let usable = self.list.iter().filter(|t| t.hopeful(now)).count();
+        let most = usable / EJECT_PART;
+        let mut out = 0;
+        for t in self.list.iter_mut().filter(|t| t.health.ejected()) {
+            if !t.hopeful(now) || out == most {
+                t.health.restore();
+            } else {
+                out += 1;
+            }
+        }
+        for t in self
+            .list
+            .iter_mut()
+            .filter(|t| t.hopeful(now) && !t.health.ejected())
+        {
+            if !t.health.bad(rules.slow, self.norm) {
+                t.health.unthrottle();
+            } else if out < most {
+                t.health.eject(rules.eject, now);
+                out += 1;
+            } else {
+                t.health.throttle(t.slots);
+            }
+        }
+    }
+
+    fn median(&self, now: Duration) -> f64 {
+        let list = self.list.iter().filter(|t| t.hopeful(now));
+        let mut ratios: Vec<f64> = list.map(|t| t.health.ratio).collect();
+        if ratios.is_empty() {
+            return 1.0;
+        }
+        let at = (ratios.len() - 1) / 2;
+        *ratios
+            .select_nth_unstable_by(at, |a, b| a.partial_cmp(b).unwrap_or(Ordering::Equal))
+            .1
+    }
+
+    /// The target that the next start goes to, if any has a free slot.
+    pub(crate) fn place(&self, tried: &[Arc<str>], spare: bool) -> Option<usize> {
+        let mut best = None;
+        for (i, t) in self.list.iter().enumerate() {
+            // A probe may take ten times as long: only what can spare that time is used for it.
+            if !t.takes() || (t.health.probes() && !spare) || tried.contains(&t.name) {
+                continue;
+            }
+            let cost = t.cost();
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((i, cost));
+            }
+        }
+        best.map(|(i, _)| i)
+    }
+
+    /// A target other than those tried could be used, now or later.
+    pub(crate) fn has_other(&self, tried: &[Arc<str>], now: Duration) -> bool {
+        self.list
+            .iter()
+            .any(|t| t.hopeful(now) && !tried.contains(&t.name))
+    }
+
+    pub(crate) fn start(&mut self, at: usize, ticket: u64, now: Duration) {
+        let t = &mut self.list[at];
+        t.running.push(ticket);
+        let busy = t.busy();
+        t.limits.note(busy, now);
+    }
+
+    pub(crate) fn report(&mut self, name: &str, report: Report, rules: &PoolRules, now: Duration) {
+        if let Some(t) = self.list.iter_mut().find(|t| &*t.name == name) {
+            t.take_report(report, rules, now);
+            self.stale = true;
+        }
+    }
+
+    /// A run has lasted this many times what was expected and goes on.
+    pub(crate) fn late(&mut self, at: usize, ratio: f64) {
+        self.list[at].health.sample(ratio, false);
+        self.stale = true;
+    }
+
+    /// Frees the slot of a run. True if its time is usual for the pool, so that it may count in
+    /// the estimate of its kind: a slow target's times must not.
+    pub(crate) fn finish(&mut self, end: &Finished, rules: &PoolRules, now: Duration) -> bool {
+        let norm = self.norm;
+        let t = &mut self.list[end.target];
+        t.running.retain(|x| *x != end.ticket);
+        let busy = t.busy();
+        let usual = !t.health.bad(rules.slow, norm) && !t.health.ejected();
+        let good = match end.outcome {
+            Outcome::Ok => {
+                t.health.good();
+                t.health.sample(end.ratio, true);
+                end.ratio <= rules.slow * norm.max(1.0)
+            }
+            Outcome::Failed | Outcome::TimedOut => {
+                t.health.failed();
+                false
+            }
+            Outcome::Refused => {
+                t.limits.shed(busy, now);
+                if busy == 0 {
+                    t.health.rest(now);
+                }
+                false
+            }
+            Outcome::Died => false,
+            Outcome::Cancelled => return false,
+        };
+        if t.health.probes() {
+            if t.health.probed(good, rules.eject, now) {
+                t.limits.ramp(now);
+            }
+            self.stale = true;
+        } else if !good || t.health.ratio > rules.slow {
+            self.stale = true;
+        }
+        usual
+    }
+
+    /// The process died: it rests, and comes back cold.
+    pub(crate) fn died(&mut self, at: usize, now: Duration) {
+        let t = &mut self.list[at];
+        let back = t.health.rest(now);
+        t.limits.ramp(back);
+        self.stale = true;
+    }
+
+    /// Chooses the target on which a suspect will run alone, and starts nothing else on it.
+    pub(crate) fn hold(&mut self, tried: &[Arc<str>]) -> Option<usize> {
+        let fits = |t: &Target| t.limit > 0 && !t.health.probes() && !tried.contains(&t.name);
+        let list = self.list.iter().enumerate().filter(|(_, t)| fits(t));
+        let at = list.min_by_key(|(_, t)| t.busy())?.0;
+        self.list[at].held = true;
+        self.stale = true;
+        Some(at)
+    }
+
+    pub(crate) fn release(&mut self, at: usize) {
+        self.list[at].held = false;
+        self.stale = true;
+    }
+}
--- /dev/null
+++ b/crates/admit/src/work/mod.rs
@@ -0,0 +1,148 @@
+//! Service times of kinds of work, in a table of bounded size.
+//!
+//! Load: a mix of kinds whose service times differ by orders of magnitude and change during the
+//! day. Without an estimate for each kind, admission would judge a calendar page by the time of a
+//! nightly summary, and turn away pages or let in summaries that cannot be answered in time.
+//!
+//! The table holds [`KINDS`] kinds. Further kinds share one estimate, so that a caller who makes
+//! up kinds can neither grow the table nor push the real ones out; a kind that is not used for
+//! [`IDLE`] makes room.
+
+use std::{collections::BTreeMap, time::Duration};
+
+/// Kinds that are told apart. A service has tens of paths; 256 leaves room, in 16 KB.
+pub(crate) const KINDS: usize = 256;
+
+/// A kind that was not used for this long may be forgotten.
+pub(crate) const IDLE: Duration = Duration::from_secs(600);
+
+/// Weight of a new sample in the mean and the deviation, as for round-trip times in TCP.
+const GAIN: f64 = 0.125;
+
+/// Step of the running 95th percentile, as a share of its value. It rises by 0.95 of a step or
+/// falls by 0.05 of it, which balances where one sample in twenty is above.
+const STEP: f64 = 0.05;
+
+/// Deviations above the mean that count as the longest time to expect. For exponential times that
+/// is the 98th percentile, for narrower ones beyond the 99th.
+const TAIL: f64 = 4.0;
+
+/// Whether work competes for the share of slots that is kept for short work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Class {
+    Short,
+    Long,
+}
+
+/// What is expected of one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Estimate {
+    /// Mean service time.
+    pub(crate) mean: Duration,
+    /// Service time that all but one or two in a hundred stay under.
+    pub(crate) tail: Duration,
+    /// 95th percentile of the service time.
+    pub(crate) p95: Duration,
+}
+
+/// Service times of one kind, in seconds.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    mean: f64,
+    /// Mean absolute deviation.
+    dev: f64,
+    p95: f64,
+    seen: bool,
+    used: Duration,
+}
+
+impl Kind {
+    fn guess(mean: Duration, now: Duration) -> Self {
+        let mean = mean.as_secs_f64();
+        Self {
+            mean,
+            dev: mean / 2.0,
+            p95: 3.0 * mean,
+            seen: false,
+            used: now,
+        }
+    }
+
+    fn sample(&mut self, time: f64) {
+        if !self.seen {
+            *self = Self {
+                mean: time,
+                dev: time / 2.0,
+                p95: 3.0 * time,
+                seen: true,
+                ..*self
+            };
+            return;
+        }
+        let off = time - self.mean;
+        self.mean += GAIN * off;
+        self.dev += GAIN * (off.abs() - self.dev);
+        self.p95 *= if time > self.p95 {
+            1.0 + STEP * 0.95
+        } else {
+            1.0 - STEP * 0.05
+        };
+    }
+
+    fn estimate(&self) -> Estimate {
+        Estimate {
+            mean: Duration::from_secs_f64(self.mean),
+            tail: Duration::from_secs_f64(self.mean + TAIL * self.dev),
+            p95: Duration::from_secs_f64(self.p95.max(self.mean)),
+        }
+    }
+}
+
+/// Service times of the kinds that a pool has run.
+///
+/// Invariant: at most [`KINDS`] kinds.
+#[derive(Debug)]
+pub(crate) struct Kinds {
+    guess: Duration,
+    kinds: BTreeMap<u64, Kind>,
+    /// Shared by the kinds that found no room.
+    rest: Kind,
+}
+
+impl Kinds {
+    pub(crate) fn open(guess: Duration) -> Self {
+        Self {
+            guess,
+            kinds: BTreeMap::new(),
+            rest: Kind::guess(guess, Duration::ZERO),
+        }
+    }
+
+    pub(crate) fn estimate(&self, kind: u64) -> Estimate {
+        self.kinds.get(&kind).unwrap_or(&self.rest).estimate()
+    }
+
+    /// Takes the service time of a run that ended well.
+    pub(crate) fn sample(&mut self, kind: u64, time: Duration, now: Duration) {
+        let time = time.as_secs_f64().max(1e-6);
+        if let Some(k) = self.kinds.get_mut(&kind) {
+            k.used = now;
+            k.sample(time);
+            return;
+        }
+        if self.kinds.len() >= KINDS {
+            self.kinds.retain(|_, k| now.saturating_sub(k.used) < IDLE);
+        }
+        if self.kinds.len() >= KINDS {
+            self.rest.sample(time);
+            return;
+        }
+        let mut k = Kind::guess(self.guess, now);
+        k.sample(time);
+        self.kinds.insert(kind, k);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.kinds.len()
+    }
+}
