--- /dev/null
+++ b/crates/node/src/dump/mod.rs
@@ -0,0 +1,138 @@
+//! The whole state of a host as JSON, on request.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use dunlinrock_decide::admit::{Load, TargetState};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use crate::{
+    duties::{
+        control, ledger,
+        pools::{self, PoolReport},
+    },
+    metrics::COUNTS,
+    ring,
+    shared::Shared,
+    view::{Member, PoolRoute, View},
+};
+
+/// Time a duty has to answer; one that does not is shown as `null`.
+const ASK_TIME: Duration = Duration::from_secs(1);
+
+/// Takes the state of every duty.
+pub async fn take(shared: &Shared) -> Value {
+    let view = shared.view.load_full();
+    let pools = ask(&shared.pools, pools::Input::Ask).await;
+    let ledger = ask(&shared.ledger, ledger::Input::Ask).await;
+    let control = ask(&shared.control, control::Input::Ask).await;
+    json!({
+        "host": member(&shared.me),
+        "uptime_ms": millis(shared.now()),
+        "revision": view.revision,
+        "ready": view.ready,
+        "leaving": view.leaving,
+        "view": view.number,
+        "members": view.members.values().map(|m| member(m)).collect::<Vec<_>>(),
+        "pools": view.pools.values().map(|route| pool(route, shared.now())).collect::<Vec<_>>(),
+        "owned": pools.map(|reports| reports.iter().map(owned).collect::<Vec<_>>()),
+        "shares": shares(&view),
+        "ledger": ledger.map(|report| json!({
+            "epoch": report.epoch,
+            "records": report.counts.records,
+            "open": report.counts.open,
+            "waiting": report.counts.waiting,
+            "answer_bytes": report.counts.answer_bytes,
+            "stopped": report.stopped,
+        })),
+        "control": control,
+        "words": view.words.iter().map(|word| json!({
+            "fingerprint": format!("{:016x}", word.fingerprint),
+            "grade": format!("{:?}", word.grade).to_lowercase(),
+            "life_ms": millis(word.life),
+        })).collect::<Vec<_>>(),
+        "counts": COUNTS
+            .iter()
+            .map(|count| (count.name().to_owned(), json!(shared.metrics.total(*count))))
+            .collect::<serde_json::Map<_, _>>(),
+    })
+}
+
+async fn ask<I, R>(ring: &ring::Sender<I>, input: fn(oneshot::Sender<R>) -> I) -> Option<R> {
+    let (reply, answer) = oneshot::channel();
+    ring.push(input(reply)).ok()?;
+    tokio::time::timeout(ASK_TIME, answer).await.ok()?.ok()
+}
+
+fn member(member: &Member) -> Value {
+    json!({
+        "name": member.name,
+        "incarnation": member.incarnation,
+        "region": member.region,
+        "domain": member.domain,
+        "callers": member.callers,
+        "peers": member.peers,
+        "leaving": member.leaving,
+        "suspect": member.suspect,
+        "epoch": member.epoch,
+    })
+}
+
+fn pool(route: &PoolRoute, now: Duration) -> Value {
+    json!({
+        "service": route.id.service,
+        "domain": route.id.domain,
+        "owner": route.owner.as_ref().map(|owner| &owner.name),
+        "load": load(&route.load),
+        "heard_ms_ago": millis(now.saturating_sub(route.heard)),
+        "sent_since": route.sent.load(Ordering::Relaxed),
+    })
+}
+
+fn owned(report: &PoolReport) -> Value {
+    let state = &report.state;
+    json!({
+        "service": report.id.service,
+        "domain": report.id.domain,
+        "released": report.released,
+        "load": load(&report.load),
+        "short_busy": state.short_busy,
+        "long_busy": state.long_busy,
+        "reserve": state.reserve,
+        "retry_budget": state.budget,
+        "suspects": state.suspects,
+        "convicts": state.convicts,
+        "targets": state.targets.iter().map(target).collect::<Vec<_>>(),
+    })
+}
+
+fn target(target: &TargetState) -> Value {
+    json!({
+        "name": target.name,
+        "busy": target.busy,
+        "slots": target.slots,
+        "limit": target.limit,
+        "ratio": target.ratio,
+        "leaving": target.leaving,
+        "ejected": target.ejected,
+        "down": target.down,
+        "held": target.held,
+    })
+}
+
+fn load(load: &Load) -> Value {
+    json!({
+        "queued": load.queued,
+        "busy": load.busy,
+        "slots": load.slots,
+        "wait_us": u64::try_from(load.wait.as_micros()).unwrap_or(u64::MAX),
+    })
+}
+
+fn shares(view: &View) -> Value {
+    json!(view.shares.rows())
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/host/listen.rs
@@ -0,0 +1,17 @@
+//! Binds the addresses of a host.
+
+use std::net::{SocketAddr, TcpListener};
+
+use anyhow::Context;
+
+/// Binds an address of the settings for `duty`.
+pub(super) fn bind(duty: &str, address: &str) -> anyhow::Result<TcpListener> {
+    let parsed: SocketAddr = address
+        .parse()
+        .with_context(|| format!("`{duty} = \"{address}\"` in the settings is not IP:PORT"))?;
+    let listener = TcpListener::bind(parsed).with_context(|| {
+        format!("cannot listen for {duty} on {address}; is another process using the port?")
+    })?;
+    listener.set_nonblocking(true).context("the listener")?;
+    Ok(listener)
+}
--- /dev/null
+++ b/crates/node/src/host/mod.rs
@@ -0,0 +1,174 @@
+//! One entry host, running.
+
+mod listen;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread::JoinHandle,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use dunlinrock_schema::settings::Settings;
+use tokio::sync::watch;
+
+use crate::{
+    clock::Clock,
+    duties::{callers, control, ledger, peers, pools},
+    metrics::Metrics,
+    ring,
+    shared::Shared,
+    view::{Member, View},
+};
+
+/// Bits of an incarnation below its time in milliseconds. They are random, so that two processes
+/// that start under one name in the same millisecond differ.
+const RANDOM_BITS: u32 = 20;
+
+/// A running host. Dropped without [`Host::leave`], it goes on until the process ends.
+#[derive(Debug)]
+pub struct Host {
+    shared: Arc<Shared>,
+    stop: watch::Sender<bool>,
+    control: JoinHandle<control::Ending>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Host {
+    /// Binds the host's addresses and spawns its duties.
+    ///
+    /// # Errors
+    ///
+    /// When an address of the settings is malformed or cannot be bound, or a thread does not start.
+    pub fn spawn(settings: Settings) -> anyhow::Result<Host> {
+        let callers = listen::bind("callers", &settings.callers)?;
+        let peers = listen::bind("peers", &settings.peers)?;
+        let clock = Clock::open();
+        let me = Member {
+            name: Arc::clone(&settings.name),
+            incarnation: incarnation(),
+            region: Arc::clone(&settings.region),
+            domain: Arc::clone(&settings.domain),
+            callers: callers.local_addr().context("the callers' address")?,
+            peers: peers.local_addr().context("the peers' address")?,
+            leaving: false,
+            suspect: false,
+            epoch: 0,
+        };
+        let receiver = metrics_address(&settings)?;
+        let metrics = Metrics::open(&settings.metrics.prefix, receiver)?;
+        let view = Arc::new(ArcSwap::from_pointee(View::empty()));
+        let (pools, pools_thread) = pools::open(clock)?;
+        let limits = ledger::limits(&settings);
+        let ledger = ledger::open(me.incarnation, limits, clock, Arc::clone(&view))?;
+        let (control, inputs) = ring::open(control::RING);
+        let shared = Arc::new(Shared {
+            settings,
+            me,
+            clock,
+            view,
+            pools,
+            ledger: ledger.sender,
+            epoch: ledger.epoch,
+            control,
+            metrics,
+            tickets: AtomicU64::new(1),
+        });
+        let (stop, stopped) = watch::channel(false);
+        let threads = vec![
+            callers::open(Arc::clone(&shared), callers, stopped.clone())?,
+            peers::open(Arc::clone(&shared), peers, stopped)?,
+            pools_thread,
+            ledger.thread,
+        ];
+        let control = control::open(Arc::clone(&shared), inputs)?;
+        log::info!(
+            host = &*shared.me.name, incarnation = shared.me.incarnation,
+            callers:% = shared.me.callers, peers:% = shared.me.peers; "host started"
+        );
+        Ok(Host { shared, stop, control, threads })
+    }
+
+    /// Address on which callers are served.
+    pub fn callers(&self) -> SocketAddr {
+        self.shared.me.callers
+    }
+
+    /// Address on which other hosts are served.
+    pub fn peers(&self) -> SocketAddr {
+        self.shared.me.peers
+    }
+
+    /// Name of the host.
+    pub fn name(&self) -> &Arc<str> {
+        &self.shared.me.name
+    }
+
+    /// Revision in force here; 0 before there is one.
+    pub fn revision(&self) -> u64 {
+        self.shared.view.load().revision
+    }
+
+    /// Whether this host may be used.
+    pub fn is_ready(&self) -> bool {
+        self.shared.view.load().ready
+    }
+
+    /// What the host shares among its duties, for programs that embed it.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Begins a planned stop: others are told at once, cached look-ups are honoured until they have
+    /// expired, requests in flight end, records are handed on.
+    pub fn leave(&self) {
+        if self.shared.control.push(control::Input::Leave).is_err() {
+            log::warn!("the control duty is busy; ask again to leave");
+        }
+    }
+
+    /// Waits for the end of a planned stop and returns the time it took.
+    ///
+    /// # Errors
+    ///
+    /// When a duty has died.
+    pub fn wait(self) -> anyhow::Result<Duration> {
+        let ending = self.control.join().map_err(|_| anyhow::anyhow!("the control duty died"))?;
+        self.stop.send_replace(true);
+        self.shared.pools.push(pools::Input::Stop).ok();
+        self.shared.ledger.push(ledger::Input::Stop).ok();
+        for thread in self.threads {
+            thread.join().map_err(|_| anyhow::anyhow!("a duty died"))?;
+        }
+        log::info!(host = &*self.shared.me.name, drain_ms = millis(ending.drain); "host stopped");
+        Ok(ending.drain)
+    }
+
+    /// Epoch of the request ledger.
+    pub fn epoch(&self) -> u64 {
+        self.shared.epoch.load(Ordering::Relaxed)
+    }
+}
+
+fn metrics_address(settings: &Settings) -> anyhow::Result<Option<SocketAddr>> {
+    let Some(address) = &settings.metrics.address else { return Ok(None) };
+    let parsed = address.parse().with_context(|| format!("metrics.address `{address}`"))?;
+    Ok(Some(parsed))
+}
+
+/// A number that no earlier process of this name had: the time, then random bits. The time makes a
+/// later process's number the higher one, which is how other hosts tell which of two is the newer.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let random = rand::random::<u64>() & ((1 << RANDOM_BITS) - 1);
+    (millis(since) << RANDOM_BITS) | random
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/run/dispatch.rs
+++ b/crates/node/src/run/dispatch.rs
@@ -95,18 +95,17 @@
 }
 
 fn region(shared: &Shared, view: &View, call: &Call) -> Result<Arc<str>, Trouble> {
-    let Some(service) = view.services.get(&call.service) else {
+    if !view.services.contains_key(&call.service) {
         let detail = format!("no service {} in revision {}", call.service, view.revision);
         return Err(Trouble::not_run(Kind::UnknownService, detail));
-    };
+    }
     let from = view.region(call.client, &shared.me.region);
-    let Some(pick) = service.picks.get(&from) else {
-        let detail = format!("no spread of {} for callers of {from}", call.service);
-        return Err(Trouble::not_run(Kind::Unavailable, detail));
-    };
-    pick.region(rand::random::<f64>()).map(Arc::clone).ok_or_else(|| {
-        let detail = format!("traffic of {} from {from} moves no faster than its cap", call.service);
-        Trouble::not_run(Kind::Overloaded, detail).retry_after(pick.retry_after)
+    // The same request draws the same region again: a refused one whose each try drew another
+    // would soon be served, and the regions that are left would get more than their shares.
+    let picked = view.shares.pick(&call.service, &from, call.identity);
+    picked.map(Arc::clone).map_err(|refusal| {
+        let detail = format!("{} for callers of {from}: {}", call.service, refusal.reason);
+        Trouble::not_run(Kind::Unavailable, detail).retry_after(refusal.retry_after)
     })
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -34,6 +34,8 @@
     pub pools: ring::Sender<pools::Input>,
     /// To the ledger duty.
     pub ledger: ring::Sender<ledger::Input>,
+    /// Epoch of the request ledger, as its duty keeps it.
+    pub epoch: Arc<AtomicU64>,
     /// To the control duty.
     pub control: ring::Sender<control::Input>,
     /// Counters and timers.
--- a/crates/node/src/view/mod.rs
+++ b/crates/node/src/view/mod.rs
@@ -9,12 +9,15 @@
 use std::{collections::BTreeMap, net::IpAddr, sync::Arc};
 
 use bytes::Bytes;
-use dunlinrock_decide::{admit::Word, steer::Blocks};
+use dunlinrock_decide::{
+    admit::Word,
+    steer::{Blocks, Shares},
+};
 use dunlinrock_schema::config::{Config, Service};
 
 pub use self::{
     member::Member,
-    route::{Pick, PoolRoute, ServiceRoute},
+    route::{PoolRoute, ServiceRoute},
 };
 use crate::duties::pools::PoolId;
 
@@ -39,6 +42,8 @@
     pub pools: BTreeMap<Arc<PoolId>, Arc<PoolRoute>>,
     /// Every service of the configuration.
     pub services: BTreeMap<Arc<str>, Arc<ServiceRoute>>,
+    /// Shares of traffic that this host goes by.
+    pub shares: Arc<Shares>,
     /// Client blocks and their regions.
     pub blocks: Arc<Blocks>,
     /// Requests known to kill their targets.
@@ -46,6 +51,24 @@
 }
 
 impl View {
+    /// What a host holds before it has heard of anything.
+    pub fn empty() -> View {
+        View {
+            number: 0,
+            revision: 0,
+            config: Arc::default(),
+            ready: false,
+            leaving: false,
+            members: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            services: BTreeMap::new(),
+            shares: Arc::new(Shares::open()),
+            blocks: Arc::new(Blocks::builder().finish()),
+            words: Arc::default(),
+        }
+    }
+
     /// Region that a client address is near to; `fallback` where no block holds it.
     pub fn region(&self, client: IpAddr, fallback: &Arc<str>) -> Arc<str> {
         self.blocks.find(client).map_or_else(|| Arc::clone(fallback), Arc::clone)
