--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,37 @@
 //! Checked TOML documents: settings of a host and an operator's configuration.
+//!
+//! Every mistake of a document is found in one go, each with its file, line and column, what is
+//! wrong and how to mend it.
+//!
+//! ```
+//! use dunlinrock_config::{check, schema};
+//! use dunlinrock_schema::config::Config;
+//!
+//! let text = "[services.catalogue]\ndeadline = 900\ncap = { share = 2.0, window_ms = 1000 }\n";
+//! let findings = check::<Config>("services.toml", text, schema::CONFIG).unwrap_err();
+//! assert_eq!(
+//!     findings.to_string(),
+//!     "services.toml:1:11: `services.catalogue` lacks the key `deadline_ms`; add `deadline_ms = \
+//!      NUMBER` (Time in which a request is answered where its caller gives no deadline, in \
+//!      milliseconds)\n\
+//!      services.toml:2:1: unknown key `deadline`; did you mean `deadline_ms`?\n\
+//!      services.toml:3:17: `share` is 2.0; give a number from 0.001 to 1\n"
+//! );
+//! ```
+//!
+//! * [`check`] holds any document against a JSON Schema.
+//! * [`settings::open`] reads a host's settings.
+//! * [`config::open_dir`] reads an operator's configuration, the union of a directory's files.
+//! * [`plan`](plan::plan) says what would change between two configurations.
+
+mod check;
+pub mod config;
+mod finding;
+pub mod plan;
+pub mod schema;
+pub mod settings;
+
+pub use {
+    check::check,
+    finding::{Finding, Findings, Level, Place},
+};
--- /dev/null
+++ b/crates/config/src/schema/mod.rs
@@ -0,0 +1,6 @@
+//! The schemas that documents are held against, as embedded text.
+
+/// JSON Schema of a host's settings.
+pub const SETTINGS: &str = include_str!("../../../../schema/settings.json");
+/// JSON Schema of an operator's configuration.
+pub const CONFIG: &str = include_str!("../../../../schema/config.json");
