--- /dev/null
+++ b/crates/config/src/check/rules.rs
@@ -0,0 +1,96 @@
+//! A JSON Schema, read keyword by keyword.
+
+use serde_json::{Map, Value};
+
+/// What a schema says of one value.
+#[derive(Clone, Copy)]
+pub(super) struct Rules<'s> {
+    root: &'s Value,
+    here: &'s Value,
+}
+
+impl<'s> Rules<'s> {
+    pub(super) fn open(root: &'s Value) -> Self {
+        Self { root, here: root }.resolved()
+    }
+
+    fn at(self, here: &'s Value) -> Self {
+        Self { here, ..self }.resolved()
+    }
+
+    /// Follows references; one that leads nowhere permits anything.
+    fn resolved(mut self) -> Self {
+        while let Some(reference) = self.here.get("$ref").and_then(Value::as_str) {
+            let pointer = reference.trim_start_matches('#');
+            self.here = self.root.pointer(pointer).unwrap_or(&Value::Null);
+        }
+        self
+    }
+
+    pub(super) fn kind(self) -> &'s str {
+        self.text("type")
+    }
+
+    pub(super) fn description(self) -> &'s str {
+        self.text("description")
+    }
+
+    fn text(self, keyword: &str) -> &'s str {
+        self.here
+            .get(keyword)
+            .and_then(Value::as_str)
+            .unwrap_or_default()
+    }
+
+    fn properties(self) -> Option<&'s Map<String, Value>> {
+        self.here.get("properties").and_then(Value::as_object)
+    }
+
+    /// Names of the fixed keys, in the schema's order.
+    pub(super) fn keys(self) -> Vec<&'s str> {
+        let keys = self.properties().into_iter().flat_map(Map::keys);
+        keys.map(String::as_str).collect()
+    }
+
+    pub(super) fn required(self) -> impl Iterator<Item = &'s str> {
+        let list = self.here.get("required").and_then(Value::as_array);
+        list.into_iter().flatten().filter_map(Value::as_str)
+    }
+
+    /// Rules of the fixed key `name`.
+    pub(super) fn property(self, name: &str) -> Option<Self> {
+        self.properties()?.get(name).map(|here| self.at(here))
+    }
+
+    /// Rules of the values of a map, whose keys are free.
+    pub(super) fn entries(self) -> Option<Self> {
+        let here = self.here.get("additionalProperties")?;
+        here.is_object().then(|| self.at(here))
+    }
+
+    /// Whether keys that are not listed are mistakes.
+    pub(super) fn closed(self) -> bool {
+        self.here.get("additionalProperties") == Some(&Value::Bool(false))
+    }
+
+    pub(super) fn items(self) -> Option<Self> {
+        self.here.get("items").map(|here| self.at(here))
+    }
+
+    /// The texts that an enumeration allows; empty where any text will do.
+    pub(super) fn choices(self) -> Vec<&'s str> {
+        let list = self.here.get("enum").and_then(Value::as_array);
+        list.into_iter()
+            .flatten()
+            .filter_map(Value::as_str)
+            .collect()
+    }
+
+    pub(super) fn minimum(self) -> Option<f64> {
+        self.here.get("minimum").and_then(Value::as_f64)
+    }
+
+    pub(super) fn maximum(self) -> Option<f64> {
+        self.here.get("maximum").and_then(Value::as_f64)
+    }
+}
--- /dev/null
+++ b/crates/config/src/check/walk.rs
@@ -0,0 +1,254 @@
+//! Walks a TOML document and its schema side by side.
+
+use std::{borrow::Cow, sync::Arc};
+
+use serde_json::{Map, Number, Value};
+use toml::{
+    Spanned,
+    de::{DeInteger, DeTable, DeValue},
+};
+
+use super::{
+    near::{list, suggest},
+    rules::Rules,
+};
+use crate::{
+    Findings, Place,
+    source::{Path, Places},
+};
+
+/// Gives what is well-formed of `table` as JSON, and all mistakes as findings.
+pub(super) fn walk(
+    schema: &Value,
+    table: &Spanned<DeTable<'_>>,
+    places: &mut Places,
+    findings: &mut Findings,
+) -> Option<Value> {
+    let mut walk = Walk {
+        places,
+        findings,
+        path: Path::new(),
+    };
+    walk.table(Rules::open(schema), table.get_ref(), 0)
+}
+
+struct Walk<'w> {
+    places: &'w mut Places,
+    findings: &'w mut Findings,
+    /// Keys down to the value at hand.
+    path: Path,
+}
+
+impl Walk<'_> {
+    fn error(&mut self, offset: usize, message: String) {
+        let place = self.place(offset);
+        self.findings.error(place, message);
+    }
+
+    fn place(&self, offset: usize) -> Place {
+        self.places.source().place(offset)
+    }
+
+    /// `start` is where the table's own key stands.
+    fn table(&mut self, rules: Rules<'_>, table: &DeTable<'_>, start: usize) -> Option<Value> {
+        let mut out = Map::new();
+        let mut whole = true;
+        for (key, value) in table {
+            let name = key.get_ref().as_ref();
+            let at = key.span().start;
+            if let Some(inner) = rules.property(name) {
+                match self.entry(inner, name, at, value) {
+                    Some(value) => drop(out.insert(name.to_owned(), value)),
+                    None => whole = false,
+                }
+            } else if let Some(inner) = rules.entries() {
+                // A map's bad entry is left out, so that the others can be checked further.
+                if let Some(value) = self.entry(inner, name, at, value) {
+                    out.insert(name.to_owned(), value);
+                }
+            } else if rules.closed() {
+                let fix = suggest(name, rules.keys(), "keys here");
+                self.error(at, format!("unknown key `{name}`; {fix}"));
+            }
+        }
+        for name in rules.required() {
+            if !table.contains_key(name) {
+                whole = false;
+                self.missing(rules, name, start);
+            }
+        }
+        whole.then_some(Value::Object(out))
+    }
+
+    fn missing(&mut self, rules: Rules<'_>, name: &str, start: usize) {
+        let rules = rules.property(name);
+        let sample = rules.map_or("VALUE", sample);
+        let meaning = rules.map_or("", Rules::description);
+        let owner = match self.path.join(".") {
+            path if path.is_empty() => "the file".to_owned(),
+            path => format!("`{path}`"),
+        };
+        let meaning = meaning.trim_end_matches('.');
+        self.error(
+            start,
+            format!("{owner} lacks the key `{name}`; add `{name} = {sample}` ({meaning})"),
+        );
+    }
+
+    fn entry(
+        &mut self,
+        rules: Rules<'_>,
+        name: &str,
+        at: usize,
+        value: &Spanned<DeValue<'_>>,
+    ) -> Option<Value> {
+        self.path.push(Arc::from(name));
+        self.places.add(self.path.clone(), at, value.span().start);
+        let value = self.value(rules, name, at, value);
+        self.path.pop();
+        value
+    }
+
+    /// `key` is where the value's own key stands.
+    fn value(
+        &mut self,
+        rules: Rules<'_>,
+        name: &str,
+        key: usize,
+        value: &Spanned<DeValue<'_>>,
+    ) -> Option<Value> {
+        let at = value.span().start;
+        match (rules.kind(), value.get_ref()) {
+            ("object", DeValue::Table(table)) => self.table(rules, table, key),
+            ("array", DeValue::Array(items)) => {
+                let inner = rules.items()?;
+                let mut out = Some(Vec::new());
+                for item in items.iter() {
+                    match (self.value(inner, name, key, item), &mut out) {
+                        (Some(item), Some(out)) => out.push(item),
+                        _ => out = None,
+                    }
+                }
+                out.map(Value::Array)
+            }
+            ("string", DeValue::String(text)) => self.text(rules, name, at, text),
+            ("boolean", DeValue::Boolean(flag)) => Some(Value::Bool(*flag)),
+            ("integer", DeValue::Integer(integer)) => {
+                self.integer(rules, name, integer, value.span())
+            }
+            ("number", DeValue::Integer(integer)) => {
+                let number = integer_value(integer).map(|n| n as f64);
+                self.number(rules, name, number, value.span())
+            }
+            ("number", DeValue::Float(float)) => {
+                let number = float.as_str().parse().ok();
+                self.number(rules, name, number, value.span())
+            }
+            (_, found) => {
+                let found = kind_of(found);
+                let wanted = wanted(rules);
+                self.error(at, format!("`{name}` is {found}; give {wanted}"));
+                None
+            }
+        }
+    }
+
+    fn text(&mut self, rules: Rules<'_>, name: &str, at: usize, text: &str) -> Option<Value> {
+        let choices = rules.choices();
+        if choices.is_empty() || choices.contains(&text) {
+            return Some(Value::String(text.to_owned()));
+        }
+        let all = list(choices);
+        self.error(at, format!("`{name}` is {text:?}; give one of {all}"));
+        None
+    }
+
+    fn integer(
+        &mut self,
+        rules: Rules<'_>,
+        name: &str,
+        integer: &DeInteger<'_>,
+        span: std::ops::Range<usize>,
+    ) -> Option<Value> {
+        let least = rules.minimum().unwrap_or(0.0);
+        let most = rules.maximum().unwrap_or(i64::MAX as f64);
+        let number = integer_value(integer).and_then(|n| u64::try_from(n).ok());
+        match number {
+            Some(n) if n as f64 >= least && n as f64 <= most => Some(Value::Number(n.into())),
+            _ => {
+                self.outside(rules, name, span);
+                None
+            }
+        }
+    }
+
+    fn number(
+        &mut self,
+        rules: Rules<'_>,
+        name: &str,
+        number: Option<f64>,
+        span: std::ops::Range<usize>,
+    ) -> Option<Value> {
+        let least = rules.minimum().unwrap_or(f64::MIN);
+        let most = rules.maximum().unwrap_or(f64::MAX);
+        let inside = number.filter(|n| *n >= least && *n <= most);
+        let value = inside.and_then(Number::from_f64).map(Value::Number);
+        if value.is_none() {
+            self.outside(rules, name, span);
+        }
+        value
+    }
+
+    fn outside(&mut self, rules: Rules<'_>, name: &str, span: std::ops::Range<usize>) {
+        let at = span.start;
+        let written = self.places.source().slice(span).to_owned();
+        let wanted = wanted(rules);
+        self.error(at, format!("`{name}` is {written}; give {wanted}"));
+    }
+}
+
+/// The value, where it fits 128 bits.
+fn integer_value(integer: &DeInteger<'_>) -> Option<i128> {
+    i128::from_str_radix(integer.as_str(), integer.radix()).ok()
+}
+
+fn kind_of(value: &DeValue<'_>) -> &'static str {
+    match value {
+        DeValue::String(_) => "a text",
+        DeValue::Integer(_) => "a whole number",
+        DeValue::Float(_) => "a number with a fraction",
+        DeValue::Boolean(_) => "true or false",
+        DeValue::Datetime(_) => "a date or time",
+        DeValue::Array(_) => "a list",
+        DeValue::Table(_) => "a table",
+    }
+}
+
+/// What the rules want, in words.
+fn wanted(rules: Rules<'_>) -> Cow<'static, str> {
+    let number = match rules.kind() {
+        "integer" => "a whole number",
+        "number" => "a number",
+        "string" => return Cow::Borrowed("a text in quotes"),
+        "boolean" => return Cow::Borrowed("true or false"),
+        "array" => return Cow::Borrowed("a list"),
+        _ => return Cow::Borrowed("a table"),
+    };
+    match (rules.minimum(), rules.maximum()) {
+        (Some(least), Some(most)) => format!("{number} from {least} to {most}").into(),
+        (Some(least), None) => format!("{number} of at least {least}").into(),
+        (None, Some(most)) => format!("{number} of at most {most}").into(),
+        (None, None) => number.into(),
+    }
+}
+
+/// What a missing key's value may look like.
+fn sample(rules: Rules<'_>) -> &'static str {
+    match rules.kind() {
+        "integer" | "number" => "NUMBER",
+        "string" => "\"TEXT\"",
+        "boolean" => "true",
+        "array" => "[...]",
+        _ => "{ ... }",
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -27,9 +27,11 @@
 mod check;
 pub mod config;
 mod finding;
+pub mod goal;
 pub mod plan;
 pub mod schema;
 pub mod settings;
+mod source;
 
 pub use {
     check::check,
--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -1,18 +1,26 @@
 //! Settings of one host.
 
-use std::path::Path;
+use std::{fs, net::SocketAddr, path::Path};
 
-use dunlinrock_schema::settings::Settings;
+use dunlinrock_schema::settings::{Settings, TimingSettings};
 
-use crate::Findings;
+use crate::{Findings, Place, check::Document, schema, source::Places};
 
 /// Reads and checks the settings file at `path`.
 ///
 /// # Errors
 ///
 /// All mistakes found; a file that cannot be read is one.
-pub fn open(_path: &Path) -> Result<Settings, Findings> {
-    todo!()
+pub fn open(path: &Path) -> Result<Settings, Findings> {
+    let name = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => check(&name, &text),
+        Err(error) => {
+            let mut findings = Findings::default();
+            findings.error(Place::file(&name), format!("cannot be read: {error}"));
+            Err(findings)
+        }
+    }
 }
 
 /// Checks the text of a settings file named `name`.
@@ -20,6 +28,142 @@
 /// # Errors
 ///
 /// All mistakes found.
-pub fn check(_name: &str, _text: &str) -> Result<Settings, Findings> {
-    todo!()
+pub fn check(name: &str, text: &str) -> Result<Settings, Findings> {
+    let mut findings = Findings::default();
+    let document = Document::read(name, text, schema::SETTINGS, &mut findings);
+    let settings: Option<Settings> = document.typed(&mut findings);
+    if let Some(settings) = &settings {
+        addresses(settings, &document.places, &mut findings);
+        names(settings, &document.places, &mut findings);
+        timing(settings, &document.places, &mut findings);
+    }
+    match settings {
+        Some(settings) if !findings.has_errors() => Ok(settings),
+        _ => Err(findings),
+    }
+}
+
+fn names(settings: &Settings, places: &Places, findings: &mut Findings) {
+    let names = [
+        ("name", &settings.name),
+        ("region", &settings.region),
+        ("domain", &settings.domain),
+    ];
+    for (key, name) in names {
+        if let Some(fault) = name_fault(name) {
+            findings.error(places.value(&[key]), format!("`{key}` {fault}"));
+        }
+    }
+}
+
+fn addresses(settings: &Settings, places: &Places, findings: &mut Findings) {
+    let metrics = settings.metrics.as_ref().and_then(|m| m.address.as_ref());
+    let mut listens = Vec::new();
+    for (path, address, bound) in [
+        (&["callers"][..], Some(&settings.callers), true),
+        (&["peers"], Some(&settings.peers), true),
+        (&["store", "address"], Some(&settings.store.address), false),
+        (&["list", "address"], Some(&settings.list.address), false),
+        (&["metrics", "address"], metrics, false),
+    ] {
+        let Some(address) = address else { continue };
+        match parse_address(address) {
+            Ok(parsed) if bound => listens.push(parsed),
+            Ok(_) => {}
+            Err(fault) => findings.error(places.value(path), fault),
+        }
+    }
+    if listens.len() == 2 && listens[0] == listens[1] {
+        findings.error(
+            places.value(&["peers"]),
+            "`peers` is the address of `callers` too; give it another port",
+        );
+    }
+}
+
+fn timing(settings: &Settings, places: &Places, findings: &mut Findings) {
+    let Some(timing) = &settings.timing else {
+        return;
+    };
+    for (key, value, bound, than) in orders(timing) {
+        if value >= bound {
+            findings.error(
+                places.value(&["timing", key]),
+                format!("`{key}` is {value}; make it less than `{than}`, which is {bound}"),
+            );
+        }
+    }
+    // Two heartbeats must fit: a single one that is lost would make a healthy peer suspect.
+    if timing.heartbeat_ms.saturating_mul(2) > timing.suspect_ms
+        && timing.heartbeat_ms < timing.suspect_ms
+    {
+        findings.error(
+            places.value(&["timing", "suspect_ms"]),
+            format!(
+                "`suspect_ms` is {}; make it at least twice `heartbeat_ms`, which is {}, or one \
+                 lost heartbeat makes a peer suspect",
+                timing.suspect_ms, timing.heartbeat_ms
+            ),
+        );
+    }
+}
+
+/// Pairs of times of which the first must be less than the second.
+fn orders(timing: &TimingSettings) -> [(&'static str, u64, u64, &'static str); 3] {
+    [
+        (
+            "heartbeat_ms",
+            timing.heartbeat_ms,
+            timing.suspect_ms,
+            "suspect_ms",
+        ),
+        ("suspect_ms", timing.suspect_ms, timing.gone_ms, "gone_ms"),
+        (
+            "claim_ms",
+            timing.claim_ms.get(),
+            timing.epoch_ms,
+            "epoch_ms",
+        ),
+    ]
+}
+
+/// Reads an address that a process can listen on or connect to.
+pub(crate) fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    let Ok(address) = text.parse::<SocketAddr>() else {
+        return Err(format!(
+            "`{text}` is not IP:PORT; write an address like `127.0.0.1:17000` or `[::1]:17000`, \
+             names are not looked up"
+        ));
+    };
+    if address.port() == 0 {
+        return Err(format!(
+            "`{text}` has port 0; give the port that others will use"
+        ));
+    }
+    if address.ip().is_unspecified() || address.ip().is_multicast() {
+        return Err(format!(
+            "`{text}` cannot be reached by others; give one host's own address"
+        ));
+    }
+    Ok(address)
+}
+
+/// Longest name.
+const NAME_MAX: usize = 64;
+
+/// What is wrong with a name, if anything. Names travel in paths, headers and keys of the store,
+/// where other characters would have to be escaped.
+pub(crate) fn name_fault(name: &str) -> Option<String> {
+    if name.is_empty() {
+        return Some("is empty; give a name".to_owned());
+    }
+    if name.len() > NAME_MAX {
+        return Some(format!("is longer than {NAME_MAX} characters; shorten it"));
+    }
+    let bad = name
+        .chars()
+        .find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '-' | '_')));
+    bad.map(|c| {
+        format!("contains {c:?}; use ASCII letters, digits, `-` and `_`")
+    })
 }
--- /dev/null
+++ b/crates/config/src/source/mod.rs
@@ -0,0 +1,121 @@
+//! A document's text with the places in it.
+
+use std::{collections::BTreeMap, ops::Range, sync::Arc};
+
+use crate::Place;
+
+/// Keys from the root of a document down to a value.
+pub(crate) type Path = Vec<Arc<str>>;
+
+/// Text of a file, with the means to turn byte offsets into lines and columns.
+#[derive(Clone, Debug)]
+pub(crate) struct Source {
+    name: Arc<str>,
+    text: Arc<str>,
+    /// Byte offset of each line's start, ascending; the first is 0.
+    lines: Vec<usize>,
+}
+
+impl Source {
+    pub(crate) fn open(name: &str, text: &str) -> Self {
+        let starts = text.match_indices('\n').map(|(at, _)| at + 1);
+        Self {
+            name: name.into(),
+            text: text.into(),
+            lines: std::iter::once(0).chain(starts).collect(),
+        }
+    }
+
+    /// The place of a byte offset. An offset beyond the text gives its end.
+    pub(crate) fn place(&self, offset: usize) -> Place {
+        let offset = offset.min(self.text.len());
+        let line = self.lines.partition_point(|start| *start <= offset) - 1;
+        let start = self.lines[line];
+        let column = self.text[start..]
+            .char_indices()
+            .take_while(|(at, _)| start + at < offset)
+            .count();
+        Place {
+            file: self.name.clone(),
+            line: clamp(line + 1),
+            column: clamp(column + 1),
+        }
+    }
+
+    /// The text of a span, as its author wrote it.
+    pub(crate) fn slice(&self, span: Range<usize>) -> &str {
+        self.text.get(span).unwrap_or_default()
+    }
+}
+
+fn clamp(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
+/// Byte offsets of a document's keys and values.
+///
+/// Offsets rather than places are held: a column costs a walk along its line, which would be
+/// quadratic for a long line with many values, and is needed for findings only.
+#[derive(Clone, Debug)]
+pub(crate) struct Places {
+    source: Source,
+    keys: BTreeMap<Path, usize>,
+    values: BTreeMap<Path, usize>,
+}
+
+impl Places {
+    pub(crate) fn open(source: Source) -> Self {
+        Self {
+            source,
+            keys: BTreeMap::new(),
+            values: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn add(&mut self, path: Path, key: usize, value: usize) {
+        self.keys.insert(path.clone(), key);
+        self.values.insert(path, value);
+    }
+
+    /// Place of the value at `path`; of its nearest table where it is not written out.
+    pub(crate) fn value(&self, path: &[&str]) -> Place {
+        let path = owned(path);
+        match self.values.get(&path) {
+            Some(offset) => self.source.place(*offset),
+            None => self.nearest(path),
+        }
+    }
+
+    /// Place of the key at `path`; of its nearest table where it is not written out.
+    pub(crate) fn key(&self, path: &[&str]) -> Place {
+        self.nearest(owned(path))
+    }
+
+    fn nearest(&self, mut path: Path) -> Place {
+        while !path.is_empty() {
+            if let Some(offset) = self.keys.get(&path) {
+                return self.source.place(*offset);
+            }
+            path.pop();
+        }
+        Place::file(&self.source.name)
+    }
+
+    /// Names defined in a section, those with mistakes included.
+    pub(crate) fn names(&self, section: &str) -> impl Iterator<Item = &Arc<str>> {
+        let section: Arc<str> = section.into();
+        self.keys
+            .range(vec![section.clone()]..)
+            .take_while(move |(path, _)| path[0] == section)
+            .filter(|(path, _)| path.len() == 2)
+            .map(|(path, _)| &path[1])
+    }
+
+    pub(crate) fn source(&self) -> &Source {
+        &self.source
+    }
+}
+
+fn owned(path: &[&str]) -> Path {
+    path.iter().map(|key| Arc::from(*key)).collect()
+}
