--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -16,7 +16,7 @@
     source::{Places, Source},
 };
 
-pub(crate) use near::{list, suggest};
+pub(crate) use near::suggest;
 
 /// Checks `text`, read from the file `name`, against a JSON Schema and gives it as a `T`.
 ///
--- /dev/null
+++ b/crates/config/src/config/blocks.rs
@@ -0,0 +1,35 @@
+//! Blocks of client addresses.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use ipnet::IpNet;
+
+use super::draft::{BLOCKS, Draft};
+use crate::Findings;
+
+pub(super) fn check(draft: &Draft, findings: &mut Findings) {
+    let mut seen: BTreeMap<IpNet, &Arc<str>> = BTreeMap::new();
+    for block in draft.names(BLOCKS) {
+        let place = || draft.key(&[BLOCKS, block]);
+        let Ok(net) = block.parse::<IpNet>() else {
+            findings.error(
+                place(),
+                format!("`{block}` is not a block of addresses; write it like `10.16.0.0/16`"),
+            );
+            continue;
+        };
+        if net.trunc() != net {
+            let fix = net.trunc();
+            findings.error(
+                place(),
+                format!("`{block}` has bits set beyond its prefix; write `{fix}`"),
+            );
+        }
+        if let Some(other) = seen.insert(net.trunc(), block) {
+            let there = draft.key(&[BLOCKS, other]);
+            let message = |other: &str| format!("the block `{other}` covers the same addresses");
+            findings.error(place(), message(other));
+            findings.error(there, message(block));
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/config/draft.rs
@@ -0,0 +1,131 @@
+//! The files of a configuration put together, before it is known to be sound.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use dunlinrock_schema::config::Config;
+
+use super::File;
+use crate::{Findings, Place, check::Document, schema, settings::name_fault};
+
+/// Sections whose entries have names of the operator's choice.
+const NAMED: [&str; 6] = [
+    "services", "regions", "domains", "links", "targets", "drains",
+];
+/// Section whose entries are named by a block of addresses.
+pub(super) const BLOCKS: &str = "blocks";
+
+/// What is well-formed of all files.
+pub(super) struct Draft {
+    /// Union of the files, without the entries that have mistakes.
+    pub(super) config: Config,
+    documents: Vec<Document>,
+    /// For each section, the names that are defined, mistakes included, and the file they are in.
+    names: BTreeMap<&'static str, BTreeMap<Arc<str>, usize>>,
+    /// Whether all files are TOML, so that all names are known.
+    pub(super) complete: bool,
+}
+
+impl Draft {
+    pub(super) fn open(files: &[File], findings: &mut Findings) -> Self {
+        let mut draft = Self {
+            config: Config::default(),
+            documents: Vec::new(),
+            names: BTreeMap::new(),
+            complete: true,
+        };
+        for file in files {
+            let document = Document::read(&file.name, &file.text, schema::CONFIG, findings);
+            draft.complete &= document.parsed;
+            if let Some(part) = document.typed(findings) {
+                draft.merge(part);
+            }
+            draft.documents.push(document);
+        }
+        draft.index(findings);
+        draft
+    }
+
+    fn merge(&mut self, part: Config) {
+        self.config.services.extend(part.services);
+        self.config.regions.extend(part.regions);
+        self.config.domains.extend(part.domains);
+        self.config.links.extend(part.links);
+        self.config.targets.extend(part.targets);
+        self.config.drains.extend(part.drains);
+        self.config.blocks.extend(part.blocks);
+    }
+
+    /// Notes where each name is defined; one that is defined in two files is a finding in both.
+    fn index(&mut self, findings: &mut Findings) {
+        for section in NAMED.into_iter().chain([BLOCKS]) {
+            let names = self.names.entry(section).or_default();
+            for (n, document) in self.documents.iter().enumerate() {
+                for name in document.places.names(section) {
+                    let here = document.places.key(&[section, name]);
+                    if section != BLOCKS
+                        && let Some(fault) = name_fault(name)
+                    {
+                        findings.error(here.clone(), format!("the name `{name}` {fault}"));
+                    }
+                    let Some(first) = names.get(name) else {
+                        names.insert(name.clone(), n);
+                        continue;
+                    };
+                    let there = self.documents[*first].places.key(&[section, name]);
+                    findings.error(here.clone(), twice(section, name, &there));
+                    findings.error(there, twice(section, name, &here));
+                }
+            }
+        }
+    }
+
+    /// Names defined in a section, those with mistakes included.
+    pub(super) fn names(&self, section: &str) -> impl Iterator<Item = &Arc<str>> + Clone {
+        self.names.get(section).into_iter().flat_map(BTreeMap::keys)
+    }
+
+    /// Whether a section defines a name, be it with mistakes.
+    pub(super) fn defines(&self, section: &str, name: &str) -> bool {
+        self.names
+            .get(section)
+            .is_some_and(|names| names.contains_key(name))
+    }
+
+    /// Place of the value under `path`: section, name, keys.
+    pub(super) fn value(&self, path: &[&str]) -> Place {
+        self.document(path)
+            .map_or_else(|| Place::file("configuration"), |d| d.places.value(path))
+    }
+
+    /// Place of the key under `path`: section, name, keys.
+    pub(super) fn key(&self, path: &[&str]) -> Place {
+        self.document(path)
+            .map_or_else(|| Place::file("configuration"), |d| d.places.key(path))
+    }
+
+    fn document(&self, path: &[&str]) -> Option<&Document> {
+        let [section, name, ..] = path else {
+            return None;
+        };
+        let at = self.names.get(section)?.get(*name)?;
+        self.documents.get(*at)
+    }
+
+    /// Regions in which a service has targets that no drain takes out, be they few.
+    pub(super) fn regions_of(&self, service: &str) -> BTreeSet<&Arc<str>> {
+        let targets = self.config.targets.values();
+        targets
+            .filter(|target| &*target.service == service)
+            .filter_map(|target| self.config.domains.get(&target.domain))
+            .map(|domain| &domain.region)
+            .collect()
+    }
+}
+
+fn twice(section: &str, name: &str, other: &Place) -> String {
+    let kind = section.trim_end_matches('s');
+    format!("the {kind} `{name}` is defined at {other} too; keep one of them")
+}
--- a/crates/config/src/config/mod.rs
+++ b/crates/config/src/config/mod.rs
@@ -1,10 +1,23 @@
 //! An operator's configuration: the union of the files of one directory.
+//!
+//! How entries are split over files is the operator's choice; a name is defined in one file only.
+//! A file that is not TOML hides the names that it defines, so references are checked only when
+//! all files could be read: a finding must not vanish by mending another one.
 
-use std::path::Path;
+mod blocks;
+mod draft;
+mod links;
+mod refs;
+mod services;
+mod spread;
+mod targets;
+
+use std::{fs, io, path::Path};
 
 use dunlinrock_schema::config::Config;
 
-use crate::Findings;
+use crate::{Findings, Place};
+use draft::Draft;
 
 /// One file of a configuration.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -29,16 +42,74 @@
 /// # Errors
 ///
 /// All findings, warnings included, where at least one is an error.
-pub fn open_dir(_path: &Path) -> Result<Config, Findings> {
-    todo!()
+pub fn open_dir(path: &Path) -> Result<Config, Findings> {
+    let checked = check_dir(path);
+    checked.config.ok_or(checked.findings)
 }
 
 /// Reads and checks all `*.toml` files of a directory; gives warnings too where there is no error.
-pub fn check_dir(_path: &Path) -> Checked {
-    todo!()
+pub fn check_dir(path: &Path) -> Checked {
+    let mut findings = Findings::default();
+    let files = read_dir(path, &mut findings);
+    let mut checked = check_files(&files);
+    if findings.has_errors() {
+        checked.config = None;
+    }
+    checked.findings.extend(findings);
+    checked
 }
 
 /// Checks files that are already read.
-pub fn check_files(_files: &[File]) -> Checked {
-    todo!()
+pub fn check_files(files: &[File]) -> Checked {
+    let mut findings = Findings::default();
+    let draft = Draft::open(files, &mut findings);
+    refs::check(&draft, &mut findings);
+    services::check(&draft, &mut findings);
+    targets::check(&draft, &mut findings);
+    links::check(&draft, &mut findings);
+    spread::check(&draft, &mut findings);
+    blocks::check(&draft, &mut findings);
+    let config = (!findings.has_errors()).then_some(draft.config);
+    Checked { config, findings }
+}
+
+/// Reads the `*.toml` files of a directory in order of name.
+fn read_dir(path: &Path, findings: &mut Findings) -> Vec<File> {
+    let shown = path.display().to_string();
+    let paths = match list(path) {
+        Ok(paths) => paths,
+        Err(error) => {
+            findings.error(Place::file(&shown), format!("cannot be read: {error}"));
+            return Vec::new();
+        }
+    };
+    if paths.is_empty() {
+        findings.error(
+            Place::file(&shown),
+            "holds no `*.toml` file; give the directory of the configuration",
+        );
+    }
+    let mut files = Vec::new();
+    for path in paths {
+        let name = path.display().to_string();
+        match fs::read_to_string(&path) {
+            Ok(text) => files.push(File { name, text }),
+            Err(error) => {
+                findings.error(Place::file(&name), format!("cannot be read: {error}"));
+            }
+        }
+    }
+    files
+}
+
+fn list(path: &Path) -> io::Result<Vec<std::path::PathBuf>> {
+    let mut paths = Vec::new();
+    for entry in fs::read_dir(path)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|ext| ext == "toml") {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    Ok(paths)
 }
--- /dev/null
+++ b/crates/config/src/config/refs.rs
@@ -0,0 +1,83 @@
+//! Names that point at other entries.
+
+use dunlinrock_schema::config::DrainKind;
+
+use super::draft::Draft;
+use crate::{Findings, check::suggest};
+
+pub(super) fn check(draft: &Draft, findings: &mut Findings) {
+    if !draft.complete {
+        return;
+    }
+    let config = &draft.config;
+    for (name, domain) in &config.domains {
+        let path = ["domains", name, "region"];
+        refer(draft, "regions", &domain.region, &path, findings);
+    }
+    for (name, link) in &config.links {
+        let path = ["links", name, "from"];
+        refer(draft, "regions", &link.from, &path, findings);
+        let path = ["links", name, "to"];
+        refer(draft, "regions", &link.to, &path, findings);
+    }
+    for (name, target) in &config.targets {
+        let path = ["targets", name, "service"];
+        refer(draft, "services", &target.service, &path, findings);
+        let path = ["targets", name, "domain"];
+        refer(draft, "domains", &target.domain, &path, findings);
+    }
+    for (block, region) in &config.blocks {
+        refer(draft, "regions", region, &["blocks", block], findings);
+    }
+    drains(draft, findings);
+    rows(draft, findings);
+}
+
+fn drains(draft: &Draft, findings: &mut Findings) {
+    for (name, drain) in &draft.config.drains {
+        let section = match drain.kind {
+            DrainKind::Target => "targets",
+            DrainKind::Domain => "domains",
+            DrainKind::Region => "regions",
+            // Hosts are not in the configuration: the platform lists them.
+            DrainKind::Host => continue,
+        };
+        refer(
+            draft,
+            section,
+            &drain.name,
+            &["drains", name, "name"],
+            findings,
+        );
+    }
+}
+
+/// The regions that spreads name, as callers and as servers.
+fn rows(draft: &Draft, findings: &mut Findings) {
+    for (service, rules) in &draft.config.services {
+        for (callers, row) in &rules.spread {
+            let path = ["services", service, "spread", callers];
+            if !draft.defines("regions", callers) {
+                unknown(draft, "regions", callers, draft.key(&path), findings);
+            }
+            for region in row.keys() {
+                if !draft.defines("regions", region) {
+                    let path = ["services", service, "spread", callers, region];
+                    unknown(draft, "regions", region, draft.key(&path), findings);
+                }
+            }
+        }
+    }
+}
+
+fn refer(draft: &Draft, section: &str, name: &str, path: &[&str], findings: &mut Findings) {
+    if !draft.defines(section, name) {
+        unknown(draft, section, name, draft.value(path), findings);
+    }
+}
+
+fn unknown(draft: &Draft, section: &str, name: &str, place: crate::Place, findings: &mut Findings) {
+    let kind = section.trim_end_matches('s');
+    let fix = suggest(name, draft.names(section).map(AsRef::as_ref), section);
+    findings.error(place, format!("no {kind} `{name}` is defined; {fix}"));
+}
--- /dev/null
+++ b/crates/config/src/config/services.rs
@@ -0,0 +1,137 @@
+//! Rules of services that a schema cannot say.
+
+use std::collections::BTreeMap;
+
+use dunlinrock_schema::config::Service;
+
+use super::draft::Draft;
+use crate::Findings;
+
+/// Longest window of a cap, in milliseconds: a day. A longer one is a slip of units.
+const WINDOW_MAX_MS: u64 = 86_400_000;
+/// Share from which a cap no longer holds a shift back.
+const WHOLE: f64 = 1.0;
+/// Methods that HTTP defines as idempotent; others are run more than once at the operator's word.
+const IDEMPOTENT: [&str; 6] = ["GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"];
+
+pub(super) fn check(draft: &Draft, findings: &mut Findings) {
+    for (name, service) in &draft.config.services {
+        times(draft, name, service, findings);
+        cap(draft, name, service, findings);
+        methods(draft, name, service, findings);
+        header(draft, name, service, findings);
+        short_slots(draft, name, service, findings);
+        if draft.complete && draft.regions_of(name).is_empty() {
+            let place = draft.key(&["services", name]);
+            findings.warning(
+                place,
+                format!("service `{name}` has no targets; each request will be turned away"),
+            );
+        }
+    }
+}
+
+fn times(draft: &Draft, name: &str, service: &Service, findings: &mut Findings) {
+    let deadline = service.deadline_ms.get();
+    if service.queue_ms > deadline {
+        findings.error(
+            draft.value(&["services", name, "queue_ms"]),
+            format!(
+                "`queue_ms` is {}; make it at most `deadline_ms`, which is {deadline}",
+                service.queue_ms
+            ),
+        );
+    }
+    if deadline > service.longest_ms.get() {
+        findings.error(
+            draft.value(&["services", name, "deadline_ms"]),
+            format!(
+                "`deadline_ms` is {deadline}; make it at most `longest_ms`, which is {}",
+                service.longest_ms
+            ),
+        );
+    }
+    if service.work_ms.get() > deadline {
+        findings.warning(
+            draft.value(&["services", name, "work_ms"]),
+            format!(
+                "`work_ms` is {}, more than `deadline_ms`, which is {deadline}: most requests will \
+                 be turned away",
+                service.work_ms
+            ),
+        );
+    }
+}
+
+fn cap(draft: &Draft, name: &str, service: &Service, findings: &mut Findings) {
+    let cap = &service.cap;
+    if cap.window_ms > WINDOW_MAX_MS {
+        findings.error(
+            draft.value(&["services", name, "cap", "window_ms"]),
+            format!(
+                "`window_ms` is {}; make it at most {WINDOW_MAX_MS}, a day",
+                cap.window_ms
+            ),
+        );
+    }
+    if cap.share >= WHOLE {
+        findings.warning(
+            draft.value(&["services", name, "cap", "share"]),
+            "`share` of 1 lets all traffic move at once; the targets it moves to start with cold \
+             caches",
+        );
+    }
+}
+
+fn methods(draft: &Draft, name: &str, service: &Service, findings: &mut Findings) {
+    for method in &service.repeatable {
+        let place = || draft.value(&["services", name, "repeatable"]);
+        if method.is_empty() || !method.bytes().all(|b| b.is_ascii_uppercase()) {
+            findings.error(
+                place(),
+                format!("`{method}` is not a method of HTTP; write it like `GET`"),
+            );
+        } else if !IDEMPOTENT.contains(&&**method) {
+            findings.warning(
+                place(),
+                format!("`{method}` requests may be run more than once under this rule"),
+            );
+        }
+    }
+}
+
+fn header(draft: &Draft, name: &str, service: &Service, findings: &mut Findings) {
+    let header = &service.caller_header;
+    let sound = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+    if header.is_empty() || !header.bytes().all(sound) {
+        findings.error(
+            draft.value(&["services", name, "caller_header"]),
+            format!("`{header}` is not a header's name; use ASCII letters, digits, `-` and `_`"),
+        );
+    }
+}
+
+/// In each domain, some slot must be left to long work: it would wait for ever.
+fn short_slots(draft: &Draft, name: &str, service: &Service, findings: &mut Findings) {
+    let mut slots: BTreeMap<&str, u64> = BTreeMap::new();
+    for target in draft.config.targets.values() {
+        if &*target.service == name {
+            let sum = slots.entry(&target.domain).or_default();
+            *sum = sum.saturating_add(target.slots.get());
+        }
+    }
+    let Some((domain, fewest)) = slots.into_iter().min_by_key(|(_, slots)| *slots) else {
+        return;
+    };
+    let kept = (fewest as f64 * service.short_slots).ceil();
+    if kept >= fewest as f64 {
+        findings.error(
+            draft.value(&["services", name, "short_slots"]),
+            format!(
+                "`short_slots` is {}, which leaves none of the {fewest} slots in domain `{domain}` \
+                 to long work; lower it",
+                service.short_slots
+            ),
+        );
+    }
+}
--- /dev/null
+++ b/crates/config/src/config/spread.rs
@@ -0,0 +1,92 @@
+//! How the traffic of a service is spread over regions.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use dunlinrock_schema::config::Service;
+
+use super::draft::Draft;
+use crate::{Findings, goal};
+
+pub(super) fn check(draft: &Draft, findings: &mut Findings) {
+    for (name, service) in &draft.config.services {
+        let served = draft.regions_of(name);
+        for (callers, row) in &service.spread {
+            if row.values().all(|weight| *weight == 0.0) {
+                let row = ["services", name, "spread", callers];
+                findings.error(
+                    draft.key(&row),
+                    format!(
+                        "no region has a weight for callers of `{callers}`; give at least one a \
+                         weight above 0"
+                    ),
+                );
+            }
+            for (region, weight) in row {
+                if *weight > 0.0 {
+                    way(draft, name, callers, region, &served, findings);
+                }
+            }
+        }
+        if draft.complete {
+            unserved(draft, name, service, &served, findings);
+        }
+    }
+}
+
+/// Whether callers of one region can be served by another at all.
+fn way(
+    draft: &Draft,
+    service: &str,
+    callers: &Arc<str>,
+    region: &Arc<str>,
+    served: &BTreeSet<&Arc<str>>,
+    findings: &mut Findings,
+) {
+    if !draft.complete || !draft.defines("regions", region) {
+        return;
+    }
+    let path = ["services", service, "spread", callers, region];
+    // Where a target has mistakes, it may be the one that stands there.
+    let known = draft.names("targets").count() == draft.config.targets.len()
+        && draft.names("domains").count() == draft.config.domains.len();
+    if known && !served.contains(region) {
+        findings.error(
+            draft.key(&path),
+            format!(
+                "`{service}` has no targets in region `{region}`; add one there or remove the weight"
+            ),
+        );
+    }
+    let links = draft.names("links").count() == draft.config.links.len();
+    if links && callers != region && goal::link(&draft.config, callers, region).is_none() {
+        findings.error(
+            draft.key(&path),
+            format!(
+                "no link joins `{callers}` and `{region}`; add one to the links or remove the weight"
+            ),
+        );
+    }
+}
+
+/// Regions with callers that no region serves.
+fn unserved(
+    draft: &Draft,
+    name: &str,
+    service: &Service,
+    served: &BTreeSet<&Arc<str>>,
+    findings: &mut Findings,
+) {
+    let callers: BTreeSet<&Arc<str>> = draft.config.blocks.values().collect();
+    for region in callers {
+        if served.is_empty() || served.contains(region) || service.spread.contains_key(region) {
+            continue;
+        }
+        findings.warning(
+            draft.key(&["services", name]),
+            format!(
+                "`{name}` has no targets in region `{region}` and no spread for its callers; add \
+                 `spread.{region}`"
+            ),
+        );
+    }
+}
--- a/crates/config/src/plan/mod.rs
+++ b/crates/config/src/plan/mod.rs
@@ -1,49 +1,13 @@
 //! What would change between two configurations.
 
-use std::{sync::Arc, time::Duration};
+mod entries;
+mod shifts;
 
-use dunlinrock_schema::config::{Config, Drain};
-
-/// Kind of a named entry.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Kind {
-    /// A service.
-    Service,
-    /// A region.
-    Region,
-    /// A failure domain.
-    Domain,
-    /// A link between regions.
-    Link,
-    /// A target.
-    Target,
-    /// A drain.
-    Drain,
-    /// A block of client addresses.
-    Block,
-}
+use std::{fmt, sync::Arc, time::Duration};
 
-/// What happens to an entry.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Change {
-    /// It is new.
-    Added,
-    /// It is no longer there.
-    Removed,
-    /// It differs, in these keys.
-    Changed(Vec<String>),
-}
+use dunlinrock_schema::config::{Config, Drain};
 
-/// One entry that changes.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Entry {
-    /// Kind of the entry.
-    pub kind: Kind,
-    /// Its name.
-    pub name: Arc<str>,
-    /// What happens to it.
-    pub change: Change,
-}
+pub use entries::{Change, Entry, Kind};
 
 /// A move of a service's traffic from one region of callers.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,7 +20,7 @@
     pub moved: f64,
     /// Windows of the cap that the move takes.
     pub windows: u64,
-    /// Time the move takes under the cap at best.
+    /// Time the move takes under the cap; longer where regions grant too little headroom.
     pub takes: Duration,
 }
 
@@ -73,7 +37,67 @@
     pub ends: Vec<(Arc<str>, Drain)>,
 }
 
+impl Plan {
+    /// Whether nothing would change.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
 /// Compares two configurations.
-pub fn plan(_old: &Config, _new: &Config) -> Plan {
-    todo!()
+pub fn plan(old: &Config, new: &Config) -> Plan {
+    let missing = |from: &Config, other: &Config| {
+        let drains = from.drains.iter();
+        drains
+            .filter(|(name, drain)| other.drains.get(*name) != Some(*drain))
+            .map(|(name, drain)| (name.clone(), drain.clone()))
+            .collect()
+    };
+    Plan {
+        entries: entries::compare(old, new),
+        shifts: shifts::compare(old, new),
+        begins: missing(new, old),
+        ends: missing(old, new),
+    }
+}
+
+/// Most entries of one kind that are shown by name; blocks come in hundreds of thousands.
+const SHOWN: usize = 20;
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_empty() {
+            return writeln!(f, "nothing changes");
+        }
+        for kind in Kind::ALL {
+            let of_kind: Vec<_> = self.entries.iter().filter(|e| e.kind == kind).collect();
+            for entry in of_kind.iter().take(SHOWN) {
+                writeln!(f, "{entry}")?;
+            }
+            if of_kind.len() > SHOWN {
+                writeln!(f, "  ... and {} more of kind {kind}", of_kind.len() - SHOWN)?;
+            }
+        }
+        for (name, drain) in &self.begins {
+            writeln!(f, "drain `{name}` begins: {} `{}`", drain.kind, drain.name)?;
+        }
+        for (name, drain) in &self.ends {
+            writeln!(f, "drain `{name}` ends: {} `{}`", drain.kind, drain.name)?;
+        }
+        self.shifts.iter().try_for_each(|s| writeln!(f, "{s}"))
+    }
+}
+
+impl fmt::Display for Shift {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "shift of `{}` for callers of `{}`: {:.1}% of the traffic, {} windows, {:.1} s",
+            self.service,
+            self.callers,
+            self.moved * 100.0,
+            self.windows,
+            self.takes.as_secs_f64()
+        )
+    }
 }
--- /dev/null
+++ b/crates/config/src/plan/shifts.rs
@@ -0,0 +1,62 @@
+//! Shifts of traffic that a change starts.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use dunlinrock_schema::config::{Cap, Config};
+
+use super::Shift;
+use crate::goal::{Row, goal};
+
+/// Part of the traffic below which a difference is rounding, not a shift.
+const LEAST: f64 = 1e-9;
+
+pub(super) fn compare(old: &Config, new: &Config) -> Vec<Shift> {
+    let mut shifts = Vec::new();
+    // The goal walks all targets: a plan costs services × regions × targets, a few thousand steps
+    // today, and is made by an operator's command only.
+    for (name, service) in &new.services {
+        if !old.services.contains_key(name) {
+            continue;
+        }
+        for callers in regions(old, new) {
+            let before = goal(old, name, &callers);
+            let after = goal(new, name, &callers);
+            let moved = moved(&before, &after);
+            if moved > LEAST {
+                shifts.push(shift(name, &callers, moved, &service.cap));
+            }
+        }
+    }
+    shifts
+}
+
+fn regions(old: &Config, new: &Config) -> BTreeSet<Arc<str>> {
+    let regions = old.regions.keys();
+    regions
+        .filter(|region| new.regions.contains_key(*region))
+        .cloned()
+        .collect()
+}
+
+/// Part of the traffic that changes its region between two rows.
+fn moved(before: &Row, after: &Row) -> f64 {
+    let gain = |(region, share): (&Arc<str>, &f64)| {
+        (share - before.get(region).copied().unwrap_or(0.0)).max(0.0)
+    };
+    // With nobody serving before there is no traffic to move.
+    if before.is_empty() {
+        return 0.0;
+    }
+    after.iter().map(gain).sum()
+}
+
+fn shift(service: &Arc<str>, callers: &Arc<str>, moved: f64, cap: &Cap) -> Shift {
+    let windows = (moved / cap.share - LEAST).ceil().max(1.0) as u64;
+    Shift {
+        service: service.clone(),
+        callers: callers.clone(),
+        moved,
+        windows,
+        takes: Duration::from_millis(cap.window_ms.saturating_mul(windows)),
+    }
+}
--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -163,7 +163,5 @@
     let bad = name
         .chars()
         .find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '-' | '_')));
-    bad.map(|c| {
-        format!("contains {c:?}; use ASCII letters, digits, `-` and `_`")
-    })
+    bad.map(|c| format!("contains {c:?}; use ASCII letters, digits, `-` and `_`"))
 }
