--- a/crates/config/src/config/draft.rs
+++ b/crates/config/src/config/draft.rs
@@ -106,6 +106,11 @@
             .map_or_else(|| Place::file("configuration"), |d| d.places.key(path))
     }
 
+    /// Number of keys written right under `path`, those with mistakes included.
+    pub(super) fn count(&self, path: &[&str]) -> usize {
+        self.document(path).map_or(0, |d| d.places.count(path))
+    }
+
     fn document(&self, path: &[&str]) -> Option<&Document> {
         let [section, name, ..] = path else {
             return None;
@@ -114,7 +119,7 @@
         self.documents.get(*at)
     }
 
-    /// Regions in which a service has targets that no drain takes out, be they few.
+    /// Regions in which a service has targets, drained or not.
     pub(super) fn regions_of(&self, service: &str) -> BTreeSet<&Arc<str>> {
         let targets = self.config.targets.values();
         targets
--- a/crates/config/src/config/spread.rs
+++ b/crates/config/src/config/spread.rs
@@ -11,10 +11,12 @@
     for (name, service) in &draft.config.services {
         let served = draft.regions_of(name);
         for (callers, row) in &service.spread {
-            if row.values().all(|weight| *weight == 0.0) {
-                let row = ["services", name, "spread", callers];
+            let path = ["services", name, "spread", callers];
+            // A weight with a mistake is not in the row; it may be the one above 0.
+            let sound = row.len() == draft.count(&path);
+            if sound && row.values().all(|weight| *weight == 0.0) {
                 findings.error(
-                    draft.key(&row),
+                    draft.key(&path),
                     format!(
                         "no region has a weight for callers of `{callers}`; give at least one a \
                          weight above 0"
--- a/crates/config/src/plan/mod.rs
+++ b/crates/config/src/plan/mod.rs
@@ -90,9 +90,10 @@
 
 impl fmt::Display for Shift {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let plural = if self.windows == 1 { "" } else { "s" };
         write!(
             f,
-            "shift of `{}` for callers of `{}`: {:.1}% of the traffic, {} windows, {:.1} s",
+            "shift of `{}` for callers of `{}`: {:.1}% of the traffic, {} window{plural}, {:.1} s",
             self.service,
             self.callers,
             self.moved * 100.0,
--- a/crates/config/src/source/mod.rs
+++ b/crates/config/src/source/mod.rs
@@ -111,6 +111,17 @@
             .map(|(path, _)| &path[1])
     }
 
+    /// Number of keys written right under `path`, those with mistakes included.
+    pub(crate) fn count(&self, path: &[&str]) -> usize {
+        let path = owned(path);
+        let below = self.keys.range(path.clone()..);
+        below
+            .map(|(key, _)| key)
+            .take_while(|key| key.starts_with(&path))
+            .filter(|key| key.len() == path.len() + 1)
+            .count()
+    }
+
     pub(crate) fn source(&self) -> &Source {
         &self.source
     }
