--- a/crates/config/examples/pages.rs
+++ b/crates/config/examples/pages.rs
@@ -44,7 +44,7 @@
 * a spread whose weights are all 0, or a weight for a region without targets of the service or
   without a link to the callers' region;
 * two links between the same regions, or one from a region to itself;
-* `queue_ms` above `deadline_ms`, `deadline_ms` above `longest_ms`, a cap's window above a day;
+* a written `queue_ms` above `deadline_ms`, `deadline_ms` above `longest_ms`, a cap's window above a day;
 * `short_slots` that leave no slot of some domain to long work.
 
 A warning leaves the configuration usable: a cap of the whole traffic, a method that is not
--- a/crates/config/src/config/draft.rs
+++ b/crates/config/src/config/draft.rs
@@ -111,6 +111,11 @@
         self.document(path).map_or(0, |d| d.places.count(path))
     }
 
+    /// Whether a key is written out.
+    pub(super) fn writes(&self, path: &[&str]) -> bool {
+        self.document(path).is_some_and(|d| d.places.has(path))
+    }
+
     fn document(&self, path: &[&str]) -> Option<&Document> {
         let [section, name, ..] = path else {
             return None;
--- a/crates/config/src/config/services.rs
+++ b/crates/config/src/config/services.rs
@@ -33,7 +33,9 @@
 
 fn times(draft: &Draft, name: &str, service: &Service, findings: &mut Findings) {
     let deadline = service.deadline_ms.get();
-    if service.queue_ms > deadline {
+    // The default is longer than many a deadline and then does no harm: the deadline comes first.
+    let written = draft.writes(&["services", name, "queue_ms"]);
+    if written && service.queue_ms > deadline {
         findings.error(
             draft.value(&["services", name, "queue_ms"]),
             format!(
--- a/crates/config/src/goal/mod.rs
+++ b/crates/config/src/goal/mod.rs
@@ -5,7 +5,10 @@
 //! no weight of the row is left, the traffic is not turned away while other regions could take it:
 //! it goes to all linked regions that have slots left, in proportion to these slots.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use dunlinrock_schema::config::{Config, DrainKind, Link, Target};
 
@@ -84,7 +87,21 @@
 ///
 /// Empty where no region can serve them.
 pub fn goal(config: &Config, service: &str, callers: &str) -> Row {
-    let slots = slots(config, service);
+    goal_without(config, service, callers, &BTreeSet::new())
+}
+
+/// The goal of a service's callers in one region while some regions are lost: a lost region counts
+/// as one without slots.
+///
+/// Empty where no region can serve them.
+pub fn goal_without(
+    config: &Config,
+    service: &str,
+    callers: &str,
+    lost: &BTreeSet<Arc<str>>,
+) -> Row {
+    let mut slots = slots(config, service);
+    slots.retain(|region, _| !lost.contains(region));
     let part = |region: &Arc<str>| slots.get(region).map_or(0.0, |slots| slots.part());
     let mut row = written(config, service, callers);
     for (region, weight) in &mut row {
--- a/crates/config/src/source/mod.rs
+++ b/crates/config/src/source/mod.rs
@@ -111,6 +111,11 @@
             .map(|(path, _)| &path[1])
     }
 
+    /// Whether a key is written at `path`.
+    pub(crate) fn has(&self, path: &[&str]) -> bool {
+        self.keys.contains_key(&owned(path))
+    }
+
     /// Number of keys written right under `path`, those with mistakes included.
     pub(crate) fn count(&self, path: &[&str]) -> usize {
         let path = owned(path);
--- a/crates/config/tests/findings_of_configurations.rs
+++ b/crates/config/tests/findings_of_configurations.rs
@@ -129,6 +129,12 @@
     "#);
 }
 
+#[test]
+fn a_short_deadline_needs_no_queue_time() {
+    // The default queue time is longer than this deadline, which the author did not write.
+    assert_snapshot!(changed("queue_ms = 400\n", ""), @"");
+}
+
 #[test]
 fn addresses_that_cannot_be_used() {
     assert_snapshot!(changed("127.0.0.1:21002", "127.0.0.1:21001"), @r#"
--- /dev/null
+++ b/crates/steer/src/divide/adaptive.rs
@@ -0,0 +1,167 @@
+//! Adaptive-speed fairness for two resources.
+
+use super::{Demand, dominant_use};
+
+/// Part of a resource below which it counts as used up.
+const SPENT: f64 = 1e-12;
+
+/// Gives each user an equal part first, then raises those who mostly use the one resource and
+/// those who mostly use the other at a ratio that depends on what is left.
+///
+/// The rule ASF2 of Y. Lou and J. Luo, *Strategy-proof Multi-Resource Allocation in Cloud
+/// Computing via Adaptive-Speed Fairness*: within each group, those who have least of the other
+/// resource rise first. The paper's users want without limit; here what a user does not want is
+/// left unused, so the rule fits users who want more than they can get.
+pub fn adaptive(capacity: [f64; 2], demands: &[Demand]) -> Vec<f64> {
+    let mut state = State::open(capacity, demands);
+    if let Some(speed) = state.speed() {
+        while state.rise(speed) {}
+    }
+    let units = state.users.iter().zip(demands);
+    units
+        .map(|(user, demand)| user.units().min(demand.most))
+        .collect()
+}
+
+/// One user, in parts of the resources.
+#[derive(Clone, Copy, Debug)]
+struct User {
+    /// Use of each resource for one part of the dominant one; the larger is 1.
+    uses: [f64; 2],
+    /// Part of the dominant resource that it has.
+    part: f64,
+    /// Part of the dominant resource that one unit uses.
+    unit: f64,
+}
+
+impl User {
+    fn open(capacity: [f64; 2], demand: &Demand, users: f64) -> Self {
+        let unit = dominant_use(&capacity, demand);
+        // The rule divides by the smaller use: one of nothing is taken as next to nothing.
+        let uses = |r: usize| (demand.uses[r] / capacity[r] / unit).clamp(1e-9, 1.0);
+        Self {
+            uses: [uses(0), uses(1)],
+            part: 1.0 / users,
+            unit,
+        }
+    }
+
+    /// The resource it mostly uses; the first where it uses both alike.
+    fn group(&self) -> usize {
+        usize::from(self.uses[0] < 1.0)
+    }
+
+    /// Use of the resource that is not its dominant one.
+    fn other(&self) -> f64 {
+        self.uses[1 - self.group()]
+    }
+
+    fn units(&self) -> f64 {
+        if self.unit > 0.0 {
+            self.part / self.unit
+        } else {
+            f64::INFINITY
+        }
+    }
+}
+
+struct State {
+    users: Vec<User>,
+    /// Parts of the resources that are left.
+    left: [f64; 2],
+}
+
+/// What a group does in a step.
+struct Group {
+    /// Its users that rise: those with least of the other resource.
+    active: Vec<usize>,
+    /// How much the group's dominant parts rise, in all, for a rise of 1 in the other resource.
+    ratio: f64,
+    /// How far the active may rise in the other resource until the next user joins them.
+    next: f64,
+}
+
+impl State {
+    fn open(capacity: [f64; 2], demands: &[Demand]) -> Self {
+        let count = demands.len().max(1) as f64;
+        let users: Vec<User> = demands
+            .iter()
+            .map(|demand| User::open(capacity, demand, count))
+            .collect();
+        let mut left = [1.0, 1.0];
+        for user in &users {
+            for (left, uses) in left.iter_mut().zip(user.uses) {
+                *left -= user.part * uses;
+            }
+        }
+        Self { users, left }
+    }
+
+    /// The ratio at which the first group's parts rise to the second's; `None` where a group is
+    /// empty: the equal parts have then used up the resource that all want.
+    fn speed(&self) -> Option<f64> {
+        let count = self.users.len() as f64;
+        let least = |group: usize| {
+            let users = self.users.iter().filter(|user| user.group() == group);
+            users.map(User::other).reduce(f64::min)
+        };
+        // What is left, with the smallest use of each resource by those who mostly use the other
+        // given back: a user could else gain by overstating it.
+        let (least0, least1) = (least(0)?, least(1)?);
+        let rest = [self.left[0] + least1 / count, self.left[1] + least0 / count];
+        let second = self.users.iter().filter(|user| user.group() == 1).count();
+        let second = second as f64 / count;
+        let slack = |rest: f64, group: f64| 1.0 - (rest - 1.0 / count) / group;
+        // The paper's exponents, 2 - 1/c, with 1/c as it defines it for each group.
+        let exponents = [
+            2.0 - slack(rest[1], 1.0 - second),
+            2.0 - slack(rest[0], second),
+        ];
+        let ratio = rest[0] / rest[1];
+        let exponent = exponents[usize::from(ratio > 1.0)];
+        Some(ratio.powf(exponent.clamp(1.0, 2.0)))
+    }
+
+    fn group(&self, group: usize) -> Group {
+        let members: Vec<usize> = (0..self.users.len())
+            .filter(|n| self.users[*n].group() == group)
+            .collect();
+        let has = |n: &usize| self.users[*n].part * self.users[*n].other();
+        let least = members.iter().map(has).fold(f64::INFINITY, f64::min);
+        let same = |n: &usize| has(n) <= least * (1.0 + 1e-9);
+        let active: Vec<usize> = members.iter().copied().filter(same).collect();
+        let later = members.iter().filter(|n| !same(n)).map(has);
+        Group {
+            ratio: active.iter().map(|n| 1.0 / self.users[*n].other()).sum(),
+            next: later.fold(f64::INFINITY, f64::min) - least,
+            active,
+        }
+    }
+
+    /// Takes one step; `false` once a resource is used up.
+    fn rise(&mut self, speed: f64) -> bool {
+        let groups = [self.group(0), self.group(1)];
+        // Rises of the two groups' dominant parts, in all, for a step of 1.
+        let rises = [speed, 1.0];
+        let other = |g: usize| rises[g] / groups[g].ratio * groups[g].active.len() as f64;
+        let spend = [rises[0] + other(1), rises[1] + other(0)];
+        let mut step = f64::INFINITY;
+        for g in 0..2 {
+            step = step.min(groups[g].next * groups[g].ratio / rises[g]);
+            step = step.min(self.left[g] / spend[g]);
+        }
+        if !step.is_finite() || step <= 0.0 {
+            return false;
+        }
+        for (g, group) in groups.iter().enumerate() {
+            for n in &group.active {
+                let user = &mut self.users[*n];
+                user.part += step * rises[g] / group.ratio / user.other();
+            }
+        }
+        for (left, spend) in self.left.iter_mut().zip(spend) {
+            *left -= step * spend;
+        }
+        self.left.iter().all(|left| *left > SPENT)
+    }
+}
--- /dev/null
+++ b/crates/steer/src/grants/grantee.rs
@@ -0,0 +1,159 @@
+//! A host uses what others lent it.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{Ask, Grant, Need, TTL, bucket::Bucket};
+
+/// Buckets of one region and service.
+#[derive(Clone, Debug)]
+struct Pool {
+    /// By grantor, with the time at which each ends.
+    grants: BTreeMap<Arc<str>, (Duration, Grant)>,
+    requests: Bucket,
+    request_bytes: Bucket,
+    answer_bytes: Bucket,
+}
+
+/// Sums of the grants that hold now.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    rate: f64,
+    request_bytes: f64,
+    answer_bytes: f64,
+}
+
+impl Pool {
+    fn open(now: Duration) -> Self {
+        Self {
+            grants: BTreeMap::new(),
+            requests: Bucket::open(now),
+            request_bytes: Bucket::open(now),
+            answer_bytes: Bucket::open(now),
+        }
+    }
+
+    fn sum(&self, now: Duration) -> Sum {
+        let live = self.grants.values().filter(|(until, _)| *until > now);
+        live.fold(Sum::default(), |sum, (_, grant)| Sum {
+            rate: sum.rate + grant.rate,
+            request_bytes: sum.request_bytes + grant.request_bytes,
+            answer_bytes: sum.answer_bytes + grant.answer_bytes,
+        })
+    }
+
+    /// Fills the buckets by what was lent up to now.
+    fn fill(&mut self, request: f64, answer: f64, now: Duration) {
+        let sum = self.sum(now);
+        self.requests.fill(sum.rate, 1.0, now);
+        self.request_bytes.fill(sum.request_bytes, request, now);
+        self.answer_bytes.fill(sum.answer_bytes, answer, now);
+        self.grants.retain(|_, (until, _)| *until > now);
+    }
+}
+
+/// What one host may send to other regions.
+#[derive(Clone, Debug)]
+pub struct Grantee {
+    host: Arc<str>,
+    region: Arc<str>,
+    pools: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Pool>>,
+}
+
+impl Grantee {
+    /// A host that was lent nothing yet.
+    pub fn open(host: &Arc<str>, region: &Arc<str>) -> Self {
+        Self {
+            host: host.clone(),
+            region: region.clone(),
+            pools: BTreeMap::new(),
+        }
+    }
+
+    /// An ask to one of `grantors` hosts of a region: its even part of what is needed.
+    pub fn ask(&self, needs: &[Need], grantors: usize, now: Duration) -> Ask {
+        let part = |need: &Need| Need {
+            rate: need.rate / grantors.max(1) as f64,
+            ..need.clone()
+        };
+        Ask {
+            host: self.host.clone(),
+            region: self.region.clone(),
+            at: now,
+            needs: needs.iter().map(part).collect(),
+        }
+    }
+
+    /// Takes a grant in. One for another host, or one that was asked for before the grant it would
+    /// replace, is left aside.
+    pub fn receive(&mut self, grant: Grant, now: Duration) {
+        let until = grant.asked + TTL;
+        if grant.grantee != self.host || until <= now || grant.asked > now {
+            return;
+        }
+        let pools = self.pools.entry(grant.region.clone()).or_default();
+        let pool = pools
+            .entry(grant.service.clone())
+            .or_insert_with(|| Pool::open(now));
+        if let Some((known, _)) = pool.grants.get(&grant.grantor)
+            && *known > until
+        {
+            return;
+        }
+        pool.fill(0.0, 0.0, now);
+        pool.grants.insert(grant.grantor.clone(), (until, grant));
+    }
+
+    /// Takes room for one request, with its size and the size that its answer is expected to have;
+    /// `false` where there is none, and then nothing is taken.
+    pub fn take(
+        &mut self,
+        region: &str,
+        service: &str,
+        request: f64,
+        answer: f64,
+        now: Duration,
+    ) -> bool {
+        let Some(pool) = self.pool(region, service) else {
+            return false;
+        };
+        pool.fill(request, answer, now);
+        let room = !pool.grants.is_empty()
+            && pool.requests.has(1.0)
+            && pool.request_bytes.has(request)
+            && pool.answer_bytes.has(answer);
+        if room {
+            pool.requests.take(1.0);
+            pool.request_bytes.take(request);
+            pool.answer_bytes.take(answer);
+        }
+        room
+    }
+
+    /// Puts an answer's size right, once it is known: `more` bytes than expected, below 0 for
+    /// less.
+    pub fn settle(&mut self, region: &str, service: &str, more: f64) {
+        if let Some(pool) = self.pool(region, service) {
+            pool.answer_bytes.take(more);
+        }
+    }
+
+    /// Requests a second that a region takes now, by rate and by bytes.
+    pub fn rate(&self, region: &str, need: &Need, now: Duration) -> f64 {
+        let pool = self
+            .pools
+            .get(region)
+            .and_then(|pools| pools.get(&need.service));
+        let sum = pool.map(|pool| pool.sum(now)).unwrap_or_default();
+        let by = |bytes: f64, size: f64| match size > 0.0 {
+            true => bytes / size,
+            false => f64::INFINITY,
+        };
+        sum.rate
+            .min(by(sum.request_bytes, need.request_bytes))
+            .min(by(sum.answer_bytes, need.answer_bytes))
+    }
+
+    fn pool(&mut self, region: &str, service: &str) -> Option<&mut Pool> {
+        self.pools.get_mut(region)?.get_mut(service)
+    }
+}
--- /dev/null
+++ b/crates/steer/src/grants/own.rs
@@ -0,0 +1,82 @@
+//! What a host measures of its own targets.
+
+use std::{collections::VecDeque, time::Duration};
+
+use super::{PEAK, TTL};
+
+/// Capacity of one service's targets that a host owns, and its use by work that needs no grant.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Own {
+    /// Slots of its targets that are well and not drained.
+    pub slots: f64,
+    /// Slots in use, on average since the last measurement, by callers of its own region.
+    pub busy: f64,
+    /// Mean time that a request takes up a slot.
+    pub work: Duration,
+}
+
+/// The measurements of the last while.
+#[derive(Clone, Debug)]
+pub(super) struct Measured {
+    last: Own,
+    /// When it was taken.
+    pub(super) at: Duration,
+    /// Use, with its time; oldest first, falling: a use that a later one exceeds says nothing.
+    peaks: VecDeque<(Duration, f64)>,
+    /// Slots, with their time; oldest first, rising. Slots that are new to this host may be lent
+    /// out by the host that had them before, for the lifetime of a grant: the least counts.
+    slots: VecDeque<(Duration, f64)>,
+}
+
+impl Measured {
+    pub(super) fn open(own: Own, now: Duration) -> Self {
+        Self {
+            last: own,
+            at: now,
+            peaks: VecDeque::from([(now, own.busy)]),
+            slots: VecDeque::from([(now, own.slots)]),
+        }
+    }
+
+    pub(super) fn add(&mut self, own: Own, now: Duration) {
+        self.last = own;
+        self.at = now;
+        while self
+            .peaks
+            .pop_back_if(|(_, busy)| *busy <= own.busy)
+            .is_some()
+        {}
+        self.peaks.push_back((now, own.busy));
+        while self
+            .peaks
+            .pop_front_if(|(at, _)| now.saturating_sub(*at) > PEAK)
+            .is_some()
+        {}
+        while self
+            .slots
+            .pop_back_if(|(_, slots)| *slots >= own.slots)
+            .is_some()
+        {}
+        self.slots.push_back((now, own.slots));
+        // What was there before the lifetime began counts until the next value is as old.
+        while self.slots.len() > 1 && now.saturating_sub(self.slots[1].0) >= TTL {
+            self.slots.pop_front();
+        }
+    }
+
+    /// Slots that may be lent, while `headroom` of all is left free.
+    pub(super) fn room(&self, headroom: f64) -> f64 {
+        let peak = self.peaks.front().map_or(self.last.busy, |(_, busy)| *busy);
+        let slots = self
+            .slots
+            .front()
+            .map_or(self.last.slots, |(_, slots)| *slots);
+        (slots * (1.0 - headroom) - peak).max(0.0)
+    }
+
+    /// Seconds that a request takes up a slot; not less than a microsecond, since a rate is slots
+    /// by this.
+    pub(super) fn work(&self) -> f64 {
+        self.last.work.as_secs_f64().max(1e-6)
+    }
+}
--- /dev/null
+++ b/crates/steer/src/hosts/table.rs
@@ -0,0 +1,119 @@
+//! All hosts of a deployment, in the order in which look-ups want them.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use dunlinrock_schema::config::Config;
+
+use super::{ANSWER, Choice, Choices, FULL, Host, SUSPECT};
+use crate::hash;
+
+/// Hosts by region, with the regions near to each. Replaced whole when something changes.
+#[derive(Clone, Debug)]
+pub struct Table {
+    /// In order of region, then of name.
+    hosts: Vec<Host>,
+    /// As long as `hosts`: hash of the name, and the weight.
+    keys: Vec<(u64, u16)>,
+    /// For each region of callers, the hosts of each region (a range of `hosts`), nearest first.
+    near: BTreeMap<Arc<str>, Vec<(usize, usize)>>,
+}
+
+impl Table {
+    /// Orders hosts; regions are near to one another by the delay of the link between them.
+    pub fn open(config: &Config, mut hosts: Vec<Host>) -> Self {
+        hosts.sort_by(|a, b| (&a.region, &a.name).cmp(&(&b.region, &b.name)));
+        let keys = hosts
+            .iter()
+            .map(|host| (hash::text(&host.name), host.weight()))
+            .collect();
+        let near = config.regions.keys().map(|callers| {
+            let ranges = order(config, callers).into_iter().map(|region| {
+                let from = hosts.partition_point(|host| host.region < region);
+                let to = hosts.partition_point(|host| host.region <= region);
+                (from, to)
+            });
+            (
+                callers.clone(),
+                ranges.filter(|(from, to)| from < to).collect(),
+            )
+        });
+        let near = near.collect();
+        Self { hosts, keys, near }
+    }
+
+    /// The hosts for a block of callers near to a region; allocates nothing.
+    ///
+    /// Hosts of the callers' own region come first. Others fill the answer up where fewer than
+    /// needed are well there: a caller whose region was lost still has whom to turn to.
+    pub fn answer(&self, callers: &str, block: u64) -> Choices {
+        let mut choices = Choices::default();
+        let mut count = 0;
+        let Some(near) = self.near.get(callers) else {
+            return choices;
+        };
+        for least in [SUSPECT + 1, SUSPECT] {
+            for (from, to) in near {
+                if count < ANSWER {
+                    count = self.fill(&mut choices, count, block, *from..*to, least);
+                }
+            }
+        }
+        choices
+    }
+
+    /// Adds the best hosts of a range, those of a least weight that are not there yet.
+    fn fill(
+        &self,
+        choices: &mut Choices,
+        count: usize,
+        block: u64,
+        range: std::ops::Range<usize>,
+        least: u16,
+    ) -> usize {
+        let mut best: [(f64, usize); ANSWER] = [(f64::INFINITY, 0); ANSWER];
+        let most = if least > SUSPECT { FULL } else { SUSPECT };
+        for at in range {
+            let (key, weight) = self.keys[at];
+            if weight < least || weight > most {
+                continue;
+            }
+            // The order goes by the name alone: a change of load must not send callers elsewhere.
+            let score = hash::score(key, block, 1.0);
+            let place = best.partition_point(|(other, _)| *other <= score);
+            if place < ANSWER {
+                best[place..].rotate_right(1);
+                best[place] = (score, at);
+            }
+        }
+        let found = best.iter().filter(|(score, _)| score.is_finite());
+        let free = choices.list[count..].iter_mut();
+        let mut added = 0;
+        for (slot, (_, at)) in free.zip(found) {
+            *slot = Some(Choice {
+                host: *at as u32,
+                weight: self.keys[*at].1,
+            });
+            added += 1;
+        }
+        count + added
+    }
+
+    /// The host of a choice.
+    pub fn host(&self, choice: Choice) -> Option<&Host> {
+        self.hosts.get(choice.host as usize)
+    }
+}
+
+/// All regions, the callers' own first, then by delay; those without a link last.
+fn order(config: &Config, callers: &Arc<str>) -> Vec<Arc<str>> {
+    let delay = |region: &Arc<str>| {
+        if region == callers {
+            return 0;
+        }
+        let link = dunlinrock_config::goal::link(config, callers, region);
+        link.map_or(u64::MAX, |link| link.delay_us.max(1))
+    };
+    let mut regions: Vec<_> = config.regions.keys().cloned().collect();
+    regions.sort_by_key(|region| (delay(region), region.clone()));
+    regions
+}
--- /dev/null
+++ b/crates/steer/src/naive/mod.rs
@@ -0,0 +1,32 @@
+//! The baseline that the decisions are measured against: traffic goes to its goal at once, with
+//! no cap, no grants and no word between hosts.
+
+use std::sync::Arc;
+
+use crate::{Goals, hash};
+
+/// Shares that are always at their goal.
+#[derive(Clone, Debug, Default)]
+pub struct Immediate {
+    goals: Goals,
+}
+
+impl Immediate {
+    /// Follows goals from now on.
+    pub fn steer(&mut self, goals: &Goals) {
+        self.goals = goals.clone();
+    }
+
+    /// The region that serves a request; `None` where the goal has none.
+    pub fn pick(&self, service: &str, callers: &str, value: u64) -> Option<&Arc<str>> {
+        let row = &self.goals.find(service, callers)?.row;
+        let mut rest = hash::unit(hash::mix(value));
+        for (region, share) in row {
+            rest -= share;
+            if rest <= 0.0 {
+                return Some(region);
+            }
+        }
+        row.keys().next_back()
+    }
+}
--- /dev/null
+++ b/crates/steer/src/shift/mod.rs
@@ -0,0 +1,159 @@
+//! Moves shares of traffic towards their goals, under the operators' cap.
+//!
+//! The load: a large part of a service's traffic that wants to be elsewhere at once, because of a
+//! new file, a drain, a lost region, or a host that was replaced. Without a limit it lands on cold
+//! caches and on regions that have no room for it, and a closing ends for callers who had nothing
+//! to do with the cause. So shares move at a limited speed whatever the cause, and only as far as
+//! the regions they move to have granted headroom. What cannot move yet is refused with the time
+//! after which a new try helps.
+//!
+//! Each host decides for itself. That the sum over hosts stays under the cap rests on three rules:
+//!
+//! * A host moves at [`PACE`] of the cap's speed and does not make up for time it was idle beyond
+//!   [`STEP`] of a window. The limit needs no memory of earlier moves, so that it holds across the
+//!   replacement of a host, whose memory is gone.
+//! * A new host starts from the mean of its peers' shares. If it started from the goal, its part
+//!   of the traffic would jump; where no peer has shares there is no traffic to jump.
+//! * A host stays within [`LEAD`] of the cap of its slowest peer, for [`PATIENCE`] windows: when a
+//!   host dies and its callers go to others, the traffic jumps by the difference of their shares.
+//!
+//! `docs/decisions/shift.md` holds the sweep behind these figures.
+
+mod lane;
+mod pick;
+mod start;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use dunlinrock_config::goal::Row;
+
+use crate::Goals;
+use lane::Lane;
+pub use pick::{Reason, Refusal};
+
+/// Part of the cap's speed at which a host moves. The rest is kept for what is not a host's own
+/// move: steps that began before a window (at most [`STEP`]) and callers who change hosts.
+pub const PACE: f64 = 0.8;
+
+/// Part of a window for which a host that was idle makes up at most.
+pub const STEP: f64 = 0.05;
+
+/// Part of the cap by which a host may be nearer to the goal than its slowest peer. With nine
+/// hosts, one that dies then moves the traffic by a ninth of this.
+pub const LEAD: f64 = 0.5;
+
+/// Windows for which a host waits for a peer that does not move: one that cannot reach its goal
+/// must not stop a drain for all.
+pub const PATIENCE: u32 = 2;
+
+/// Shares by service, then by region of callers: what hosts tell one another.
+pub type Rows = BTreeMap<Arc<str>, BTreeMap<Arc<str>, Row>>;
+
+/// Largest share that a region can be given, by service, region of callers and serving region;
+/// one that is not listed has no limit.
+pub type Ceilings = Rows;
+
+/// What is known of one peer that is alive.
+#[derive(Clone, Copy, Debug)]
+pub struct Peer<'p> {
+    /// Its shares, none where it has not got any yet; `None` where it was not heard yet.
+    pub rows: Option<&'p Rows>,
+}
+
+/// The shares of traffic that this host goes by.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    /// Empty until the host knows where to start.
+    lanes: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Lane>>,
+    start: start::Start,
+}
+
+impl Shares {
+    /// A host without shares: it refuses all until it has heard its peers and steered once.
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Takes in what is known of all peers that are alive.
+    ///
+    /// A host that has no shares starts from the mean of its peers' once one of them has some, and
+    /// from the goal once all were heard and none has. Later, peers that lag hold it back.
+    pub fn hear(&mut self, peers: &[Peer<'_>]) {
+        if !self.ready() {
+            self.start = start::Start::from_peers(peers);
+        }
+        for (service, lanes) in &mut self.lanes {
+            for (callers, lane) in lanes {
+                let rows = peers.iter().filter_map(|peer| peer.rows);
+                lane.hear(rows.filter_map(|rows| rows.get(service)?.get(callers)));
+            }
+        }
+    }
+
+    /// Whether the host has shares to go by.
+    pub fn ready(&self) -> bool {
+        !self.lanes.is_empty()
+    }
+
+    /// Drops all shares. For a host that was paused: its peers have gone on without it, so it
+    /// starts again from theirs.
+    pub fn restart(&mut self) {
+        *self = Self::open();
+    }
+
+    /// Moves shares towards the goals as far as time and ceilings allow.
+    pub fn steer(&mut self, goals: &Goals, ceilings: &Ceilings, now: Duration) {
+        if !self.ready() && !self.start.known() {
+            return;
+        }
+        self.lanes
+            .retain(|service, _| goals.lanes.contains_key(service));
+        for (service, row) in &goals.lanes {
+            let lanes = self.lanes.entry(service.clone()).or_default();
+            lanes.retain(|callers, _| row.contains_key(callers));
+            for (callers, goal) in row {
+                let lane = lanes.entry(callers.clone()).or_insert_with(|| {
+                    let row = self.start.row(service, callers);
+                    Lane::open(callers, row.unwrap_or(&goal.row), now)
+                });
+                let ceilings = ceilings.get(service).and_then(|rows| rows.get(callers));
+                lane.steer(goal, ceilings, now);
+            }
+        }
+    }
+
+    /// The region that serves a request of a service's caller.
+    ///
+    /// `value` is uniform over requests. Take a hash of the request's key, so that a new try draws
+    /// the same value: a refused request whose each try drew another would soon be served, and the
+    /// regions that are left would get more than their shares.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] where the share it falls on cannot be served now.
+    pub fn pick(&self, service: &str, callers: &str, value: u64) -> Result<&Arc<str>, Refusal> {
+        let lane = self.lanes.get(service).and_then(|row| row.get(callers));
+        match lane {
+            Some(lane) => pick::pick(lane, value),
+            None if self.ready() => Err(Refusal::nowhere()),
+            None => Err(Refusal::starting()),
+        }
+    }
+
+    /// The shares, to tell peers.
+    pub fn rows(&self) -> Rows {
+        let rows = self.lanes.iter().map(|(service, lanes)| {
+            let rows = lanes.iter();
+            let rows = rows.map(|(callers, lane)| (callers.clone(), lane.row()));
+            (service.clone(), rows.collect())
+        });
+        rows.collect()
+    }
+
+    /// Part of a service's callers in one region that is still to move; none where all is at its
+    /// goal.
+    pub fn remaining(&self, service: &str, callers: &str) -> f64 {
+        let lane = self.lanes.get(service).and_then(|row| row.get(callers));
+        lane.map_or(0.0, Lane::remaining)
+    }
+}
