--- /dev/null
+++ b/crates/coord/src/pieces/blocks.rs
@@ -0,0 +1,106 @@
+//! Blocks of client addresses, stored in seven bytes each.
+
+use std::{collections::BTreeMap, net::Ipv4Addr, sync::Arc};
+
+use rapidhash::v3::rapidhash_v3;
+use serde::{Deserialize, Serialize};
+
+use super::shards::shards;
+
+/// Most blocks in one shard: 1.8 KB, so that a changed block fits 4 KB with its index pieces.
+pub const SHARD_BLOCKS: usize = 256;
+/// Bytes of one block: address, length of the prefix, index of the region.
+const ROW: usize = 7;
+
+/// One shard of client blocks.
+#[derive(Serialize, Deserialize, Clone, Debug, Default, PartialEq)]
+pub struct Blocks {
+    /// Regions named in the rows, in order.
+    pub regions: Vec<Arc<str>>,
+    /// Blocks of IPv4 addresses in their usual text, seven bytes each.
+    pub rows: Vec<u8>,
+    /// All other blocks, as text.
+    pub texts: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+/// Splits blocks into shards by their leading address bits, each with a name of its own.
+pub(super) fn split_blocks(blocks: &BTreeMap<Arc<str>, Arc<str>>) -> Vec<(Arc<str>, Blocks)> {
+    let mut plain = Vec::new();
+    let mut other = Vec::new();
+    for (block, region) in blocks {
+        match parse(block) {
+            Some((address, length)) => {
+                let key = u64::from(u32::from(address)) << 32;
+                plain.push((key, (address, length, region)));
+            }
+            None => other.push((rapidhash_v3(block.as_bytes()), (block, region))),
+        }
+    }
+    let mut out = Vec::new();
+    for shard in shards(plain, SHARD_BLOCKS) {
+        let name = format!("blocks/v4/{:08x}/{}", shard.prefix >> 32, shard.bits);
+        out.push((name.into(), pack(&shard.entries)));
+    }
+    for shard in shards(other, SHARD_BLOCKS) {
+        let name = format!("blocks/other/{:016x}/{}", shard.prefix, shard.bits);
+        let texts = shard.entries.into_iter();
+        let texts = texts.map(|(block, region)| (block.clone(), region.clone()));
+        out.push((
+            name.into(),
+            Blocks {
+                texts: texts.collect(),
+                ..Default::default()
+            },
+        ));
+    }
+    out
+}
+
+impl Blocks {
+    /// Reads the blocks back; `None` where the rows are broken.
+    pub fn unpack(&self) -> Option<BTreeMap<Arc<str>, Arc<str>>> {
+        let mut out = self.texts.clone();
+        for row in self.rows.chunks(ROW) {
+            let row: [u8; ROW] = row.try_into().ok()?;
+            let address = Ipv4Addr::new(row[0], row[1], row[2], row[3]);
+            let region = self
+                .regions
+                .get(usize::from(u16::from_be_bytes([row[5], row[6]])))?;
+            out.insert(format!("{address}/{}", row[4]).into(), region.clone());
+        }
+        Some(out)
+    }
+}
+
+fn pack(entries: &[(Ipv4Addr, u8, &Arc<str>)]) -> Blocks {
+    let mut regions: Vec<Arc<str>> = entries
+        .iter()
+        .map(|(.., region)| (*region).clone())
+        .collect();
+    regions.sort();
+    regions.dedup();
+    let mut rows = Vec::with_capacity(entries.len() * ROW);
+    for (address, length, region) in entries {
+        // A shard holds at most 256 distinct addresses times 33 lengths, so the index fits.
+        let index = regions.binary_search(region).unwrap_or_default() as u16;
+        rows.extend_from_slice(&address.octets());
+        rows.push(*length);
+        rows.extend_from_slice(&index.to_be_bytes());
+    }
+    Blocks {
+        regions,
+        rows,
+        texts: BTreeMap::new(),
+    }
+}
+
+/// Reads a block whose text is exactly what [`Blocks::unpack`] writes; all others stay text.
+fn parse(block: &str) -> Option<(Ipv4Addr, u8)> {
+    let (address, length) = block.split_once('/')?;
+    let plain = length.len() <= 2 && (length == "0" || !length.starts_with(['0', '+']));
+    let length = length
+        .parse()
+        .ok()
+        .filter(|length| *length <= 32 && plain)?;
+    Some((address.parse().ok()?, length))
+}
--- /dev/null
+++ b/crates/coord/src/pieces/index.rs
@@ -0,0 +1,162 @@
+//! The tree of index pieces that leads from one hash to every leaf.
+//!
+//! A list of all leaves at 760,000 client blocks would be over 200 KB, moved by every change. In
+//! the tree a change moves one path: three index pieces.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use dunlinrock_schema::coord::Node;
+use sha2::{Digest, Sha256};
+
+use super::{Hash, Pieces};
+use crate::wire;
+
+/// Most leaves that an index piece lists before it branches.
+pub const NODE_LEAVES: usize = 32;
+/// Digits of a name's hash that the tree can branch by.
+const DIGITS: u32 = 16;
+
+/// A leaf on its way into the tree.
+struct Listed {
+    key: u64,
+    name: Arc<str>,
+    hash: Hash,
+}
+
+/// Builds the index over named leaves, adds its pieces and gives the topmost one's hash.
+///
+/// The place of a leaf follows from its name alone, so that two trees can be compared branch by
+/// branch.
+pub(super) fn build(leaves: &BTreeMap<Arc<str>, Hash>, pieces: &mut Pieces) -> Hash {
+    let mut listed: Vec<_> = leaves
+        .iter()
+        .map(|(name, hash)| Listed {
+            key: key(name),
+            name: name.clone(),
+            hash: *hash,
+        })
+        .collect();
+    listed.sort_by_key(|leaf| leaf.key);
+    node(&listed, 0, pieces)
+}
+
+fn key(name: &str) -> u64 {
+    let full = Sha256::digest(name.as_bytes());
+    full[..8]
+        .iter()
+        .fold(0, |key, byte| key << 8 | u64::from(*byte))
+}
+
+fn digit(key: u64, depth: u32) -> u64 {
+    key >> (4 * (DIGITS - 1 - depth)) & 0xf
+}
+
+fn node(leaves: &[Listed], depth: u32, pieces: &mut Pieces) -> Hash {
+    let branch = leaves.len() > NODE_LEAVES && depth < DIGITS;
+    let children = if branch {
+        leaves
+            .chunk_by(|a, b| digit(a.key, depth) == digit(b.key, depth))
+            .map(|part| {
+                let name = format!("{:x}", digit(part[0].key, depth));
+                (name.into(), node(part, depth + 1, pieces).to_vec())
+            })
+            .collect()
+    } else {
+        let pair = |leaf: &Listed| (leaf.name.clone(), leaf.hash.to_vec());
+        leaves.iter().map(pair).collect()
+    };
+    put(wire::encode(&Node { branch, children }), pieces)
+}
+
+/// Adds a piece under its hash.
+pub(super) fn put(bytes: Vec<u8>, pieces: &mut Pieces) -> Hash {
+    let hash = Hash::of(&bytes);
+    pieces.insert(hash, bytes.into());
+    hash
+}
+
+/// An index piece, read.
+pub(super) struct Index {
+    pub(super) branch: bool,
+    pub(super) children: BTreeMap<Arc<str>, Hash>,
+}
+
+/// Reads an index piece; `None` where the bytes are none.
+pub(super) fn read(bytes: &[u8]) -> Option<Index> {
+    let node: Node = wire::decode(bytes).ok()?;
+    let children = node.children.into_iter();
+    let children = children.map(|(name, hash)| Some((name, Hash::read(&hash)?)));
+    Some(Index {
+        branch: node.branch,
+        children: children.collect::<Option<_>>()?,
+    })
+}
+
+/// Why a tree cannot be walked to its end.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum TreeError {
+    /// These pieces are not at hand; with them, others may turn out to be missing.
+    #[error("{} pieces of the configuration are not at hand; fetch them", .0.len())]
+    Missing(BTreeSet<Hash>),
+    /// A piece has the right hash and cannot be read: it was written by something else.
+    #[error("piece {0} does not read as part of a configuration; apply the configuration again")]
+    Broken(Hash),
+}
+
+/// A walk that gathers what it lacks instead of stopping at the first.
+#[derive(Default)]
+pub(super) struct Walk {
+    pub(super) missing: BTreeSet<Hash>,
+    pub(super) broken: Option<Hash>,
+}
+
+impl Walk {
+    /// Reads the index piece of a hash.
+    pub(super) fn index(
+        &mut self,
+        hash: Hash,
+        get: &dyn Fn(&Hash) -> Option<Arc<[u8]>>,
+    ) -> Option<Index> {
+        let Some(bytes) = get(&hash) else {
+            self.missing.insert(hash);
+            return None;
+        };
+        let index = read(&bytes);
+        if index.is_none() {
+            self.broken = Some(hash);
+        }
+        index
+    }
+
+    /// Lists all leaves and index pieces below and including a hash.
+    pub(super) fn list(
+        &mut self,
+        hash: Hash,
+        get: &dyn Fn(&Hash) -> Option<Arc<[u8]>>,
+        leaves: &mut BTreeMap<Arc<str>, Hash>,
+        nodes: &mut BTreeSet<Hash>,
+    ) {
+        let Some(index) = self.index(hash, get) else {
+            return;
+        };
+        nodes.insert(hash);
+        if !index.branch {
+            leaves.extend(index.children);
+            return;
+        }
+        for child in index.children.into_values() {
+            self.list(child, get, leaves, nodes);
+        }
+    }
+
+    pub(super) fn finish<T>(self, value: T) -> Result<T, TreeError> {
+        match self.broken {
+            Some(hash) => Err(TreeError::Broken(hash)),
+            None if !self.missing.is_empty() => Err(TreeError::Missing(self.missing)),
+            None => Ok(value),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/src/pieces/leaf.rs
@@ -0,0 +1,186 @@
+//! The parts of a configuration that are stored, and changed, on their own.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use dunlinrock_schema::config::{Config, Domain, Drain, Link, Region, Service, Target};
+use rapidhash::v3::rapidhash_v3;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    blocks::{Blocks, split_blocks},
+    shards::shards,
+    table::Table,
+};
+
+/// Most targets of a service that are stored with it; more go into pieces of their own, each of at
+/// most this many, so that a changed target fits 4 KB with its index pieces.
+pub const SHARD_TARGETS: usize = 32;
+
+/// One part of a configuration, under a name of its own.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub enum Leaf {
+    /// All regions.
+    Regions(Table),
+    /// All failure domains.
+    Domains(Table),
+    /// The links from one region.
+    Links(Table),
+    /// All drains.
+    Drains(Table),
+    /// A service with its targets.
+    Service {
+        /// Its name.
+        name: Arc<str>,
+        /// Its rules; none where only targets name it.
+        rules: Option<Service>,
+        /// Its targets, where they are few.
+        targets: Table,
+    },
+    /// Some of the targets of a service that has many.
+    Targets(Table),
+    /// Some of the client blocks.
+    Blocks(Blocks),
+}
+
+/// A leaf whose rows do not fit their type.
+#[derive(Debug, thiserror::Error)]
+#[error("a piece of the configuration does not read as its kind: {0}")]
+pub struct LeafError(String);
+
+/// Takes a configuration apart. Parts that are empty give no leaf.
+pub fn leaves(config: &Config) -> BTreeMap<Arc<str>, Leaf> {
+    let mut out = BTreeMap::new();
+    table(&mut out, "regions", &config.regions, Leaf::Regions);
+    table(&mut out, "domains", &config.domains, Leaf::Domains);
+    table(&mut out, "drains", &config.drains, Leaf::Drains);
+    for (from, links) in group(&config.links, |link| &link.from) {
+        table(&mut out, &format!("links/{from}"), &links, Leaf::Links);
+    }
+    services(&mut out, config);
+    for (name, blocks) in split_blocks(&config.blocks) {
+        out.insert(name, Leaf::Blocks(blocks));
+    }
+    out
+}
+
+fn table<T: Serialize>(
+    out: &mut BTreeMap<Arc<str>, Leaf>,
+    name: &str,
+    rows: &BTreeMap<Arc<str>, T>,
+    leaf: impl Fn(Table) -> Leaf,
+) {
+    if !rows.is_empty() {
+        out.insert(name.into(), leaf(Table::pack(rows)));
+    }
+}
+
+fn group<T: Clone>(
+    rows: &BTreeMap<Arc<str>, T>,
+    by: impl Fn(&T) -> &Arc<str>,
+) -> BTreeMap<Arc<str>, BTreeMap<Arc<str>, T>> {
+    let mut out: BTreeMap<_, BTreeMap<_, _>> = BTreeMap::new();
+    for (name, row) in rows {
+        let rows = out.entry(by(row).clone()).or_default();
+        rows.insert(name.clone(), row.clone());
+    }
+    out
+}
+
+fn services(out: &mut BTreeMap<Arc<str>, Leaf>, config: &Config) {
+    let mut targets = group(&config.targets, |target| &target.service);
+    for name in config.services.keys() {
+        targets.entry(name.clone()).or_default();
+    }
+    for (name, targets) in targets {
+        let many = targets.len() > SHARD_TARGETS;
+        let few = if many {
+            BTreeMap::new()
+        } else {
+            targets.clone()
+        };
+        let leaf = Leaf::Service {
+            name: name.clone(),
+            rules: config.services.get(&name).cloned(),
+            targets: Table::pack(&few),
+        };
+        out.insert(format!("service/{name}").into(), leaf);
+        if many {
+            target_shards(out, &name, targets);
+        }
+    }
+}
+
+fn target_shards(
+    out: &mut BTreeMap<Arc<str>, Leaf>,
+    service: &str,
+    targets: BTreeMap<Arc<str>, Target>,
+) {
+    let keyed = targets
+        .into_iter()
+        .map(|row| (rapidhash_v3(row.0.as_bytes()), row));
+    for shard in shards(keyed.collect(), SHARD_TARGETS) {
+        let name = format!("targets/{service}/{:016x}/{}", shard.prefix, shard.bits);
+        let rows = shard.entries.into_iter().collect();
+        table(out, &name, &rows, Leaf::Targets);
+    }
+}
+
+impl Leaf {
+    /// Puts the leaf's part into a configuration.
+    pub fn add(&self, config: &mut Config) -> Result<(), LeafError> {
+        match self {
+            Self::Regions(rows) => config.regions.extend(unpack::<Region>(rows)?),
+            Self::Domains(rows) => config.domains.extend(unpack::<Domain>(rows)?),
+            Self::Links(rows) => config.links.extend(unpack::<Link>(rows)?),
+            Self::Drains(rows) => config.drains.extend(unpack::<Drain>(rows)?),
+            Self::Targets(rows) => config.targets.extend(unpack::<Target>(rows)?),
+            Self::Service {
+                name,
+                rules,
+                targets,
+            } => {
+                let rules = rules.clone().map(|rules| (name.clone(), rules));
+                config.services.extend(rules);
+                config.targets.extend(unpack::<Target>(targets)?);
+            }
+            Self::Blocks(blocks) => config.blocks.extend(rows(blocks)?),
+        }
+        Ok(())
+    }
+
+    /// Takes the leaf's part out of a configuration.
+    pub fn remove(&self, config: &mut Config) -> Result<(), LeafError> {
+        match self {
+            Self::Regions(rows) => drop_names(&mut config.regions, &rows.names),
+            Self::Domains(rows) => drop_names(&mut config.domains, &rows.names),
+            Self::Links(rows) => drop_names(&mut config.links, &rows.names),
+            Self::Drains(rows) => drop_names(&mut config.drains, &rows.names),
+            Self::Targets(rows) => drop_names(&mut config.targets, &rows.names),
+            Self::Service { name, targets, .. } => {
+                config.services.remove(name);
+                drop_names(&mut config.targets, &targets.names);
+            }
+            Self::Blocks(blocks) => rows(blocks)?.keys().for_each(|block| {
+                config.blocks.remove(block);
+            }),
+        }
+        Ok(())
+    }
+}
+
+fn unpack<T: serde::de::DeserializeOwned>(
+    table: &Table,
+) -> Result<BTreeMap<Arc<str>, T>, LeafError> {
+    table.unpack().map_err(|error| LeafError(error.to_string()))
+}
+
+fn rows(blocks: &Blocks) -> Result<BTreeMap<Arc<str>, Arc<str>>, LeafError> {
+    let broken = || LeafError("rows of client blocks are broken".to_owned());
+    blocks.unpack().ok_or_else(broken)
+}
+
+fn drop_names<T>(rows: &mut BTreeMap<Arc<str>, T>, names: &[Arc<str>]) {
+    for name in names {
+        rows.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/coord/src/pieces/shards.rs
@@ -0,0 +1,50 @@
+//! Splits entries into shards of bounded size, by the leading bits of a key.
+
+/// Entries whose keys begin with the same bits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shard<T> {
+    /// Leading bits of every key in it; the bits after them are zero.
+    pub prefix: u64,
+    /// Number of leading bits, 0 to 64.
+    pub bits: u32,
+    /// The entries, in the order of their keys.
+    pub entries: Vec<T>,
+}
+
+/// Splits entries so that no shard holds more than `most`, unless their keys are equal.
+///
+/// The result follows from the entries alone, and one more entry changes one shard or splits it in
+/// two: a fixed number of shards would have to move everything when it grows.
+pub fn shards<T>(mut entries: Vec<(u64, T)>, most: usize) -> Vec<Shard<T>> {
+    entries.sort_by_key(|(key, _)| *key);
+    let mut out = Vec::new();
+    divide(entries, 0, most, &mut out);
+    out
+}
+
+fn divide<T>(mut entries: Vec<(u64, T)>, bits: u32, most: usize, out: &mut Vec<Shard<T>>) {
+    let Some(&(first, _)) = entries.first() else {
+        return;
+    };
+    if entries.len() <= most || bits == u64::BITS {
+        out.push(Shard {
+            prefix: lead(first, bits),
+            bits,
+            entries: entries.into_iter().map(|(_, entry)| entry).collect(),
+        });
+        return;
+    }
+    let top = 1 << (u64::BITS - 1 - bits);
+    let middle = entries.partition_point(|(key, _)| key & top == 0);
+    let upper = entries.split_off(middle);
+    divide(entries, bits + 1, most, out);
+    divide(upper, bits + 1, most, out);
+}
+
+fn lead(key: u64, bits: u32) -> u64 {
+    if bits == 0 {
+        0
+    } else {
+        key & (u64::MAX << (u64::BITS - bits))
+    }
+}
--- /dev/null
+++ b/crates/coord/src/pieces/table.rs
@@ -0,0 +1,87 @@
+//! Named rows of one type, stored by column.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::{Map, Value};
+
+/// Rows by name, stored by column; a column whose values are all equal is stored once.
+///
+/// Twenty-two targets as rows take 2.1 KB, of which half are the names of fields and repeated
+/// values; a change of one of them moves the whole piece. Columns keep the field names, so that a
+/// field may be added without a new encoding.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Table {
+    /// Names of the rows, in order.
+    pub names: Vec<Arc<str>>,
+    /// The fields of the rows; a field that a row lacks is null.
+    pub columns: BTreeMap<String, Column>,
+}
+
+/// Values of one field.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub enum Column {
+    /// The same in each row.
+    Same(Value),
+    /// One for each row, in the order of the names.
+    Each(Vec<Value>),
+}
+
+impl Table {
+    /// Stores rows; each must be a struct.
+    pub fn pack<T: Serialize>(rows: &BTreeMap<Arc<str>, T>) -> Self {
+        let objects: Vec<_> = rows.values().map(object).collect();
+        let fields: std::collections::BTreeSet<_> =
+            objects.iter().flat_map(|row| row.keys().cloned()).collect();
+        let columns = fields.into_iter().map(|field| {
+            let values = objects
+                .iter()
+                .map(|row| row.get(&field).cloned().unwrap_or(Value::Null))
+                .collect();
+            (field, column(values))
+        });
+        Self {
+            names: rows.keys().cloned().collect(),
+            columns: columns.collect(),
+        }
+    }
+
+    /// Reads the rows back; an error says what does not fit the type.
+    pub fn unpack<T: DeserializeOwned>(&self) -> Result<BTreeMap<Arc<str>, T>, serde_json::Error> {
+        self.names
+            .iter()
+            .enumerate()
+            .map(|(index, name)| Ok((name.clone(), serde_json::from_value(self.row(index))?)))
+            .collect()
+    }
+
+    fn row(&self, index: usize) -> Value {
+        let mut row = Map::new();
+        for (field, column) in &self.columns {
+            let value = match column {
+                Column::Same(value) => Some(value),
+                Column::Each(values) => values.get(index),
+            };
+            if let Some(value) = value.filter(|value| !value.is_null()) {
+                row.insert(field.clone(), value.clone());
+            }
+        }
+        Value::Object(row)
+    }
+}
+
+fn object<T: Serialize>(row: &T) -> Map<String, Value> {
+    match serde_json::to_value(row) {
+        Ok(Value::Object(map)) => map,
+        _ => Map::new(),
+    }
+}
+
+fn column(mut values: Vec<Value>) -> Column {
+    match values.first() {
+        Some(first) if values.iter().all(|value| value == first) => {
+            Column::Same(values.swap_remove(0))
+        }
+        _ => Column::Each(values),
+    }
+}
--- /dev/null
+++ b/crates/coord/src/rendezvous/mod.rs
@@ -0,0 +1,60 @@
+//! A choice of hosts for a key that all hosts make alike, without a word between them.
+//!
+//! Highest random weight: each member has a score for the key, and the highest are chosen. A member
+//! that comes or goes moves only the keys that it wins or loses, one in N; with a modulus nearly all
+//! keys would move, and every move costs a hand-over. While hosts disagree on the members they may
+//! choose differently; whoever uses the choice must bear that.
+//!
+//! ```
+//! use dunlinrock_coord::rendezvous;
+//!
+//! let two = rendezvous::choose("records", ["h1", "h2", "h3"], 2);
+//! assert_eq!(two.len(), 2);
+//! ```
+
+use rapidhash::v3::rapidhash_v3;
+
+/// The `most` members with the highest scores for the key, highest first.
+pub fn choose<T: AsRef<str> + Ord>(
+    key: &str,
+    members: impl IntoIterator<Item = T>,
+    most: usize,
+) -> Vec<T> {
+    choose_weighted(key, members.into_iter().map(|name| (name, 1.0)), most)
+}
+
+/// As [`choose`], with members that are chosen in proportion to their weights; a member without
+/// weight is never chosen.
+pub fn choose_weighted<T: AsRef<str> + Ord>(
+    key: &str,
+    members: impl IntoIterator<Item = (T, f64)>,
+    most: usize,
+) -> Vec<T> {
+    let mut scored: Vec<_> = members
+        .into_iter()
+        .filter(|(_, weight)| *weight > 0.0)
+        .map(|(name, weight)| (score(key, name.as_ref(), weight), name))
+        .collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+    scored.truncate(most);
+    scored.into_iter().map(|(_, name)| name).collect()
+}
+
+/// All members, best first; the order in which they take over from each other.
+pub fn rank<T: AsRef<str> + Ord>(key: &str, members: impl IntoIterator<Item = T>) -> Vec<T> {
+    choose(key, members, usize::MAX)
+}
+
+/// The score of a member: `-weight / ln(u)` for a uniform `u` made from key and name.
+///
+/// With this form the chance to score highest is the member's part of all weights.
+fn score(key: &str, name: &str, weight: f64) -> f64 {
+    let mut text = Vec::with_capacity(key.len() + name.len() + 1);
+    text.extend_from_slice(key.as_bytes());
+    // A byte that no name holds keeps "a" + "bc" apart from "ab" + "c".
+    text.push(0xff);
+    text.extend_from_slice(name.as_bytes());
+    // 53 bits fill a float; the half keeps it off 0 and 1, whose logarithms are no scores.
+    let uniform = ((rapidhash_v3(&text) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -weight / uniform.ln()
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -12,4 +12,4 @@
 
 mod generated;
 
-pub use generated::{api, config, settings, store};
+pub use generated::{api, config, coord, settings, store};
