--- a/crates/node/src/duties/control/mod.rs
+++ b/crates/node/src/duties/control/mod.rs
@@ -1,5 +1,6 @@
 //! x
 mod input;
+mod routes;
 pub use self::input::{Input, Reply};
 use crate::{ring, shared::Shared};
 use std::{io, sync::Arc, thread::JoinHandle, time::Duration};
--- a/crates/node/src/duties/control/routes.rs
+++ b/crates/node/src/duties/control/routes.rs
@@ -46,7 +46,10 @@
             service: Arc::clone(&target.service),
             domain: Arc::clone(&target.domain),
         };
-        pools.entry(Arc::new(id)).or_default().push((Arc::clone(name), target.clone()));
+        pools
+            .entry(Arc::new(id))
+            .or_default()
+            .push((Arc::clone(name), target.clone()));
     }
     pools
 }
@@ -86,17 +89,29 @@
     /// The route to each pool.
     pub(super) fn routes(&self) -> BTreeMap<Arc<PoolId>, Arc<PoolRoute>> {
         let routes = self.pools.iter();
-        routes.map(|(id, targets)| (Arc::clone(id), Arc::new(self.route(id, targets)))).collect()
+        routes
+            .map(|(id, targets)| (Arc::clone(id), Arc::new(self.route(id, targets))))
+            .collect()
     }
 
     fn route(&self, id: &Arc<PoolId>, targets: &[(Arc<str>, Target)]) -> PoolRoute {
         let owner = owner(self.config, id, self.members);
         let slots = targets.iter().map(|(_, target)| target.slots.get());
         let slots = u32::try_from(slots.sum::<u64>()).unwrap_or(u32::MAX);
-        let usable = targets.iter().any(|(name, target)| !drained(self.config, name, target));
-        let unheard = Load { slots: if usable { slots } else { 0 }, ..Load::default() };
-        let heard = self.heard.get(id).copied().unwrap_or(Heard { load: unheard, at: self.now });
-        let delay = owner.as_ref().map_or(FAR, |owner| delay(self.config, self.me, owner));
+        let usable = targets
+            .iter()
+            .any(|(name, target)| !drained(self.config, name, target));
+        let unheard = Load {
+            slots: if usable { slots } else { 0 },
+            ..Load::default()
+        };
+        let heard = self.heard.get(id).copied().unwrap_or(Heard {
+            load: unheard,
+            at: self.now,
+        });
+        let delay = owner
+            .as_ref()
+            .map_or(FAR, |owner| delay(self.config, self.me, owner));
         PoolRoute {
             id: Arc::clone(id),
             owner,
@@ -123,8 +138,13 @@
         for (name, rules) in &self.config.services {
             let mut regions: BTreeMap<Arc<str>, Vec<Arc<PoolRoute>>> = BTreeMap::new();
             for route in routes.values().filter(|route| route.id.service == *name) {
-                let Some(domain) = self.config.domains.get(&route.id.domain) else { continue };
-                regions.entry(Arc::clone(&domain.region)).or_default().push(Arc::clone(route));
+                let Some(domain) = self.config.domains.get(&route.id.domain) else {
+                    continue;
+                };
+                regions
+                    .entry(Arc::clone(&domain.region))
+                    .or_default()
+                    .push(Arc::clone(route));
             }
             let rules = Arc::new(rules.clone());
             services.insert(Arc::clone(name), Arc::new(ServiceRoute { rules, regions }));
@@ -141,7 +161,9 @@
         let mut plans = Vec::new();
         for (id, targets) in self.pools {
             let owner = routes.get(id).and_then(|route| route.owner.as_ref());
-            let Some(rules) = self.config.services.get(&id.service) else { continue };
+            let Some(rules) = self.config.services.get(&id.service) else {
+                continue;
+            };
             if owner.is_some_and(|owner| owner.incarnation == self.me.incarnation) {
                 plans.push(PoolPlan {
                     id: Arc::clone(id),
@@ -191,6 +213,5 @@
         let domain = config.domains.get(&other.domain);
         return domain.map_or(LOCAL, |domain| Duration::from_micros(domain.delay_us));
     }
-    link(config, &me.region, &other.region)
-        .map_or(FAR, |link| Duration::from_micros(link.delay_us))
+    link(config, &me.region, &other.region).map_or(FAR, |link| Duration::from_micros(link.delay_us))
 }
--- a/crates/node/src/view/answers.rs
+++ b/crates/node/src/view/answers.rs
@@ -42,12 +42,17 @@
         ttl_ms: u64,
         members: &BTreeMap<Arc<str>, Arc<Member>>,
     ) -> Answers {
-        let table = Table::open(config, members.values().map(|member| seen(member)).collect());
+        let table = Table::open(
+            config,
+            members.values().map(|member| seen(member)).collect(),
+        );
         let mut ready: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Vec<Bytes>>> = BTreeMap::new();
         for region in config.regions.keys() {
             for variant in 0..VARIANTS {
                 let choices = table.answer(region, variant);
-                let Some(mut answer) = compose(&table, &choices, members) else { continue };
+                let Some(mut answer) = compose(&table, &choices, members) else {
+                    continue;
+                };
                 answer.revision = revision;
                 answer.ttl_ms = ttl_ms;
                 answer.region = Arc::clone(region);
@@ -55,7 +60,10 @@
                     answer.service = Arc::clone(service);
                     let body = serde_json::to_vec(&answer).unwrap_or_default();
                     let regions = ready.entry(Arc::clone(service)).or_default();
-                    regions.entry(Arc::clone(region)).or_default().push(body.into());
+                    regions
+                        .entry(Arc::clone(region))
+                        .or_default()
+                        .push(body.into());
                 }
             }
         }
@@ -126,14 +134,24 @@
 /// The witness for an owner: a host of another failure domain, so that one loss does not take both;
 /// else any other; else the owner itself, where it is the only host.
 fn witness<'a>(owner: &'a Arc<Member>, chosen: &[&'a Arc<Member>]) -> &'a Arc<Member> {
-    let others = || chosen.iter().copied().filter(|other| other.name != owner.name);
+    let others = || {
+        chosen
+            .iter()
+            .copied()
+            .filter(|other| other.name != owner.name)
+    };
     let apart = others().find(|other| other.domain != owner.domain && other.region == owner.region);
     let apart = apart.or_else(|| others().find(|other| other.domain != owner.domain));
     apart.or_else(|| others().next()).unwrap_or(owner)
 }
 
 fn bind(owner: &Member, witness: &Member) -> Binding {
-    let seats = (owner.incarnation, owner.epoch, witness.incarnation, witness.epoch);
+    let seats = (
+        owner.incarnation,
+        owner.epoch,
+        witness.incarnation,
+        witness.epoch,
+    );
     Binding {
         prefix: format!("{}.{}.{}.{}", seats.0, seats.1, seats.2, seats.3).into(),
         owner: owner.callers.to_string().into(),
