--- /dev/null
+++ b/crates/cli/src/args/fake.rs
@@ -0,0 +1,43 @@
+//! Arguments of `fake`.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use bpaf::{Bpaf, Parser};
+
+use super::address;
+
+/// Which stand-in to run; each runs until a signal ends it.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+pub enum Fake {
+    /// Run a key-value store
+    #[bpaf(command)]
+    Store(#[bpaf(external(fake_serve))] FakeServe),
+    /// Run a list of hosts
+    #[bpaf(command)]
+    List(#[bpaf(external(fake_serve))] FakeServe),
+    /// Run every target of a configuration, at its address
+    #[bpaf(command)]
+    Targets(#[bpaf(external(fake_targets))] FakeTargets),
+}
+
+/// Arguments of `fake store` and `fake list`.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+pub struct FakeServe {
+    /// Address to serve; port 0 takes a free one
+    #[bpaf(short, long, argument::<String>("IP:PORT"), parse(address))]
+    pub bind: SocketAddr,
+}
+
+/// Arguments of `fake targets`.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+pub struct FakeTargets {
+    /// Requests until a target's cache is warm
+    #[bpaf(short, long, argument("COUNT"), fallback(0), display_fallback)]
+    pub warm: u64,
+    /// Directory of the configuration's TOML files
+    #[bpaf(positional("DIR"))]
+    pub dir: PathBuf,
+}
--- /dev/null
+++ b/crates/cli/src/args/mod.rs
@@ -0,0 +1,129 @@
+//! The command line. Each flag is defined in one place, with its short and long help.
+
+mod fake;
+mod load;
+mod operate;
+mod serve;
+
+use bpaf::{Bpaf, OptionParser, Parser};
+
+pub use fake::{Fake, FakeServe, FakeTargets};
+pub use load::{Demo, Load, Plot};
+pub use operate::{Apply, Check, Dump, History, Hosts, HostsFrom, Plan, Show, Store};
+pub use serve::Serve;
+
+use crate::exit::Exit;
+
+/// Width of help texts, in columns.
+const WIDTH: usize = 100;
+
+/// Exit codes, as help and man page show them.
+const CODES: &str = "Exit codes: 0 done; 1 failed, or a promise was broken; 2 wrong usage or wrong \
+files; 3 another apply came first and this one did not take effect; 4 the store, the list or a \
+host could not be reached, nothing was changed; 5 the store gave no certain answer, the apply may \
+have taken effect.";
+
+/// What the program is asked to do.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+#[bpaf(options, version, footer(CODES))]
+/// Steers traffic between callers and targets
+///
+/// Hosts answer callers' look-ups and run their requests on targets, under a configuration that
+/// operators apply as a whole.
+pub enum Command {
+    /// Run one entry host
+    ///
+    /// SIGTERM or SIGINT begins a planned stop: the host takes leave of callers and other hosts,
+    /// finishes what it runs, and ends. A second signal ends it at once.
+    #[bpaf(command)]
+    Serve(#[bpaf(external(serve::serve))] Serve),
+    /// Check a directory of configuration files
+    #[bpaf(command)]
+    Check(#[bpaf(external(operate::check))] Check),
+    /// Show what an apply would change, which shifts it starts and how long they take
+    #[bpaf(command)]
+    Plan(#[bpaf(external(operate::plan))] Plan),
+    /// Put a configuration in force, as a whole or not at all
+    #[bpaf(command)]
+    Apply(#[bpaf(external(operate::apply))] Apply),
+    /// Show the configuration in force
+    #[bpaf(command)]
+    Show(#[bpaf(external(operate::show))] Show),
+    /// List the last applies
+    #[bpaf(command)]
+    History(#[bpaf(external(operate::history))] History),
+    /// List the hosts, or those that a caller should use
+    #[bpaf(command)]
+    Hosts(#[bpaf(external(operate::hosts))] Hosts),
+    /// Show the whole state of a host as JSON
+    #[bpaf(command)]
+    Dump(#[bpaf(external(operate::dump))] Dump),
+    /// Put load on running hosts and report what callers get
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::load))] Load),
+    /// Draw reports of `load` as a picture
+    #[bpaf(command)]
+    Plot(#[bpaf(external(load::plot))] Plot),
+    /// Run a deployment with load, a drain and a planned stop in this process
+    ///
+    /// Takes about 20 seconds and uses loopback addresses only. Ends with a table; its exit code is
+    /// 1 where a promise was broken.
+    #[bpaf(command)]
+    Demo(#[bpaf(external(load::demo))] Demo),
+    /// Run stand-ins for the platform
+    #[bpaf(command)]
+    Fake(#[bpaf(external(fake::fake))] Fake),
+    /// Print the man page
+    #[bpaf(command)]
+    Man,
+    /// Print this help
+    #[bpaf(command)]
+    Help,
+}
+
+/// Gives the parser of the whole command line.
+pub fn parser() -> OptionParser<Command> {
+    command()
+}
+
+/// Parses this process's arguments; answers `help`, `man` and completions itself.
+///
+/// # Errors
+///
+/// The exit code, where there is nothing left to do.
+pub fn parse() -> Result<Command, Exit> {
+    let parsed = parser().run_inner(bpaf::Args::current_args());
+    match parsed {
+        Ok(Command::Help) => {
+            if let Err(help) = parser().run_inner(&["--help"]) {
+                help.print_message(WIDTH);
+            }
+            Err(Exit::Ok)
+        }
+        Ok(Command::Man) => {
+            print!("{}", man());
+            Err(Exit::Ok)
+        }
+        Ok(command) => Ok(command),
+        Err(failure) => {
+            failure.print_message(WIDTH);
+            match failure.exit_code() {
+                0 => Err(Exit::Ok),
+                _ => Err(Exit::Usage),
+            }
+        }
+    }
+}
+
+/// Renders the man page.
+pub fn man() -> String {
+    let section = bpaf::doc::Section::General;
+    parser().render_manpage("dunlinrock", section, None, None, Some("dunlinrock"))
+}
+
+/// Parses `IP:PORT`.
+fn address(text: String) -> Result<std::net::SocketAddr, String> {
+    let parsed = text.parse();
+    parsed.map_err(|_| format!("`{text}` is not IP:PORT, as in 127.0.0.1:17000"))
+}
--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,66 @@
+//! Exit codes, and errors that carry one.
+
+use std::{error::Error, process::ExitCode};
+
+use dunlinrock_config::Findings;
+
+/// How the program ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// All went well.
+    Ok = 0,
+    /// It failed, or a promise was broken.
+    Failed = 1,
+    /// The command line or a file is wrong.
+    Usage = 2,
+    /// Another apply came first; this one did not take effect.
+    Overtaken = 3,
+    /// The store, the list or a host could not be reached; nothing was changed.
+    Away = 4,
+    /// The store gave no certain answer: the apply may have taken effect.
+    Unknown = 5,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        ExitCode::from(exit as u8)
+    }
+}
+
+/// An error with its exit code.
+#[derive(Debug)]
+pub struct Failure {
+    /// The exit code.
+    pub exit: Exit,
+    /// What to print; names the thing and the fix.
+    pub message: String,
+}
+
+impl Failure {
+    /// An error with a code of its own.
+    pub fn open(exit: Exit, message: impl Into<String>) -> Self {
+        Self {
+            exit,
+            message: message.into(),
+        }
+    }
+
+    /// An error of a library, with all its causes.
+    pub fn of(exit: Exit, error: &(dyn Error + 'static)) -> Self {
+        let causes = std::iter::successors(Some(error), |e| e.source());
+        let causes: Vec<String> = causes.map(ToString::to_string).collect();
+        Self::open(exit, causes.join(": "))
+    }
+}
+
+impl From<anyhow::Error> for Failure {
+    fn from(error: anyhow::Error) -> Self {
+        Self::open(Exit::Failed, format!("{error:#}"))
+    }
+}
+
+impl From<Findings> for Failure {
+    fn from(findings: Findings) -> Self {
+        Self::open(Exit::Usage, findings.to_string())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,65 @@
+//! The `dunlinrock` program: what operators and callers run.
+//!
+//! The binary is one line over [`run`]. The module [`caller`] holds what a client of the system
+//! does, and [`load`] an open-loop load of such clients; both are of use without the program:
+//!
+//! ```
+//! use dunlinrock::caller::{Caller, Rules};
+//!
+//! let caller = Caller::open(Rules {
+//!     name: "county-office".into(),
+//!     starts: vec!["127.0.0.1:17101".parse().unwrap()],
+//!     from: None,
+//!     attempts: 4,
+//!     seed: 1,
+//! });
+//! assert_eq!(&**caller.name(), "county-office");
+//! ```
+
+pub mod args;
+pub mod caller;
+mod commands;
+mod demo;
+pub mod exit;
+pub mod load;
+mod logs;
+mod rt;
+mod stand;
+
+use std::process::ExitCode;
+
+use args::Command;
+use exit::{Exit, Failure};
+
+/// Runs the command of this process's arguments and gives its exit code.
+pub fn run() -> ExitCode {
+    let command = match args::parse() {
+        Ok(command) => command,
+        Err(exit) => return exit.into(),
+    };
+    match obey(command) {
+        Ok(()) => Exit::Ok.into(),
+        Err(failure) => {
+            eprintln!("{}", failure.message.trim_end());
+            failure.exit.into()
+        }
+    }
+}
+
+fn obey(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Serve(args) => commands::serve(&args),
+        Command::Check(args) => commands::check(&args),
+        Command::Plan(args) => commands::plan(&args),
+        Command::Apply(args) => commands::apply(&args),
+        Command::Show(args) => commands::show(&args),
+        Command::History(args) => commands::history(&args),
+        Command::Hosts(args) => commands::hosts(&args),
+        Command::Dump(args) => commands::dump(&args),
+        Command::Load(args) => commands::load(&args),
+        Command::Plot(args) => commands::plot(&args),
+        Command::Demo(args) => demo::run(&args),
+        Command::Fake(args) => commands::fake(&args),
+        Command::Man | Command::Help => unreachable!("answered by the parser"),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,7 @@
 //! The `dunlinrock` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    dunlinrock::run()
+}
--- /dev/null
+++ b/crates/cli/src/rt.rs
@@ -0,0 +1,39 @@
+//! A runtime for commands, and signals.
+
+use std::future::Future;
+
+use anyhow::Context;
+use tokio::{
+    runtime,
+    signal::unix::{Signal, SignalKind, signal},
+};
+
+/// Runs a future to its end on this thread.
+pub(crate) fn block_on<T>(f: impl Future<Output = T>) -> anyhow::Result<T> {
+    let rt = runtime::Builder::new_current_thread().enable_all().build();
+    Ok(rt.context("starting the runtime")?.block_on(f))
+}
+
+/// The signals that end the program.
+pub(crate) struct Signals {
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over; from here on they do not end the process by themselves.
+    pub(crate) fn open() -> anyhow::Result<Self> {
+        Ok(Self {
+            interrupt: signal(SignalKind::interrupt())?,
+            terminate: signal(SignalKind::terminate())?,
+        })
+    }
+
+    /// Waits for the next one.
+    pub(crate) async fn next(&mut self) {
+        tokio::select! {
+            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
+        }
+    }
+}
