--- a/crates/node/src/duties/control/mod.rs
+++ b/crates/node/src/duties/control/mod.rs
@@ -1,23 +1,55 @@
-//! x
+//! Knows the other hosts, follows the configuration, moves shares, publishes views.
+
+mod gossip;
 mod input;
+mod leave;
 mod routes;
+mod state;
+mod tasks;
+
+use std::{io, sync::Arc, thread::JoinHandle, time::Duration};
+
+use tokio::{runtime::Builder, sync::mpsc};
+
 pub use self::input::{Input, Reply};
+use self::state::Control;
 use crate::{ring, shared::Shared};
-use std::{io, sync::Arc, thread::JoinHandle, time::Duration};
+
 /// Path on which hosts take control messages.
 pub const CONTROL_PATH: &str = "/peer/v1/control";
-/// Inputs that may wait for the duty.
+/// Inputs that may wait for the duty: two heartbeats of each of some hundred hosts.
 pub const RING: usize = 1024;
+
 /// How a planned stop went.
 #[derive(Clone, Copy, Debug)]
 pub struct Ending {
     /// Time from the request to leave to its end.
     pub drain: Duration,
 }
-/// x
-pub fn open(
-    _shared: Arc<Shared>,
-    _inputs: ring::Receiver<Input>,
-) -> io::Result<JoinHandle<Ending>> {
-    todo!()
+
+/// Spawns the duty; its thread ends with a planned stop.
+pub fn open(shared: Arc<Shared>, inputs: ring::Receiver<Input>) -> io::Result<JoinHandle<Ending>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(drive(shared, inputs)))
+}
+
+async fn drive(shared: Arc<Shared>, mut inputs: ring::Receiver<Input>) -> Ending {
+    let (results, mut done) = mpsc::unbounded_channel();
+    let every = Duration::from_millis(shared.timing.heartbeat_ms);
+    let mut control = Control::open(Arc::clone(&shared), results);
+    let mut beat = tokio::time::interval(every);
+    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            _ = beat.tick() => control.tick(),
+            Some(result) = done.recv() => control.done(result),
+            Some(input) = inputs.recv() => control.input(input),
+        }
+        if let Some(drain) = control.ended() {
+            return Ending { drain };
+        }
+    }
 }
--- a/crates/node/src/duties/pools/mod.rs
+++ b/crates/node/src/duties/pools/mod.rs
@@ -49,6 +49,7 @@
             return;
         }
         apply(&mut pools, input, clock);
+        pools.retain(|_, owned| !owned.is_done());
     }
 }
 
@@ -123,9 +124,6 @@
     for id in lost {
         if let Some(owned) = pools.get_mut(&id) {
             owned.release(now);
-            if owned.is_idle() {
-                pools.remove(&id);
-            }
         }
     }
 }
--- a/crates/node/src/duties/pools/owned.rs
+++ b/crates/node/src/duties/pools/owned.rs
@@ -64,8 +64,9 @@
         }
     }
 
-    pub(super) fn is_idle(&self) -> bool {
-        self.holders.is_empty()
+    /// Whether another host owns the pool and its last run here has ended.
+    pub(super) fn is_done(&self) -> bool {
+        self.released && self.holders.is_empty()
     }
 
     pub(super) fn next_wake(&self) -> Option<Duration> {
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -4,14 +4,19 @@
 //! and `Prefer: wait`). Another service means another version of [`Store`], nothing else.
 
 mod list;
+mod operations;
 
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use dunlinrock_schema::store::Keys;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 
-pub use list::HostList;
+pub use self::{
+    list::HostList,
+    operations::{PIECE_PREFIX, ROOT_KEY, perform, piece_key},
+};
 
 use crate::wire::{Answer, Client};
 
@@ -131,6 +136,32 @@
         self.swapped(&answer)
     }
 
+    /// Writes a key whatever its version is.
+    pub async fn put(&self, key: &str, value: Bytes) -> Result<Swap, StoreError> {
+        let request = self.request(Method::PUT, key);
+        let answer = self
+            .send(request.body(Full::new(value)), self.timeout)
+            .await?;
+        self.swapped(&answer)
+    }
+
+    /// Lists the keys under a prefix with their versions.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<(String, u64)>, StoreError> {
+        let uri = format!(
+            "http://{}/v1/keys?prefix={}{prefix}",
+            self.address, self.prefix
+        );
+        let request = Request::get(uri).body(Full::default());
+        let answer = self.send(request, self.timeout).await?;
+        let keys: Keys = serde_json::from_slice(&answer.body)
+            .map_err(|e| self.refused(&format!("its list of keys cannot be read: {e}")))?;
+        let own = keys.keys.iter().filter_map(|key| {
+            let name = key.key.strip_prefix(&self.prefix)?;
+            Some((name.to_owned(), key.version))
+        });
+        Ok(own.collect())
+    }
+
     /// Deletes a key where its version is `version`.
     pub async fn delete(&self, key: &str, version: u64) -> Result<Swap, StoreError> {
         let request = self
