--- a/crates/once/src/action.rs
+++ b/crates/once/src/action.rs
@@ -48,13 +48,13 @@
 /// Why a caller's attempt is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
-    /// The key names other incarnations than this host's.
+    /// The key names other incarnations than this host's, as after a restart.
     Stranger,
     /// The key's epoch is no longer held.
     EpochEnded,
     /// The key's epoch has not begun.
     EpochAhead,
-    /// No room for another record.
+    /// No room for another record, or there was none since the key's epoch began.
     Full,
     /// Too many attempts wait for this key.
     Crowded,
--- a/crates/once/src/attempts.rs
+++ b/crates/once/src/attempts.rs
@@ -9,7 +9,7 @@
 /// An attempt counts when any byte of it may have reached the host, whatever came back. The text of
 /// the header is `owner=N, witness=N`. A caller that states too few can be told a wrong `run: no`
 /// on its own request; it harms nobody else.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Attempts {
     /// Earlier attempts sent to the owner's address.
     pub owner: u32,
@@ -34,12 +34,6 @@
         owner: u32::MAX,
         witness: u32::MAX,
     };
-
-    /// Whether there was no earlier attempt.
-    #[must_use]
-    pub fn is_first(self) -> bool {
-        self == Attempts::FIRST
-    }
 }
 
 impl fmt::Display for Attempts {
--- a/crates/once/src/key.rs
+++ b/crates/once/src/key.rs
@@ -11,7 +11,7 @@
 const DIGITS_MAX: usize = 20;
 
 /// One side of a key: an incarnation of a host, and an epoch of that incarnation's ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Seat {
     /// Incarnation of the host's process. A host that restarts has another.
     pub incarnation: u64,
@@ -23,7 +23,7 @@
 ///
 /// Its text is `<owner incarnation>.<owner epoch>.<witness incarnation>.<witness epoch>.<nonce>`,
 /// in decimal without leading zeros, so that each key has exactly one text.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key {
     /// The side that callers turn to first.
     pub owner: Seat,
--- a/crates/once/src/ledger/handover.rs
+++ b/crates/once/src/ledger/handover.rs
@@ -19,7 +19,7 @@
 };
 
 /// A planned stop.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Stop {
     /// Incarnations to hand records to.
     peers: BTreeSet<u64>,
@@ -31,7 +31,7 @@
 
 /// A hand-over under way. From here on, this side neither takes a key nor ends an epoch, so that
 /// the parts stay what they are until the peer holds them all.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct Frozen {
     at: Duration,
     /// When to give up on peers that do not answer.
@@ -300,7 +300,7 @@
             return true;
         }
         if self.is_full() {
-            return false;
+            return self.limits.faults.lose_handed;
         }
         let mut record = Record::open(handed.caller, State::Closed(Other::Unsure));
         self.learn(&key, &mut record, handed.end, out);
--- a/crates/once/src/ledger/mod.rs
+++ b/crates/once/src/ledger/mod.rs
@@ -31,7 +31,7 @@
 ///
 /// Its order and equality are those of its whole state, so that a search over states can tell
 /// which it has seen.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ledger {
     me: u64,
     limits: Limits,
@@ -41,13 +41,15 @@
     clock: Duration,
     /// Epochs before this one have been dropped.
     swept: u64,
+    /// First epoch that takes new keys, once the ledger has been full.
+    shut: Option<u64>,
     table: Table,
     peers: BTreeMap<u64, Peer>,
     stop: Option<Stop>,
 }
 
 /// What is known of another incarnation.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct Peer {
     /// Whether it is gone, as far as this host was told.
     gone: bool,
@@ -95,6 +97,7 @@
             opened: now,
             clock: now,
             swept: 0,
+            shut: None,
             table: Table::open(me),
             peers: BTreeMap::new(),
             stop: None,
--- a/crates/once/src/ledger/request.rs
+++ b/crates/once/src/ledger/request.rs
@@ -12,8 +12,9 @@
     pub(super) fn on_request(&mut self, request: Request, out: &mut Vec<Action>) {
         let role = self.role(&request.key);
         if role == Role::Stranger {
-            let run = no_if(request.attempts.is_first());
-            self.refuse(request.ticket, run, Reason::Stranger, None, out);
+            // A client library may send an attempt again by itself, on a new connection to the same
+            // address: the process that ran the first copy may be the one whose place this is.
+            self.refuse(request.ticket, Run::Unknown, Reason::Stranger, None, out);
             return;
         }
         match self.table.take(&request.key) {
@@ -71,6 +72,9 @@
     /// A request whose key has no record.
     fn on_new(&mut self, role: Role, request: Request, out: &mut Vec<Action>) {
         if let Some((run, reason, retry_after)) = self.turn_away(role, &request) {
+            if reason == Reason::Full {
+                self.shut();
+            }
             self.refuse(request.ticket, run, reason, retry_after, out);
             return;
         }
@@ -91,26 +95,43 @@
         self.put(key, record);
     }
 
-    /// Why a key without a record is refused, if it is. No record is made, so `no` is said only
-    /// where no attempt so far can run: this is the first, or this side never takes the key again.
+    /// Why a key without a record is refused, if it is.
+    ///
+    /// No record is made, so a copy of this attempt may still come, or may have run under a record
+    /// that is dropped by now. `no` is said only where this side took no such key and never will.
     fn turn_away(&self, role: Role, request: &Request) -> Option<(Run, Reason, Option<Duration>)> {
-        let first = no_if(request.attempts.is_first());
-        let here = no_if(!self.elsewhere(role, request));
-        let key = &request.key;
-        match self.epoch_standing(key) {
-            EpochStanding::Ended => return Some((first, Reason::EpochEnded, None)),
-            EpochStanding::Ahead => return Some((first, Reason::EpochAhead, None)),
+        match self.epoch_standing(&request.key) {
+            EpochStanding::Ended => return Some((Run::Unknown, Reason::EpochEnded, None)),
+            EpochStanding::Ahead => return Some((Run::Unknown, Reason::EpochAhead, None)),
             EpochStanding::Held => {}
         }
-        if self.stop.is_some() {
+        let here = no_if(!self.elsewhere(role, request));
+        if self.stop.is_some() && !self.limits.faults.take_leaving {
             return Some((here, Reason::Leaving, None));
         }
-        if self.is_full() {
-            return Some((first, Reason::Full, Some(self.epoch_left())));
+        if self.is_full() || self.is_shut(&request.key) {
+            return Some((here, Reason::Full, Some(self.epoch_left())));
         }
         None
     }
 
+    /// Shuts the epochs begun so far to new keys.
+    ///
+    /// A `no` for want of room is then true for good without a record: a copy of the attempt that
+    /// comes when there is room again is turned away too. It costs next to nothing, since there is
+    /// no room anyway before an epoch ends, and keys of later look-ups name a later epoch.
+    pub(super) fn shut(&mut self) {
+        if !self.limits.faults.forget_full {
+            self.shut = self.epoch(self.clock).checked_add(1);
+        }
+    }
+
+    /// Whether this side takes no new key of the key's epoch.
+    fn is_shut(&self, key: &Key) -> bool {
+        let epoch = self.table.epoch_of(key);
+        self.shut.is_some_and(|open| epoch < open)
+    }
+
     /// Time until the present epoch ends, when a full ledger may have room again.
     fn epoch_left(&self) -> Duration {
         let length = self.limits.epoch_length.as_nanos().max(1);
--- a/crates/once/src/ledger/table.rs
+++ b/crates/once/src/ledger/table.rs
@@ -14,7 +14,7 @@
 /// Records by this host's epoch and key.
 ///
 /// A record is taken out to be changed and put back, so that every index is kept in two places.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Table {
     me: u64,
     epochs: BTreeMap<u64, BTreeMap<Key, Record>>,
--- a/crates/once/src/ledger/witness.rs
+++ b/crates/once/src/ledger/witness.rs
@@ -70,7 +70,8 @@
             return Closing::Closed;
         }
         if self.is_full() {
-            return Closing::Unknown;
+            self.shut();
+            return Closing::Closed;
         }
         let closed = State::Closed(Other::Never);
         self.put(key.clone(), Record::open(caller, closed));
--- a/crates/once/src/limits.rs
+++ b/crates/once/src/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Limits of a ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Limits {
     /// Most records. A full ledger turns requests away before they start, and refuses claims.
     pub records: usize,
@@ -62,7 +62,7 @@
 
 /// Deliberate faults, for checks only: each removes one safeguard, so that a check of the protocol
 /// can show that it finds the loss. Never set in service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Faults {
     /// The owner sends without asking for the claim.
     pub skip_claim: bool,
@@ -78,6 +78,12 @@
     pub any_caller: bool,
     /// The first part of a hand-over counts as the whole.
     pub first_part: bool,
+    /// A record that is handed over and finds no room is dropped, and its part acknowledged.
+    pub lose_handed: bool,
+    /// A full ledger takes the keys that it turned away once it has room.
+    pub forget_full: bool,
+    /// A stopping host goes on taking keys.
+    pub take_leaving: bool,
     /// A claim that had no answer in time is kept open, and a late grant is used.
     pub late_grant: bool,
 }
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 /// A caller's attempt that waits for the key's end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Waiter {
     /// The attempt.
     pub(crate) ticket: u64,
@@ -13,7 +13,7 @@
 
 /// Where a key stands on this side. A state after `Claiming`, `Claimed` and `Running` is final, but
 /// that `Closed` can still learn how the request ended on the other side.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) enum State {
     /// Owner: the witness has been asked for the claim.
     Claiming,
@@ -37,7 +37,7 @@
 }
 
 /// What a closed side knows of the other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) enum Other {
     /// The other side may run the request.
     Unsure,
@@ -48,7 +48,7 @@
 }
 
 /// What a side waits for from the other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) enum Talk {
     /// Owner: a claim.
     Claim,
@@ -59,7 +59,7 @@
 }
 
 /// A talk with the other side that is under way.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Pending {
     /// What is waited for.
     pub(crate) talk: Talk,
@@ -79,7 +79,7 @@
 }
 
 /// A ledger's record of a key.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Record {
     /// Fingerprint of the caller and its request; only an attempt with the same one is served.
     pub(crate) caller: u64,
