--- a/crates/admit/src/drive/naive.rs
+++ b/crates/admit/src/drive/naive.rs
@@ -135,7 +135,7 @@
         if now >= self.scenario.length {
             return;
         }
-        self.events.push(now + Duration::from_secs(2), Event::Kill);
+        self.events.push(now + Duration::from_secs(5), Event::Kill);
         self.number += 1;
         let request = self.scenario.arrive(self.number, now, &mut self.rng);
         self.send(
--- a/crates/admit/src/drive/pools.rs
+++ b/crates/admit/src/drive/pools.rs
@@ -341,7 +341,10 @@
                 kills: Some(sends + 1),
                 arrived: again,
                 deadline: again + Duration::from_secs(2),
-                home: self.rng.random_range(0..DOMAINS),
+                home: self
+                    .scenario
+                    .site
+                    .domain(self.rng.random_range(0..self.targets.len())),
                 ..*request
             };
             self.route(request, again);
@@ -362,7 +365,7 @@
         if now >= self.scenario.length {
             return;
         }
-        self.events.push(now + Duration::from_secs(2), Event::Kill);
+        self.events.push(now + Duration::from_secs(5), Event::Kill);
         self.number += 1;
         let request = self.scenario.arrive(self.number, now, &mut self.rng);
         self.route(
--- a/crates/admit/src/drive/scenario.rs
+++ b/crates/admit/src/drive/scenario.rs
@@ -102,7 +102,7 @@
     /// One in three targets claims to be full, another third to be idle with a hundred slots, and
     /// the last third says nothing.
     FalseReports,
-    /// Requests, one every two seconds, that kill each target which runs them; their callers send
+    /// Requests, one every five seconds, that kill each target which runs them; their callers send
     /// them up to ten times.
     Killers,
 }
@@ -268,7 +268,8 @@
     pub(super) fingerprint: u64,
     pub(super) arrived: Duration,
     pub(super) deadline: Duration,
-    /// Failure domain whose host it reaches.
+    /// Failure domain whose host it reaches, in proportion to the domain's targets: the shares of
+    /// the regions are decided elsewhere.
     pub(super) home: usize,
     /// It kills its targets; the number of times that it was sent.
     pub(super) kills: Option<u32>,
@@ -321,7 +322,7 @@
             fingerprint: number,
             arrived: now,
             deadline: now + self.works[work].deadline,
-            home: rng.random_range(0..DOMAINS),
+            home: self.site.domain(rng.random_range(0..self.site.targets)),
             kills: None,
         }
     }
