--- a/crates/admit/examples/sweep.rs
+++ b/crates/admit/examples/sweep.rs
@@ -30,6 +30,12 @@
         values: &[0.0, 0.25, 0.5, 0.75],
         set: |rules, x| rules.short_share = x,
     },
+    Sweep {
+        name: "reserve",
+        loads: &["long among short"],
+        values: &[0.0, 0.5, 1.0, 1.25, 1.5, 2.0],
+        set: |rules, x| rules.reserve = x,
+    },
     Sweep {
         name: "slow",
         loads: &["calm", "slow target", "saturation"],
--- a/crates/admit/src/pool/admit.rs
+++ b/crates/admit/src/pool/admit.rs
@@ -153,12 +153,15 @@
         let other = &self.queues[1 - class as usize];
         let slots = f64::from(self.room(now).serving(class, !other.is_empty()));
         let (n, work) = self.queues[class as usize].ahead(rank);
-        let busy = self.busy[0] + self.busy[1];
-        let running = self.load as f64 / f64::from(busy.max(1)) / 1e6;
         let ahead = work as f64 / 1e6;
-        let each = if n == 0 { running } else { ahead / n as f64 };
-        let mean = (ahead + running) / slots;
-        let spread = SPREAD * each * ((n + 1) as f64).sqrt() / slots;
+        let first = self.first_free(class);
+        let mean = first + ahead / slots;
+        let each = if n == 0 {
+            0.0
+        } else {
+            ahead / n as f64 / slots
+        };
+        let spread = SPREAD * first.max(each * (n as f64).sqrt());
         // With no slot at all, nothing moves until the limits change.
         let still = match self.targets.slots() {
             0 => self.targets.until().unwrap_or(now).saturating_sub(now),
@@ -170,6 +173,21 @@
         }
     }
 
+    /// Expected time, in seconds, until one of the slots that a class may use is free.
+    ///
+    /// A class waits for its own runs and for those of the other, whichever end sooner: pages that
+    /// turn over a few slots in milliseconds do not wait for the summaries in the rest.
+    fn first_free(&self, class: Class) -> f64 {
+        let turn = |i: usize| self.load[i] as f64 / 1e6 / f64::from(self.busy[i].max(1)).powi(2);
+        let (own, other) = (class as usize, 1 - class as usize);
+        match (self.busy[own], self.busy[other]) {
+            (0, 0) => 0.0,
+            (0, _) => turn(other),
+            (_, 0) => turn(own),
+            _ => turn(own).min(turn(other)),
+        }
+    }
+
     /// Counts a refusal and puts it into words.
     pub(super) fn refused(&mut self, reason: Refusal, retry_after: Duration) -> Verdict {
         self.counts.refused += 1;
--- a/crates/admit/src/pool/due.rs
+++ b/crates/admit/src/pool/due.rs
@@ -67,7 +67,7 @@
                 continue;
             };
             let age = now.saturating_sub(run.since);
-            let ratio = age.as_secs_f64() / request.estimate.mean.as_secs_f64().max(1e-6);
+            let ratio = request.ratio(age);
             request.check = now + age.max(request.estimate.p95);
             self.checks.insert((request.check, ticket));
             self.targets.late(run.target, ratio);
--- a/crates/admit/src/pool/finish.rs
+++ b/crates/admit/src/pool/finish.rs
@@ -37,9 +37,9 @@
             .position(|r| &*self.targets.get(r.target).name == target)?;
         let run = request.runs.remove(at);
         self.busy[request.class as usize] -= 1;
-        self.load -= request.estimate.mean.as_micros() as u64;
+        self.load[request.class as usize] -= request.estimate.mean.as_micros() as u64;
         let time = now.saturating_sub(run.since);
-        let ratio = time.as_secs_f64() / request.estimate.mean.as_secs_f64().max(1e-6);
+        let ratio = request.ratio(time);
         let end = Finished {
             target: run.target,
             ticket,
--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -55,8 +55,8 @@
     checks: BTreeSet<(Duration, u64)>,
     /// Runs of short work, then of long work.
     busy: [u32; 2],
-    /// Sum of the expected times of what runs, in microseconds.
-    load: u64,
+    /// Sums of the expected times of what runs, short and long, in microseconds.
+    load: [u64; 2],
     kinds: Kinds,
     short_need: Meter,
     budget: Budget,
@@ -76,7 +76,7 @@
             due: BTreeSet::new(),
             checks: BTreeSet::new(),
             busy: [0; 2],
-            load: 0,
+            load: [0; 2],
             kinds: Kinds::open(rules.guess),
             short_need: Meter::default(),
             budget: Budget::open(rules.retry_share),
@@ -186,7 +186,7 @@
     /// Expected time between two free slots while all slots are in use.
     fn turn(&self) -> Duration {
         let busy = u64::from(self.busy[0] + self.busy[1]).max(1);
-        let mean = match self.load {
+        let mean = match self.load[0] + self.load[1] {
             0 => self.rules.guess,
             work => Duration::from_micros(work / busy),
         };
@@ -196,12 +196,7 @@
     /// How the slots are divided at this moment.
     fn room(&self, now: Duration) -> Room {
         let need = self.short_need.read(now);
-        Room::divide(
-            self.targets.slots(),
-            self.rules.short_share,
-            need,
-            self.busy,
-        )
+        Room::divide(self.targets.slots(), &self.rules, need, self.busy)
     }
 
     /// Takes a waiting request out of its queue.
--- a/crates/admit/src/pool/request.rs
+++ b/crates/admit/src/pool/request.rs
@@ -102,6 +102,14 @@
         self.latest = deadline.min(patience);
     }
 
+    /// A time as a ratio to what is expected, or 1 if too little is known of the kind.
+    pub(super) fn ratio(&self, time: Duration) -> f64 {
+        if !self.estimate.known {
+            return 1.0;
+        }
+        time.as_secs_f64() / self.estimate.mean.as_secs_f64().max(1e-6)
+    }
+
     /// It can spare the time that a slow target may take.
     pub(super) fn spares(&self, now: Duration) -> bool {
         now + self.estimate.mean * 10 <= self.deadline
--- a/crates/admit/src/pool/rules.rs
+++ b/crates/admit/src/pool/rules.rs
@@ -13,6 +13,8 @@
     pub short: Duration,
     /// Share of the slots, 0 to 1, that short work is sure of while it competes with long work.
     pub short_share: f64,
+    /// Slots kept free of long work for each slot that short work has lately needed.
+    pub reserve: f64,
     /// Guess of the service time of a kind of request that has not been seen yet.
     pub guess: Duration,
     /// Time in which a cold target's slots grow from one to all.
@@ -35,7 +37,8 @@
             queue: 512,
             patience: Duration::from_secs(5),
             short: Duration::from_millis(100),
-            short_share: 0.25,
+            short_share: 0.5,
+            reserve: 1.0,
             guess: Duration::from_millis(20),
             ramp: Duration::from_secs(10),
             slow: 3.0,
--- a/crates/admit/src/pool/start.rs
+++ b/crates/admit/src/pool/start.rs
@@ -93,7 +93,7 @@
                 dead: false,
             });
             self.busy[request.class as usize] += 1;
-            self.load += request.estimate.mean.as_micros() as u64;
+            self.load[request.class as usize] += request.estimate.mean.as_micros() as u64;
             if !hedge {
                 request.check = now + request.estimate.p95;
                 self.checks.insert((request.check, ticket));
--- a/crates/admit/src/room/mod.rs
+++ b/crates/admit/src/room/mod.rs
@@ -10,15 +10,11 @@
 
 use std::time::Duration;
 
-use crate::work::Class;
+use crate::{PoolRules, work::Class};
 
 /// Time over which short work is averaged.
 const WINDOW: f64 = 5.0;
 
-/// Slots kept free per slot of short work that is to be expected: arrivals bunch, and at twice the
-/// mean a short request finds a free slot nine times in ten.
-const MARGIN: f64 = 2.0;
-
 /// Below this many slots of short work on average nothing is reserved: one slot of nine is too
 /// dear for a request every few seconds.
 const LEAST: f64 = 0.02;
@@ -59,13 +55,13 @@
 
 impl Room {
     /// Divides `slots`, given the average need of short work.
-    pub(crate) fn divide(slots: u32, short_share: f64, need: f64, busy: [u32; 2]) -> Self {
+    pub(crate) fn divide(slots: u32, rules: &PoolRules, need: f64, busy: [u32; 2]) -> Self {
         let most = slots.saturating_sub(1);
-        let share = ((f64::from(slots) * short_share).ceil() as u32).min(most);
+        let share = ((f64::from(slots) * rules.short_share).ceil() as u32).min(most);
         let reserve = if need < LEAST {
             0
         } else {
-            ((need * MARGIN).ceil() as u32).min(share)
+            ((need * rules.reserve).ceil() as u32).min(share)
         };
         Self {
             slots,
--- a/crates/admit/src/work/mod.rs
+++ b/crates/admit/src/work/mod.rs
@@ -27,6 +27,9 @@
 /// is the 98th percentile, for narrower ones beyond the 99th.
 const TAIL: f64 = 4.0;
 
+/// Samples after which a kind's estimate may speak against a target.
+const KNOWN: u32 = 16;
+
 /// Whether work competes for the share of slots that is kept for short work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Class {
@@ -43,6 +46,9 @@
     pub(crate) tail: Duration,
     /// 95th percentile of the service time.
     pub(crate) p95: Duration,
+    /// There are enough samples to judge a target by. Without this a pool that has just been
+    /// opened would take the first long requests for the work of slow targets, and eject them.
+    pub(crate) known: bool,
 }
 
 /// Service times of one kind, in seconds.
@@ -52,7 +58,7 @@
     /// Mean absolute deviation.
     dev: f64,
     p95: f64,
-    seen: bool,
+    seen: u32,
     used: Duration,
 }
 
@@ -63,22 +69,23 @@
             mean,
             dev: mean / 2.0,
             p95: 3.0 * mean,
-            seen: false,
+            seen: 0,
             used: now,
         }
     }
 
     fn sample(&mut self, time: f64) {
-        if !self.seen {
+        if self.seen == 0 {
             *self = Self {
                 mean: time,
                 dev: time / 2.0,
                 p95: 3.0 * time,
-                seen: true,
+                seen: 1,
                 ..*self
             };
             return;
         }
+        self.seen = self.seen.saturating_add(1);
         let off = time - self.mean;
         self.mean += GAIN * off;
         self.dev += GAIN * (off.abs() - self.dev);
@@ -94,6 +101,7 @@
             mean: Duration::from_secs_f64(self.mean),
             tail: Duration::from_secs_f64(self.mean + TAIL * self.dev),
             p95: Duration::from_secs_f64(self.p95.max(self.mean)),
+            known: self.seen >= KNOWN,
         }
     }
 }
