--- a/crates/admit/src/pool/admit.rs
+++ b/crates/admit/src/pool/admit.rs
@@ -93,7 +93,7 @@
         if request.class == Class::Long && !room.long_fits() {
             return None;
         }
-        self.targets.place(&request.tried, request.spares(now))
+        self.targets.place(&request.ask(self.strain(), now), now)
     }
 
     fn start_offered(&mut self, request: Request, at: usize, now: Duration) -> Verdict {
@@ -110,7 +110,8 @@
         let queue = &self.queues[request.class as usize];
         let rank = queue.rank(request.caller, request.key);
         let wait = self.wait(request.class, rank, now);
-        request.wait(self.rules.patience, now);
+        let patience = self.patience(request.class, request.estimate.mean, now);
+        request.wait(patience, now);
         if now + wait.most > request.latest {
             let over = (now + wait.most).saturating_sub(request.latest);
             return self.refused(request.reason, bounded(over));
@@ -119,6 +120,9 @@
             let retry_after = self.retry_after(Refusal::Full, request.fingerprint, now);
             return self.refused(Refusal::Full, retry_after);
         }
+        if self.queues[request.class as usize].is_empty() {
+            self.empty[request.class as usize] = now;
+        }
         let work = request.estimate.mean.as_micros() as u64;
         let (ticket, caller, key) = (request.ticket, request.caller, request.key);
         let slot = self.queues[request.class as usize].push(ticket, caller, key, work);
--- a/crates/admit/src/pool/due.rs
+++ b/crates/admit/src/pool/due.rs
@@ -6,6 +6,7 @@
     Pool,
     offer::{Action, Refusal},
 };
+use crate::target::Ask;
 
 impl Pool {
     /// All that is due: starts, refusals, hedges, aborts.
@@ -96,7 +97,14 @@
                 .iter()
                 .map(|r| Arc::clone(&self.targets.get(r.target).name)),
         );
-        let Some(at) = self.targets.place(&tried, false) else {
+        let Some(at) = self.targets.place(
+            &Ask {
+                tried: &tried,
+                spares: false,
+                strain: 0.0,
+            },
+            now,
+        ) else {
             return;
         };
         if !self.budget.spend() {
--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -48,6 +48,8 @@
     tickets: BTreeMap<u64, Request>,
     /// Short work, then long work.
     queues: [FairQueue; 2],
+    /// When each queue was last empty.
+    empty: [Duration; 2],
     trials: Trials,
     /// Waiting requests by their last moment to start.
     due: BTreeSet<(Duration, u64)>,
@@ -72,6 +74,7 @@
             targets: Targets::open(targets, now),
             tickets: BTreeMap::new(),
             queues: [FairQueue::open(rules.seed), FairQueue::open(rules.seed + 1)],
+            empty: [now; 2],
             trials: Trials::default(),
             due: BTreeSet::new(),
             checks: BTreeSet::new(),
@@ -212,6 +215,18 @@
         self.due.remove(&(request.latest, ticket));
     }
 
+    /// Longest time that a request of a class with this service time may wait, from `now` on.
+    fn patience(&self, class: Class, mean: Duration, now: Duration) -> Duration {
+        let age = now.saturating_sub(self.empty[class as usize]);
+        let stands = !self.queues[class as usize].is_empty() && age > self.rules.patience;
+        let most = if stands {
+            self.rules.standing
+        } else {
+            self.rules.patience
+        };
+        most.max(mean)
+    }
+
     fn class(&self, mean: Duration) -> Class {
         if mean <= self.rules.short {
             Class::Short
--- a/crates/admit/src/pool/request.rs
+++ b/crates/admit/src/pool/request.rs
@@ -5,6 +5,7 @@
 use crate::{
     Offer, Refusal,
     fair::Slot,
+    target::Ask,
     work::{Class, Estimate},
 };
 
@@ -110,6 +111,15 @@
         time.as_secs_f64() / self.estimate.mean.as_secs_f64().max(1e-6)
     }
 
+    /// What it asks of its target.
+    pub(super) fn ask(&self, strain: f64, now: Duration) -> Ask<'_> {
+        Ask {
+            tried: &self.tried,
+            spares: self.spares(now),
+            strain,
+        }
+    }
+
     /// It can spare the time that a slow target may take.
     pub(super) fn spares(&self, now: Duration) -> bool {
         now + self.estimate.mean * 10 <= self.deadline
--- a/crates/admit/src/pool/rules.rs
+++ b/crates/admit/src/pool/rules.rs
@@ -7,8 +7,12 @@
 pub struct PoolRules {
     /// Most requests that wait at once. When it is full, the request with the worst rank leaves.
     pub queue: usize,
-    /// Longest time a request waits, whatever its deadline.
+    /// Longest time that a request waits, whatever its deadline, in a queue that a burst has
+    /// made; work that takes longer may wait for as long as it takes.
     pub patience: Duration,
+    /// The same in a queue that has not been empty for `patience`: the overload lasts, and a
+    /// longer wait would add to each answer without adding one answer.
+    pub standing: Duration,
     /// Work expected to take up to this long is short; the rest is long.
     pub short: Duration,
     /// Share of the slots, 0 to 1, that short work is sure of while it competes with long work.
@@ -35,7 +39,8 @@
     fn default() -> Self {
         Self {
             queue: 512,
-            patience: Duration::from_secs(5),
+            patience: Duration::from_millis(100),
+            standing: Duration::from_millis(50),
             short: Duration::from_millis(100),
             short_share: 0.5,
             reserve: 1.0,
--- a/crates/admit/src/pool/start.rs
+++ b/crates/admit/src/pool/start.rs
@@ -52,7 +52,7 @@
                 self.divert(ticket, grade, now);
                 return true;
             }
-            if let Some(at) = self.targets.place(&request.tried, request.spares(now)) {
+            if let Some(at) = self.targets.place(&request.ask(self.strain(), now), now) {
                 self.start_queued(ticket, class, slot, at, now);
                 return true;
             }
@@ -60,6 +60,11 @@
         false
     }
 
+    /// Mean service times until a slot is expected to be free for what waits.
+    pub(super) fn strain(&self) -> f64 {
+        (self.waiting() + 1) as f64 / f64::from(self.targets.slots().max(1))
+    }
+
     fn start_queued(&mut self, ticket: u64, class: Class, slot: Slot, at: usize, now: Duration) {
         self.queues[class as usize].start(slot);
         self.start_waiting(ticket, at, now);
@@ -82,7 +87,7 @@
 
     /// Notes a run of a request that is in `tickets` and in no queue.
     pub(super) fn run(&mut self, ticket: u64, at: usize, now: Duration) -> Arc<str> {
-        self.targets.start(at, ticket, now);
+        self.targets.start(at, ticket, &self.rules, now);
         if let Some(request) = self.tickets.get_mut(&ticket) {
             let hedge = !request.runs.is_empty();
             request.place = Place::Running;
--- a/crates/admit/src/target/health.rs
+++ b/crates/admit/src/target/health.rs
@@ -55,8 +55,8 @@
     last: Duration,
     down: Duration,
     deaths: u32,
-    /// It is slow, but no more may be ejected: slots that it is left with.
-    throttle: Option<u32>,
+    /// It is slow, but no more may be ejected: when it is probed next.
+    spared: Option<Duration>,
 }
 
 impl Default for Health {
@@ -70,7 +70,7 @@
             last: Duration::ZERO,
             down: Duration::ZERO,
             deaths: 0,
-            throttle: None,
+            spared: None,
         }
     }
 }
@@ -130,7 +130,7 @@
         self.last = now;
         let time = (time * 2_u32.pow(self.times.min(8))).min(EJECT_MAX.max(time));
         self.times += 1;
-        self.throttle = None;
+        self.spared = None;
         self.ejected = Some(Ejected {
             until: now + time,
             good: 0,
@@ -157,20 +157,39 @@
     /// Takes the target back, with a clean record.
     pub(crate) fn restore(&mut self) {
         self.ejected = None;
-        self.throttle = None;
+        self.spared = None;
         self.ratio = 1.0;
         self.samples = 0;
         self.fails = 0;
     }
 
-    /// Leaves a slow target that may not be ejected the slots that fit its speed.
-    pub(crate) fn throttle(&mut self, slots: u32) {
-        let n = (f64::from(slots) / self.ratio.max(1.0)) as u32;
-        self.throttle = Some(n.max(1));
+    /// Keeps a slow target that may not be ejected as a last resort, probed like an ejected one.
+    pub(crate) fn spare(&mut self, time: Duration, now: Duration) {
+        if self.spared.is_none() {
+            self.spared = Some(now + time);
+        }
+    }
+
+    pub(crate) fn unspare(&mut self) {
+        self.spared = None;
     }
 
-    pub(crate) fn unthrottle(&mut self) {
-        self.throttle = None;
+    /// Whether a slow target that may not be ejected is worth a start, when the others would have
+    /// a free slot after `strain` mean service times.
+    ///
+    /// It takes `ratio` mean service times itself, so that waiting for another is better until the
+    /// queue is as long as that. Without a start now and then nobody would see that it has
+    /// recovered.
+    pub(crate) fn worth(&self, strain: f64, now: Duration) -> bool {
+        self.spared
+            .is_none_or(|probe| strain + 1.0 >= self.ratio || now >= probe)
+    }
+
+    /// A start was made: the next probe comes later.
+    pub(crate) fn started(&mut self, time: Duration, now: Duration) {
+        if let Some(probe) = self.spared.as_mut().filter(|t| now >= **t) {
+            *probe = now + time;
+        }
     }
 
     /// Scale of its cost in placement.
@@ -189,13 +208,13 @@
         match self.ejected {
             Some(e) if now < e.until => 0,
             Some(_) => 1,
-            None => self.throttle.unwrap_or(slots).min(slots),
+            None => slots,
         }
     }
 
     pub(crate) fn changes(&self, now: Duration) -> Option<Duration> {
         let back = self.ejected.map(|e| e.until);
-        [Some(self.down), back]
+        [Some(self.down), back, self.spared]
             .into_iter()
             .flatten()
             .filter(|t| *t > now)
--- a/crates/admit/src/target/limit.rs
+++ b/crates/admit/src/target/limit.rs
@@ -19,6 +19,11 @@
 /// two of these: the report may describe a moment that long ago.
 const LAG: Duration = Duration::from_secs(1);
 
+/// After a report has held slots back and nothing bore it out, the target's reports hold nothing
+/// back for this long. A target that always claims to be full costs half its slots for one part in
+/// six of the time, at a `report_life` of 2 s.
+const DOUBT: Duration = Duration::from_secs(10);
+
 /// How long a refusal by the target caps what it is given.
 const SHED_LIFE: Duration = Duration::from_secs(1);
 
@@ -39,6 +44,8 @@
     leaving: Option<Duration>,
     reported: Cap,
     shed: Cap,
+    /// Reports hold nothing back before then.
+    doubt: Duration,
     /// Most runs in the present and in the previous span of [`LAG`].
     peaks: [u32; 2],
     span: Duration,
@@ -74,6 +81,8 @@
 
     /// The target turned a request away while it ran `busy` others.
     pub(crate) fn shed(&mut self, busy: u32, now: Duration) {
+        // It is as full as its reports may have said.
+        self.doubt = now;
         self.shed = Cap {
             slots: busy.max(1),
             until: now + SHED_LIFE,
@@ -109,7 +118,8 @@
             report.slots.min(slots)
         };
         let free = told.saturating_sub(others);
-        if free < slots {
+        if free < slots && now >= self.doubt {
+            self.doubt = now + rules.report_life + DOUBT;
             self.reported = Cap {
                 slots: free.max(slots.div_ceil(2)),
                 until: now + rules.report_life,
--- a/crates/admit/src/target/mod.rs
+++ b/crates/admit/src/target/mod.rs
@@ -8,7 +8,7 @@
 mod limit;
 mod set;
 
-pub(crate) use self::set::{Finished, Targets};
+pub(crate) use self::set::{Ask, Finished, Targets};
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/admit/src/target/set.rs
+++ b/crates/admit/src/target/set.rs
@@ -18,6 +18,16 @@
     pub(crate) ratio: f64,
 }
 
+/// What a request asks of its target.
+pub(crate) struct Ask<'a> {
+    /// Targets that it must not go to.
+    pub(crate) tried: &'a [Arc<str>],
+    /// Its deadline leaves time for a slow run.
+    pub(crate) spares: bool,
+    /// Mean service times until another slot is expected to be free for it.
+    pub(crate) strain: f64,
+}
+
 /// The targets, at positions that do not change while something runs on them.
 ///
 /// Invariants: the limits are those of the time of the last `refresh`; at most a third of the
@@ -117,7 +127,7 @@
         }
     }
 
-    /// Ejects and throttles slow targets.
+    /// Ejects slow targets, or keeps them as a last resort.
     fn judge(&mut self, rules: &PoolRules, now: Duration) {
         self.norm = self.median(now);
         let usable = self.list.iter().filter(|t| t.hopeful(now)).count();
@@ -136,12 +146,12 @@
             .filter(|t| t.hopeful(now) && !t.health.ejected())
         {
             if !t.health.bad(rules.slow, self.norm) {
-                t.health.unthrottle();
+                t.health.unspare();
             } else if out < most {
                 t.health.eject(rules.eject, now);
                 out += 1;
             } else {
-                t.health.throttle(t.slots);
+                t.health.spare(rules.eject, now);
             }
         }
     }
@@ -159,11 +169,12 @@
     }
 
     /// The target that the next start goes to, if any has a free slot.
-    pub(crate) fn place(&self, tried: &[Arc<str>], spare: bool) -> Option<usize> {
+    pub(crate) fn place(&self, ask: &Ask<'_>, now: Duration) -> Option<usize> {
         let mut best = None;
         for (i, t) in self.list.iter().enumerate() {
             // A probe may take ten times as long: only what can spare that time is used for it.
-            if !t.takes() || (t.health.probes() && !spare) || tried.contains(&t.name) {
+            let skip = t.health.probes() && !ask.spares || ask.tried.contains(&t.name);
+            if !t.takes() || skip || !t.health.worth(ask.strain, now) {
                 continue;
             }
             let cost = t.cost();
@@ -181,8 +192,9 @@
             .any(|t| t.hopeful(now) && !tried.contains(&t.name))
     }
 
-    pub(crate) fn start(&mut self, at: usize, ticket: u64, now: Duration) {
+    pub(crate) fn start(&mut self, at: usize, ticket: u64, rules: &PoolRules, now: Duration) {
         let t = &mut self.list[at];
+        t.health.started(rules.eject, now);
         t.running.push(ticket);
         let busy = t.busy();
         t.limits.note(busy, now);
