--- a/crates/steer/src/grants/bucket.rs
+++ b/crates/steer/src/grants/bucket.rs
@@ -6,6 +6,10 @@
 /// would be too long for a link, none at all would waste what comes unevenly.
 const BURST: f64 = 0.1;
 
+/// Requests that a bucket holds at least. Requests of one host come in no even rhythm: a bucket
+/// of one or two turns away a third of a low rate that its grants would carry.
+const LEAST: f64 = 4.0;
+
 /// Tokens that come at a rate and are taken one request at a time.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Bucket {
@@ -22,12 +26,11 @@
         }
     }
 
-    /// Adds what came at `rate` since the last time. A bucket holds at least `least`, or a low rate
-    /// would never come to one request.
-    pub(super) fn fill(&mut self, rate: f64, least: f64, now: Duration) {
+    /// Adds what came at `rate` since the last time; `one` is what a request takes.
+    pub(super) fn fill(&mut self, rate: f64, one: f64, now: Duration) {
         let time = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        let most = (rate * BURST).max(least);
+        let most = (rate * BURST).max(one * LEAST);
         self.tokens = (self.tokens + rate * time).min(most);
     }
 
--- a/crates/steer/src/grants/grantor.rs
+++ b/crates/steer/src/grants/grantor.rs
@@ -122,6 +122,20 @@
         grants
     }
 
+    /// Requests a second of a service that the host's own callers may send here beyond what they
+    /// do, lent room left out; none where the last measurement is old.
+    pub fn spare(&self, service: &str, now: Duration) -> f64 {
+        let Some(measured) = self.own.get(service) else {
+            return 0.0;
+        };
+        if now.saturating_sub(measured.at) > FRESH {
+            return 0.0;
+        }
+        let lent = self.book.iter().filter(|(name, _, _)| ***name == *service);
+        let lent: f64 = lent.map(|(_, _, amount)| amount.slots).sum();
+        (measured.room(self.headroom) - lent).max(0.0) / measured.work()
+    }
+
     /// All that is asked for, in a fixed order. Needs without a target here are left out.
     fn wants(&self, now: Duration) -> Vec<Want> {
         let mut wants = Vec::new();
--- a/crates/steer/src/grants/own.rs
+++ b/crates/steer/src/grants/own.rs
@@ -11,10 +11,20 @@
     pub slots: f64,
     /// Slots in use, on average since the last measurement, by callers of its own region.
     pub busy: f64,
+    /// Requests a second that this host itself sends to its region's targets for such callers. By
+    /// this count use cannot be less than `rate` times `work`, whatever `busy` says.
+    pub rate: f64,
     /// Mean time that a request takes up a slot.
     pub work: Duration,
 }
 
+impl Own {
+    /// Slots in use: what is reported or what the host's own count comes to, whichever is more.
+    fn used(&self) -> f64 {
+        self.busy.max(self.rate * self.work.as_secs_f64())
+    }
+}
+
 /// The measurements of the last while.
 #[derive(Clone, Debug)]
 pub(super) struct Measured {
@@ -33,20 +43,17 @@
         Self {
             last: own,
             at: now,
-            peaks: VecDeque::from([(now, own.busy)]),
+            peaks: VecDeque::from([(now, own.used())]),
             slots: VecDeque::from([(now, own.slots)]),
         }
     }
 
     pub(super) fn add(&mut self, own: Own, now: Duration) {
+        let used = own.used();
         self.last = own;
         self.at = now;
-        while self
-            .peaks
-            .pop_back_if(|(_, busy)| *busy <= own.busy)
-            .is_some()
-        {}
-        self.peaks.push_back((now, own.busy));
+        while self.peaks.pop_back_if(|(_, busy)| *busy <= used).is_some() {}
+        self.peaks.push_back((now, used));
         while self
             .peaks
             .pop_front_if(|(at, _)| now.saturating_sub(*at) > PEAK)
@@ -66,7 +73,10 @@
 
     /// Slots that may be lent, while `headroom` of all is left free.
     pub(super) fn room(&self, headroom: f64) -> f64 {
-        let peak = self.peaks.front().map_or(self.last.busy, |(_, busy)| *busy);
+        let peak = self
+            .peaks
+            .front()
+            .map_or(self.last.used(), |(_, busy)| *busy);
         let slots = self
             .slots
             .front()
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -44,6 +44,7 @@
 //! * [`Blocks`]: client address to region, by longest prefix.
 //! * [`Goals`], [`Shares`]: where traffic is meant to go, and the capped way there.
 //! * [`Grantor`], [`Grantee`]: headroom of a region and its links, lent for a short time.
+//! * [`spill`]: what a host needs of other regions, and how far its shares may go.
 //! * [`hosts`]: which hosts a look-up answers with.
 //! * [`divide`]: rules that divide several scarce resources.
 //! * [`naive`]: the baseline that the decisions are measured against.
@@ -55,11 +56,13 @@
 pub mod hosts;
 pub mod naive;
 pub mod shift;
+pub mod spill;
 pub mod spread;
 
 pub use {
     blocks::{Blocks, Builder},
     grants::{Ask, Grant, Grantee, Grantor, Links, Need, Own},
     shift::{Ceilings, Peer, Reason, Refusal, Rows, Shares},
+    spill::{Traffic, Traffics},
     spread::{Goal, Goals},
 };
--- /dev/null
+++ b/crates/steer/src/spill/mod.rs
@@ -0,0 +1,145 @@
+//! What a host needs of other regions, and how far its shares may go by what it was lent.
+//!
+//! The load: a goal that gives a region more work than it has room for. A share that moves there
+//! in spite of that is turned away request by request, and the room of its old place stands idle.
+//! So a host asks for room a window ahead of its shares, and a share moves only as far as the
+//! grants carry it.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use dunlinrock_config::goal::Row;
+
+use crate::{Ceilings, Goal, Goals, Grantee, Grantor, Need, Rows, Shares};
+
+/// How much more is asked for than the mean rate needs: requests come unevenly, and a bucket that
+/// is filled at the mean rate alone turns some away. At 1.25 a host with 40 requests a second to a
+/// region turns away less than one in a thousand.
+pub const MARGIN: f64 = 1.25;
+
+/// What a host measures of one service's callers in one region.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Traffic {
+    /// Requests a second that this host gets.
+    pub rate: f64,
+    /// Mean size of a request, in bytes.
+    pub request_bytes: f64,
+    /// Mean size of an answer, in bytes.
+    pub answer_bytes: f64,
+}
+
+/// Traffic by service, then by region of callers.
+pub type Traffics = BTreeMap<Arc<str>, BTreeMap<Arc<str>, Traffic>>;
+
+/// What a host in `region` needs of other regions, by region.
+///
+/// Its own region is among them for callers of other regions: the host then takes work from
+/// elsewhere too.
+pub fn needs(
+    goals: &Goals,
+    shares: &Shares,
+    traffic: &Traffics,
+    region: &str,
+) -> BTreeMap<Arc<str>, Vec<Need>> {
+    let rows = shares.rows();
+    let mut needs: BTreeMap<Arc<str>, Vec<Need>> = BTreeMap::new();
+    for (service, callers, goal, traffic) in lanes(goals, traffic) {
+        for (serving, share) in wanted(goal, row(&rows, service, callers)) {
+            if free(region, callers, &serving) || share * traffic.rate <= 0.0 {
+                continue;
+            }
+            let list = needs.entry(serving).or_default();
+            add(list, service, share * traffic.rate * MARGIN, &traffic);
+        }
+    }
+    needs
+}
+
+/// How far shares may go by what a host in `region` was lent, and at home by its own room.
+pub fn ceilings(
+    goals: &Goals,
+    shares: &Shares,
+    traffic: &Traffics,
+    region: &str,
+    lent: (&Grantee, &Grantor),
+    now: Duration,
+) -> Ceilings {
+    let (grantee, grantor) = lent;
+    let rows = shares.rows();
+    let needs = needs(goals, shares, traffic, region);
+    let mut ceilings = Ceilings::new();
+    for (service, callers, goal, traffic) in lanes(goals, traffic) {
+        if traffic.rate <= 0.0 {
+            continue;
+        }
+        let row = row(&rows, service, callers);
+        let mut out = Row::new();
+        for (serving, share) in wanted(goal, row) {
+            let ceiling = if free(region, callers, &serving) {
+                let now_share = row.and_then(|row| row.get(&serving)).copied();
+                now_share.unwrap_or(0.0) + grantor.spare(service, now) / traffic.rate
+            } else {
+                let list = needs.get(&serving);
+                let need = list.and_then(|list| list.iter().find(|n| n.service == *service));
+                // Callers of several regions share the grants by what each wants.
+                need.map_or(0.0, |need| {
+                    share * MARGIN * grantee.rate(&serving, need, now) / need.rate
+                })
+            };
+            out.insert(serving, ceiling);
+        }
+        let lanes = ceilings.entry(service.clone()).or_default();
+        lanes.insert(callers.clone(), out);
+    }
+    ceilings
+}
+
+/// Whether a host may send requests without a grant: its own callers' at home.
+pub fn free(region: &str, callers: &str, serving: &str) -> bool {
+    region == callers && region == serving
+}
+
+/// All services and regions of callers with traffic.
+fn lanes<'a>(
+    goals: &'a Goals,
+    traffic: &'a Traffics,
+) -> impl Iterator<Item = (&'a Arc<str>, &'a Arc<str>, &'a Goal, Traffic)> {
+    goals.lanes.iter().flat_map(move |(service, lanes)| {
+        lanes.iter().filter_map(move |(callers, goal)| {
+            let traffic = traffic.get(service)?.get(callers)?;
+            Some((service, callers, goal, *traffic))
+        })
+    })
+}
+
+fn row<'r>(rows: &'r Rows, service: &str, callers: &str) -> Option<&'r Row> {
+    rows.get(service)?.get(callers)
+}
+
+/// The shares that a lane may have within a window: what it has, and towards its goal at most the
+/// cap more. Regions that cannot serve want nothing.
+fn wanted<'a>(goal: &'a Goal, row: Option<&'a Row>) -> impl Iterator<Item = (Arc<str>, f64)> + 'a {
+    goal.able.iter().filter_map(move |region| {
+        let goal_share = goal.row.get(region).copied().unwrap_or(0.0);
+        let share = row.and_then(|row| row.get(region)).copied().unwrap_or(0.0);
+        let wanted = share.max(goal_share.min(share + goal.cap));
+        (wanted > 0.0).then(|| (region.clone(), wanted))
+    })
+}
+
+/// Adds a rate to a service's need; sizes are means over all callers.
+fn add(list: &mut Vec<Need>, service: &Arc<str>, rate: f64, traffic: &Traffic) {
+    let Some(need) = list.iter_mut().find(|need| need.service == *service) else {
+        list.push(Need {
+            service: service.clone(),
+            rate,
+            request_bytes: traffic.request_bytes,
+            answer_bytes: traffic.answer_bytes,
+        });
+        return;
+    };
+    let sum = need.rate + rate;
+    let mean = |old: f64, new: f64| (old * need.rate + new * rate) / sum;
+    need.request_bytes = mean(need.request_bytes, traffic.request_bytes);
+    need.answer_bytes = mean(need.answer_bytes, traffic.answer_bytes);
+    need.rate = sum;
+}
--- /dev/null
+++ b/crates/steer/tests/drive/host.rs
@@ -0,0 +1,203 @@
+//! One host: the decisions of the crate, or the baseline, wired together as a daemon would.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use dunlinrock_config::goal::Row;
+use dunlinrock_steer::{
+    Goals, Grantee, Grantor, Links, Own, Peer, Rows, Shares, Traffics, naive::Immediate, spill,
+};
+
+use super::{GONE, Message, TICK};
+
+/// What hosts go by.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Policy {
+    /// Capped shares and grants.
+    Steered,
+    /// To the goal at once, without grants.
+    Baseline,
+}
+
+/// How fast a host's estimate of its traffic follows, for one tick.
+const FOLLOW: f64 = 0.03;
+
+pub struct Host {
+    pub name: Arc<str>,
+    pub region: Arc<str>,
+    policy: Policy,
+    pub shares: Shares,
+    grantor: Grantor,
+    grantee: Grantee,
+    naive: Immediate,
+    traffic: Traffics,
+    /// Shares of peers and when they came.
+    heard: BTreeMap<Arc<str>, (Duration, Arc<Rows>)>,
+    /// When this host first had the list of hosts.
+    since: Duration,
+    /// All hosts that the list names.
+    listed: BTreeSet<Arc<str>>,
+    goals: Arc<Goals>,
+}
+
+impl Host {
+    pub fn open(name: &Arc<str>, region: &Arc<str>, policy: Policy, now: Duration) -> Self {
+        Self {
+            name: name.clone(),
+            region: region.clone(),
+            policy,
+            shares: Shares::open(),
+            grantor: Grantor::open(name, region, now),
+            grantee: Grantee::open(name, region),
+            naive: Immediate::default(),
+            traffic: Traffics::new(),
+            heard: BTreeMap::new(),
+            since: now,
+            listed: BTreeSet::new(),
+            goals: Arc::default(),
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        self.policy == Policy::Baseline || self.shares.ready()
+    }
+
+    pub fn row(&self, service: &str, callers: &str) -> Row {
+        if self.policy == Policy::Baseline {
+            let goal = self.goals.find(service, callers);
+            return goal.map(|goal| goal.row.clone()).unwrap_or_default();
+        }
+        let rows = self.shares.rows();
+        let row = rows.get(service).and_then(|lanes| lanes.get(callers));
+        row.cloned().unwrap_or_default()
+    }
+
+    pub fn receive(&mut self, message: Message, now: Duration) {
+        match message {
+            Message::Rows { from, rows } => drop(self.heard.insert(from, (now, rows))),
+            Message::Ask(ask) => self.grantor.ask(ask, now),
+            Message::Grant(grant) => self.grantee.receive(grant, now),
+        }
+    }
+
+    /// Sends heartbeats, asks, and grants for what was asked.
+    pub fn beat(
+        &mut self,
+        goals: &Goals,
+        all: &[(Arc<str>, Arc<str>)],
+        (headroom, links): (f64, Links),
+        now: Duration,
+    ) -> Vec<(Arc<str>, Message)> {
+        let mut mail = Vec::new();
+        if self.policy == Policy::Baseline {
+            return mail;
+        }
+        self.listed = all.iter().map(|(name, _)| name.clone()).collect();
+        let rows = Arc::new(self.shares.rows());
+        for (name, _) in all.iter().filter(|(name, _)| *name != self.name) {
+            let from = self.name.clone();
+            let rows = rows.clone();
+            mail.push((name.clone(), Message::Rows { from, rows }));
+        }
+        let hosts_in = |region: &str| all.iter().filter(|(_, r)| **r == *region).count();
+        self.grantor.limit(headroom, links);
+        self.grantor.count(hosts_in(&self.region), now);
+        let needs = spill::needs(goals, &self.shares, &self.traffic, &self.region);
+        for (name, region) in all {
+            if let Some(needs) = needs.get(region) {
+                let ask = self.grantee.ask(needs, hosts_in(region), now);
+                mail.push((name.clone(), Message::Ask(ask)));
+            }
+        }
+        for grant in self.grantor.grant(now) {
+            mail.push((grant.grantee.clone(), Message::Grant(grant)));
+        }
+        mail
+    }
+
+    /// Steers by what was heard lately.
+    pub fn steer(&mut self, goals: &Arc<Goals>, now: Duration) {
+        self.goals = goals.clone();
+        if self.policy == Policy::Baseline {
+            self.naive.steer(goals);
+            return;
+        }
+        self.heard
+            .retain(|_, (came, _)| now.saturating_sub(*came) < GONE);
+        // A host that was never heard counts as alive for as long as one that fell silent.
+        let silent = self.listed.iter().filter(|name| {
+            **name != self.name
+                && !self.heard.contains_key(*name)
+                && now.saturating_sub(self.since) < GONE
+        });
+        let silent = silent.map(|_| Peer { rows: None });
+        let heard = self.heard.values();
+        let heard = heard.map(|(_, rows)| Peer { rows: Some(rows) });
+        let peers: Vec<Peer<'_>> = heard.chain(silent).collect();
+        if self.listed.is_empty() {
+            return;
+        }
+        self.shares.hear(&peers);
+        let lent = (&self.grantee, &self.grantor);
+        let ceilings = spill::ceilings(goals, &self.shares, &self.traffic, &self.region, lent, now);
+        self.shares.steer(goals, &ceilings, now);
+    }
+
+    /// Notes requests that came in this tick.
+    pub fn count(
+        &mut self,
+        service: &Arc<str>,
+        callers: &Arc<str>,
+        count: f64,
+        (request, answer): (f64, f64),
+        _now: Duration,
+    ) {
+        let rate = count / TICK.as_secs_f64();
+        let lanes = self.traffic.entry(service.clone()).or_default();
+        let traffic = lanes
+            .entry(callers.clone())
+            .or_insert(dunlinrock_steer::Traffic {
+                rate,
+                request_bytes: request,
+                answer_bytes: answer,
+            });
+        traffic.rate += (rate - traffic.rate) * FOLLOW;
+    }
+
+    /// The region that a request goes to; `None` where it is refused.
+    pub fn send(
+        &mut self,
+        service: &str,
+        callers: &str,
+        value: u64,
+        (request, answer): (f64, f64),
+        now: Duration,
+    ) -> Option<Arc<str>> {
+        if self.policy == Policy::Baseline {
+            return self.naive.pick(service, callers, value).cloned();
+        }
+        let region = self.shares.pick(service, callers, value).ok()?.clone();
+        let free = spill::free(&self.region, callers, &region);
+        let sent = free || self.grantee.take(&region, service, request, answer, now);
+        sent.then_some(region)
+    }
+
+    pub fn measure(
+        &mut self,
+        service: &Arc<str>,
+        (slots, busy): (f64, f64),
+        (rate, work): (f64, f64),
+        now: Duration,
+    ) {
+        let own = Own {
+            slots,
+            busy,
+            rate,
+            work: Duration::from_secs_f64(work),
+        };
+        self.grantor.measure(service, own, now);
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/drive/mod.rs
@@ -0,0 +1,423 @@
+//! Drives the hosts of a deployment through a fault in virtual time.
+//!
+//! Hosts are the crate's own state machines; what is around them is kept as small as will do: a
+//! tick of 100 ms, messages that arrive a tick later or not at all, callers at a steady rate, and
+//! regions that are a number of slots whose work takes longer while their caches are cold.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    unused_imports,
+    reason = "shared by tests and an example; each uses a part"
+)]
+
+mod host;
+mod meter;
+mod scenario;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    path::Path,
+    sync::Arc,
+    time::Duration,
+};
+
+use dunlinrock_config::{config as files, goal};
+use dunlinrock_schema::config::{Config, Drain, DrainKind};
+use dunlinrock_steer::{Ask, Goals, Grant, Links, Rows, hash};
+
+pub use host::{Host, Policy};
+pub use meter::{Meter, Report};
+pub use scenario::{Scenario, run, scenarios};
+
+/// Time between two steps.
+pub const TICK: Duration = Duration::from_millis(100);
+/// Ticks between two heartbeats, asks and grants.
+const BEAT: u64 = 3;
+/// Silence after which a host or region counts as gone.
+const GONE: Duration = Duration::from_secs(3);
+/// How much longer work takes where the cache is cold.
+const COLD: f64 = 2.0;
+/// Time in which a cache warms up.
+const WARM: f64 = 10.0;
+
+/// A message between hosts.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Rows { from: Arc<str>, rows: Arc<Rows> },
+    Ask(Ask),
+    Grant(Grant),
+}
+
+/// What goes wrong with measurements of a region's own use.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Measures {
+    #[default]
+    True,
+    /// None arrive.
+    Lost,
+    /// They say that nothing is in use.
+    Idle,
+}
+
+/// Service, callers and serving region.
+type Way = (Arc<str>, Arc<str>, Arc<str>);
+/// Service and serving region.
+type Pool = (Arc<str>, Arc<str>);
+
+/// A deployment and all that is around its hosts.
+pub struct World {
+    pub config: Config,
+    pub policy: Policy,
+    pub now: Duration,
+    pub hosts: Vec<Host>,
+    pub meter: Meter,
+    /// Regions that are gone.
+    pub dead: BTreeSet<Arc<str>>,
+    /// Regions that hosts know to be gone.
+    pub lost: BTreeSet<Arc<str>>,
+    /// Part of a region's slots for a service that its own callers would use, by region.
+    pub load: BTreeMap<Arc<str>, f64>,
+    pub measures: BTreeMap<Arc<str>, Measures>,
+    /// Whether hosts hear one another.
+    pub cut: bool,
+    /// Part of messages that are lost.
+    pub loss: f64,
+    mail: Vec<(Arc<str>, Message)>,
+    died: Option<Duration>,
+    ticks: u64,
+    seed: u64,
+    /// Shares by service, callers and region that the caches have seen.
+    warm: Rows,
+    /// Slots that each region's own callers used in the last tick, by service and region.
+    used: BTreeMap<Pool, f64>,
+    work: BTreeMap<Pool, f64>,
+    /// Requests of the last tick from each region's own callers.
+    own: BTreeMap<Pool, f64>,
+    slots: BTreeMap<Arc<str>, BTreeMap<Arc<str>, goal::Slots>>,
+}
+
+/// Opens one of the examples.
+pub fn example(name: &str) -> Config {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    files::open_dir(&root.join(name)).unwrap_or_else(|findings| panic!("{findings}"))
+}
+
+impl World {
+    /// Twelve hosts, four a region, that have been up for some time.
+    pub fn open(config: Config, policy: Policy, load: f64, seed: u64) -> Self {
+        let regions: Vec<_> = config.regions.keys().cloned().collect();
+        let mut world = Self {
+            load: regions.iter().map(|r| (r.clone(), load)).collect(),
+            policy,
+            now: Duration::ZERO,
+            hosts: Vec::new(),
+            meter: Meter::open(&config),
+            dead: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            measures: BTreeMap::new(),
+            cut: false,
+            loss: 0.0,
+            mail: Vec::new(),
+            died: None,
+            ticks: 0,
+            seed,
+            warm: Rows::new(),
+            used: BTreeMap::new(),
+            work: BTreeMap::new(),
+            own: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            config,
+        };
+        for region in &regions {
+            for n in 0..4 {
+                world.join(&format!("{region}-{n}"), region);
+            }
+        }
+        let goals = world.goals();
+        for (service, lanes) in &goals.lanes {
+            let rows = lanes.iter().map(|(c, goal)| (c.clone(), goal.row.clone()));
+            world.warm.insert(service.clone(), rows.collect());
+        }
+        world
+    }
+
+    /// Starts a host.
+    pub fn join(&mut self, name: &str, region: &Arc<str>) {
+        let host = Host::open(&Arc::from(name), region, self.policy, self.now);
+        self.hosts.push(host);
+    }
+
+    pub fn goals(&self) -> Goals {
+        Goals::open(&self.config, &self.lost)
+    }
+
+    pub fn drain(&mut self, kind: DrainKind, name: &str) {
+        let drain = Drain {
+            kind,
+            name: name.into(),
+        };
+        self.config.drains.insert("run".into(), drain);
+    }
+
+    /// Ends a region with its hosts; the others learn of it after [`GONE`].
+    pub fn lose(&mut self, region: &Arc<str>) {
+        self.dead.insert(region.clone());
+        self.hosts.retain(|host| host.region != *region);
+        self.died = Some(self.now);
+    }
+
+    /// Uniform below 1.
+    pub fn random(&mut self) -> f64 {
+        self.seed = self.seed.wrapping_add(1);
+        hash::unit(hash::mix(self.seed))
+    }
+
+    /// Slots that serve. A region under a drain goes on serving what has not moved yet.
+    fn slots(&self, service: &str, region: &Arc<str>) -> f64 {
+        if self.dead.contains(region) {
+            return 0.0;
+        }
+        let slots = self.slots[service].get(region).copied().unwrap_or_default();
+        if slots.left == 0 {
+            slots.all as f64
+        } else {
+            slots.left as f64
+        }
+    }
+
+    /// Slots as they are without drains: callers do not come less often in a drain.
+    fn all_slots(&self, service: &str, region: &Arc<str>) -> f64 {
+        let slots = self.slots[service].get(region);
+        slots.map_or(0.0, |slots| slots.all as f64)
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    pub fn tick(&mut self) {
+        self.now += TICK;
+        self.ticks += 1;
+        let services = self.config.services.keys();
+        self.slots = services
+            .map(|name| (name.clone(), goal::slots(&self.config, name)))
+            .collect();
+        if self.died.is_some_and(|at| self.now - at >= GONE) {
+            self.lost = self.dead.clone();
+        }
+        self.deliver();
+        let goals = Arc::new(self.goals());
+        if self.ticks.is_multiple_of(BEAT) {
+            self.beat(&goals);
+        }
+        for host in &mut self.hosts {
+            host.steer(&goals, self.now);
+        }
+        self.serve(&goals);
+        let shares = self.shares();
+        self.meter.shares(self.now, &shares, &goals);
+        self.measure();
+    }
+
+    fn deliver(&mut self) {
+        let mail = std::mem::take(&mut self.mail);
+        for (to, message) in mail {
+            if self.cut || self.random() < self.loss {
+                continue;
+            }
+            let now = self.now;
+            if let Some(host) = self.hosts.iter_mut().find(|host| host.name == to) {
+                host.receive(message, now);
+            }
+        }
+    }
+
+    /// Heartbeats, asks and grants.
+    fn beat(&mut self, goals: &Goals) {
+        let all: Vec<(Arc<str>, Arc<str>)> = self
+            .hosts
+            .iter()
+            .map(|host| (host.name.clone(), host.region.clone()))
+            .collect();
+        let config = self.config.clone();
+        for host in &mut self.hosts {
+            let links = links(&config, &host.region);
+            let headroom = config.regions[&host.region].headroom;
+            let sent = host.beat(goals, &all, (headroom, links), self.now);
+            self.mail.extend(sent);
+        }
+    }
+
+    /// Mean shares over the traffic: each host has an even part of its region's callers.
+    pub fn shares(&self) -> Rows {
+        let mut sum = Rows::new();
+        for service in self.config.services.keys() {
+            for callers in self.config.regions.keys() {
+                let hosts = self.hosts_of(callers);
+                let row = sum.entry(service.clone()).or_default();
+                let row = row.entry(callers.clone()).or_default();
+                for n in &hosts {
+                    for (region, share) in self.hosts[*n].row(service, callers) {
+                        *row.entry(region).or_insert(0.0) += share / hosts.len() as f64;
+                    }
+                }
+            }
+        }
+        sum
+    }
+
+    /// The hosts that a region's callers use: its own that are ready, else all.
+    fn hosts_of(&self, callers: &str) -> Vec<usize> {
+        let ready = |n: &usize| self.hosts[*n].ready();
+        let own = |n: &usize| *self.hosts[*n].region == *callers;
+        let all: Vec<usize> = (0..self.hosts.len()).filter(ready).collect();
+        let near: Vec<usize> = all.iter().copied().filter(own).collect();
+        if near.is_empty() { all } else { near }
+    }
+
+    /// Serves a tick's requests.
+    fn serve(&mut self, goals: &Goals) {
+        let mut sent: BTreeMap<Way, f64> = BTreeMap::new();
+        self.used.clear();
+        self.own.clear();
+        self.work.clear();
+        for (service, lanes) in &goals.lanes {
+            for callers in lanes.keys() {
+                let hosts = self.hosts_of(callers);
+                for n in &hosts {
+                    let rate = self.rate(service, callers) / hosts.len() as f64;
+                    self.arrive(*n, service, callers, rate, &mut sent);
+                }
+            }
+        }
+        self.settle(sent);
+    }
+
+    /// Requests a second of a service's callers in one region.
+    fn rate(&self, service: &str, callers: &Arc<str>) -> f64 {
+        let work = self.config.services[service].work_ms.get() as f64 / 1000.0;
+        self.all_slots(service, callers) * self.load[callers] / work
+    }
+
+    fn arrive(
+        &mut self,
+        n: usize,
+        service: &Arc<str>,
+        callers: &Arc<str>,
+        rate: f64,
+        sent: &mut BTreeMap<Way, f64>,
+    ) {
+        let mean = rate * TICK.as_secs_f64();
+        let count = (mean + self.random()).floor() as u64;
+        let rules = &self.config.services[service];
+        let bytes = (
+            rules.request_bytes.get() as f64,
+            rules.answer_bytes.get() as f64,
+        );
+        self.hosts[n].count(service, callers, count as f64, bytes, self.now);
+        for _ in 0..count {
+            let value = hash::mix(self.random().to_bits());
+            let now = self.now;
+            let host = &mut self.hosts[n];
+            match host.send(service, callers, value, bytes, now) {
+                Some(region) => {
+                    let from = host.region.clone();
+                    self.meter.link(&from, &region, bytes);
+                    let key = (service.clone(), callers.clone(), region);
+                    *sent.entry(key).or_default() += 1.0;
+                }
+                None => self.meter.refused(now),
+            }
+        }
+    }
+
+    /// Reckons what the requests cost the regions.
+    fn settle(&mut self, sent: BTreeMap<Way, f64>) {
+        let tick = TICK.as_secs_f64();
+        let mut loads: BTreeMap<Pool, (f64, f64, f64)> = BTreeMap::new();
+        for ((service, callers, region), count) in sent {
+            let work = self.config.services[&service].work_ms.get() as f64 / 1000.0;
+            let work = work * self.cold(&service, &callers, &region, count);
+            let slots = count * work / tick;
+            let load = loads.entry((service.clone(), region.clone())).or_default();
+            if callers == region {
+                load.0 += slots;
+                self.own.insert((service.clone(), region.clone()), count);
+                *self
+                    .used
+                    .entry((service.clone(), region.clone()))
+                    .or_default() += slots;
+            } else {
+                load.1 += slots;
+            }
+            load.2 += count;
+            self.work.insert((service, region), work);
+        }
+        for ((service, region), (own, lent, count)) in loads {
+            let slots = self.slots(&service, &region);
+            let headroom = self.config.regions[&region].headroom;
+            self.meter
+                .load((&service, &region), (own, lent), slots, headroom);
+            self.meter.served(self.now, count, own + lent, slots);
+        }
+        self.meter.tick(self.now);
+    }
+
+    /// How much longer work takes, since part of the share is new to the region's caches.
+    fn cold(&mut self, service: &str, callers: &str, region: &Arc<str>, count: f64) -> f64 {
+        let rate = self.rate(service, &callers.into()) * TICK.as_secs_f64();
+        let share = if rate > 0.0 { count / rate } else { 0.0 };
+        let lanes = self.warm.get_mut(service).expect("a service");
+        let row = lanes.get_mut(callers).expect("a region");
+        let warm = row.entry(region.clone()).or_insert(0.0);
+        let new = (share - *warm).max(0.0) / share.max(1e-9);
+        *warm += (share - *warm) * TICK.as_secs_f64() / WARM;
+        // Chance makes single ticks differ by some parts in a hundred.
+        if new > 0.2 {
+            1.0 + (COLD - 1.0) * new
+        } else {
+            1.0
+        }
+    }
+
+    /// Tells each host how much of its slots its own callers use.
+    fn measure(&mut self) {
+        for host in &mut self.hosts {
+            let fault = self.measures.get(&host.region).copied();
+            let fault = fault.unwrap_or_default();
+            if fault == Measures::Lost {
+                continue;
+            }
+            for service in self.config.services.keys() {
+                let key = (service.clone(), host.region.clone());
+                let slots = self.slots[service].get(&host.region);
+                let slots = slots.map_or(0.0, |slots| slots.left as f64);
+                let busy = self.used.get(&key).copied().unwrap_or(0.0);
+                let busy = if fault == Measures::Idle { 0.0 } else { busy };
+                let base = self.config.services[service].work_ms.get() as f64 / 1000.0;
+                let work = self.work.get(&key).copied().unwrap_or(base);
+                let own = self.own.get(&key).copied().unwrap_or(0.0);
+                let rate = own / TICK.as_secs_f64() / 4.0;
+                host.measure(service, (slots / 4.0, busy / 4.0), (rate, work), self.now);
+            }
+        }
+    }
+}
+
+/// What the links of a region may carry, headroom taken off.
+fn links(config: &Config, region: &str) -> Links {
+    let mut links = Links::new();
+    for link in config.links.values() {
+        let bytes = link.bytes_per_s.get() as f64 * (1.0 - link.headroom);
+        if &*link.from == region {
+            links.insert(link.to.clone(), bytes);
+        } else if &*link.to == region {
+            links.insert(link.from.clone(), bytes);
+        }
+    }
+    links
+}
