--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -48,6 +48,8 @@
     tickets: BTreeMap<u64, Request>,
     /// Short work, then long work.
     queues: [FairQueue; 2],
+    /// When each queue was last empty.
+    empty: [Duration; 2],
     trials: Trials,
     /// Waiting requests by their last moment to start.
     due: BTreeSet<(Duration, u64)>,
@@ -55,8 +57,8 @@
     checks: BTreeSet<(Duration, u64)>,
     /// Runs of short work, then of long work.
     busy: [u32; 2],
-    /// Sum of the expected times of what runs, in microseconds.
-    load: u64,
+    /// Sums of the expected times of what runs, short and long, in microseconds.
+    load: [u64; 2],
     kinds: Kinds,
     short_need: Meter,
     budget: Budget,
@@ -72,11 +74,12 @@
             targets: Targets::open(targets, now),
             tickets: BTreeMap::new(),
             queues: [FairQueue::open(rules.seed), FairQueue::open(rules.seed + 1)],
+            empty: [now; 2],
             trials: Trials::default(),
             due: BTreeSet::new(),
             checks: BTreeSet::new(),
             busy: [0; 2],
-            load: 0,
+            load: [0; 2],
             kinds: Kinds::open(rules.guess),
             short_need: Meter::default(),
             budget: Budget::open(rules.retry_share),
@@ -186,7 +189,7 @@
     /// Expected time between two free slots while all slots are in use.
     fn turn(&self) -> Duration {
         let busy = u64::from(self.busy[0] + self.busy[1]).max(1);
-        let mean = match self.load {
+        let mean = match self.load[0] + self.load[1] {
             0 => self.rules.guess,
             work => Duration::from_micros(work / busy),
         };
@@ -196,12 +199,7 @@
     /// How the slots are divided at this moment.
     fn room(&self, now: Duration) -> Room {
         let need = self.short_need.read(now);
-        Room::divide(
-            self.targets.slots(),
-            self.rules.short_share,
-            need,
-            self.busy,
-        )
+        Room::divide(self.targets.slots(), &self.rules, need, self.busy)
     }
 
     /// Takes a waiting request out of its queue.
@@ -217,6 +215,18 @@
         self.due.remove(&(request.latest, ticket));
     }
 
+    /// Longest time that a request of a class with this service time may wait, from `now` on.
+    fn patience(&self, class: Class, mean: Duration, now: Duration) -> Duration {
+        let age = now.saturating_sub(self.empty[class as usize]);
+        let stands = !self.queues[class as usize].is_empty() && age > self.rules.patience;
+        let most = if stands {
+            self.rules.standing
+        } else {
+            self.rules.patience
+        };
+        most.max(mean)
+    }
+
     fn class(&self, mean: Duration) -> Class {
         if mean <= self.rules.short {
             Class::Short
