--- a/crates/admit/src/pool/due.rs
+++ b/crates/admit/src/pool/due.rs
@@ -6,6 +6,7 @@
     Pool,
     offer::{Action, Refusal},
 };
+use crate::target::Ask;
 
 impl Pool {
     /// All that is due: starts, refusals, hedges, aborts.
@@ -67,7 +68,7 @@
                 continue;
             };
             let age = now.saturating_sub(run.since);
-            let ratio = age.as_secs_f64() / request.estimate.mean.as_secs_f64().max(1e-6);
+            let ratio = request.ratio(age);
             request.check = now + age.max(request.estimate.p95);
             self.checks.insert((request.check, ticket));
             self.targets.late(run.target, ratio);
@@ -96,7 +97,14 @@
                 .iter()
                 .map(|r| Arc::clone(&self.targets.get(r.target).name)),
         );
-        let Some(at) = self.targets.place(&tried, false) else {
+        let Some(at) = self.targets.place(
+            &Ask {
+                tried: &tried,
+                spares: false,
+                strain: 0.0,
+            },
+            now,
+        ) else {
             return;
         };
         if !self.budget.spend() {
--- a/crates/admit/src/pool/rules.rs
+++ b/crates/admit/src/pool/rules.rs
@@ -7,12 +7,18 @@
 pub struct PoolRules {
     /// Most requests that wait at once. When it is full, the request with the worst rank leaves.
     pub queue: usize,
-    /// Longest time a request waits, whatever its deadline.
+    /// Longest time that a request waits, whatever its deadline, in a queue that a burst has
+    /// made; work that takes longer may wait for as long as it takes.
     pub patience: Duration,
+    /// The same in a queue that has not been empty for `patience`: the overload lasts, and a
+    /// longer wait would add to each answer without adding one answer.
+    pub standing: Duration,
     /// Work expected to take up to this long is short; the rest is long.
     pub short: Duration,
     /// Share of the slots, 0 to 1, that short work is sure of while it competes with long work.
     pub short_share: f64,
+    /// Slots kept free of long work for each slot that short work has lately needed.
+    pub reserve: f64,
     /// Guess of the service time of a kind of request that has not been seen yet.
     pub guess: Duration,
     /// Time in which a cold target's slots grow from one to all.
@@ -33,9 +39,11 @@
     fn default() -> Self {
         Self {
             queue: 512,
-            patience: Duration::from_secs(5),
+            patience: Duration::from_millis(100),
+            standing: Duration::from_millis(50),
             short: Duration::from_millis(100),
-            short_share: 0.25,
+            short_share: 0.5,
+            reserve: 1.0,
             guess: Duration::from_millis(20),
             ramp: Duration::from_secs(10),
             slow: 3.0,
