--- a/crates/cli/src/caller/keyed.rs
+++ b/crates/cli/src/caller/keyed.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use dunlinrock_coord::once::Attempts;
 use dunlinrock_schema::api::{Binding, Problem, Run};
 use tokio::time::Instant;
 
@@ -16,10 +17,9 @@
     text: Arc<str>,
     owner: SocketAddr,
     witness: SocketAddr,
-    /// Attempts that a host may have seen.
-    sent: u32,
-    /// Whether one of them went to the witness.
-    witnessed: bool,
+    /// Attempts that a host may have seen. Stated with each attempt: a host that says `run: no`
+    /// relies on knowing whether another host may have seen the key.
+    sent: Attempts,
     /// Whether the next attempt goes to the witness.
     turn: bool,
 }
@@ -30,8 +30,7 @@
             text: format!("{}.{nonce}", binding.prefix).into(),
             owner: binding.owner.parse().ok()?,
             witness: binding.witness.parse().ok()?,
-            sent: 0,
-            witnessed: false,
+            sent: Attempts::FIRST,
             turn: false,
         })
     }
@@ -40,16 +39,21 @@
         if self.turn { self.witness } else { self.owner }
     }
 
-    /// Earlier attempts, as the header carries them.
-    fn record(&self) -> String {
-        let mark = if self.witnessed { ";witness" } else { "" };
-        format!("{}{mark}", self.sent)
-    }
-
     /// Notes an attempt that a host may have seen.
     fn note(&mut self) {
-        self.sent += 1;
-        self.witnessed |= self.turn;
+        match self.turn {
+            true => self.sent.witness += 1,
+            false => self.sent.owner += 1,
+        }
+    }
+
+    fn is_sent(&self) -> bool {
+        self.sent.owner + self.sent.witness > 0
+    }
+
+    /// Turns to the other host; a key of one host alone stays with it.
+    fn turn(&mut self) {
+        self.turn = !self.turn && self.owner != self.witness;
     }
 }
 
@@ -82,7 +86,7 @@
             let wait = match attempt(caller, ask, deadline, &mut key, &mut done).await {
                 Next::End => return done,
                 Next::Other(wait) => {
-                    key.turn = !key.turn;
+                    key.turn();
                     wait
                 }
                 Next::Anew(wait) => {
@@ -117,7 +121,7 @@
     let head = Attempt {
         caller: caller.name(),
         deadline,
-        key: Some((&key.text, key.record())),
+        key: Some((&key.text, key.sent.to_string())),
     };
     let tried = caller.link.attempt(at, ask, &head).await;
     if !matches!(tried, Tried::Unsent) {
@@ -136,7 +140,7 @@
         }
         Tried::Problem(problem) => answered(&problem, key, done),
         // Neither side has seen the key: nobody can run it, so it may be given up for a new one.
-        Tried::Unsent if key.sent == 0 && key.turn => {
+        Tried::Unsent if !key.is_sent() && (key.turn || key.owner == key.witness) => {
             done.outcome = Outcome::NotRun("no host could be reached".into());
             Next::Anew(None)
         }
--- /dev/null
+++ b/crates/cli/src/commands/apply.rs
@@ -0,0 +1,89 @@
+//! `apply`: puts a configuration in force, as a whole or not at all.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use dunlinrock_coord::root::{Intent, Verdict};
+use dunlinrock_node::operate;
+use rand::Rng;
+
+use super::{check, hosts, store};
+use crate::{
+    args::Apply,
+    exit::{Exit, Failure},
+    rt::block_on,
+};
+
+/// Time between two looks at the hosts that have yet to follow.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Applies a directory, and waits for the hosts where that is asked.
+pub(crate) fn apply(args: &Apply) -> Result<(), Failure> {
+    if args.wait && args.list.is_none() {
+        let message = "--wait needs --list IP:PORT, to know which hosts to wait for";
+        return Err(Failure::open(Exit::Usage, message));
+    }
+    let config = check::read(&args.dir)?;
+    let open = store::open(&args.store)?;
+    let time = store::time(&args.store)?;
+    let intent = intent(args);
+    eprintln!("apply {}", intent.id);
+    block_on(async {
+        let ended = operate::apply(&open, &config, intent, time).await;
+        let verdict = ended.map_err(|doubt| {
+            let exit = if doubt.in_doubt { Exit::Unknown } else { Exit::Away };
+            Failure::of(exit, &doubt)
+        })?;
+        let revision = revision(&verdict)?;
+        println!("{verdict}");
+        match args.list {
+            Some(list) if args.wait => follow(list, revision, time).await,
+            _ => Ok(()),
+        }
+    })?
+}
+
+fn intent(args: &Apply) -> Intent {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let at_ms = now.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+    let id = || format!("{at_ms:x}-{:08x}", rand::rng().random::<u32>()).into();
+    Intent {
+        id: args.id.clone().unwrap_or_else(id),
+        by: Arc::clone(&args.by),
+        at_ms,
+        base: args.base,
+    }
+}
+
+/// Gives the revision that an apply made, or the failure that it ended in.
+fn revision(verdict: &Verdict) -> Result<u64, Failure> {
+    let exit = match verdict {
+        Verdict::InForce { revision, .. } | Verdict::Same { revision } => return Ok(*revision),
+        Verdict::Overtaken { .. } => Exit::Overtaken,
+        Verdict::Forgotten { .. } => Exit::Unknown,
+        Verdict::Broken { .. } => Exit::Failed,
+    };
+    Err(Failure::open(exit, verdict.to_string()))
+}
+
+/// Waits until every listed host follows a revision.
+async fn follow(list: std::net::SocketAddr, revision: u64, time: Duration) -> Result<(), Failure> {
+    let start = tokio::time::Instant::now();
+    loop {
+        let behind = hosts::behind(list, revision).await?;
+        if behind.is_empty() {
+            println!("every listed host follows it after {:.1} s", start.elapsed().as_secs_f64());
+            return Ok(());
+        }
+        if start.elapsed() >= time {
+            let message = format!(
+                "revision {revision} is in force, and these hosts do not follow it yet: {}",
+                behind.join(", ")
+            );
+            return Err(Failure::open(Exit::Failed, message));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/check.rs
@@ -0,0 +1,43 @@
+//! `check`: the files of a configuration.
+
+use dunlinrock_config::config::{self, Checked};
+use dunlinrock_schema::config::Config;
+
+use crate::{args::Check, exit::Failure};
+
+/// Checks a directory and prints what it holds.
+pub(crate) fn check(args: &Check) -> Result<(), Failure> {
+    let config = read(&args.dir)?;
+    println!("{}: sound, {}", args.dir.display(), sizes(&config));
+    Ok(())
+}
+
+/// Reads a directory; prints its warnings.
+///
+/// # Errors
+///
+/// All findings, where one is an error.
+pub(crate) fn read(dir: &std::path::Path) -> Result<Config, Failure> {
+    let Checked { config, findings } = config::check_dir(dir);
+    match config {
+        Some(config) => {
+            eprint!("{findings}");
+            Ok(config)
+        }
+        None => Err(findings.into()),
+    }
+}
+
+/// Says how much a configuration holds.
+pub(crate) fn sizes(config: &Config) -> String {
+    format!(
+        "{} services, {} regions, {} domains, {} links, {} targets, {} drains, {} blocks",
+        config.services.len(),
+        config.regions.len(),
+        config.domains.len(),
+        config.links.len(),
+        config.targets.len(),
+        config.drains.len(),
+        config.blocks.len()
+    )
+}
--- /dev/null
+++ b/crates/cli/src/commands/fake.rs
@@ -0,0 +1,43 @@
+//! `fake`: stand-ins for the platform, until a signal.
+
+use dunlinrock_fakes::{List, ListRules, Store, StoreRules};
+
+use super::check;
+use crate::{
+    args::{Fake, FakeTargets},
+    exit::Failure,
+    rt::{Signals, block_on},
+    stand,
+};
+
+/// Runs a stand-in.
+pub(crate) fn fake(args: &Fake) -> Result<(), Failure> {
+    match args {
+        Fake::Store(args) => {
+            let store = Store::bind(&args.bind.to_string(), StoreRules::default())?;
+            println!("store on {}", store.addr());
+            wait()
+        }
+        Fake::List(args) => {
+            let list = List::bind(&args.bind.to_string(), ListRules::default())?;
+            println!("list of hosts on {}", list.addr());
+            wait()
+        }
+        Fake::Targets(args) => targets(args),
+    }
+}
+
+fn targets(args: &FakeTargets) -> Result<(), Failure> {
+    let mut config = check::read(&args.dir)?;
+    let targets = stand::bind(&mut config, false, args.warm)?;
+    println!("{} targets of {}", targets.iter().count(), args.dir.display());
+    wait()
+}
+
+/// Waits for a signal.
+fn wait() -> Result<(), Failure> {
+    block_on(async {
+        Signals::open()?.next().await;
+        Ok(())
+    })?
+}
--- /dev/null
+++ b/crates/cli/src/commands/history.rs
@@ -0,0 +1,78 @@
+//! `history`: the last applies.
+
+use dunlinrock_coord::{pieces::Hash, wire};
+use dunlinrock_node::store::{Store, StoreError, piece_key};
+use dunlinrock_schema::coord::{Entry, Past, Root};
+
+use super::store;
+use crate::{
+    args::History,
+    exit::{Exit, Failure},
+    rt::block_on,
+};
+
+/// Prints the last applies, newest first.
+pub(crate) fn history(args: &History) -> Result<(), Failure> {
+    let entries = block_on(async {
+        let root = store::read_some(&args.store).await?.root;
+        let store = store::open(&args.store)?;
+        entries(&store, root, args.count)
+            .await
+            .map_err(|e| Failure::of(Exit::Away, &e))
+    })??;
+    println!("{:>8}  {:<24}  {:<16}  {:<16}", "revision", "at", "by", "apply");
+    for entry in entries {
+        println!(
+            "{:>8}  {:<24}  {:<16}  {:<16}",
+            entry.revision,
+            date(entry.at_ms),
+            entry.by,
+            entry.id
+        );
+    }
+    Ok(())
+}
+
+/// Reads as many entries as are asked for, from the root and the pieces in which it goes on.
+async fn entries(store: &Store, root: Root, count: usize) -> Result<Vec<Entry>, StoreError> {
+    let mut entries = vec![root.now];
+    entries.extend(root.recent);
+    let mut next = Hash::read(&root.past);
+    while let Some(hash) = next.filter(|_| entries.len() < count) {
+        let found = store.get(&piece_key(&hash)).await?.value;
+        let Some(past) = found.and_then(|bytes| wire::decode::<Past>(&bytes).ok()) else {
+            break;
+        };
+        entries.extend(past.entries);
+        next = Hash::read(&past.before);
+    }
+    entries.truncate(count);
+    Ok(entries)
+}
+
+/// Days of 400 years of the Gregorian calendar.
+const DAYS_PER_ERA: u64 = 146_097;
+
+/// Writes a time since 1970 as date and time in UTC.
+fn date(at_ms: u64) -> String {
+    let seconds = at_ms / 1000;
+    let (days, rest) = (seconds / 86_400, seconds % 86_400);
+    let (year, month, day) = civil(days);
+    let (hour, minute, second) = (rest / 3600, rest / 60 % 60, rest % 60);
+    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02} UTC")
+}
+
+/// Gives year, month and day of a day since 1970, in the Gregorian calendar.
+///
+/// Counts from 1 March of year 0: with the leap day at the end of the year, months have lengths
+/// that repeat every five months, and eras of 400 years have all the same length.
+fn civil(days: u64) -> (u64, u64, u64) {
+    let days = days + 719_468;
+    let (era, day) = (days / DAYS_PER_ERA, days % DAYS_PER_ERA);
+    let year = (day - day / 1460 + day / 36_524 - day / 146_096) / 365;
+    let day = day - (365 * year + year / 4 - year / 100);
+    let shifted = (5 * day + 2) / 153;
+    let date = day - (153 * shifted + 2) / 5 + 1;
+    let month = if shifted < 10 { shifted + 3 } else { shifted - 9 };
+    (era * 400 + year + u64::from(month <= 2), month, date)
+}
--- /dev/null
+++ b/crates/cli/src/commands/load.rs
@@ -0,0 +1,108 @@
+//! `load`: open-loop load on running hosts.
+
+use std::{
+    fs,
+    path::Path,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use anyhow::Context;
+
+use crate::{
+    args::Load,
+    caller::{Caller, Rules},
+    exit::{Exit, Failure},
+    load::{self, Mix, Pace, Report, Tally},
+    rt::block_on,
+};
+
+/// Attempts that a caller makes of one request.
+const ATTEMPTS: u32 = 6;
+
+/// Runs a load and reports what callers got.
+pub(crate) fn load(args: &Load) -> Result<(), Failure> {
+    let pace = pace(args)?;
+    let mix = Mix {
+        services: args.service.clone(),
+        path: path(&args.path)?,
+        keys: args.keys,
+        writes: args.mix,
+        deadline: Duration::from_millis(args.deadline),
+    };
+    let callers: Vec<_> = (0..args.callers).map(|n| caller(args, n)).collect();
+    let tally = Arc::new(Mutex::new(Tally::default()));
+    block_on(load::run(&callers, &mix, &pace, &tally))?;
+    let report = Report::of(&pace, &tally.lock().unwrap_or_else(PoisonError::into_inner));
+    print(&report, args.json.as_deref())?;
+    judge(&report)
+}
+
+fn pace(args: &Load) -> Result<Pace, Failure> {
+    let wrong = |text: &str| Failure::open(Exit::Usage, text);
+    if !(args.rate.is_finite() && args.rate > 0.0) {
+        return Err(wrong("--rate takes a number above 0"));
+    }
+    if args.callers == 0 {
+        return Err(wrong("--callers takes a number above 0"));
+    }
+    if !(0.0..=1.0).contains(&args.mix) {
+        return Err(wrong("--mix takes a part from 0 to 1"));
+    }
+    let time = Duration::try_from_secs_f64(args.time);
+    Ok(Pace {
+        rate: args.rate,
+        time: time.map_err(|_| wrong("--time takes a number of seconds"))?,
+        seed: args.seed,
+    })
+}
+
+fn path(path: &str) -> Result<Arc<str>, Failure> {
+    let sound = path.starts_with('/') && path.parse::<http::Uri>().is_ok() && !path.contains('?');
+    match sound {
+        true => Ok(path.trim_end_matches('/').into()),
+        false => {
+            let message = format!("--path: `{path}` is no path; write one like /courses");
+            Err(Failure::open(Exit::Usage, message))
+        }
+    }
+}
+
+fn caller(args: &Load, number: usize) -> Arc<Caller> {
+    let n = u64::try_from(number).unwrap_or_default();
+    Arc::new(Caller::open(Rules {
+        name: format!("caller-{number}").into(),
+        starts: args.at.clone(),
+        from: None,
+        attempts: ATTEMPTS,
+        seed: args.seed.wrapping_mul(1_000_003).wrapping_add(n),
+    }))
+}
+
+fn print(report: &Report, json: Option<&Path>) -> Result<(), Failure> {
+    let Some(path) = json else {
+        print!("{report}");
+        return Ok(());
+    };
+    let text = serde_json::to_string_pretty(report).context("writing the report")?;
+    if path == Path::new("-") {
+        println!("{text}");
+        return Ok(());
+    }
+    print!("{report}");
+    fs::write(path, text + "\n").map_err(|e| {
+        Failure::open(Exit::Usage, format!("cannot write {}: {e}", path.display()))
+    })
+}
+
+/// Gives the failure that a report shows.
+fn judge(report: &Report) -> Result<(), Failure> {
+    if report.has_wrong() {
+        return Err(Failure::open(Exit::Failed, "a caller got an answer that was not its own"));
+    }
+    let answered = report.services.values().any(|share| share.answered > 0);
+    if !answered {
+        return Err(Failure::open(Exit::Away, "no request was answered; do hosts run at --at?"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,26 @@
+//! One file a command.
+
+mod apply;
+mod check;
+mod dump;
+mod fake;
+mod history;
+mod hosts;
+mod load;
+mod plan;
+mod plot;
+mod serve;
+mod show;
+mod store;
+
+pub(crate) use apply::apply;
+pub(crate) use check::check;
+pub(crate) use dump::dump;
+pub(crate) use fake::fake;
+pub(crate) use history::history;
+pub(crate) use hosts::hosts;
+pub(crate) use load::load;
+pub(crate) use plan::plan;
+pub(crate) use plot::plot;
+pub(crate) use serve::serve;
+pub(crate) use show::show;
--- /dev/null
+++ b/crates/cli/src/commands/plan.rs
@@ -0,0 +1,21 @@
+//! `plan`: what an apply would change.
+
+use dunlinrock_config::plan as compare;
+
+use super::{check, store};
+use crate::{args::Plan, exit::Failure, rt::block_on};
+
+/// Prints the difference between a directory and what is in force.
+pub(crate) fn plan(args: &Plan) -> Result<(), Failure> {
+    let new = check::read(&args.dir)?;
+    let open = store::open(&args.store)?;
+    let found = block_on(store::read(&open))??;
+    let (revision, old) = match found {
+        Some(found) => (found.root.now.revision, found.config),
+        None => (0, dunlinrock_schema::config::Config::default()),
+    };
+    println!("against revision {revision}:");
+    print!("{}", compare::plan(&old, &new));
+    println!("apply with --base {revision} to be told if another apply comes first");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/serve.rs
@@ -0,0 +1,42 @@
+//! `serve`: one entry host.
+
+use std::thread;
+
+use dunlinrock_config::settings;
+use dunlinrock_node::Host;
+use tokio::sync::oneshot;
+
+use crate::{
+    args::Serve,
+    exit::{Exit, Failure},
+    logs,
+    rt::{Signals, block_on},
+};
+
+/// Runs a host until a signal, then until its planned stop is over.
+pub(crate) fn serve(args: &Serve) -> Result<(), Failure> {
+    let settings = settings::open(&args.settings)?;
+    logs::open(&settings.log.clone().unwrap_or_default())?;
+    block_on(async {
+        // Before the host starts: a signal during the start must begin a planned stop too.
+        let mut signals = Signals::open()?;
+        let host = Host::spawn(settings)?;
+        signals.next().await;
+        log::info!("planned stop begins; a second signal ends the host at once");
+        host.leave();
+        let (tell, ended) = oneshot::channel();
+        thread::Builder::new()
+            .name("stop".to_owned())
+            .spawn(move || tell.send(host.wait()))
+            .map_err(anyhow::Error::from)?;
+        tokio::select! {
+            ended = ended => match ended {
+                Ok(ended) => Ok(ended.map(|_| ())?),
+                Err(_) => Err(Failure::open(Exit::Failed, "the planned stop died")),
+            },
+            () = signals.next() => {
+                Err(Failure::open(Exit::Failed, "ended at once by a second signal"))
+            }
+        }
+    })?
+}
--- /dev/null
+++ b/crates/cli/src/commands/show.rs
@@ -0,0 +1,16 @@
+//! `show`: the configuration in force.
+
+use anyhow::Context;
+
+use super::store;
+use crate::{args::Show, exit::Failure, rt::block_on};
+
+/// Prints the configuration in force as TOML that `apply` takes.
+pub(crate) fn show(args: &Show) -> Result<(), Failure> {
+    let found = block_on(store::read_some(&args.store))??;
+    let now = &found.root.now;
+    println!("# Revision {} by {}, apply {}", now.revision, now.by, now.id);
+    let text = toml::to_string(&found.config).context("writing the configuration")?;
+    print!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/store.rs
@@ -0,0 +1,52 @@
+//! The store, as operators' commands use it.
+
+use std::time::Duration;
+
+use dunlinrock_node::{
+    operate::{self, InForce},
+    store::{Store, StoreError},
+};
+
+use crate::{
+    args,
+    exit::{Exit, Failure},
+};
+
+/// Longest time that one call may take.
+const CALL: Duration = Duration::from_secs(2);
+
+/// Opens the store that the command line names.
+pub(crate) fn open(args: &args::Store) -> Result<Store, Failure> {
+    Ok(Store::open(args.at, &args.prefix, time(args)?.min(CALL)))
+}
+
+/// Gives the time after which the store counts as away.
+pub(crate) fn time(args: &args::Store) -> Result<Duration, Failure> {
+    Duration::try_from_secs_f64(args.seconds)
+        .ok()
+        .filter(|time| !time.is_zero())
+        .ok_or_else(|| Failure::open(Exit::Usage, "--timeout takes a number of seconds above 0"))
+}
+
+/// Reads what is in force.
+pub(crate) async fn read(store: &Store) -> Result<Option<InForce>, Failure> {
+    operate::read(store).await.map_err(|e| {
+        let exit = match e.downcast_ref::<StoreError>() {
+            Some(StoreError::Away { .. } | StoreError::Lost { .. }) => Exit::Away,
+            _ => Exit::Failed,
+        };
+        Failure::open(exit, format!("{e:#}"))
+    })
+}
+
+/// Reads what is in force, where there is something.
+pub(crate) async fn read_some(args: &args::Store) -> Result<InForce, Failure> {
+    let found = read(&open(args)?).await?;
+    found.ok_or_else(|| {
+        let message = format!(
+            "no configuration was applied under `{}` of the store at {}; see `dunlinrock apply`",
+            args.prefix, args.at
+        );
+        Failure::open(Exit::Failed, message)
+    })
+}
--- /dev/null
+++ b/crates/cli/src/stand.rs
@@ -0,0 +1,55 @@
+//! Stand-ins made from a configuration.
+
+use std::{sync::Arc, time::Duration};
+
+use dunlinrock_fakes::{TargetRules, TargetSpec, Targets, Work};
+use dunlinrock_schema::config::{Config, Target};
+
+/// Spread of the times of work.
+const SIGMA: f64 = 0.35;
+
+/// Bytes of an answer besides its filling.
+const ECHO: u64 = 200;
+
+/// Binds every target of a configuration, with the slots and work that it states.
+///
+/// With `free`, the targets take free ports in place of their addresses, which are then written
+/// into the configuration.
+pub(crate) fn bind(config: &mut Config, free: bool, warm: u64) -> anyhow::Result<Targets> {
+    let specs = config.targets.iter().enumerate();
+    let specs = specs.map(|(n, (name, target))| TargetSpec {
+        name: Arc::clone(name),
+        addr: match free {
+            true => "127.0.0.1:0".into(),
+            false => Arc::clone(&target.address),
+        },
+        rules: rules(config, target, warm, n),
+    });
+    let targets = Targets::bind(specs.collect())?;
+    for target in targets.iter() {
+        if let Some(entry) = config.targets.get_mut(target.name()) {
+            entry.address = target.addr().to_string().into();
+        }
+    }
+    Ok(targets)
+}
+
+fn rules(config: &Config, target: &Target, warm: u64, number: usize) -> TargetRules {
+    let service = config.services.get(&target.service);
+    let work = service.map_or(10, |s| s.work_ms.get());
+    let answer = service.map_or(1024, |s| s.answer_bytes.get());
+    TargetRules {
+        slots: u32::try_from(target.slots.get()).unwrap_or(u32::MAX),
+        connections: usize::try_from(target.connections.get()).unwrap_or(usize::MAX),
+        work: Work {
+            median: Duration::from_millis(work),
+            sigma: SIGMA,
+            long_share: 0.0,
+            long_factor: 1.0,
+        },
+        warm_after: warm,
+        answer_bytes: usize::try_from(answer.saturating_sub(ECHO)).unwrap_or_default(),
+        seed: u64::try_from(number).unwrap_or_default(),
+        ..TargetRules::default()
+    }
+}
