--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -320,6 +320,7 @@
             blocks: Arc::clone(&self.blocks),
             words: Arc::new(words),
         }));
+        self.shared.published.send_replace(self.number);
     }
 
     /// Composes the answers to look-ups again where what they were made from has changed.
--- a/crates/node/src/duties/control/tasks.rs
+++ b/crates/node/src/duties/control/tasks.rs
@@ -5,11 +5,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use dunlinrock_coord::{
-    pieces::{self, Hash, JoinError, Pieces, TreeError},
-    root::{Answer, Ask},
-    wire,
-};
+use dunlinrock_coord::{pieces::Pieces, wire};
 use dunlinrock_schema::{
     config::Config,
     coord::Root,
@@ -24,8 +20,8 @@
         pools::{self, PoolReport},
     },
     metrics::{Count, Metrics},
-    ring,
-    store::{HostList, ROOT_KEY, Store, perform},
+    operate, ring,
+    store::{HostList, ROOT_KEY, Store},
     wire::Client,
 };
 
@@ -132,23 +128,8 @@
     held: &mut Pieces,
 ) -> anyhow::Result<(u64, u64, Config)> {
     let root: Root = wire::decode(value)?;
-    let tree =
-        Hash::read(&root.now.tree).ok_or_else(|| anyhow::anyhow!("the root names no tree"))?;
-    loop {
-        let missing = match pieces::join(tree, held) {
-            Ok(config) => return Ok((version, root.now.revision, config)),
-            Err(JoinError::Tree(TreeError::Missing(missing))) => missing,
-            Err(e) => return Err(e.into()),
-        };
-        for hash in missing {
-            match perform(store, Ask::Piece(hash)).await {
-                Answer::Piece(Some(bytes)) => {
-                    held.insert(hash, bytes);
-                }
-                _ => anyhow::bail!("piece {hash} was not read"),
-            }
-        }
-    }
+    let config = operate::fetch(store, &root, held).await?;
+    Ok((version, root.now.revision, config))
 }
 
 /// Sends a heartbeat and brings its answer back.
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -76,6 +76,7 @@
             me,
             clock,
             view,
+            published: watch::channel(0).0,
             pools,
             ledger: ledger.sender,
             epoch: ledger.epoch,
@@ -128,6 +129,17 @@
         self.shared.view.load().ready
     }
 
+    /// Waits until a view passes `test`.
+    pub async fn until(&self, test: impl Fn(&View) -> bool) {
+        let mut published = self.shared.published.subscribe();
+        while !test(&self.shared.view.load()) {
+            // The sender lives as long as the host.
+            if published.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// What the host shares among its duties, for programs that embed it.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod duties;
 pub mod host;
 pub mod metrics;
+pub mod operate;
 pub mod ring;
 pub mod run;
 pub mod serve;
--- /dev/null
+++ b/crates/node/src/operate/apply.rs
@@ -0,0 +1,78 @@
+//! Drives an apply against the store until its end is certain.
+
+use std::{sync::Arc, time::Duration};
+
+use dunlinrock_coord::{
+    pieces,
+    root::{Answer, Apply, Asked, Intent, Pace, Verdict},
+};
+use dunlinrock_schema::config::Config;
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use tokio::time::{Instant, sleep_until};
+
+use crate::store::{Store, perform};
+
+/// An apply that was given up before its end was certain.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error(
+    "the store gave no certain answer in {time:?}; apply {id} {state}",
+    state = if *.in_doubt { "may have taken effect or may yet: look for its id with `history`" }
+        else { "has not taken effect" }
+)]
+pub struct Doubt {
+    /// Id of the apply.
+    pub id: Arc<str>,
+    /// Time it was tried for.
+    pub time: Duration,
+    /// Whether its write may have reached the store.
+    pub in_doubt: bool,
+}
+
+/// Applies `config` as a whole; gives up after `time`.
+///
+/// # Errors
+///
+/// [`Doubt`] where the store did not answer in time.
+pub async fn apply(
+    store: &Store,
+    config: &Config,
+    intent: Intent,
+    time: Duration,
+) -> Result<Verdict, Doubt> {
+    let id = Arc::clone(&intent.id);
+    let origin = Instant::now();
+    let end = origin + time;
+    let mut apply = Apply::open(intent, pieces::split(config), Pace::default());
+    let mut running: FuturesUnordered<BoxFuture<'_, (u64, Answer)>> = FuturesUnordered::new();
+    for asked in apply.poll(Duration::ZERO) {
+        running.push(Box::pin(answer(store, asked)));
+    }
+    loop {
+        if let Some(verdict) = apply.verdict() {
+            return Ok(verdict.clone());
+        }
+        let more = tokio::select! {
+            Some((number, answer)) = running.next(), if !running.is_empty() => {
+                apply.answer(number, answer, origin.elapsed())
+            }
+            () = sleep_until((origin + apply.wake()).min(end)), if running.is_empty() => {
+                apply.poll(origin.elapsed())
+            }
+            () = sleep_until(end) => Vec::new(),
+        };
+        if Instant::now() >= end && apply.verdict().is_none() {
+            return Err(Doubt {
+                id,
+                time,
+                in_doubt: apply.in_doubt(),
+            });
+        }
+        for asked in more {
+            running.push(Box::pin(answer(store, asked)));
+        }
+    }
+}
+
+async fn answer(store: &Store, asked: Asked) -> (u64, Answer) {
+    (asked.number, perform(store, asked.ask).await)
+}
--- /dev/null
+++ b/crates/node/src/operate/mod.rs
@@ -0,0 +1,11 @@
+//! What operators do with the store, for the command line and for programs that embed it.
+
+mod apply;
+mod read;
+
+pub use self::{
+    apply::{Doubt, apply},
+    read::{InForce, read},
+};
+
+pub(crate) use self::read::fetch;
--- /dev/null
+++ b/crates/node/src/operate/read.rs
@@ -0,0 +1,58 @@
+//! Reads the configuration in force.
+
+use anyhow::Context;
+use dunlinrock_coord::{
+    pieces::{self, Hash, JoinError, Pieces, TreeError},
+    root::{Answer, Ask},
+    wire,
+};
+use dunlinrock_schema::{config::Config, coord::Root};
+
+use crate::store::{ROOT_KEY, Store, perform};
+
+/// The configuration in force, with its root.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    /// The root.
+    pub root: Root,
+    /// The whole configuration.
+    pub config: Config,
+}
+
+/// Reads the configuration in force; `None` where none was applied yet.
+///
+/// # Errors
+///
+/// When the store does not answer, or holds something that cannot be read.
+pub async fn read(store: &Store) -> anyhow::Result<Option<InForce>> {
+    let found = store.get(ROOT_KEY).await?;
+    let Some(value) = found.value else {
+        return Ok(None);
+    };
+    let root: Root = wire::decode(&value).context("the root in the store cannot be read")?;
+    let config = fetch(store, &root, &mut Pieces::new()).await?;
+    Ok(Some(InForce { root, config }))
+}
+
+/// Fetches the pieces of a root that `held` lacks and joins them.
+pub(crate) async fn fetch(store: &Store, root: &Root, held: &mut Pieces) -> anyhow::Result<Config> {
+    let tree = Hash::read(&root.now.tree).context("the root names no tree")?;
+    loop {
+        let missing = match pieces::join(tree, held) {
+            Ok(config) => return Ok(config),
+            Err(JoinError::Tree(TreeError::Missing(missing))) => missing,
+            Err(e) => return Err(e.into()),
+        };
+        for hash in missing {
+            match perform(store, Ask::Piece(hash)).await {
+                Answer::Piece(Some(bytes)) => {
+                    held.insert(hash, bytes);
+                }
+                _ => anyhow::bail!(
+                    "piece {hash} of revision {} was not read",
+                    root.now.revision
+                ),
+            }
+        }
+    }
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwap;
 use dunlinrock_schema::settings::{LimitSettings, Settings, TimingSettings};
+use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
@@ -34,6 +35,8 @@
     pub clock: Clock,
     /// The newest view.
     pub view: Arc<ArcSwap<View>>,
+    /// Number of the newest view, for those who wait for one.
+    pub published: watch::Sender<u64>,
     /// To the pools duty.
     pub pools: ring::Sender<pools::Input>,
     /// To the ledger duty.
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,178 @@
+//! A deployment in one process: stand-ins for the platform, hosts, and a plain caller.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of it"
+)]
+
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dunlinrock_coord::root::{Intent, Verdict};
+use dunlinrock_fakes::{
+    List, ListRules, Store, StoreRules, TargetRules, TargetSpec, Targets, Work,
+};
+use dunlinrock_node::{
+    Host, operate,
+    store::Store as StoreClient,
+    wire::{Answer, Client},
+};
+use dunlinrock_schema::{
+    api::Hosts,
+    config::Config,
+    settings::{ListSettings, Settings, StoreSettings, TimingSettings},
+};
+use http_body_util::Full;
+use hyper::Request;
+
+/// Time that a call of a test may take; long, so that only a hang meets it.
+pub const LONG: Duration = Duration::from_secs(60);
+
+pub struct Deployment {
+    pub store: Store,
+    pub list: List,
+    pub targets: Targets,
+    pub config: Config,
+    pub hosts: Vec<Host>,
+    pub client: Client,
+    applies: u64,
+}
+
+impl Deployment {
+    /// Stand-ins for an example, with its targets on free ports; no host yet, nothing applied.
+    pub fn open(example: &str, work: Duration) -> Deployment {
+        let dir = Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join("../../examples")
+            .join(example);
+        let mut config = dunlinrock_config::config::open_dir(&dir).expect("the example is sound");
+        let targets = bind(&config, work);
+        for target in targets.iter() {
+            let entry = config
+                .targets
+                .get_mut(target.name())
+                .expect("bound from it");
+            entry.address = target.addr().to_string().into();
+        }
+        Deployment {
+            store: Store::bind("127.0.0.1:0", StoreRules::default()).expect("a free port"),
+            list: List::bind("127.0.0.1:0", ListRules::default()).expect("a free port"),
+            targets,
+            config,
+            hosts: Vec::new(),
+            client: Client::open(64 << 20),
+            applies: 0,
+        }
+    }
+
+    /// Starts a host in a domain.
+    pub fn host(&mut self, name: &str, domain: &str) -> &Host {
+        let host = Host::spawn(self.settings(name, domain)).expect("the host starts");
+        self.hosts.push(host);
+        self.hosts.last().expect("just pushed")
+    }
+
+    pub fn settings(&self, name: &str, domain: &str) -> Settings {
+        let region = &self.config.domains[domain].region;
+        Settings {
+            name: name.into(),
+            region: Arc::clone(region),
+            domain: domain.into(),
+            callers: "127.0.0.1:0".into(),
+            peers: "127.0.0.1:0".into(),
+            store: StoreSettings {
+                address: self.store.addr().to_string().into(),
+                prefix: "dunlinrock/".into(),
+                timeout_ms: std::num::NonZeroU64::new(2000).expect("not zero"),
+            },
+            list: ListSettings {
+                address: self.list.addr().to_string().into(),
+                poll_ms: 50,
+            },
+            log: None,
+            metrics: None,
+            limits: None,
+            timing: Some(TimingSettings {
+                heartbeat_ms: 50,
+                answer_ttl_ms: 200,
+                ..Default::default()
+            }),
+        }
+    }
+
+    /// Applies the configuration at hand.
+    pub async fn apply(&mut self) -> Verdict {
+        self.applies += 1;
+        let intent = Intent {
+            id: format!("apply-{}", self.applies).into(),
+            by: "test".into(),
+            at_ms: 0,
+            base: None,
+        };
+        let store = self.store_client();
+        operate::apply(&store, &self.config, intent, LONG)
+            .await
+            .expect("the store answers")
+    }
+
+    pub fn store_client(&self) -> StoreClient {
+        StoreClient::open(self.store.addr(), "dunlinrock/", Duration::from_secs(2))
+    }
+
+    /// Waits until every host is ready, holds `revision` and sees all others.
+    pub async fn settle(&self, revision: u64) {
+        let all = self.hosts.len();
+        for host in &self.hosts {
+            host.until(|view| view.ready && view.revision >= revision && view.members.len() == all)
+                .await;
+        }
+    }
+
+    pub async fn look_up(&self, host: SocketAddr, service: &str) -> Hosts {
+        let answer = self.get(host, &format!("/v1/hosts/{service}")).await;
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+        serde_json::from_slice(&answer.body).expect("an answer to a look-up")
+    }
+
+    pub async fn get(&self, host: SocketAddr, path: &str) -> Answer {
+        let request = Request::get(format!("http://{host}{path}")).body(Full::default());
+        self.client
+            .call(request.expect("a request"), LONG)
+            .await
+            .expect("an answer")
+    }
+
+    /// Sends a request with a key.
+    pub async fn post(&self, host: SocketAddr, path: &str, key: &str, attempts: &str) -> Answer {
+        let request = Request::post(format!("http://{host}{path}"))
+            .header("idempotency-key", key)
+            .header("dunlinrock-attempts", attempts)
+            .header("dunlinrock-caller", "a test")
+            .body(Full::new(Bytes::from_static(b"seat 4")))
+            .expect("a request");
+        self.client.call(request, LONG).await.expect("an answer")
+    }
+
+    /// How often the work of each key began, over all targets.
+    pub fn runs(&self) -> BTreeMap<Arc<str>, u64> {
+        self.targets.runs()
+    }
+}
+
+fn bind(config: &Config, work: Duration) -> Targets {
+    let specs = config.targets.iter().map(|(name, target)| TargetSpec {
+        name: Arc::clone(name),
+        addr: "127.0.0.1:0".into(),
+        rules: TargetRules {
+            slots: u32::try_from(target.slots.get()).expect("few slots"),
+            work: Work {
+                median: work,
+                sigma: 0.0,
+                long_share: 0.0,
+                long_factor: 1.0,
+            },
+            ..TargetRules::default()
+        },
+    });
+    Targets::bind(specs.collect()).expect("free ports")
+}
