--- a/crates/cli/src/args/fake.rs
+++ b/crates/cli/src/args/fake.rs
@@ -7,8 +7,7 @@
 use super::address;
 
 /// Which stand-in to run; each runs until a signal ends it.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub enum Fake {
     /// Run a key-value store
     #[bpaf(command)]
@@ -22,8 +21,7 @@
 }
 
 /// Arguments of `fake store` and `fake list`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct FakeServe {
     /// Address to serve; port 0 takes a free one
     #[bpaf(short, long, argument::<String>("IP:PORT"), parse(address))]
@@ -31,8 +29,7 @@
 }
 
 /// Arguments of `fake targets`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct FakeTargets {
     /// Requests until a target's cache is warm
     #[bpaf(short, long, argument("COUNT"), fallback(0), display_fallback)]
--- a/crates/cli/src/args/load.rs
+++ b/crates/cli/src/args/load.rs
@@ -7,8 +7,7 @@
 use super::address;
 
 /// Arguments of `load`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Load {
     /// Address of a host to start from, as callers reach it; may be given several times
     #[bpaf(short, long, argument::<String>("IP:PORT"), parse(address), some("give --at"))]
@@ -49,8 +48,7 @@
 }
 
 /// Arguments of `plot`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Plot {
     /// Picture to write, SVG
     #[bpaf(short, long, argument("FILE"))]
@@ -61,8 +59,7 @@
 }
 
 /// Arguments of `demo`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Demo {
     /// Requests a second, of all callers together
     #[bpaf(short, long, argument("NUMBER"), fallback(200.0), display_fallback)]
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -24,8 +24,7 @@
 have taken effect.";
 
 /// What the program is asked to do.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, footer(CODES))]
 /// Steers traffic between callers and targets
 ///
--- a/crates/cli/src/args/operate.rs
+++ b/crates/cli/src/args/operate.rs
@@ -7,8 +7,7 @@
 use super::address;
 
 /// Where the store is.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Store {
     /// Address of the platform's store
     #[bpaf(short('s'), long("store"), argument::<String>("IP:PORT"), parse(address))]
@@ -24,8 +23,7 @@
 }
 
 /// Arguments of `check`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Check {
     /// Directory of the configuration's TOML files
     #[bpaf(positional("DIR"))]
@@ -33,8 +31,7 @@
 }
 
 /// Arguments of `plan`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Plan {
     #[bpaf(external)]
     pub store: Store,
@@ -44,8 +41,7 @@
 }
 
 /// Arguments of `apply`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Apply {
     #[bpaf(external)]
     pub store: Store,
@@ -75,16 +71,14 @@
 }
 
 /// Arguments of `show`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Show {
     #[bpaf(external)]
     pub store: Store,
 }
 
 /// Arguments of `history`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct History {
     #[bpaf(external)]
     pub store: Store,
@@ -94,16 +88,14 @@
 }
 
 /// Arguments of `hosts`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Hosts {
     #[bpaf(external(hosts_from))]
     pub from: HostsFrom,
 }
 
 /// Whom `hosts` asks.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub enum HostsFrom {
     /// The platform's list.
     List {
@@ -126,8 +118,7 @@
 }
 
 /// Arguments of `dump`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Dump {
     /// Address of the host, as other hosts reach it
     #[bpaf(positional::<String>("IP:PORT"), parse(address))]
--- a/crates/cli/src/args/serve.rs
+++ b/crates/cli/src/args/serve.rs
@@ -5,8 +5,7 @@
 use bpaf::Bpaf;
 
 /// Arguments of `serve`.
-#[derive(Clone, Debug)]
-#[derive(Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub struct Serve {
     /// Settings of the host, a TOML file
     ///
--- a/crates/cli/src/caller/cache.rs
+++ b/crates/cli/src/caller/cache.rs
@@ -37,8 +37,12 @@
     /// Keeps an answer.
     pub(super) fn keep(&mut self, hosts: Hosts, now: Instant) -> Arc<Hosts> {
         let until = now + Duration::from_millis(hosts.ttl_ms);
-        self.named
-            .extend(hosts.hosts.iter().filter_map(|h| h.address.parse::<SocketAddr>().ok()));
+        self.named.extend(
+            hosts
+                .hosts
+                .iter()
+                .filter_map(|h| h.address.parse::<SocketAddr>().ok()),
+        );
         let service = Arc::clone(&hosts.service);
         let hosts = Arc::new(hosts);
         self.answers.insert(service, (until, Arc::clone(&hosts)));
--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -33,7 +33,11 @@
     block_on(async {
         let ended = operate::apply(&open, &config, intent, time).await;
         let verdict = ended.map_err(|doubt| {
-            let exit = if doubt.in_doubt { Exit::Unknown } else { Exit::Away };
+            let exit = if doubt.in_doubt {
+                Exit::Unknown
+            } else {
+                Exit::Away
+            };
             Failure::of(exit, &doubt)
         })?;
         let revision = revision(&verdict)?;
@@ -74,7 +78,10 @@
     loop {
         let behind = hosts::behind(list, revision).await?;
         if behind.is_empty() {
-            println!("every listed host follows it after {:.1} s", start.elapsed().as_secs_f64());
+            println!(
+                "every listed host follows it after {:.1} s",
+                start.elapsed().as_secs_f64()
+            );
             return Ok(());
         }
         if start.elapsed() >= time {
--- a/crates/cli/src/commands/fake.rs
+++ b/crates/cli/src/commands/fake.rs
@@ -30,7 +30,11 @@
 fn targets(args: &FakeTargets) -> Result<(), Failure> {
     let mut config = check::read(&args.dir)?;
     let targets = stand::bind(&mut config, false, args.warm)?;
-    println!("{} targets of {}", targets.iter().count(), args.dir.display());
+    println!(
+        "{} targets of {}",
+        targets.iter().count(),
+        args.dir.display()
+    );
     wait()
 }
 
--- a/crates/cli/src/commands/hosts.rs
+++ b/crates/cli/src/commands/hosts.rs
@@ -93,7 +93,10 @@
         found.service, found.revision, found.region, found.ttl_ms
     );
     for host in &found.hosts {
-        println!("{:<16}{:<22}{:<16}{:>8}", host.name, host.address, host.domain, host.weight);
+        println!(
+            "{:<16}{:<22}{:<16}{:>8}",
+            host.name, host.address, host.domain, host.weight
+        );
     }
     if let Some(binding) = &found.binding {
         println!(
--- a/crates/cli/src/commands/load.rs
+++ b/crates/cli/src/commands/load.rs
@@ -90,19 +90,24 @@
         return Ok(());
     }
     print!("{report}");
-    fs::write(path, text + "\n").map_err(|e| {
-        Failure::open(Exit::Usage, format!("cannot write {}: {e}", path.display()))
-    })
+    fs::write(path, text + "\n")
+        .map_err(|e| Failure::open(Exit::Usage, format!("cannot write {}: {e}", path.display())))
 }
 
 /// Gives the failure that a report shows.
 fn judge(report: &Report) -> Result<(), Failure> {
     if report.has_wrong() {
-        return Err(Failure::open(Exit::Failed, "a caller got an answer that was not its own"));
+        return Err(Failure::open(
+            Exit::Failed,
+            "a caller got an answer that was not its own",
+        ));
     }
     let answered = report.services.values().any(|share| share.answered > 0);
     if !answered {
-        return Err(Failure::open(Exit::Away, "no request was answered; do hosts run at --at?"));
+        return Err(Failure::open(
+            Exit::Away,
+            "no request was answered; do hosts run at --at?",
+        ));
     }
     Ok(())
 }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -14,7 +14,7 @@
 mod store;
 
 pub(crate) use apply::apply;
-pub(crate) use check::check;
+pub(crate) use check::{check, read, sizes};
 pub(crate) use dump::dump;
 pub(crate) use fake::fake;
 pub(crate) use history::history;
--- a/crates/cli/src/commands/plot.rs
+++ b/crates/cli/src/commands/plot.rs
@@ -32,9 +32,8 @@
 }
 
 fn read(path: &Path) -> Result<Report, Failure> {
-    let wrong = |e: &dyn std::fmt::Display| {
-        Failure::open(Exit::Usage, format!("{}: {e}", path.display()))
-    };
+    let wrong =
+        |e: &dyn std::fmt::Display| Failure::open(Exit::Usage, format!("{}: {e}", path.display()));
     let text = fs::read(path).map_err(|e| wrong(&e))?;
     serde_json::from_slice(&text).map_err(|e| wrong(&format!("no report of `load`: {e}")))
 }
@@ -43,7 +42,9 @@
     let names = reports.iter().flat_map(|report| report.services.keys());
     let names: std::collections::BTreeSet<_> = names.collect();
     let line = |name: &std::sync::Arc<str>| {
-        let shares = reports.iter().filter_map(|r| Some((r.rate, r.services.get(name)?)));
+        let shares = reports
+            .iter()
+            .filter_map(|r| Some((r.rate, r.services.get(name)?)));
         let mut points: Vec<_> = shares.map(|(rate, share)| (rate, share.p99_ms)).collect();
         points.sort_by(|a, b| a.0.total_cmp(&b.0));
         Line {
--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -9,7 +9,10 @@
 pub(crate) fn show(args: &Show) -> Result<(), Failure> {
     let found = block_on(store::read_some(&args.store))??;
     let now = &found.root.now;
-    println!("# Revision {} by {}, apply {}", now.revision, now.by, now.id);
+    println!(
+        "# Revision {} by {}, apply {}",
+        now.revision, now.by, now.id
+    );
     let text = toml::to_string(&found.config).context("writing the configuration")?;
     print!("{text}");
     Ok(())
--- /dev/null
+++ b/crates/cli/src/demo/audit.rs
@@ -0,0 +1,101 @@
+//! Whether the promises were kept, by the targets' own records.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Stopped,
+    probe::Samples,
+    stage::{Drained, Stage},
+};
+use crate::{
+    exit::{Exit, Failure},
+    load::Tally,
+};
+
+/// Time after which a drained domain gets no new work.
+const EMPTY: Duration = Duration::from_secs(5);
+
+/// What the demo is judged by.
+pub(super) struct Audit {
+    /// Domain that was drained.
+    pub(super) domain: Arc<str>,
+    /// Time until the drained domain's targets were last at work.
+    pub(super) drain: Duration,
+    /// The host that was stopped.
+    pub(super) stop: Option<Stopped>,
+    /// Keys whose work began more than once.
+    pub(super) repeated: usize,
+    /// Answers that were not the caller's own.
+    pub(super) wrong: u64,
+    /// Keys answered `run: no` whose work began.
+    pub(super) false_no: usize,
+    /// Requests whose caller could not be told whether they ran.
+    pub(super) unknown: u64,
+}
+
+impl Audit {
+    pub(super) fn of(
+        stage: &Stage,
+        tally: &Tally,
+        samples: &Samples,
+        drain: &Drained,
+        stop: Option<Stopped>,
+    ) -> Self {
+        let runs = stage.targets.runs();
+        let last = samples.domains.get(&drain.domain).map(|d| d.busy);
+        let last = last.map(|last| last.saturating_duration_since(drain.at));
+        let totals = || tally.services.values();
+        Self {
+            domain: Arc::clone(&drain.domain),
+            drain: last.unwrap_or_default(),
+            stop,
+            repeated: runs.values().filter(|n| **n > 1).count(),
+            wrong: totals().map(|t| t.wrong).sum(),
+            false_no: tally
+                .closed
+                .iter()
+                .filter(|key| runs.contains_key(*key))
+                .count(),
+            unknown: totals().map(|t| t.unknown + t.gone).sum(),
+        }
+    }
+
+    /// Lists the promises, each with what was seen and whether it was kept.
+    pub(super) fn promises(&self) -> Vec<(String, bool)> {
+        let empty = format!(
+            "drained domain {} had its last work after {:.1} s (at most {:.0} s)",
+            self.domain,
+            self.drain.as_secs_f64(),
+            EMPTY.as_secs_f64()
+        );
+        vec![
+            (
+                format!("requests run more than once: {}", self.repeated),
+                self.repeated == 0,
+            ),
+            (format!("wrong answers: {}", self.wrong), self.wrong == 0),
+            (
+                format!("false `run: no`: {}", self.false_no),
+                self.false_no == 0,
+            ),
+            (
+                format!("requests without a certain end: {}", self.unknown),
+                self.unknown == 0,
+            ),
+            (empty, self.drain <= EMPTY),
+        ]
+    }
+
+    /// Fails where a promise was broken.
+    pub(super) fn judge(&self) -> Result<(), Failure> {
+        let broken = self.promises().into_iter().filter(|(_, kept)| !kept);
+        let broken: Vec<String> = broken.map(|(text, _)| text).collect();
+        match broken.is_empty() {
+            true => Ok(()),
+            false => Err(Failure::open(
+                Exit::Failed,
+                format!("promises were broken: {}", broken.join("; ")),
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/callers.rs
@@ -0,0 +1,54 @@
+//! The demo's callers, some near each region.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
+
+use dunlinrock_schema::config::Config;
+
+use super::stage::Stage;
+use crate::caller::{Caller, Rules};
+
+/// Callers near each region.
+const CALLERS: u64 = 8;
+
+/// Attempts that a caller makes of one request.
+const ATTEMPTS: u32 = 6;
+
+/// Opens the callers; those of one region follow those of another.
+pub(super) fn open(stage: &Stage, seed: u64) -> Vec<Arc<Caller>> {
+    let starts: Vec<SocketAddr> = stage
+        .hosts
+        .iter()
+        .map(dunlinrock_node::Host::callers)
+        .collect();
+    let regions = || stage.config.regions.keys();
+    let mut callers = Vec::new();
+    for n in 0..CALLERS {
+        for region in regions() {
+            let rules = Rules {
+                name: format!("{region}-{n}").into(),
+                starts: starts.clone(),
+                from: address(&stage.config, region),
+                attempts: ATTEMPTS,
+                seed: seed.wrapping_mul(1_000_003) + u64::try_from(callers.len()).unwrap_or(0),
+            };
+            callers.push(Arc::new(Caller::open(rules)));
+        }
+    }
+    callers
+}
+
+/// Finds a loopback address that the configuration places near a region: the first one of the
+/// region's smallest loopback block.
+fn address(config: &Config, region: &str) -> Option<IpAddr> {
+    let near = config.blocks.iter().filter(|(_, at)| ***at == *region);
+    let blocks = near.filter_map(|(block, _)| {
+        let (net, bits) = block.split_once('/')?;
+        let net = net.parse::<Ipv4Addr>().ok()?;
+        net.is_loopback().then_some((bits.parse::<u8>().ok()?, net))
+    });
+    let (_, net) = blocks.max()?;
+    Some(Ipv4Addr::from(u32::from(net) | 1).into())
+}
--- /dev/null
+++ b/crates/cli/src/demo/probe.rs
@@ -0,0 +1,158 @@
+//! Looks at the targets while the demo runs.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use dunlinrock_fakes::Target;
+
+use super::{join, spawn, stage::Stage};
+use crate::exit::Failure;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A target with the place that it stands in.
+struct Placed {
+    target: Target,
+    domain: Arc<str>,
+    region: Arc<str>,
+}
+
+/// What was seen of a region.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Region {
+    /// Slots of its targets.
+    pub(super) slots: u32,
+    /// Looks.
+    pub(super) looks: u32,
+    /// Free slots, summed up over the looks.
+    pub(super) free: u64,
+    /// Fewest free slots of a look.
+    pub(super) least: u32,
+}
+
+/// What was seen of a failure domain.
+#[derive(Clone, Debug)]
+pub(super) struct Domain {
+    /// Last time at which it was seen at work, or to have begun some.
+    pub(super) busy: Instant,
+    /// Requests begun up to then.
+    started: u64,
+}
+
+/// What was seen.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Samples {
+    pub(super) regions: BTreeMap<Arc<str>, Region>,
+    pub(super) domains: BTreeMap<Arc<str>, Domain>,
+}
+
+/// A thread that looks at the targets until it is stopped.
+pub(super) struct Probe {
+    stop: Arc<AtomicBool>,
+    thread: thread::JoinHandle<Result<Samples, Failure>>,
+}
+
+impl Probe {
+    pub(super) fn spawn(stage: &Stage) -> Result<Self, Failure> {
+        let placed = place(stage);
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&stop);
+        let look = move || {
+            let mut samples = Samples::default();
+            while !stopped.load(Ordering::Relaxed) {
+                samples.look(&placed, Instant::now());
+                thread::sleep(LOOK);
+            }
+            Ok(samples)
+        };
+        Ok(Self {
+            stop,
+            thread: spawn("probe", look)?,
+        })
+    }
+
+    /// Stops looking and gives what was seen.
+    pub(super) fn stop(self) -> Result<Samples, Failure> {
+        self.stop.store(true, Ordering::Relaxed);
+        join(self.thread)
+    }
+}
+
+fn place(stage: &Stage) -> Vec<Placed> {
+    let placed = stage.targets.iter().filter_map(|target| {
+        let domain = Arc::clone(&stage.config.targets.get(target.name())?.domain);
+        let region = Arc::clone(&stage.config.domains.get(&domain)?.region);
+        Some(Placed {
+            target: target.clone(),
+            domain,
+            region,
+        })
+    });
+    placed.collect()
+}
+
+impl Samples {
+    fn look(&mut self, placed: &[Placed], now: Instant) {
+        let mut regions: BTreeMap<&Arc<str>, (u32, u32)> = BTreeMap::new();
+        let mut domains: BTreeMap<&Arc<str>, (u32, u64)> = BTreeMap::new();
+        for at in placed {
+            let load = at.target.load();
+            let region = regions.entry(&at.region).or_default();
+            region.0 += load.slots;
+            region.1 += load.busy;
+            let domain = domains.entry(&at.domain).or_default();
+            domain.0 += load.busy;
+            domain.1 += at.target.counts().started;
+        }
+        for (name, (slots, busy)) in regions {
+            self.region(name, slots, busy);
+        }
+        for (name, (busy, started)) in domains {
+            let seen = Domain { busy: now, started };
+            let domain = self.domains.entry(Arc::clone(name)).or_insert(seen.clone());
+            if busy > 0 || started != domain.started {
+                *domain = seen;
+            }
+        }
+    }
+
+    fn region(&mut self, name: &Arc<str>, slots: u32, busy: u32) {
+        let free = slots.saturating_sub(busy);
+        let region = self.regions.entry(Arc::clone(name)).or_insert(Region {
+            least: slots,
+            ..Region::default()
+        });
+        region.slots = slots;
+        region.looks += 1;
+        region.free += u64::from(free);
+        region.least = region.least.min(free);
+    }
+}
+
+impl Region {
+    /// Gives the part of its slots that was free on average.
+    pub(super) fn mean(&self) -> f64 {
+        let all = f64::from(self.slots) * f64::from(self.looks);
+        if all > 0.0 {
+            self.free as f64 / all
+        } else {
+            0.0
+        }
+    }
+
+    /// Gives the part of its slots that was free at the busiest look.
+    pub(super) fn low(&self) -> f64 {
+        match self.slots {
+            0 => 0.0,
+            slots => f64::from(self.least) / f64::from(slots),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/stage.rs
@@ -0,0 +1,202 @@
+//! The deployment that the demo runs: stand-ins and hosts on free loopback ports.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use dunlinrock_coord::root::{Intent, Verdict};
+use dunlinrock_fakes::{List, ListRules, Store, StoreRules, Targets};
+use dunlinrock_node::{Host, operate, store};
+use dunlinrock_schema::{
+    config::{Config, Drain, DrainKind},
+    settings::{ListSettings, Settings, StoreSettings, TimingSettings},
+};
+
+use crate::{
+    exit::{Exit, Failure},
+    rt::block_on,
+    stand,
+};
+
+/// Hosts in each failure domain.
+const HOSTS: usize = 2;
+
+/// Prefix of the deployment's keys in the store.
+const PREFIX: &str = "dunlinrock/";
+
+/// Time that hosts have to be ready, and an apply to end.
+const READY: Duration = Duration::from_secs(20);
+
+/// Time between two looks at hosts that are not ready.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Time that callers may keep a look-up. A planned stop takes at least that long.
+const ANSWER_TTL_MS: u64 = 1000;
+
+/// Lag of the list of hosts.
+const LIST_LAG: Duration = Duration::from_millis(500);
+
+/// A running deployment.
+pub(super) struct Stage {
+    /// The configuration in force.
+    pub(super) config: Config,
+    pub(super) targets: Targets,
+    pub(super) hosts: Vec<Host>,
+    /// Region of each host, by its address for callers.
+    regions: BTreeMap<SocketAddr, Arc<str>>,
+    store: Store,
+    list: List,
+    applies: u64,
+}
+
+/// A drain that is in force.
+pub(super) struct Drained {
+    pub(super) domain: Arc<str>,
+    /// Time at which the apply ended.
+    pub(super) at: Instant,
+}
+
+impl Stage {
+    /// Brings everything up, and waits until every host is ready.
+    pub(super) fn open(mut config: Config) -> Result<Self, Failure> {
+        let targets = stand::bind(&mut config, true, 0)?;
+        let rules = ListRules {
+            lag: LIST_LAG,
+            ..ListRules::default()
+        };
+        let mut stage = Self {
+            config,
+            targets,
+            hosts: Vec::new(),
+            regions: BTreeMap::new(),
+            store: Store::bind("127.0.0.1:0", StoreRules::default())?,
+            list: List::bind("127.0.0.1:0", rules)?,
+            applies: 0,
+        };
+        let revision = stage.apply()?;
+        stage.spawn()?;
+        stage.settle(revision)?;
+        Ok(stage)
+    }
+
+    /// Gives the lowest revision that a host follows.
+    pub(super) fn revision(&self) -> u64 {
+        self.hosts
+            .iter()
+            .map(Host::revision)
+            .min()
+            .unwrap_or_default()
+    }
+
+    /// Finds the region of a host, also of one that was stopped.
+    pub(super) fn region_of(&self, callers: SocketAddr) -> Option<Arc<str>> {
+        self.regions.get(&callers).cloned()
+    }
+
+    /// Drains the first failure domain.
+    pub(super) fn drain(&mut self) -> Result<Drained, Failure> {
+        let domain = self.config.domains.keys().next().cloned();
+        let domain = domain.ok_or_else(|| failed("the configuration has no domain"))?;
+        let drain = Drain {
+            kind: DrainKind::Domain,
+            name: Arc::clone(&domain),
+        };
+        self.config.drains.insert("demo".into(), drain);
+        self.apply()?;
+        Ok(Drained {
+            domain,
+            at: Instant::now(),
+        })
+    }
+
+    /// Takes out a host of a domain that is not drained.
+    pub(super) fn take_host(&mut self) -> Option<Host> {
+        let last = self.config.domains.keys().next_back()?;
+        let name = host_name(last, HOSTS);
+        let at = self.hosts.iter().position(|host| **host.name() == *name)?;
+        Some(self.hosts.remove(at))
+    }
+
+    /// Applies the configuration at hand; gives its revision.
+    fn apply(&mut self) -> Result<u64, Failure> {
+        self.applies += 1;
+        let intent = Intent {
+            id: format!("demo-{}", self.applies).into(),
+            by: "demo".into(),
+            at_ms: 0,
+            base: None,
+        };
+        let client = store::Store::open(self.store.addr(), PREFIX, Duration::from_secs(2));
+        let ended = block_on(operate::apply(&client, &self.config, intent, READY))?;
+        match ended.map_err(|doubt| Failure::of(Exit::Unknown, &doubt))? {
+            Verdict::InForce { revision, .. } | Verdict::Same { revision } => Ok(revision),
+            verdict => Err(failed(&verdict.to_string())),
+        }
+    }
+
+    fn spawn(&mut self) -> Result<(), Failure> {
+        for (domain, entry) in &self.config.domains {
+            for n in 1..=HOSTS {
+                let settings = self.settings(&host_name(domain, n), domain, &entry.region);
+                let host = Host::spawn(settings)?;
+                self.regions
+                    .insert(host.callers(), Arc::clone(&entry.region));
+                self.hosts.push(host);
+            }
+        }
+        Ok(())
+    }
+
+    fn settings(&self, name: &str, domain: &Arc<str>, region: &Arc<str>) -> Settings {
+        let store = StoreSettings {
+            address: self.store.addr().to_string().into(),
+            prefix: PREFIX.into(),
+            timeout_ms: std::num::NonZeroU64::MIN.saturating_add(1999),
+        };
+        let list = ListSettings {
+            address: self.list.addr().to_string().into(),
+            poll_ms: 200,
+        };
+        Settings {
+            name: name.into(),
+            region: Arc::clone(region),
+            domain: Arc::clone(domain),
+            callers: "127.0.0.1:0".into(),
+            peers: "127.0.0.1:0".into(),
+            store,
+            list,
+            log: None,
+            metrics: None,
+            limits: None,
+            timing: Some(TimingSettings {
+                answer_ttl_ms: ANSWER_TTL_MS,
+                ..TimingSettings::default()
+            }),
+        }
+    }
+
+    /// Waits until every host is ready at a revision.
+    fn settle(&self, revision: u64) -> Result<(), Failure> {
+        let end = Instant::now() + READY;
+        let ready = |host: &&Host| host.is_ready() && host.revision() >= revision;
+        while self.hosts.iter().filter(ready).count() < self.hosts.len() {
+            if Instant::now() >= end {
+                return Err(failed("the hosts did not become ready"));
+            }
+            thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+}
+
+fn host_name(domain: &str, number: usize) -> String {
+    format!("{domain}-{number}")
+}
+
+fn failed(text: &str) -> Failure {
+    Failure::open(Exit::Failed, text)
+}
--- a/crates/cli/src/load/report.rs
+++ b/crates/cli/src/load/report.rs
@@ -7,8 +7,7 @@
 use super::{Pace, Tally, Totals};
 
 /// What one service's callers got.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Share {
     /// Requests sent.
     pub sent: u64,
@@ -59,8 +58,7 @@
 }
 
 /// What a load measured.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Report {
     /// Requests a second that were sent.
     pub rate: f64,
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -29,7 +29,11 @@
         .build();
     let config = Config::builder()
         .appender(Appender::builder().build(CONSOLE, Box::new(console)))
-        .build(Root::builder().appender(CONSOLE).build(level(settings.level)))
+        .build(
+            Root::builder()
+                .appender(CONSOLE)
+                .build(level(settings.level)),
+        )
         .context("the log's configuration")?;
     log4rs::init_config(config).context("starting the log")?;
     Ok(())
@@ -55,7 +59,9 @@
 impl Encode for Text {
     fn encode(&self, w: &mut dyn Write, record: &Record<'_>) -> anyhow::Result<()> {
         let time = std::time::SystemTime::now();
-        let since = time.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let since = time
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap_or_default();
         write!(
             w,
             "{}.{:03} {:5} {}: {}",
