--- a/crates/cli/src/args/fake.rs
+++ b/crates/cli/src/args/fake.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use bpaf::{Bpaf, Parser};
+use bpaf::Bpaf;
 
 use super::address;
 
@@ -20,15 +20,15 @@
     Targets(#[bpaf(external(fake_targets))] FakeTargets),
 }
 
-/// Arguments of `fake store` and `fake list`.
+/// Where to serve
 #[derive(Clone, Debug, Bpaf)]
 pub struct FakeServe {
     /// Address to serve; port 0 takes a free one
-    #[bpaf(short, long, argument::<String>("IP:PORT"), parse(address))]
+    #[bpaf(short, long, argument::<String>("ADDR"), parse(address))]
     pub bind: SocketAddr,
 }
 
-/// Arguments of `fake targets`.
+/// Which targets to run
 #[derive(Clone, Debug, Bpaf)]
 pub struct FakeTargets {
     /// Requests until a target's cache is warm
--- a/crates/cli/src/args/load.rs
+++ b/crates/cli/src/args/load.rs
@@ -2,15 +2,15 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
-use bpaf::{Bpaf, Parser};
+use bpaf::Bpaf;
 
 use super::address;
 
-/// Arguments of `load`.
+/// What load to put on which hosts
 #[derive(Clone, Debug, Bpaf)]
 pub struct Load {
     /// Address of a host to start from, as callers reach it; may be given several times
-    #[bpaf(short, long, argument::<String>("IP:PORT"), parse(address), some("give --at"))]
+    #[bpaf(short, long, argument::<String>("ADDR"), parse(address), some("give --at"))]
     pub at: Vec<SocketAddr>,
     /// Service to call; may be given several times
     #[bpaf(short, long, argument::<String>("NAME"), map(Into::into), some("give --service"))]
@@ -47,7 +47,7 @@
     pub json: Option<PathBuf>,
 }
 
-/// Arguments of `plot`.
+/// What to draw
 #[derive(Clone, Debug, Bpaf)]
 pub struct Plot {
     /// Picture to write, SVG
@@ -58,7 +58,7 @@
     pub reports: Vec<PathBuf>,
 }
 
-/// Arguments of `demo`.
+/// What to run
 #[derive(Clone, Debug, Bpaf)]
 pub struct Demo {
     /// Requests a second, of all callers together
@@ -68,10 +68,11 @@
     #[bpaf(long, argument("NUMBER"), fallback(1), display_fallback)]
     pub seed: u64,
     /// Directory of the configuration's TOML files
-    #[bpaf(positional("DIR"), fallback("examples/cursuri".into()), display_fallback_with(show))]
+    #[bpaf(positional("DIR"), fallback("examples/cursuri".into()), format_fallback(show))]
     pub dir: PathBuf,
 }
 
+#[allow(clippy::ptr_arg, reason = "the parser shows the field's own type")]
 fn show(dir: &PathBuf, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
     write!(f, "{}", dir.display())
 }
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -5,7 +5,7 @@
 mod operate;
 mod serve;
 
-use bpaf::{Bpaf, OptionParser, Parser};
+use bpaf::{Bpaf, OptionParser};
 
 pub use fake::{Fake, FakeServe, FakeTargets};
 pub use load::{Demo, Load, Plot};
@@ -14,6 +14,9 @@
 
 use crate::exit::Exit;
 
+/// Name of the program.
+const NAME: &str = "dunlinrock";
+
 /// Width of help texts, in columns.
 const WIDTH: usize = 100;
 
@@ -95,7 +98,7 @@
     let parsed = parser().run_inner(bpaf::Args::current_args());
     match parsed {
         Ok(Command::Help) => {
-            if let Err(help) = parser().run_inner(&["--help"]) {
+            if let Err(help) = parser().run_inner(bpaf::Args::from(&["--help"]).set_name(NAME)) {
                 help.print_message(WIDTH);
             }
             Err(Exit::Ok)
@@ -118,10 +121,14 @@
 /// Renders the man page.
 pub fn man() -> String {
     let section = bpaf::doc::Section::General;
-    parser().render_manpage("dunlinrock", section, None, None, Some("dunlinrock"))
+    parser().render_manpage(NAME, section, None, None, Some(NAME))
 }
 
 /// Parses `IP:PORT`.
+#[allow(
+    clippy::needless_pass_by_value,
+    reason = "the parser hands the text over"
+)]
 fn address(text: String) -> Result<std::net::SocketAddr, String> {
     let parsed = text.parse();
     parsed.map_err(|_| format!("`{text}` is not IP:PORT, as in 127.0.0.1:17000"))
--- a/crates/cli/src/args/operate.rs
+++ b/crates/cli/src/args/operate.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
-use bpaf::{Bpaf, Parser};
+use bpaf::Bpaf;
 
 use super::address;
 
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, Bpaf)]
 pub struct Store {
     /// Address of the platform's store
-    #[bpaf(short('s'), long("store"), argument::<String>("IP:PORT"), parse(address))]
+    #[bpaf(short('s'), long("store"), argument::<String>("ADDR"), parse(address))]
     pub at: SocketAddr,
     /// Prefix of the deployment's keys in the store
     ///
@@ -22,7 +22,7 @@
     pub seconds: f64,
 }
 
-/// Arguments of `check`.
+/// What to check
 #[derive(Clone, Debug, Bpaf)]
 pub struct Check {
     /// Directory of the configuration's TOML files
@@ -30,9 +30,10 @@
     pub dir: PathBuf,
 }
 
-/// Arguments of `plan`.
+/// What to compare with what is in force
 #[derive(Clone, Debug, Bpaf)]
 pub struct Plan {
+    /// The store:
     #[bpaf(external)]
     pub store: Store,
     /// Directory of the configuration's TOML files
@@ -40,9 +41,10 @@
     pub dir: PathBuf,
 }
 
-/// Arguments of `apply`.
+/// What to put in force, and how
 #[derive(Clone, Debug, Bpaf)]
 pub struct Apply {
+    /// The store:
     #[bpaf(external)]
     pub store: Store,
     /// Id of this apply; a new one where absent
@@ -63,23 +65,25 @@
     #[bpaf(short, long)]
     pub wait: bool,
     /// Address of the platform's list of hosts
-    #[bpaf(short, long, argument::<String>("IP:PORT"), parse(address), optional)]
+    #[bpaf(short, long, argument::<String>("ADDR"), parse(address), optional)]
     pub list: Option<SocketAddr>,
     /// Directory of the configuration's TOML files
     #[bpaf(positional("DIR"))]
     pub dir: PathBuf,
 }
 
-/// Arguments of `show`.
+/// Which deployment to show
 #[derive(Clone, Debug, Bpaf)]
 pub struct Show {
+    /// The store:
     #[bpaf(external)]
     pub store: Store,
 }
 
-/// Arguments of `history`.
+/// Which applies to list
 #[derive(Clone, Debug, Bpaf)]
 pub struct History {
+    /// The store:
     #[bpaf(external)]
     pub store: Store,
     /// Applies to list
@@ -87,9 +91,10 @@
     pub count: usize,
 }
 
-/// Arguments of `hosts`.
+/// Which hosts to list
 #[derive(Clone, Debug, Bpaf)]
 pub struct Hosts {
+    /// Whom to ask, the list or a host:
     #[bpaf(external(hosts_from))]
     pub from: HostsFrom,
 }
@@ -100,13 +105,13 @@
     /// The platform's list.
     List {
         /// Address of the platform's list of hosts
-        #[bpaf(short, long, argument::<String>("IP:PORT"), parse(address))]
+        #[bpaf(short, long, argument::<String>("ADDR"), parse(address))]
         list: SocketAddr,
     },
     /// A look-up.
     At {
         /// Address of a host, as callers reach it
-        #[bpaf(short, long, argument::<String>("IP:PORT"), parse(address))]
+        #[bpaf(short, long, argument::<String>("ADDR"), parse(address))]
         at: SocketAddr,
         /// Client to look up for; this machine where absent
         #[bpaf(short, long, argument("IP"), optional)]
@@ -117,10 +122,10 @@
     },
 }
 
-/// Arguments of `dump`.
+/// Which host to ask
 #[derive(Clone, Debug, Bpaf)]
 pub struct Dump {
     /// Address of the host, as other hosts reach it
-    #[bpaf(positional::<String>("IP:PORT"), parse(address))]
+    #[bpaf(positional::<String>("ADDR"), parse(address))]
     pub at: SocketAddr,
 }
--- a/crates/cli/src/args/serve.rs
+++ b/crates/cli/src/args/serve.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 
-/// Arguments of `serve`.
+/// Which host to run
 #[derive(Clone, Debug, Bpaf)]
 pub struct Serve {
     /// Settings of the host, a TOML file
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -69,6 +69,7 @@
     let load = start_load(&stage, &pace, &tally)?;
     progress(start, DRAIN_AT, &tally);
     let drain = stage.drain()?;
+    probe.drain(&drain.domain);
     println!("drain of domain {} is in force", drain.domain);
     progress(start, STOP_AT, &tally);
     let stop = stop(&mut stage)?;
--- a/crates/cli/src/demo/probe.rs
+++ b/crates/cli/src/demo/probe.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -28,14 +28,14 @@
 /// What was seen of a region.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Region {
-    /// Slots of its targets.
+    /// Slots of its targets at the last look.
     pub(super) slots: u32,
     /// Looks.
-    pub(super) looks: u32,
-    /// Free slots, summed up over the looks.
-    pub(super) free: u64,
-    /// Fewest free slots of a look.
-    pub(super) least: u32,
+    looks: u32,
+    /// Parts of its slots that were free, summed up over the looks.
+    free: f64,
+    /// Least part that was free at a look.
+    least: f64,
 }
 
 /// What was seen of a failure domain.
@@ -56,6 +56,8 @@
 
 /// A thread that looks at the targets until it is stopped.
 pub(super) struct Probe {
+    /// Domain that was drained; its slots are no headroom any more.
+    drained: Arc<OnceLock<Arc<str>>>,
     stop: Arc<AtomicBool>,
     thread: thread::JoinHandle<Result<Samples, Failure>>,
 }
@@ -65,20 +67,28 @@
         let placed = place(stage);
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = Arc::clone(&stop);
+        let drained = Arc::new(OnceLock::new());
+        let out = Arc::clone(&drained);
         let look = move || {
             let mut samples = Samples::default();
             while !stopped.load(Ordering::Relaxed) {
-                samples.look(&placed, Instant::now());
+                samples.look(&placed, out.get(), Instant::now());
                 thread::sleep(LOOK);
             }
             Ok(samples)
         };
         Ok(Self {
+            drained,
             stop,
             thread: spawn("probe", look)?,
         })
     }
 
+    /// Leaves the slots of a drained domain out from now on.
+    pub(super) fn drain(&self, domain: &Arc<str>) {
+        let _ = self.drained.set(Arc::clone(domain));
+    }
+
     /// Stops looking and gives what was seen.
     pub(super) fn stop(self) -> Result<Samples, Failure> {
         self.stop.store(true, Ordering::Relaxed);
@@ -100,14 +110,16 @@
 }
 
 impl Samples {
-    fn look(&mut self, placed: &[Placed], now: Instant) {
+    fn look(&mut self, placed: &[Placed], drained: Option<&Arc<str>>, now: Instant) {
         let mut regions: BTreeMap<&Arc<str>, (u32, u32)> = BTreeMap::new();
         let mut domains: BTreeMap<&Arc<str>, (u32, u64)> = BTreeMap::new();
         for at in placed {
             let load = at.target.load();
-            let region = regions.entry(&at.region).or_default();
-            region.0 += load.slots;
-            region.1 += load.busy;
+            if drained != Some(&at.domain) {
+                let region = regions.entry(&at.region).or_default();
+                region.0 += load.slots;
+                region.1 += load.busy;
+            }
             let domain = domains.entry(&at.domain).or_default();
             domain.0 += load.busy;
             domain.1 += at.target.counts().started;
@@ -125,14 +137,14 @@
     }
 
     fn region(&mut self, name: &Arc<str>, slots: u32, busy: u32) {
-        let free = slots.saturating_sub(busy);
+        let free = 1.0 - f64::from(busy) / f64::from(slots.max(1));
         let region = self.regions.entry(Arc::clone(name)).or_insert(Region {
-            least: slots,
+            least: 1.0,
             ..Region::default()
         });
         region.slots = slots;
         region.looks += 1;
-        region.free += u64::from(free);
+        region.free += free;
         region.least = region.least.min(free);
     }
 }
@@ -140,19 +152,11 @@
 impl Region {
     /// Gives the part of its slots that was free on average.
     pub(super) fn mean(&self) -> f64 {
-        let all = f64::from(self.slots) * f64::from(self.looks);
-        if all > 0.0 {
-            self.free as f64 / all
-        } else {
-            0.0
-        }
+        self.free / f64::from(self.looks.max(1))
     }
 
     /// Gives the part of its slots that was free at the busiest look.
     pub(super) fn low(&self) -> f64 {
-        match self.slots {
-            0 => 0.0,
-            slots => f64::from(self.least) / f64::from(slots),
-        }
+        self.least
     }
 }
--- a/crates/cli/src/demo/stage.rs
+++ b/crates/cli/src/demo/stage.rs
@@ -56,7 +56,7 @@
 /// A drain that is in force.
 pub(super) struct Drained {
     pub(super) domain: Arc<str>,
-    /// Time at which the apply ended.
+    /// Time at which the apply began.
     pub(super) at: Instant,
 }
 
@@ -106,11 +106,9 @@
             name: Arc::clone(&domain),
         };
         self.config.drains.insert("demo".into(), drain);
+        let at = Instant::now();
         self.apply()?;
-        Ok(Drained {
-            domain,
-            at: Instant::now(),
-        })
+        Ok(Drained { domain, at })
     }
 
     /// Takes out a host of a domain that is not drained.
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -47,9 +47,13 @@
 
     /// An error of a library, with all its causes.
     pub fn of(exit: Exit, error: &(dyn Error + 'static)) -> Self {
-        let causes = std::iter::successors(Some(error), |e| e.source());
-        let causes: Vec<String> = causes.map(ToString::to_string).collect();
-        Self::open(exit, causes.join(": "))
+        let mut message = error.to_string();
+        let mut cause = error.source();
+        while let Some(error) = cause {
+            message = format!("{message}: {error}");
+            cause = error.source();
+        }
+        Self::open(exit, message)
     }
 }
 
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -1,7 +1,5 @@
 //! Log records to the console.
 
-use std::io::Write as _;
-
 use anyhow::Context;
 use dunlinrock_schema::settings::{LogSettings, LogSettingsFormat, LogSettingsLevel};
 use log::{
