--- a/crates/cli/src/args/fake.rs
+++ b/crates/cli/src/args/fake.rs
@@ -7,7 +7,8 @@
 use super::address;
 
 /// Which stand-in to run; each runs until a signal ends it.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub enum Fake {
     /// Run a key-value store
     #[bpaf(command)]
@@ -21,7 +22,8 @@
 }
 
 /// Where to serve
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct FakeServe {
     /// Address to serve; port 0 takes a free one
     #[bpaf(short, long, argument::<String>("ADDR"), parse(address))]
@@ -29,7 +31,8 @@
 }
 
 /// Which targets to run
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct FakeTargets {
     /// Requests until a target's cache is warm
     #[bpaf(short, long, argument("COUNT"), fallback(0), display_fallback)]
--- a/crates/cli/src/args/load.rs
+++ b/crates/cli/src/args/load.rs
@@ -7,7 +7,8 @@
 use super::address;
 
 /// What load to put on which hosts
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Load {
     /// Address of a host to start from, as callers reach it; may be given several times
     #[bpaf(short, long, argument::<String>("ADDR"), parse(address), some("give --at"))]
@@ -48,7 +49,8 @@
 }
 
 /// What to draw
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Plot {
     /// Picture to write, SVG
     #[bpaf(short, long, argument("FILE"))]
@@ -59,7 +61,8 @@
 }
 
 /// What to run
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Demo {
     /// Requests a second, of all callers together
     #[bpaf(short, long, argument("NUMBER"), fallback(200.0), display_fallback)]
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -26,13 +26,14 @@
 host could not be reached, nothing was changed; 5 the store gave no certain answer, the apply may \
 have taken effect.";
 
-/// What the program is asked to do.
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version, footer(CODES))]
-/// Steers traffic between callers and targets
+/// Steers traffic between callers and targets.
 ///
 /// Hosts answer callers' look-ups and run their requests on targets, under a configuration that
-/// operators apply as a whole.
+/// operators apply as a whole. `dunlinrock COMMAND --help` explains a command; `--help --help`
+/// says more.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+#[bpaf(options, version, footer(CODES))]
 pub enum Command {
     /// Run one entry host
     ///
--- a/crates/cli/src/args/operate.rs
+++ b/crates/cli/src/args/operate.rs
@@ -7,7 +7,8 @@
 use super::address;
 
 /// Where the store is.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Store {
     /// Address of the platform's store
     #[bpaf(short('s'), long("store"), argument::<String>("ADDR"), parse(address))]
@@ -23,7 +24,8 @@
 }
 
 /// What to check
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Check {
     /// Directory of the configuration's TOML files
     #[bpaf(positional("DIR"))]
@@ -31,7 +33,8 @@
 }
 
 /// What to compare with what is in force
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Plan {
     /// The store:
     #[bpaf(external)]
@@ -42,7 +45,8 @@
 }
 
 /// What to put in force, and how
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Apply {
     /// The store:
     #[bpaf(external)]
@@ -73,7 +77,8 @@
 }
 
 /// Which deployment to show
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Show {
     /// The store:
     #[bpaf(external)]
@@ -81,7 +86,8 @@
 }
 
 /// Which applies to list
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct History {
     /// The store:
     #[bpaf(external)]
@@ -92,7 +98,8 @@
 }
 
 /// Which hosts to list
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Hosts {
     /// Whom to ask, the list or a host:
     #[bpaf(external(hosts_from))]
@@ -100,7 +107,8 @@
 }
 
 /// Whom `hosts` asks.
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub enum HostsFrom {
     /// The platform's list.
     List {
@@ -123,7 +131,8 @@
 }
 
 /// Which host to ask
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Dump {
     /// Address of the host, as other hosts reach it
     #[bpaf(positional::<String>("ADDR"), parse(address))]
--- a/crates/cli/src/args/serve.rs
+++ b/crates/cli/src/args/serve.rs
@@ -5,7 +5,8 @@
 use bpaf::Bpaf;
 
 /// Which host to run
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 pub struct Serve {
     /// Settings of the host, a TOML file
     ///
--- a/crates/cli/src/load/report.rs
+++ b/crates/cli/src/load/report.rs
@@ -7,7 +7,8 @@
 use super::{Pace, Tally, Totals};
 
 /// What one service's callers got.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Share {
     /// Requests sent.
     pub sent: u64,
@@ -58,7 +59,8 @@
 }
 
 /// What a load measured.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Report {
     /// Requests a second that were sent.
     pub rate: f64,
--- a/crates/fakes/src/answer.rs
+++ b/crates/fakes/src/answer.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 
 /// The connection ends here, without an answer or in the middle of one.
-#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[derive(Clone, Copy, Debug)]
+#[derive(thiserror::Error)]
 #[error("the connection is closed on purpose")]
 pub(crate) struct Closed;
 
