--- /dev/null
+++ b/crates/cli/tests/support/program.rs
@@ -0,0 +1,75 @@
+//! Runs of the built program.
+
+use std::{
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+};
+
+/// What a run printed and how it ended.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    pub(crate) code: i32,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+/// The program with arguments.
+pub(crate) fn program(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dunlinrock"));
+    command.args(args).env("USER", "ana");
+    command
+}
+
+/// Runs the program to its end.
+pub(crate) fn run(args: &[&str]) -> Ended {
+    let output = program(args).output().unwrap();
+    Ended {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// A program that runs on; ended with the test.
+pub(crate) struct Running(Child);
+
+impl Running {
+    pub(crate) fn spawn(args: &[&str]) -> Self {
+        let mut command = program(args);
+        command.stdout(Stdio::null()).stderr(Stdio::null());
+        Self(command.spawn().unwrap())
+    }
+
+    /// Sends SIGTERM, as an operator's `kill` does.
+    pub(crate) fn terminate(&self) {
+        let id = self.0.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits for the end and gives the exit code.
+    pub(crate) fn wait(&mut self) -> Option<i32> {
+        self.0.wait().unwrap().code()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// An example's directory.
+pub(crate) fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name)
+}
+
+/// An address that nobody serves at the moment.
+pub(crate) fn free() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().to_string()
+}
--- /dev/null
+++ b/crates/cli/tests/support/scripted.rs
@@ -0,0 +1,157 @@
+//! A host that answers as a test says, and notes what it was asked.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use bytes::Bytes;
+use dunlinrock_schema::api::{Binding, HostWeight, Hosts, Problem, Run};
+use http::{HeaderMap, Method, Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+
+/// A request as the host saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+}
+
+impl Seen {
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |v| v.to_str().unwrap())
+    }
+
+    pub(crate) fn is_lookup(&self) -> bool {
+        self.path.starts_with("/v1/hosts/")
+    }
+}
+
+/// What the host does with a request.
+pub(crate) enum Play {
+    /// Answers.
+    Reply(u16, &'static str, Vec<u8>),
+    /// Closes the connection.
+    Close,
+    /// Never answers.
+    Silence,
+}
+
+/// A scripted host; lives as long as the runtime it was opened on.
+#[derive(Clone)]
+pub(crate) struct Scripted {
+    pub(crate) addr: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Scripted {
+    /// Serves on a free port of the runtime at hand.
+    pub(crate) async fn open(script: impl Fn(&Seen) -> Play + Send + Sync + 'static) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let host = Self {
+            addr: listener.local_addr().unwrap(),
+            seen: Arc::default(),
+        };
+        let (script, seen) = (Arc::new(script), Arc::clone(&host.seen));
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let (script, seen) = (Arc::clone(&script), Arc::clone(&seen));
+                let service =
+                    service_fn(move |req| answer(Arc::clone(&script), Arc::clone(&seen), req));
+                tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+            }
+        });
+        host
+    }
+
+    /// Requests seen that were no look-ups.
+    pub(crate) fn calls(&self) -> Vec<Seen> {
+        let seen = self.seen.lock().unwrap();
+        seen.iter().filter(|s| !s.is_lookup()).cloned().collect()
+    }
+
+    /// Look-ups seen.
+    pub(crate) fn lookups(&self) -> usize {
+        let seen = self.seen.lock().unwrap();
+        seen.iter().filter(|s| s.is_lookup()).count()
+    }
+}
+
+async fn answer(
+    script: Arc<impl Fn(&Seen) -> Play>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Box<dyn std::error::Error + Send + Sync>> {
+    let path = req.uri().path_and_query().unwrap().as_str().to_owned();
+    let request = Seen {
+        method: req.method().clone(),
+        path,
+        headers: req.headers().clone(),
+    };
+    seen.lock().unwrap().push(request.clone());
+    match script(&request) {
+        Play::Reply(status, kind, body) => {
+            let res = Response::builder()
+                .status(status)
+                .header("content-type", kind);
+            Ok(res.body(Full::new(body.into()))?)
+        }
+        Play::Close => Err("closed by the script".into()),
+        Play::Silence => {
+            let never: Result<Infallible, Infallible> = std::future::pending().await;
+            match never.unwrap() {}
+        }
+    }
+}
+
+/// An answer of a target.
+pub(crate) fn whole(body: &str) -> Play {
+    Play::Reply(200, "application/json", body.into())
+}
+
+/// An error answer of a host.
+pub(crate) fn problem(run: Run, retry_after_ms: Option<u64>) -> Play {
+    let problem = Problem {
+        type_: "/problems/test".into(),
+        title: "test".into(),
+        status: 503,
+        detail: "as the test says".into(),
+        run,
+        request: "r".into(),
+        retry_after_ms,
+    };
+    let body = serde_json::to_vec(&problem).unwrap();
+    Play::Reply(503, "application/problem+json", body)
+}
+
+/// An answer to a look-up.
+pub(crate) fn hosts(
+    hosts: &[SocketAddr],
+    bound: Option<(SocketAddr, SocketAddr)>,
+    ttl_ms: u64,
+) -> Play {
+    let weight = |at: &SocketAddr| HostWeight {
+        name: at.to_string().into(),
+        address: at.to_string().into(),
+        domain: "a".into(),
+        weight: 1,
+    };
+    let found = Hosts {
+        service: "catalogue".into(),
+        revision: 1,
+        ttl_ms,
+        region: "r".into(),
+        hosts: hosts.iter().map(weight).collect(),
+        binding: bound.map(|(owner, witness)| Binding {
+            prefix: "1.0.2.0".into(),
+            owner: owner.to_string().into(),
+            witness: witness.to_string().into(),
+        }),
+    };
+    Play::Reply(200, "application/json", serde_json::to_vec(&found).unwrap())
+}
