--- a/crates/node/src/call/mod.rs
+++ b/crates/node/src/call/mod.rs
@@ -29,6 +29,8 @@
     pub body: Bytes,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// Region of the host that took it in.
+    pub region: Arc<str>,
     /// Address of the caller.
     pub client: IpAddr,
     /// Hash of the caller's name, for fair shares.
--- a/crates/node/src/dump/mod.rs
+++ b/crates/node/src/dump/mod.rs
@@ -1,6 +1,6 @@
 //! The whole state of a host as JSON, on request.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::time::Duration;
 
 use dunlinrock_decide::admit::{Load, TargetState};
 use serde_json::{Value, json};
@@ -79,13 +79,14 @@
 }
 
 fn pool(route: &PoolRoute, now: Duration) -> Value {
+    let heard = route.heard();
     json!({
         "service": route.id.service,
         "domain": route.id.domain,
         "owner": route.owner.as_ref().map(|owner| &owner.name),
-        "load": load(&route.load),
-        "heard_ms_ago": millis(now.saturating_sub(route.heard)),
-        "sent_since": route.sent.load(Ordering::Relaxed),
+        "load": load(&heard.load),
+        "heard_ms_ago": millis(now.saturating_sub(heard.at)),
+        "sent_since": route.sent(),
     })
 }
 
--- a/crates/node/src/duties/callers/call.rs
+++ b/crates/node/src/duties/callers/call.rs
@@ -94,6 +94,7 @@
         body,
         address,
         service,
+        region: &shared.me.region,
         deadline: arrival + time,
     })?;
     if call.repeatable {
@@ -158,6 +159,7 @@
     body: Bytes,
     address: IpAddr,
     service: &'a Service,
+    region: &'a Arc<str>,
     deadline: Instant,
 }
 
@@ -171,6 +173,7 @@
         body,
         address,
         service,
+        region,
         deadline,
     } = parts;
     let caller = caller(headers, service, address)?;
@@ -182,6 +185,7 @@
         request: Arc::clone(id),
         headers: target_fields(headers),
         deadline,
+        region: Arc::clone(region),
         client: address,
         caller,
         topic: hash(&[plain.as_bytes()]),
--- /dev/null
+++ b/crates/node/src/duties/control/following.rs
@@ -0,0 +1,90 @@
+//! The configuration in force here, made from the pieces that the follower holds.
+//!
+//! Client blocks are kept apart from the rest: 760,000 of them as strings in a map would take half
+//! of what a host may use, so they go from their pieces straight into the look-up table. A change
+//! that touches no block leaves the table as it is.
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use dunlinrock_coord::{
+    follow::{Copy, Switch},
+    pieces::{self, Leaf},
+};
+use dunlinrock_decide::steer::Blocks;
+use dunlinrock_schema::config::Config;
+
+/// Prefix of the names of pieces that hold client blocks.
+const BLOCKS: &str = "blocks/";
+
+/// What this host steers by.
+#[derive(Clone, Debug)]
+pub(super) struct InForce {
+    /// Revision; 0 before there is one.
+    pub revision: u64,
+    /// The configuration, without its client blocks.
+    pub config: Arc<Config>,
+    /// The client blocks.
+    pub blocks: Arc<Blocks>,
+}
+
+impl InForce {
+    pub(super) fn open() -> InForce {
+        let blocks = Arc::new(Blocks::builder().finish());
+        InForce {
+            revision: 0,
+            config: Arc::default(),
+            blocks,
+        }
+    }
+
+    /// Makes what `copy` holds, taking over what `switch` did not change. Whole or not at all.
+    pub(super) fn next(&self, switch: &Switch, copy: &Copy) -> anyhow::Result<InForce> {
+        let tree = copy.tree().context("the copy names no tree")?;
+        let listed = pieces::list(tree, &copy.pieces)?;
+        let mut config = Config::default();
+        let moved = self.revision == 0
+            || switch
+                .diff
+                .changed
+                .keys()
+                .any(|name| name.starts_with(BLOCKS));
+        let mut builder = Blocks::builder();
+        for (name, hash) in &listed.leaves {
+            let block = name.starts_with(BLOCKS);
+            if block && !moved {
+                continue;
+            }
+            let leaf = pieces::read(*hash, &copy.pieces)?;
+            if block {
+                add_blocks(&mut builder, &leaf)?;
+            } else {
+                leaf.add(&mut config)?;
+            }
+        }
+        let blocks = if moved {
+            Arc::new(builder.finish())
+        } else {
+            Arc::clone(&self.blocks)
+        };
+        Ok(InForce {
+            revision: switch.entry.revision,
+            config: Arc::new(config),
+            blocks,
+        })
+    }
+}
+
+fn add_blocks(builder: &mut dunlinrock_decide::steer::Builder, leaf: &Leaf) -> anyhow::Result<()> {
+    let mut shard = Config::default();
+    leaf.add(&mut shard)?;
+    for (block, region) in &shard.blocks {
+        let net = block
+            .parse()
+            .with_context(|| format!("client block {block}"))?;
+        builder
+            .add(net, region)
+            .with_context(|| format!("client block {block}"))?;
+    }
+    Ok(())
+}
--- a/crates/node/src/duties/control/input.rs
+++ b/crates/node/src/duties/control/input.rs
@@ -9,11 +9,20 @@
 /// Something for the duty to do. What a full ring does is said for each.
 #[derive(Debug)]
 pub enum Input {
-    /// A message of another host. Full ring: refused; the sender sends its next one.
+    /// A control message of another host. Full ring: refused; the sender sends its next one.
     Hear {
         /// Address it came from.
         from: IpAddr,
-        /// The message, packed.
+        /// The message, encoded.
+        frame: Bytes,
+        /// Where its answer goes.
+        reply: oneshot::Sender<Reply>,
+    },
+    /// Another host asks for shares and room. Full ring: refused; it asks again a second later.
+    Steer {
+        /// Address it came from.
+        from: IpAddr,
+        /// The ask, packed.
         frame: Bytes,
         /// Where its answer goes.
         reply: oneshot::Sender<Reply>,
@@ -27,8 +36,10 @@
 /// Answer to a message of another host.
 #[derive(Debug)]
 pub enum Reply {
-    /// The packed answer.
+    /// The encoded answer.
     Frame(Vec<u8>),
+    /// Taken; there is nothing to answer.
+    Taken,
     /// The sender is no member.
     Stranger,
     /// The message cannot be read.
--- a/crates/node/src/duties/control/mod.rs
+++ b/crates/node/src/duties/control/mod.rs
@@ -1,11 +1,15 @@
 //! Knows the other hosts, follows the configuration, moves shares, publishes views.
 
-mod gossip;
+mod following;
 mod input;
 mod leave;
+mod peering;
+mod publish;
 mod routes;
 mod state;
+mod steering;
 mod tasks;
+mod words;
 
 use std::{io, sync::Arc, thread::JoinHandle, time::Duration};
 
@@ -17,6 +21,8 @@
 
 /// Path on which hosts take control messages.
 pub const CONTROL_PATH: &str = "/peer/v1/control";
+/// Path on which hosts ask for shares and room.
+pub const STEER_PATH: &str = "/peer/v1/steer";
 /// Inputs that may wait for the duty: two heartbeats of each of some hundred hosts.
 pub const RING: usize = 1024;
 
--- /dev/null
+++ b/crates/node/src/duties/control/peering.rs
@@ -0,0 +1,126 @@
+//! Who is there: the membership, its messages, and the hosts as other duties see them.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use dunlinrock_coord::member::{Host, HostState, Me, Membership, Timings};
+use dunlinrock_schema::{
+    coord::{Message, SyncAsk},
+    settings::TimingSettings,
+};
+
+use crate::{host::INCARNATION_BITS, view::Member};
+
+/// Times of the membership, from the settings; the rest as the coordination crate chose them.
+pub(super) fn timings(timing: &TimingSettings) -> Timings {
+    Timings {
+        beat: Duration::from_millis(timing.heartbeat_ms),
+        suspect: Duration::from_millis(timing.suspect_ms),
+        gone: Duration::from_millis(timing.gone_ms),
+        ..Timings::default()
+    }
+}
+
+/// This host, as it introduces itself.
+pub(super) fn introduce(me: &Member) -> Me {
+    Me {
+        name: Arc::clone(&me.name),
+        incarnation: me.incarnation,
+        region: Arc::clone(&me.region),
+        domain: Arc::clone(&me.domain),
+        callers: me.callers.to_string().into(),
+        peers: me.peers.to_string().into(),
+    }
+}
+
+/// Every host that is there or may be, by name, as other duties see it.
+pub(super) fn members(
+    membership: &Membership,
+    me: &Member,
+    epoch_ms: u64,
+) -> BTreeMap<Arc<str>, Arc<Member>> {
+    let mut members = BTreeMap::new();
+    for (name, host) in membership.hosts() {
+        if *name == me.name {
+            continue;
+        }
+        let state = membership.state_of(name);
+        let usable = matches!(
+            state,
+            HostState::Serving | HostState::Suspect | HostState::Leaving
+        );
+        if let Some(mut member) = read(name, host)
+            && usable
+        {
+            member.leaving = state == HostState::Leaving;
+            member.suspect = state == HostState::Suspect || membership.is_silent(&member.domain);
+            member.epoch = epoch(member.incarnation, epoch_ms);
+            members.insert(Arc::clone(name), Arc::new(member));
+        }
+    }
+    members.insert(Arc::clone(&me.name), Arc::new(me.clone()));
+    members
+}
+
+fn read(name: &Arc<str>, host: &Host) -> Option<Member> {
+    Some(Member {
+        name: Arc::clone(name),
+        incarnation: host.incarnation,
+        region: Arc::clone(&host.region),
+        domain: Arc::clone(&host.domain),
+        callers: host.callers.parse().ok()?,
+        peers: host.peers.parse().ok()?,
+        leaving: false,
+        suspect: false,
+        epoch: 0,
+    })
+}
+
+/// An epoch of another host's ledger that is surely begun and, for a while yet, held.
+///
+/// The start of an incarnation is written in its number, so no message has to carry epochs. The
+/// epoch before the one that the clocks give is taken: clocks that differ by less than an epoch
+/// then never name one that has not begun, and of the three epochs held one or two are left. A
+/// clock that is wrong by more costs a refused key and a new look-up, never a second run.
+pub(super) fn epoch(incarnation: u64, epoch_ms: u64) -> u64 {
+    let started = incarnation >> INCARNATION_BITS;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+    (now.saturating_sub(started) / epoch_ms.max(1)).saturating_sub(1)
+}
+
+/// Name of the host that a message says it is from.
+pub(super) fn sender(message: &Message) -> &Arc<str> {
+    match message {
+        Message::Beat(m) => &m.name,
+        Message::Report(m) => &m.name,
+        Message::Digest(m) => &m.by,
+        Message::Far(m) => &m.name,
+        Message::Rumors(m) => &m.name,
+        Message::SyncAsk(m) => &m.name,
+        Message::RootAsk(m) => &m.name,
+        Message::RootGive(m) => &m.name,
+        Message::PieceAsk(m) => &m.name,
+        Message::PieceGive(m) => &m.name,
+    }
+}
+
+/// Whether a message from this address may be the named host's.
+///
+/// A host that is not known yet introduces itself, under an address that must be the one it sends
+/// from. This keeps a host of another deployment or an old address out; it is no protection from
+/// somebody who can send from a host's address.
+pub(super) fn admits(membership: &Membership, message: &Message, from: IpAddr) -> bool {
+    let address = |text: &str| text.parse::<SocketAddr>().map(|address| address.ip()).ok();
+    if let Message::SyncAsk(SyncAsk { peers, .. }) = message {
+        return address(peers) == Some(from);
+    }
+    let host = membership.hosts().get(sender(message));
+    host.is_some_and(|host| address(&host.peers) == Some(from))
+}
--- a/crates/node/src/duties/control/routes.rs
+++ b/crates/node/src/duties/control/routes.rs
@@ -7,12 +7,9 @@
 //! loses. While they disagree, for about a heartbeat, a request is handed on once more.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::Arc,
     time::Duration,
 };
 
@@ -23,7 +20,7 @@
 
 use crate::{
     duties::pools::{PoolId, PoolPlan},
-    view::{Member, PoolRoute, ServiceRoute},
+    view::{Heard, Member, PoolRoute, RouteParts, ServiceRoute},
 };
 
 /// Delay within a failure domain, and from a host to itself.
@@ -31,13 +28,6 @@
 /// Delay assumed where the configuration has no link between two regions.
 const FAR: Duration = Duration::from_millis(100);
 
-/// The load of a pool as last heard, and when.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Heard {
-    pub load: Load,
-    pub at: Duration,
-}
-
 /// Targets of each pool of a configuration.
 pub(super) fn pools(config: &Config) -> BTreeMap<Arc<PoolId>, Vec<(Arc<str>, Target)>> {
     let mut pools: BTreeMap<Arc<PoolId>, Vec<(Arc<str>, Target)>> = BTreeMap::new();
@@ -54,11 +44,14 @@
     pools
 }
 
-/// The host that owns a pool: one of its domain, else one of its region, else any.
+/// The host that owns a pool: one of its domain, else one of its region. Any host where no host was
+/// ever seen in that region; where the region's hosts fell silent nobody owns its pools, since what
+/// they still send to its targets cannot be known from here.
 pub(super) fn owner(
     config: &Config,
     id: &PoolId,
     members: &BTreeMap<Arc<str>, Arc<Member>>,
+    seen: &BTreeSet<Arc<str>>,
 ) -> Option<Arc<Member>> {
     let region = config.domains.get(&id.domain).map(|domain| &domain.region);
     let key = format!("{}/{}", id.service, id.domain);
@@ -70,7 +63,7 @@
     };
     let name = near(&|member| member.domain == id.domain)
         .or_else(|| near(&|member| Some(&member.region) == region))
-        .or_else(|| near(&|_| true))?;
+        .or_else(|| near(&|_| region.is_none_or(|region| !seen.contains(region))))?;
     members.get(&name).cloned()
 }
 
@@ -81,8 +74,9 @@
     pub members: &'a BTreeMap<Arc<str>, Arc<Member>>,
     pub pools: &'a BTreeMap<Arc<PoolId>, Vec<(Arc<str>, Target)>>,
     pub heard: &'a BTreeMap<Arc<PoolId>, Heard>,
+    /// Regions that hosts were seen in.
+    pub seen: &'a BTreeSet<Arc<str>>,
     pub before: &'a BTreeMap<Arc<PoolId>, Arc<PoolRoute>>,
-    pub now: Duration,
 }
 
 impl Parts<'_> {
@@ -95,38 +89,40 @@
     }
 
     fn route(&self, id: &Arc<PoolId>, targets: &[(Arc<str>, Target)]) -> PoolRoute {
-        let owner = owner(self.config, id, self.members);
-        let slots = targets.iter().map(|(_, target)| target.slots.get());
-        let slots = u32::try_from(slots.sum::<u64>()).unwrap_or(u32::MAX);
-        let usable = targets
-            .iter()
-            .any(|(name, target)| !drained(self.config, name, target));
-        let unheard = Load {
-            slots: if usable { slots } else { 0 },
-            ..Load::default()
-        };
-        let heard = self.heard.get(id).copied().unwrap_or(Heard {
-            load: unheard,
-            at: self.now,
-        });
+        let owner = owner(self.config, id, self.members, self.seen);
         let delay = owner
             .as_ref()
             .map_or(FAR, |owner| delay(self.config, self.me, owner));
-        PoolRoute {
+        let parts = RouteParts {
             id: Arc::clone(id),
             owner,
             targets: addresses(targets),
-            load: heard.load,
-            heard: heard.at,
             delay,
-            sent: AtomicU32::new(self.sent(id, heard.at)),
-        }
+        };
+        let before = self.before.get(id).map(AsRef::as_ref);
+        let heard = self
+            .heard
+            .get(id)
+            .copied()
+            .unwrap_or_else(|| self.unheard(targets));
+        PoolRoute::open(parts, heard, before)
     }
 
-    /// Requests handed over since the load was heard; none since a newer word.
-    fn sent(&self, id: &Arc<PoolId>, heard: Duration) -> u32 {
-        let before = self.before.get(id).filter(|route| route.heard == heard);
-        before.map_or(0, |route| route.sent.load(Ordering::Relaxed))
+    /// What is assumed of a pool of which nothing was heard: its slots, and no load. It counts as
+    /// heard when this host began, so that any word replaces it.
+    fn unheard(&self, targets: &[(Arc<str>, Target)]) -> Heard {
+        let usable = targets
+            .iter()
+            .filter(|(name, target)| !drained(self.config, name, target));
+        let slots = usable.map(|(_, target)| target.slots.get()).sum::<u64>();
+        let slots = u32::try_from(slots).unwrap_or(u32::MAX);
+        Heard {
+            load: Load {
+                slots,
+                ..Load::default()
+            },
+            at: Duration::ZERO,
+        }
     }
 
     /// Every service with its pools by region.
--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -1,107 +1,104 @@
-//! State of the control duty.
+//! State of the control duty: its parts, and what passes between them.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use dunlinrock_decide::{
-    admit::{Grade, Word},
-    steer::{Blocks, Ceilings, Goals, Peer as SharePeer, Rows, Shares},
+use bytes::Bytes;
+use dunlinrock_coord::{
+    follow::{self, Follower, Source},
+    member::{self, HostState, Membership},
+    pieces::Hash,
+    relay, wire as coord_wire,
 };
+use dunlinrock_decide::admit::Word;
 use dunlinrock_schema::{
-    config::{Config, Target},
-    peer::{Hello, PoolLoad, Word as PeerWord},
+    coord::{Facts, Message, PieceGive, RootAsk},
+    peer::SteerAsk,
     store::Listed,
 };
 use serde_json::{Value, json};
+use tokio::sync::{oneshot, watch};
 
 use super::{
-    gossip::Peers,
+    following::InForce,
     input::{Input, Reply},
     leave::{Leave, Step},
-    routes::{self, Heard, Parts},
-    tasks::{self, Done, Results},
+    peering,
+    publish::Publisher,
+    steering::Steering,
+    tasks::{Caller, Done, Results},
+    words,
 };
 use crate::{
     duties::{
         ledger,
-        pools::{self, PoolId, PoolReport},
+        pools::{self, PoolReport},
     },
     metrics::Count,
     shared::Shared,
     store::{HostList, Store},
-    view::{Answers, Member, View},
+    view::Member,
     wire::{self, Client},
 };
 
-/// Largest answer to a heartbeat, in bytes.
-const ANSWER_BYTES: usize = 1 << 20;
+/// Largest answer to a control message, in bytes: pieces that were asked for.
+const ANSWER_BYTES: usize = 4 << 20;
 
 /// State of the control duty.
 pub(super) struct Control {
     shared: Arc<Shared>,
-    results: Results,
-    client: Client,
-    list: HostList,
-    peers: Peers,
-    revision: u64,
-    config: Arc<Config>,
-    pools: BTreeMap<Arc<PoolId>, Vec<(Arc<str>, Target)>>,
-    blocks: Arc<Blocks>,
-    answers: Arc<Answers>,
-    /// What the answers were made from: revision and members.
-    answered: (u64, Vec<Member>),
-    /// Who owned what when the pools duty was last told.
-    owned: (u64, Vec<Arc<PoolId>>),
+    caller: Caller,
+    membership: Membership,
+    follower: Follower,
+    plan: relay::Plan,
+    watching: watch::Sender<bool>,
+    in_force: InForce,
+    steering: Steering,
+    publisher: Publisher,
+    members: BTreeMap<Arc<str>, Arc<Member>>,
     reports: Vec<PoolReport>,
+    /// Requests that kill their targets, with the time until which that holds.
     words: BTreeMap<u64, (Word, Duration)>,
-    shares: Shares,
-    lost: BTreeSet<Arc<str>>,
-    last: Duration,
+    /// Hosts that wait for shares and room until the next tick.
+    waiting: Vec<(SteerAsk, oneshot::Sender<Reply>)>,
     leave: Option<Leave>,
-    number: u64,
 }
 
 impl Control {
     pub(super) fn open(shared: Arc<Shared>, results: Results) -> Control {
-        let timeout = Duration::from_millis(shared.settings.store.timeout_ms.get());
-        let list = HostList::open(address(&shared.settings.list.address), timeout);
-        let store = Store::open(
-            address(&shared.settings.store.address),
-            &shared.settings.store.prefix,
-            timeout,
-        );
-        let every = Duration::from_millis(shared.settings.list.poll_ms);
-        tasks::poll_list(
-            list.clone(),
-            listed(&shared.me, false),
-            every,
-            results.clone(),
-        );
-        tasks::watch_root(store, shared.metrics.clone(), results.clone());
         let now = shared.now();
-        Control {
+        let timeout = Duration::from_millis(shared.settings.store.timeout_ms.get());
+        let store = &shared.settings.store;
+        let caller = Caller {
             client: Client::open(ANSWER_BYTES),
-            list,
+            store: Store::open(address(&store.address), &store.prefix, timeout),
+            list: HostList::open(address(&shared.settings.list.address), timeout),
+            metrics: shared.metrics.clone(),
             results,
-            peers: Peers::default(),
-            revision: 0,
-            config: Arc::default(),
-            pools: BTreeMap::new(),
-            blocks: Arc::new(Blocks::builder().finish()),
-            answers: Arc::default(),
-            answered: (0, Vec::new()),
-            owned: (0, Vec::new()),
+        };
+        let every = Duration::from_millis(shared.settings.list.poll_ms);
+        caller.poll_list(listed(&shared.me, false), every);
+        let (watching, on) = watch::channel(false);
+        caller.watch_root(on);
+        let me = peering::introduce(&shared.me);
+        Control {
+            caller,
+            membership: Membership::open(me, peering::timings(&shared.timing), now),
+            follower: Follower::open(follow::Timings::default()),
+            plan: relay::plan(&shared.me.name, &BTreeMap::new()),
+            watching,
+            in_force: InForce::open(),
+            steering: Steering::open(&shared.me, Arc::clone(&shared.grantee), now),
+            publisher: Publisher::open(),
+            members: BTreeMap::new(),
             reports: Vec::new(),
             words: BTreeMap::new(),
-            shares: Shares::open(),
-            lost: BTreeSet::new(),
-            last: now,
+            waiting: Vec::new(),
             leave: None,
-            number: 0,
             shared,
         }
     }
@@ -113,22 +110,12 @@
 
     pub(super) fn input(&mut self, input: Input) {
         match input {
-            Input::Hear {
-                from: _,
-                frame,
-                reply,
-            } => {
-                let answer = match wire::unpack::<Hello>(&frame) {
-                    Ok(hello) => {
-                        self.hello(hello);
-                        wire::pack(&self.say()).map_or(Reply::Unreadable, Reply::Frame)
-                    }
-                    Err(_) => Reply::Unreadable,
-                };
-                // The peers duty gives up after a while.
-                let _ = reply.send(answer);
+            Input::Hear { from, frame, reply } => {
+                // Whoever sent it may have given up waiting.
+                let _ = reply.send(self.hear(from, &frame));
             }
-            Input::Leave => self.leave(),
+            Input::Steer { from, frame, reply } => self.steer_asked(from, &frame, reply),
+            Input::Leave => self.begin_leaving(),
             Input::Ask(reply) => {
                 let _ = reply.send(self.state());
             }
@@ -136,14 +123,26 @@
     }
 
     pub(super) fn done(&mut self, result: Done) {
+        let now = self.shared.now();
         match result {
             Done::Listing(listing) => {
-                let now = self.shared.now();
-                self.peers.listed(&self.shared.me, &listing.hosts, now);
+                let actions = self.membership.listing(now, &listing);
+                self.act(actions);
+            }
+            Done::Root(root) => {
+                let actions = self.follower.root(now, Source::Store, root);
+                self.follow(actions);
             }
-            Done::Root {
-                revision, config, ..
-            } => self.follow(revision, *config),
+            Done::Pieces(from, pieces) => {
+                let actions = self.follower.pieces(now, &from, pieces);
+                self.follow(actions);
+            }
+            Done::Failed(from) => {
+                let actions = self.follower.failed(now, &from);
+                self.follow(actions);
+            }
+            Done::Answer(from, frame) => self.answered(&from, &frame),
+            Done::Steer(from, give) => self.steering.given(&from, give, now),
             Done::Pools(reports) => self.pools(reports),
             Done::Ledger(report) => {
                 if let Some(leave) = &mut self.leave {
@@ -151,31 +150,221 @@
                 }
             }
             Done::Withdrawn => {
-                let now = self.shared.now();
                 if let Some(leave) = &mut self.leave {
                     leave.end(now);
                 }
             }
-            Done::Answer(frame) => {
-                if let Ok(hello) = wire::unpack::<Hello>(&frame) {
-                    self.hello(hello);
+        }
+    }
+
+    /// One heartbeat.
+    pub(super) fn tick(&mut self) {
+        let now = self.shared.now();
+        self.words.retain(|_, (_, end)| *end > now);
+        let actions = self.membership.tick(now);
+        self.act(actions);
+        let actions = self.follower.tick(now);
+        self.follow(actions);
+        self.caller.ask_pools(&self.shared.pools);
+        self.steer(now);
+        self.serve(now);
+        self.refresh_members();
+        self.publish(now);
+        self.shared.metrics.flush();
+        self.go_on_leaving(now);
+    }
+
+    /// Takes a control message in and answers it where it asks something.
+    fn hear(&mut self, from: IpAddr, frame: &Bytes) -> Reply {
+        let Ok(message) = coord_wire::decode::<Message>(frame) else {
+            return Reply::Unreadable;
+        };
+        if !peering::admits(&self.membership, &message, from) {
+            return Reply::Stranger;
+        }
+        match &message {
+            Message::RootAsk(ask) => {
+                let give = self.follower.give_after(&self.shared.me.name, ask.revision);
+                give.map_or(Reply::Taken, |give| encoded(&Message::RootGive(give)))
+            }
+            Message::PieceAsk(ask) => {
+                let name = Arc::clone(&self.shared.me.name);
+                let pieces = self.follower.held(ask);
+                encoded(&Message::PieceGive(PieceGive { name, pieces }))
+            }
+            _ => {
+                self.take(message);
+                Reply::Taken
+            }
+        }
+    }
+
+    fn answered(&mut self, from: &Arc<str>, frame: &Bytes) {
+        match coord_wire::decode::<Message>(frame) {
+            Ok(message) => self.take(message),
+            Err(e) => log::warn!(from = &**from, error:% = e; "an answer cannot be read"),
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = self.shared.now();
+        match message {
+            Message::RootGive(give) => {
+                let from = Source::Peer(Arc::clone(&give.name));
+                let actions = self.follower.give(now, from, give);
+                self.follow(actions);
+            }
+            Message::PieceGive(give) => {
+                let pieces = give.pieces.into_iter().map(Arc::from).collect();
+                let actions = self.follower.pieces(now, &Source::Peer(give.name), pieces);
+                self.follow(actions);
+            }
+            message => {
+                let actions = self.membership.receive(now, &message);
+                self.act(actions);
+            }
+        }
+    }
+
+    /// Does what the membership asks for.
+    fn act(&mut self, actions: Vec<member::Action>) {
+        let now = self.shared.now();
+        let mut changed = false;
+        for action in actions {
+            match action {
+                member::Action::Send { to, message } => self.send(&to, &message),
+                member::Action::Changed {
+                    name,
+                    incarnation,
+                    state,
+                } => {
+                    changed = true;
+                    log::info!(host = &*name, incarnation = incarnation, state:% = state; "host");
+                    if state == HostState::Gone {
+                        self.shared.ledger.deliver(ledger::Input::Gone(incarnation));
+                    }
+                }
+                member::Action::Silent { domain, silent } => {
+                    changed = true;
+                    log::warn!(domain = &*domain, silent = silent; "domain");
+                }
+                member::Action::Quarantined(quarantine) => {
+                    if let Some(word) = words::read(&quarantine) {
+                        self.hear_words(&[word], now);
+                    }
+                }
+                member::Action::Revision { peer, revision } => {
+                    self.follower.heard(now, &peer, revision);
+                }
+                member::Action::CaughtUp(caught_up) => {
+                    changed = true;
+                    if !caught_up {
+                        log::warn!(
+                            "this host was paused; it takes nothing up before it has caught up"
+                        );
+                        self.steering.restart();
+                    }
+                }
+                member::Action::Superseded { incarnation } => {
+                    log::error!(incarnation = incarnation; "another process has this host's name");
+                    self.begin_leaving();
                 }
             }
         }
+        if changed {
+            self.refresh_members();
+            self.replan();
+            self.publish(now);
+        }
     }
 
-    /// Takes a configuration into force, unless it is older than the one at hand.
-    fn follow(&mut self, revision: u64, config: Config) {
-        if revision <= self.revision {
+    fn send(&self, to: &Arc<str>, message: &Message) {
+        let host = self.membership.hosts().get(to);
+        let Some(peers) = host.and_then(|host| host.peers.parse::<SocketAddr>().ok()) else {
             return;
+        };
+        self.caller.send(to, peers, message);
+    }
+
+    /// Does what the follower asks for.
+    fn follow(&mut self, actions: Vec<follow::Action>) {
+        for action in actions {
+            match action {
+                follow::Action::AskRoot {
+                    from: Source::Store,
+                    ..
+                } => self.caller.read_root(),
+                follow::Action::AskRoot {
+                    from: Source::Peer(to),
+                    revision,
+                } => {
+                    let name = Arc::clone(&self.shared.me.name);
+                    self.send(&to, &Message::RootAsk(RootAsk { name, revision }));
+                }
+                follow::Action::AskPieces {
+                    from: Source::Store,
+                    hashes,
+                } => {
+                    self.caller.read_pieces(hashes);
+                }
+                follow::Action::AskPieces {
+                    from: Source::Peer(to),
+                    hashes,
+                } => {
+                    let name = Arc::clone(&self.shared.me.name);
+                    let hashes = hashes.into_iter().map(Hash::to_vec).collect();
+                    let ask = dunlinrock_schema::coord::PieceAsk { name, hashes };
+                    self.send(&to, &Message::PieceAsk(ask));
+                }
+                follow::Action::Switch(switch) => self.switch(&switch),
+            }
         }
-        log::info!(revision = revision; "configuration in force");
+    }
+
+    /// Puts a newer configuration in force, and passes it on.
+    fn switch(&mut self, switch: &follow::Switch) {
+        let Some(copy) = self.follower.copy() else {
+            return;
+        };
+        let next = match self.in_force.next(switch, copy) {
+            Ok(next) => next,
+            Err(e) => {
+                let revision = switch.entry.revision;
+                log::error!(revision = revision, error:% = e; "a configuration is not usable");
+                return;
+            }
+        };
+        log::info!(
+            revision = next.revision, apply = &*switch.entry.id, by = &*switch.entry.by;
+            "configuration in force"
+        );
         self.shared.metrics.count(Count::Revisions);
-        self.revision = revision;
-        self.pools = routes::pools(&config);
-        self.blocks = Arc::new(Blocks::open(&config));
-        self.config = Arc::new(config);
-        self.publish();
+        self.membership.set_revision(next.revision);
+        self.in_force = next;
+        self.steering.limit(&self.in_force.config);
+        if let Some(give) = self
+            .follower
+            .give_after(&self.shared.me.name, switch.before)
+        {
+            let message = Message::RootGive(give);
+            for child in self.plan.children.clone() {
+                self.send(&child, &message);
+            }
+        }
+        let now = self.shared.now();
+        self.publish(now);
+    }
+
+    /// Works out again whether this host watches the store, and whom it asks and tells.
+    fn replan(&mut self) {
+        let plan = relay::plan(&self.shared.me.name, &self.membership.members());
+        if plan != self.plan {
+            self.plan = plan;
+            self.follower.follow(self.plan.upstreams.clone());
+        }
+        let watch = self.plan.watch && self.leave.is_none();
+        self.watching
+            .send_if_modified(|on| std::mem::replace(on, watch) != watch);
     }
 
     fn pools(&mut self, reports: Vec<PoolReport>) {
@@ -184,12 +373,15 @@
             .iter()
             .flat_map(|report| report.words.clone())
             .collect();
-        self.hear_words(&words, now);
         self.reports = reports;
+        for word in self.hear_words(&words, now) {
+            let actions = self.membership.say(now, words::write(&word));
+            self.act(actions);
+        }
     }
 
-    /// Keeps words that say more than what was known, and passes them to the pools.
-    fn hear_words(&mut self, words: &[Word], now: Duration) {
+    /// Keeps words that say more than what was known, and passes them to the pools; which.
+    fn hear_words(&mut self, words: &[Word], now: Duration) -> Vec<Word> {
         let mut fresh = Vec::new();
         for word in words {
             let known = self
@@ -203,181 +395,114 @@
             }
         }
         if !fresh.is_empty() {
-            self.shared.pools.deliver(pools::Input::Hear(fresh));
+            self.shared.pools.deliver(pools::Input::Hear(fresh.clone()));
         }
+        fresh
     }
 
-    fn hello(&mut self, hello: Hello) {
-        let now = self.shared.now();
-        let words: Vec<Word> = hello.words.iter().map(read_word).collect();
-        self.hear_words(&words, now);
-        if let Some(replaced) = self.peers.hello(hello, now) {
-            self.shared.ledger.deliver(ledger::Input::Gone(replaced));
+    fn steer(&mut self, now: Duration) {
+        if self.in_force.revision == 0 || !self.membership.caught_up() {
+            return;
         }
-    }
-
-    /// One heartbeat.
-    pub(super) fn tick(&mut self) {
-        let now = self.shared.now();
-        self.last = now;
-        self.words.retain(|_, (_, end)| *end > now);
-        let gone = Duration::from_millis(self.shared.timing.gone_ms);
-        for incarnation in self.peers.sweep(gone, now) {
-            log::warn!(incarnation = incarnation; "a host is gone");
-            self.shared.ledger.deliver(ledger::Input::Gone(incarnation));
+        let config = Arc::clone(&self.in_force.config);
+        self.steering
+            .measure(&config, &self.shared.meters, &self.reports, now);
+        self.steering.step(&config, &self.members, now);
+        for outgoing in self.steering.asks(&self.members, now) {
+            self.caller.steer(outgoing.to, &outgoing.ask);
         }
-        tasks::ask_pools(&self.shared.pools, self.results.clone());
-        self.steer(now);
-        self.publish();
-        if let Ok(frame) = wire::pack(&self.say()) {
-            for peer in self.peers.iter() {
-                self.shared
-                    .metrics
-                    .add(Count::ControlOut, frame.len() as u64);
-                let to = peer.member.peers;
-                tasks::beat(self.client.clone(), to, frame.clone(), self.results.clone());
-            }
+        let mut grants = self.steering.grants(now);
+        for (ask, reply) in std::mem::take(&mut self.waiting) {
+            let lent = grants.remove(&ask.name).unwrap_or_default();
+            let give = self.steering.give(ask.all, lent);
+            // Whoever asked may have given up waiting.
+            let _ = reply.send(wire::pack(&give).map_or(Reply::Unreadable, Reply::Frame));
         }
-        self.shared.metrics.flush();
-        self.go_on_leaving(now);
     }
 
-    fn steer(&mut self, now: Duration) {
-        if self.revision == 0 {
+    /// Holds an ask until the next tick, when the room is divided among all that asked.
+    fn steer_asked(&mut self, from: IpAddr, frame: &Bytes, reply: oneshot::Sender<Reply>) {
+        let Ok(ask) = wire::unpack::<SteerAsk>(frame) else {
+            let _ = reply.send(Reply::Unreadable);
+            return;
+        };
+        let known = self
+            .members
+            .get(&ask.name)
+            .is_some_and(|m| m.peers.ip() == from)
+            || self.membership.hosts().get(&ask.name).is_some_and(|host| {
+                host.peers
+                    .parse::<SocketAddr>()
+                    .is_ok_and(|peers| peers.ip() == from)
+            });
+        if !known {
+            let _ = reply.send(Reply::Stranger);
             return;
         }
-        let rows: Vec<Option<Rows>> = self
-            .peers
-            .iter()
-            .filter(|peer| peer.heard.is_some())
-            .map(|peer| peer.hello.as_ref().map(read_rows))
-            .collect();
-        let peers: Vec<SharePeer<'_>> = rows
-            .iter()
-            .map(|rows| SharePeer {
-                rows: rows.as_ref(),
-            })
-            .collect();
-        self.shares.hear(&peers);
-        let goals = Goals::open(&self.config, &self.lost);
-        self.shares.steer(&goals, &Ceilings::default(), now);
+        self.steering.asked(&ask, self.shared.now());
+        self.waiting.push((ask, reply));
     }
 
-    /// Publishes a view of what is held now.
-    fn publish(&mut self) {
-        let now = self.shared.now();
-        let suspect = Duration::from_millis(self.shared.timing.suspect_ms);
-        let mut me = self.shared.me.clone();
-        me.leaving = self.leave.is_some();
-        me.epoch = self.shared.epoch.load(Ordering::Relaxed);
-        let mut all = self.peers.members(suspect, now);
-        all.push(me.clone());
-        all.sort_by(|a, b| a.name.cmp(&b.name));
-        let members: BTreeMap<Arc<str>, Arc<Member>> = all
-            .iter()
-            .map(|m| (Arc::clone(&m.name), Arc::new(m.clone())))
-            .collect();
-        self.answer(&members, all);
-        let heard = self.heard(now);
-        let before = self.shared.view.load_full();
-        let words: Vec<Word> = self.words.values().map(|(word, _)| *word).collect();
-        let parts = Parts {
-            config: &self.config,
-            me: &me,
-            members: &members,
-            pools: &self.pools,
-            heard: &heard,
-            before: &before.pools,
-            now,
+    /// Becomes a serving host once it holds all that serving needs.
+    fn serve(&mut self, now: Duration) {
+        let state = match (&self.leave, self.is_ready()) {
+            (Some(_), _) => HostState::Leaving,
+            (None, true) => HostState::Serving,
+            (None, false) => return,
         };
-        let routes = parts.routes();
-        let services = parts.services(&routes);
-        let plans = parts.plans(&routes, &words);
-        let owned = (
-            self.revision,
-            plans.iter().map(|plan| Arc::clone(&plan.id)).collect(),
-        );
-        if owned != self.owned {
-            self.owned = owned;
-            self.shared.pools.deliver(pools::Input::Own(plans));
+        if self.membership.state() != state {
+            let actions = self.membership.set_state(now, state);
+            self.act(actions);
         }
-        self.number += 1;
-        self.shared.view.store(Arc::new(View {
-            number: self.number,
-            revision: self.revision,
-            config: Arc::clone(&self.config),
-            ready: self.revision > 0 && self.shares.ready(),
-            leaving: self.leave.is_some(),
-            incarnations: members
-                .values()
-                .map(|m| (m.incarnation, Arc::clone(m)))
-                .collect(),
-            members,
-            pools: routes,
-            services,
-            answers: Arc::clone(&self.answers),
-            shares: Arc::new(self.shares.clone()),
-            blocks: Arc::clone(&self.blocks),
-            words: Arc::new(words),
-        }));
-        self.shared.published.send_replace(self.number);
+        self.membership.set_facts(Facts {
+            revision: self.in_force.revision,
+            pools: Vec::new(),
+            grants: Vec::new(),
+            shares: Vec::new(),
+            leaving: Vec::new(),
+        });
     }
 
-    /// Composes the answers to look-ups again where what they were made from has changed.
-    fn answer(&mut self, members: &BTreeMap<Arc<str>, Arc<Member>>, all: Vec<Member>) {
-        let from = (self.revision, all);
-        if from != self.answered {
-            let ttl = self.shared.timing.answer_ttl_ms;
-            self.answers = Arc::new(Answers::open(&self.config, self.revision, ttl, members));
-            self.answered = from;
-        }
+    fn is_ready(&self) -> bool {
+        self.in_force.revision > 0 && self.steering.shares().ready() && self.membership.caught_up()
     }
 
-    fn heard(&self, now: Duration) -> BTreeMap<Arc<PoolId>, Heard> {
-        let mut heard = self.peers.loads();
-        for report in self.reports.iter().filter(|report| !report.released) {
-            heard.insert(
-                Arc::clone(&report.id),
-                Heard {
-                    load: report.load,
-                    at: now,
-                },
-            );
-        }
-        heard
+    fn refresh_members(&mut self) {
+        let mut me = self.shared.me.clone();
+        me.leaving = self.leave.is_some();
+        me.epoch = self.shared.epoch.load(Ordering::Relaxed);
+        let epoch_ms = self.shared.timing.epoch_ms;
+        self.members = peering::members(&self.membership, &me, epoch_ms);
     }
 
-    fn say(&self) -> Hello {
-        let me = &self.shared.me;
-        let own = self.reports.iter().filter(|report| !report.released);
-        Hello {
-            name: Arc::clone(&me.name),
-            incarnation: me.incarnation,
-            region: Arc::clone(&me.region),
-            domain: Arc::clone(&me.domain),
-            callers: me.callers.to_string().into(),
-            peers: me.peers.to_string().into(),
-            leaving: self.leave.is_some(),
-            ready: self.shares.ready(),
-            epoch: self.shared.epoch.load(Ordering::Relaxed),
-            revision: self.revision,
-            pools: own.map(write_load).collect(),
-            shares: self.shares.rows(),
-            words: self
-                .words
-                .values()
-                .map(|(word, _)| write_word(word))
-                .collect(),
-        }
+    fn publish(&mut self, now: Duration) {
+        let ready = self.is_ready();
+        self.publisher.publish(
+            &self.shared,
+            super::publish::Parts {
+                in_force: &self.in_force,
+                members: &self.members,
+                steering: &self.steering,
+                reports: &self.reports,
+                words: self.words.values().map(|(word, _)| *word).collect(),
+                ready,
+                caught_up: self.membership.caught_up(),
+                leaving: self.leave.is_some(),
+                now,
+            },
+        );
     }
 
-    fn leave(&mut self) {
+    fn begin_leaving(&mut self) {
         if self.leave.is_some() {
             return;
         }
         log::info!(host = &*self.shared.me.name; "leaving");
-        self.leave = Some(Leave::open(self.shared.now()));
-        tasks::announce(self.list.clone(), listed(&self.shared.me, true));
+        let now = self.shared.now();
+        self.leave = Some(Leave::open(now));
+        self.caller.announce(listed(&self.shared.me, true));
+        let actions = self.membership.set_state(now, HostState::Leaving);
+        self.act(actions);
         self.tick();
     }
 
@@ -390,33 +515,43 @@
         match leave.step(&self.shared.timing, busy, now) {
             Step::Wait => {}
             Step::HandOver(time) => {
-                let peers = self.peers.iter().filter(|peer| peer.heard.is_some());
-                let peers = peers.map(|peer| peer.member.incarnation).collect();
+                let others = self
+                    .members
+                    .values()
+                    .filter(|m| m.name != self.shared.me.name);
+                let peers = others.map(|member| member.incarnation).collect();
                 self.shared
                     .ledger
                     .deliver(ledger::Input::HandOver { peers, time });
             }
-            Step::AskLedger => tasks::ask_ledger(&self.shared.ledger, self.results.clone()),
-            Step::Withdraw => {
-                let name = Arc::clone(&self.shared.me.name);
-                tasks::withdraw(self.list.clone(), name, self.results.clone());
-            }
+            Step::AskLedger => self.caller.ask_ledger(&self.shared.ledger),
+            Step::Withdraw => self.caller.withdraw(Arc::clone(&self.shared.me.name)),
         }
     }
 
     fn state(&self) -> Value {
         json!({
-            "revision": self.revision,
-            "peers": self.peers.iter().map(|peer| json!({
-                "name": peer.member.name,
-                "incarnation": peer.member.incarnation,
-                "heard": peer.heard.is_some(),
-                "revision": peer.hello.as_ref().map(|hello| hello.revision),
+            "revision": self.in_force.revision,
+            "caught_up": self.membership.caught_up(),
+            "state": self.membership.state().to_string(),
+            "watches_store": self.plan.watch,
+            "tells": self.plan.children,
+            "lost_regions": self.steering.lost(),
+            "hosts": self.membership.hosts().iter().map(|(name, host)| json!({
+                "name": name,
+                "incarnation": host.incarnation,
+                "domain": host.domain,
+                "state": self.membership.state_of(name).to_string(),
+                "revision": host.revision,
             })).collect::<Vec<_>>(),
         })
     }
 }
 
+fn encoded(message: &Message) -> Reply {
+    Reply::Frame(coord_wire::encode(message))
+}
+
 fn address(text: &str) -> SocketAddr {
     // Checked when the settings were read.
     text.parse()
@@ -434,40 +569,3 @@
         leaving,
     }
 }
-
-fn read_rows(hello: &Hello) -> Rows {
-    hello.shares.clone()
-}
-
-fn read_word(word: &PeerWord) -> Word {
-    Word {
-        fingerprint: word.fingerprint,
-        grade: if word.convict {
-            Grade::Convict
-        } else {
-            Grade::Suspect
-        },
-        life: Duration::from_millis(word.life_ms),
-    }
-}
-
-fn write_word(word: &Word) -> PeerWord {
-    PeerWord {
-        fingerprint: word.fingerprint,
-        convict: word.grade == Grade::Convict,
-        life_ms: u64::try_from(word.life.as_millis()).unwrap_or(u64::MAX),
-    }
-}
-
-fn write_load(report: &PoolReport) -> PoolLoad {
-    let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-    PoolLoad {
-        service: Arc::clone(&report.id.service),
-        domain: Arc::clone(&report.id.domain),
-        queued: report.load.queued,
-        busy: report.load.busy,
-        slots: report.load.slots,
-        wait_us: micros(report.load.wait),
-        turn_us: micros(report.load.turn),
-    }
-}
--- /dev/null
+++ b/crates/node/src/duties/control/steering.rs
@@ -0,0 +1,526 @@
+//! Shares of traffic and grants of headroom, exchanged with other hosts.
+//!
+//! Once a second a host asks a few others for their shares, so that it neither starts from the goal
+//! where traffic flows already nor runs ahead of the slowest, and asks some hosts of each region
+//! that it sends work to for room. Both go in one message and come back in one.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use dunlinrock_coord::rendezvous;
+use dunlinrock_decide::steer::{
+    Ceilings, Goals, Grant, Grantee, Grantor, Links, Need, Own, Peer, Rows, Shares,
+};
+use dunlinrock_schema::{
+    config::Config,
+    peer::{Lent, Need as PeerNeed, SteerAsk, SteerGive},
+};
+
+use crate::{
+    duties::pools::PoolReport,
+    meters::{Meters, Sums},
+    view::Member,
+};
+
+/// Hosts whose shares a host goes by. With all of a small deployment; of a large one as many as a
+/// row each second from each fits the budget for control.
+const SAMPLE: usize = 8;
+/// Hosts of a region that are asked for room. One that dies then takes a quarter of the room with
+/// it, for the lifetime of a grant.
+const GRANTORS: usize = 4;
+/// Time between two asks.
+const ASK: Duration = Duration::from_secs(1);
+/// Weight of the last second in rates and sizes.
+const FRESH: f64 = 0.3;
+/// Room asked for beyond what was sent in the last seconds, so that traffic can grow.
+const MARGIN: f64 = 1.5;
+/// Least rate asked for, in requests a second: a lane that was idle must be able to begin.
+const LEAST: f64 = 5.0;
+/// Rate below which a ceiling is not worked out: a single request would swing it.
+const SMALL: f64 = 1.0;
+/// Bytes of a request or an answer of which nothing was seen yet.
+const UNSEEN_BYTES: f64 = 2_000.0;
+
+/// Traffic of one service, as measured.
+#[derive(Clone, Debug, Default)]
+struct Traffic {
+    /// Requests a second by region of callers.
+    rates: BTreeMap<Arc<str>, f64>,
+    request: f64,
+    answer: f64,
+}
+
+/// A message to send.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    pub to: Arc<Member>,
+    pub ask: SteerAsk,
+}
+
+/// Shares and grants of this host.
+pub(super) struct Steering {
+    me: Member,
+    shares: Shares,
+    grantor: Grantor,
+    grantee: Arc<Mutex<Grantee>>,
+    /// Shares of the hosts that this one goes by.
+    rows: BTreeMap<Arc<str>, Rows>,
+    traffic: BTreeMap<Arc<str>, Traffic>,
+    goals: Goals,
+    /// Regions of which hosts were seen: when all of them fall silent the region is lost.
+    seen: BTreeSet<Arc<str>>,
+    lost: BTreeSet<Arc<str>>,
+    next_ask: Duration,
+    measured: Duration,
+}
+
+impl Steering {
+    pub(super) fn open(me: &Member, grantee: Arc<Mutex<Grantee>>, now: Duration) -> Steering {
+        Steering {
+            me: me.clone(),
+            shares: Shares::open(),
+            grantor: Grantor::open(&me.name, &me.region, now),
+            grantee,
+            rows: BTreeMap::new(),
+            traffic: BTreeMap::new(),
+            goals: Goals::default(),
+            seen: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            next_ask: now,
+            measured: now,
+        }
+    }
+
+    pub(super) fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    pub(super) fn lost(&self) -> &BTreeSet<Arc<str>> {
+        &self.lost
+    }
+
+    pub(super) fn seen(&self) -> &BTreeSet<Arc<str>> {
+        &self.seen
+    }
+
+    /// After a pause: the others have gone on without this host, so it starts from their shares.
+    pub(super) fn restart(&mut self) {
+        self.shares.restart();
+        self.rows.clear();
+    }
+
+    /// One step of shares.
+    pub(super) fn step(
+        &mut self,
+        config: &Config,
+        members: &BTreeMap<Arc<str>, Arc<Member>>,
+        now: Duration,
+    ) {
+        self.look(config, members);
+        let sample = self.sample(members);
+        self.rows
+            .retain(|name, _| sample.iter().any(|member| member.name == *name));
+        let peers: Vec<Peer<'_>> = sample
+            .iter()
+            .map(|member| Peer {
+                rows: self.rows.get(&member.name),
+            })
+            .collect();
+        self.shares.hear(&peers);
+        self.goals = Goals::open(config, &self.lost);
+        let ceilings = self.ceilings(config, now);
+        self.shares.steer(&self.goals, &ceilings, now);
+    }
+
+    /// A region is lost when hosts of it were there and none is heard any more.
+    fn look(&mut self, config: &Config, members: &BTreeMap<Arc<str>, Arc<Member>>) {
+        let heard: BTreeSet<Arc<str>> = members
+            .values()
+            .filter(|member| !member.suspect)
+            .map(|member| Arc::clone(&member.region))
+            .collect();
+        let lost = |region: &&Arc<str>| self.seen.contains(*region) && !heard.contains(*region);
+        let lost: BTreeSet<Arc<str>> = config.regions.keys().filter(lost).cloned().collect();
+        if lost != self.lost {
+            log::warn!(regions:? = lost; "regions that are not heard");
+        }
+        self.lost = lost;
+        self.seen.extend(heard);
+    }
+
+    /// The hosts whose shares this one goes by, the same ones while they are there.
+    fn sample(&self, members: &BTreeMap<Arc<str>, Arc<Member>>) -> Vec<Arc<Member>> {
+        let others = members
+            .values()
+            .filter(|member| member.name != self.me.name && !member.leaving && !member.suspect);
+        let names: Vec<Arc<str>> = others.map(|member| Arc::clone(&member.name)).collect();
+        let chosen = rendezvous::choose(&self.me.name, names, SAMPLE);
+        chosen
+            .iter()
+            .filter_map(|name| members.get(name).cloned())
+            .collect()
+    }
+
+    /// Takes in what was measured since the last time.
+    pub(super) fn measure(
+        &mut self,
+        config: &Config,
+        meters: &Meters,
+        reports: &[PoolReport],
+        now: Duration,
+    ) {
+        let time = now.saturating_sub(self.measured).as_secs_f64();
+        if time < ASK.as_secs_f64() / 2.0 {
+            return;
+        }
+        self.measured = now;
+        let sums = meters.take();
+        self.learn(config, &sums, time);
+        for name in config.services.keys() {
+            let own = self.own(name, &sums, reports, time);
+            if let Some(own) = own {
+                self.grantor.measure(name, own, now);
+            }
+        }
+    }
+
+    fn learn(&mut self, config: &Config, sums: &Sums, time: f64) {
+        for service in config.services.keys() {
+            let traffic = self
+                .traffic
+                .entry(Arc::clone(service))
+                .or_insert_with(|| Traffic {
+                    request: UNSEEN_BYTES,
+                    answer: UNSEEN_BYTES,
+                    ..Traffic::default()
+                });
+            for callers in config.regions.keys() {
+                let count = sums
+                    .entered
+                    .get(service)
+                    .and_then(|lanes| lanes.get(callers));
+                let rate = *count.unwrap_or(&0) as f64 / time;
+                let known = traffic.rates.entry(Arc::clone(callers)).or_insert(rate);
+                *known += (rate - *known) * FRESH;
+            }
+            if let Some(sizes) = sums.sizes.get(service).filter(|sizes| sizes.count > 0) {
+                let count = sizes.count as f64;
+                traffic.request += (sizes.request as f64 / count - traffic.request) * FRESH;
+                traffic.answer += (sizes.answer as f64 / count - traffic.answer) * FRESH;
+            }
+        }
+    }
+
+    /// Use of the targets that this host owns, of one service; none where it owns none.
+    fn own(
+        &self,
+        service: &Arc<str>,
+        sums: &Sums,
+        reports: &[PoolReport],
+        time: f64,
+    ) -> Option<Own> {
+        let pools = reports
+            .iter()
+            .filter(|report| report.id.service == *service && !report.released);
+        let slots: Vec<u32> = pools.map(|report| report.load.slots).collect();
+        if slots.is_empty() {
+            return None;
+        }
+        let work = sums.work.get(service).copied().unwrap_or_default();
+        let mean = work
+            .time
+            .checked_div(u32::try_from(work.count).unwrap_or(u32::MAX));
+        let home = self
+            .traffic
+            .get(service)
+            .and_then(|t| t.rates.get(&self.me.region));
+        Some(Own {
+            slots: f64::from(slots.iter().sum::<u32>()),
+            busy: work.home.as_secs_f64() / time,
+            rate: home.copied().unwrap_or_default(),
+            work: mean.unwrap_or(Duration::from_millis(5)),
+        })
+    }
+
+    /// Largest shares of other regions, by the room that was lent.
+    fn ceilings(&self, config: &Config, now: Duration) -> Ceilings {
+        let grantee = self.grantee.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ceilings = Ceilings::new();
+        for (service, traffic) in &self.traffic {
+            let total: f64 = traffic.rates.values().sum();
+            if total < SMALL {
+                continue;
+            }
+            let need = traffic.need(service, total);
+            for region in config
+                .regions
+                .keys()
+                .filter(|region| **region != self.me.region)
+            {
+                let most = grantee.rate(region, &need, now) / total;
+                let lanes = ceilings.entry(Arc::clone(service)).or_default();
+                for callers in traffic.rates.keys() {
+                    let row = lanes.entry(Arc::clone(callers)).or_default();
+                    row.insert(Arc::clone(region), most.min(1.0));
+                }
+            }
+        }
+        ceilings
+    }
+
+    /// Sets what the region's links and slots leave to lend.
+    pub(super) fn limit(&mut self, config: &Config) {
+        let region = config.regions.get(&self.me.region);
+        let headroom = region.map_or(0.0, |region| region.headroom);
+        let mut links = Links::new();
+        for link in config.links.values() {
+            let other = match () {
+                () if link.from == self.me.region => &link.to,
+                () if link.to == self.me.region => &link.from,
+                () => continue,
+            };
+            let bytes = link.bytes_per_s.get() as f64 * (1.0 - link.headroom);
+            links.insert(Arc::clone(other), bytes);
+        }
+        self.grantor.limit(headroom, links);
+    }
+
+    /// Asks to send now: for shares to the sample, for room to hosts of the regions work goes to.
+    pub(super) fn asks(
+        &mut self,
+        members: &BTreeMap<Arc<str>, Arc<Member>>,
+        now: Duration,
+    ) -> Vec<Outgoing> {
+        let mine = members
+            .values()
+            .filter(|member| member.region == self.me.region);
+        self.grantor.count(mine.count(), now);
+        if now < self.next_ask {
+            return Vec::new();
+        }
+        self.next_ask = now + ASK;
+        let mut asks: BTreeMap<Arc<str>, Outgoing> = BTreeMap::new();
+        for to in self.sample(members) {
+            let all = !self.rows.contains_key(&to.name);
+            let ask = self.ask(all, Vec::new(), now);
+            asks.insert(Arc::clone(&to.name), Outgoing { to, ask });
+        }
+        let regions: BTreeSet<Arc<str>> = members
+            .values()
+            .map(|member| Arc::clone(&member.region))
+            .collect();
+        for region in regions.iter().filter(|region| **region != self.me.region) {
+            self.ask_region(region, members, &mut asks, now);
+        }
+        asks.into_values().collect()
+    }
+
+    fn ask_region(
+        &self,
+        region: &Arc<str>,
+        members: &BTreeMap<Arc<str>, Arc<Member>>,
+        asks: &mut BTreeMap<Arc<str>, Outgoing>,
+        now: Duration,
+    ) {
+        let needs = self.needs(region);
+        if needs.is_empty() {
+            return;
+        }
+        let there = members
+            .values()
+            .filter(|member| member.region == *region && !member.leaving && !member.suspect);
+        let names: Vec<Arc<str>> = there.map(|member| Arc::clone(&member.name)).collect();
+        let grantors = rendezvous::choose(&format!("{}/{region}", self.me.name), names, GRANTORS);
+        let grantee = self.grantee.lock().unwrap_or_else(PoisonError::into_inner);
+        let part = grantee.ask(&needs, grantors.len(), now);
+        for name in &grantors {
+            let Some(to) = members.get(name) else {
+                continue;
+            };
+            let needs: Vec<PeerNeed> = part.needs.iter().map(write_need).collect();
+            let entry = asks.entry(Arc::clone(name)).or_insert_with(|| Outgoing {
+                to: Arc::clone(to),
+                ask: self.ask(false, Vec::new(), now),
+            });
+            entry.ask.needs = needs;
+        }
+    }
+
+    /// What this host wants to send to a region: its part of the goal or of what goes there now.
+    fn needs(&self, region: &Arc<str>) -> Vec<Need> {
+        let rows = self.shares.rows();
+        let mut needs = Vec::new();
+        for (service, traffic) in &self.traffic {
+            let mut rate = 0.0;
+            for (callers, lane) in &traffic.rates {
+                let goal = self.goals.find(service, callers);
+                let wanted = goal
+                    .and_then(|goal| goal.row.get(region))
+                    .copied()
+                    .unwrap_or(0.0);
+                let share = rows.get(service).and_then(|rows| rows.get(callers));
+                let now = share
+                    .and_then(|row| row.get(region))
+                    .copied()
+                    .unwrap_or(0.0);
+                rate += lane * wanted.max(now);
+                if wanted.max(now) > 0.0 {
+                    rate += LEAST / MARGIN / traffic.rates.len() as f64;
+                }
+            }
+            if rate > 0.0 {
+                needs.push(traffic.need(service, rate * MARGIN));
+            }
+        }
+        needs
+    }
+
+    fn ask(&self, all: bool, needs: Vec<PeerNeed>, now: Duration) -> SteerAsk {
+        SteerAsk {
+            name: Arc::clone(&self.me.name),
+            region: Arc::clone(&self.me.region),
+            all,
+            at_us: micros(now),
+            needs,
+        }
+    }
+
+    /// Notes what another host wants; it is answered with [`Steering::gives`].
+    pub(super) fn asked(&mut self, ask: &SteerAsk, now: Duration) {
+        if ask.needs.is_empty() {
+            return;
+        }
+        let ask = dunlinrock_decide::steer::Ask {
+            host: Arc::clone(&ask.name),
+            region: Arc::clone(&ask.region),
+            at: Duration::from_micros(ask.at_us),
+            needs: ask.needs.iter().map(read_need).collect(),
+        };
+        self.grantor.ask(ask, now);
+    }
+
+    /// Room to lend to all that asked, by host.
+    pub(super) fn grants(&mut self, now: Duration) -> BTreeMap<Arc<str>, Vec<Lent>> {
+        let mut lent: BTreeMap<Arc<str>, Vec<Lent>> = BTreeMap::new();
+        for grant in self.grantor.grant(now) {
+            lent.entry(Arc::clone(&grant.grantee))
+                .or_default()
+                .push(write_lent(&grant));
+        }
+        lent
+    }
+
+    /// Answer to a host that asked.
+    pub(super) fn give(&self, all: bool, lent: Vec<Lent>) -> SteerGive {
+        let mut shares = self.shares.rows();
+        if !all {
+            for (service, lanes) in &mut shares {
+                lanes.retain(|callers, _| self.shares.remaining(service, callers) > 0.0);
+            }
+            shares.retain(|_, lanes| !lanes.is_empty());
+        }
+        SteerGive {
+            name: Arc::clone(&self.me.name),
+            ready: self.shares.ready(),
+            shares,
+            lent,
+        }
+    }
+
+    /// Takes the answer of a host in, asked at this host's `now`.
+    pub(super) fn given(&mut self, from: &Member, give: SteerGive, now: Duration) {
+        let SteerGive {
+            name,
+            ready,
+            shares,
+            lent,
+        } = give;
+        match self.rows.get_mut(&name) {
+            Some(rows) => *rows = at_goal(&self.goals, shares),
+            None if ready => {
+                self.rows.insert(Arc::clone(&name), shares);
+            }
+            None => {
+                self.rows.insert(Arc::clone(&name), Rows::new());
+            }
+        }
+        let mut grantee = self.grantee.lock().unwrap_or_else(PoisonError::into_inner);
+        for lent in &lent {
+            grantee.receive(read_lent(lent, from, &self.me), now);
+        }
+    }
+}
+
+impl Traffic {
+    fn need(&self, service: &Arc<str>, rate: f64) -> Need {
+        Need {
+            service: Arc::clone(service),
+            rate,
+            request_bytes: self.request,
+            answer_bytes: self.answer,
+        }
+    }
+}
+
+/// All shares of a host that sent only those that move: the others are at their goals.
+fn at_goal(goals: &Goals, moving: Rows) -> Rows {
+    let mut rows = Rows::new();
+    for (service, lanes) in &goals.lanes {
+        let lanes = lanes
+            .iter()
+            .map(|(callers, goal)| (Arc::clone(callers), goal.row.clone()));
+        rows.insert(Arc::clone(service), lanes.collect());
+    }
+    for (service, lanes) in moving {
+        rows.entry(service).or_default().extend(lanes);
+    }
+    rows
+}
+
+fn write_need(need: &Need) -> PeerNeed {
+    PeerNeed {
+        service: Arc::clone(&need.service),
+        rate: need.rate,
+        request_bytes: need.request_bytes,
+        answer_bytes: need.answer_bytes,
+    }
+}
+
+fn read_need(need: &PeerNeed) -> Need {
+    Need {
+        service: Arc::clone(&need.service),
+        rate: need.rate,
+        request_bytes: need.request_bytes,
+        answer_bytes: need.answer_bytes,
+    }
+}
+
+fn write_lent(grant: &Grant) -> Lent {
+    Lent {
+        service: Arc::clone(&grant.service),
+        rate: grant.rate,
+        request_bytes: grant.request_bytes,
+        answer_bytes: grant.answer_bytes,
+        asked_us: micros(grant.asked),
+    }
+}
+
+fn read_lent(lent: &Lent, from: &Member, me: &Member) -> Grant {
+    Grant {
+        grantor: Arc::clone(&from.name),
+        region: Arc::clone(&from.region),
+        grantee: Arc::clone(&me.name),
+        service: Arc::clone(&lent.service),
+        rate: lent.rate,
+        request_bytes: lent.request_bytes,
+        answer_bytes: lent.answer_bytes,
+        asked: Duration::from_micros(lent.asked_us),
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/duties/control/tasks.rs
+++ b/crates/node/src/duties/control/tasks.rs
@@ -5,14 +5,19 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use dunlinrock_coord::{pieces::Pieces, wire};
+use dunlinrock_coord::{
+    follow::Source,
+    pieces::Hash,
+    root::{Answer, Ask},
+    wire as coord_wire,
+};
 use dunlinrock_schema::{
-    config::Config,
-    coord::Root,
+    coord::{Message, Root},
+    peer::{SteerAsk, SteerGive},
     store::{Listed, Listing},
 };
 use hyper::StatusCode;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
     duties::{
@@ -20,9 +25,10 @@
         pools::{self, PoolReport},
     },
     metrics::{Count, Metrics},
-    operate, ring,
-    store::{HostList, ROOT_KEY, Store},
-    wire::Client,
+    ring,
+    store::{HostList, ROOT_KEY, Store, Versioned, perform},
+    view::Member,
+    wire::{self, Client},
 };
 
 /// What a task brings back.
@@ -30,164 +36,235 @@
 pub(super) enum Done {
     /// The platform's list.
     Listing(Listing),
-    /// A newer root and the configuration it names.
-    Root { revision: u64, config: Box<Config> },
+    /// A root, from the store.
+    Root(Root),
+    /// Pieces that were asked for.
+    Pieces(Source, Vec<Arc<[u8]>>),
+    /// A source did not answer.
+    Failed(Source),
+    /// The answer of another host to a control message.
+    Answer(Arc<str>, Bytes),
+    /// The answer of another host to an ask for shares and room.
+    Steer(Arc<Member>, SteerGive),
     /// State of the ledger.
     Ledger(LedgerReport),
-    /// The host is off the platform's list, as far as that could be done.
-    Withdrawn,
     /// State of the pools owned here.
     Pools(Vec<PoolReport>),
-    /// The answer of another host to a heartbeat.
-    Answer(Bytes),
+    /// The host is off the platform's list, as far as that could be done.
+    Withdrawn,
 }
 
-/// Where tasks bring their results. Bounded by what the duty starts: one of each kind at a time and
-/// one a peer.
+/// Where tasks bring their results. Unbounded, and bounded by what the duty starts: a few messages
+/// a heartbeat, each with an end in time.
 pub(super) type Results = mpsc::UnboundedSender<Done>;
 
-/// Time a watch of the root waits in the store.
+/// Time a watch of the root waits in the store. Each is one call, so that a watching host makes
+/// three a minute; a connection that died without a word is noticed after that long.
 const WATCH_TIME: Duration = Duration::from_secs(20);
 /// Pause after a failed store call, so that a store that is down is not called without end.
 const STORE_PAUSE: Duration = Duration::from_millis(500);
-/// Time a heartbeat may take.
-const BEAT_TIME: Duration = Duration::from_secs(1);
-
-/// Reads the list again and again.
-pub(super) fn poll_list(list: HostList, me: Listed, every: Duration, results: Results) {
-    tokio::spawn(async move {
-        let mut announced = false;
-        loop {
-            if !announced {
-                announced = list.announce(&me).await.is_ok();
+/// Time a message to another host may take.
+const SEND_TIME: Duration = Duration::from_secs(1);
+
+/// What tasks call with.
+#[derive(Clone)]
+pub(super) struct Caller {
+    pub client: Client,
+    pub store: Store,
+    pub list: HostList,
+    pub metrics: Metrics,
+    pub results: Results,
+}
+
+impl Caller {
+    /// Reads the list again and again, and announces this host until that was taken.
+    pub(super) fn poll_list(&self, me: Listed, every: Duration) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            let mut announced = false;
+            while !caller.results.is_closed() {
+                if !announced {
+                    announced = caller.list.announce(&me).await.is_ok();
+                }
+                match caller.list.read().await {
+                    Ok(listing) => caller.bring(Done::Listing(listing)),
+                    Err(e) => log::debug!(error:% = e; "the list of hosts was not read"),
+                }
+                tokio::time::sleep(every).await;
             }
-            match list.read().await {
-                Ok(listing) => {
-                    if results.send(Done::Listing(listing)).is_err() {
-                        return;
+        });
+    }
+
+    /// Watches the root while `on` is true.
+    pub(super) fn watch_root(&self, mut on: watch::Receiver<bool>) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            // A version that no key has: the first watch answers at once.
+            let mut known = u64::MAX;
+            while on.wait_for(|on| *on).await.is_ok() {
+                caller.metrics.count(Count::StoreCalls);
+                match caller.store.watch(ROOT_KEY, known, WATCH_TIME).await {
+                    Ok(Some(found)) => {
+                        known = found.version;
+                        caller.bring_root(&found);
+                    }
+                    Ok(None) => {}
+                    Err(e) => {
+                        caller.metrics.count(Count::StoreFailures);
+                        log::debug!(error:% = e; "the root was not watched");
+                        tokio::time::sleep(STORE_PAUSE).await;
                     }
                 }
-                Err(e) => log::debug!(error:% = e; "the list of hosts was not read"),
             }
-            tokio::time::sleep(every).await;
+        });
+    }
+
+    fn bring_root(&self, found: &Versioned) {
+        let Some(value) = &found.value else { return };
+        match coord_wire::decode::<Root>(value) {
+            Ok(root) => self.bring(Done::Root(root)),
+            Err(e) => log::error!(error:% = e; "the root in the store cannot be read"),
         }
-    });
-}
+    }
 
-/// Watches the root and fetches each configuration that it names.
-pub(super) fn watch_root(store: Store, metrics: Metrics, results: Results) {
-    tokio::spawn(async move {
-        let mut held = Pieces::new();
-        let mut known = u64::MAX;
-        loop {
-            metrics.count(Count::StoreCalls);
-            match next_root(&store, known, &mut held).await {
-                Ok(Some((version, revision, config))) => {
-                    known = version;
-                    let config = Box::new(config);
-                    if results.send(Done::Root { revision, config }).is_err() {
-                        return;
-                    }
-                }
-                Ok(None) => {}
+    /// Reads the root once.
+    pub(super) fn read_root(&self) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            caller.metrics.count(Count::StoreCalls);
+            match caller.store.get(ROOT_KEY).await {
+                Ok(found) => caller.bring_root(&found),
                 Err(e) => {
-                    metrics.count(Count::StoreFailures);
+                    caller.metrics.count(Count::StoreFailures);
                     log::debug!(error:% = e; "the root was not read");
-                    tokio::time::sleep(STORE_PAUSE).await;
+                    caller.bring(Done::Failed(Source::Store));
                 }
             }
-        }
-    });
-}
+        });
+    }
 
-async fn next_root(
-    store: &Store,
-    known: u64,
-    held: &mut Pieces,
-) -> anyhow::Result<Option<(u64, u64, Config)>> {
-    let Some(found) = store.watch(ROOT_KEY, known, WATCH_TIME).await? else {
-        return Ok(None);
-    };
-    let Some(value) = found.value else {
-        // No configuration was applied yet: a watch for the version of an absent key waits.
-        let Some(found) = store.watch(ROOT_KEY, found.version, WATCH_TIME).await? else {
-            return Ok(None);
-        };
-        let Some(value) = found.value else {
-            return Ok(None);
-        };
-        return fetch(store, found.version, &value, held).await.map(Some);
-    };
-    fetch(store, found.version, &value, held).await.map(Some)
-}
+    /// Reads pieces from the store.
+    pub(super) fn read_pieces(&self, hashes: Vec<Hash>) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            let reads = hashes.into_iter().map(|hash| {
+                caller.metrics.count(Count::StoreCalls);
+                perform(&caller.store, Ask::Piece(hash))
+            });
+            let mut pieces = Vec::new();
+            for answer in futures::future::join_all(reads).await {
+                if let Answer::Piece(Some(bytes)) = answer {
+                    pieces.push(bytes);
+                }
+            }
+            caller.bring(match pieces.is_empty() {
+                true => Done::Failed(Source::Store),
+                false => Done::Pieces(Source::Store, pieces),
+            });
+        });
+    }
 
-async fn fetch(
-    store: &Store,
-    version: u64,
-    value: &[u8],
-    held: &mut Pieces,
-) -> anyhow::Result<(u64, u64, Config)> {
-    let root: Root = wire::decode(value)?;
-    let config = operate::fetch(store, &root, held).await?;
-    Ok((version, root.now.revision, config))
-}
+    /// Sends a control message and brings its answer back, if it has one.
+    pub(super) fn send(&self, to: &Arc<str>, address: SocketAddr, message: &Message) {
+        let frame = coord_wire::encode(message);
+        self.metrics.add(Count::ControlOut, frame.len() as u64);
+        let asks = matches!(message, Message::RootAsk(_) | Message::PieceAsk(_));
+        let (caller, name) = (self.clone(), Arc::clone(to));
+        tokio::spawn(async move {
+            let sent = caller
+                .client
+                .post(address, super::CONTROL_PATH, frame, SEND_TIME)
+                .await;
+            match sent {
+                Ok(answer) if answer.status == StatusCode::OK && !answer.body.is_empty() => {
+                    caller
+                        .metrics
+                        .add(Count::ControlIn, answer.body.len() as u64);
+                    caller.bring(Done::Answer(name, answer.body));
+                }
+                Ok(answer) if answer.status.is_success() && !asks => {}
+                other => {
+                    log::debug!(to = &*name, answer:? = other.map(|a| a.status); "no answer");
+                    if asks {
+                        caller.bring(Done::Failed(Source::Peer(name)));
+                    }
+                }
+            }
+        });
+    }
 
-/// Sends a heartbeat and brings its answer back.
-pub(super) fn beat(client: Client, to: SocketAddr, frame: Vec<u8>, results: Results) {
-    tokio::spawn(async move {
-        let answer = client.post(to, super::CONTROL_PATH, frame, BEAT_TIME).await;
-        if let Ok(answer) = answer
-            && answer.status == StatusCode::OK
-        {
-            // The duty is gone only when the host ends.
-            let _ = results.send(Done::Answer(answer.body));
-        }
-    });
-}
+    /// Asks another host for its shares and for room.
+    pub(super) fn steer(&self, to: Arc<Member>, ask: &SteerAsk) {
+        let Ok(frame) = wire::pack(ask) else { return };
+        self.metrics.add(Count::SteerOut, frame.len() as u64);
+        let caller = self.clone();
+        tokio::spawn(async move {
+            let sent = caller
+                .client
+                .post(to.peers, super::STEER_PATH, frame, SEND_TIME)
+                .await;
+            let Ok(answer) = sent else { return };
+            caller.metrics.add(Count::SteerIn, answer.body.len() as u64);
+            if answer.status == StatusCode::OK
+                && let Ok(give) = wire::unpack(&answer.body)
+            {
+                caller.bring(Done::Steer(to, give));
+            }
+        });
+    }
 
-/// Asks the pools duty for its state.
-pub(super) fn ask_pools(ring: &ring::Sender<pools::Input>, results: Results) {
-    let (reply, answer) = oneshot::channel();
-    // A full ring: the next tick asks again.
-    if ring.push(pools::Input::Ask(reply)).is_err() {
-        return;
+    /// Announces that this host is leaving.
+    pub(super) fn announce(&self, me: Listed) {
+        let list = self.list.clone();
+        tokio::spawn(async move {
+            if let Err(e) = list.announce(&me).await {
+                log::warn!(error:% = e; "the list was not told that this host leaves");
+            }
+        });
     }
-    tokio::spawn(async move {
-        if let Ok(reports) = answer.await {
-            let _ = results.send(Done::Pools(reports));
-        }
-    });
-}
 
-/// Asks the ledger duty for its state.
-pub(super) fn ask_ledger(ring: &ring::Sender<ledger::Input>, results: Results) {
-    let (reply, answer) = oneshot::channel();
-    // A full ring: the next tick asks again.
-    if ring.push(ledger::Input::Ask(reply)).is_err() {
-        return;
+    /// Takes the host off the list; one that does not answer lags a little more than usual.
+    pub(super) fn withdraw(&self, name: Arc<str>) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            if let Err(e) = caller.list.withdraw(&name).await {
+                log::warn!(error:% = e; "the list was not told that this host is gone");
+            }
+            caller.bring(Done::Withdrawn);
+        });
     }
-    tokio::spawn(async move {
-        if let Ok(report) = answer.await {
-            let _ = results.send(Done::Ledger(report));
-        }
-    });
-}
 
-/// Announces that this host is leaving.
-pub(super) fn announce(list: HostList, me: Listed) {
-    tokio::spawn(async move {
-        if let Err(e) = list.announce(&me).await {
-            log::warn!(error:% = e; "the list was not told that this host leaves");
-        }
-    });
-}
+    /// Asks the pools duty for its state.
+    pub(super) fn ask_pools(&self, ring: &ring::Sender<pools::Input>) {
+        self.ask(ring, pools::Input::Ask, Done::Pools);
+    }
 
-/// Takes the host off the list; one that does not answer lags a little more than usual.
-pub(super) fn withdraw(list: HostList, name: Arc<str>, results: Results) {
-    tokio::spawn(async move {
-        if let Err(e) = list.withdraw(&name).await {
-            log::warn!(error:% = e; "the list was not told that this host is gone");
+    /// Asks the ledger duty for its state.
+    pub(super) fn ask_ledger(&self, ring: &ring::Sender<ledger::Input>) {
+        self.ask(ring, ledger::Input::Ask, Done::Ledger);
+    }
+
+    fn ask<I, R: Send + 'static>(
+        &self,
+        ring: &ring::Sender<I>,
+        input: fn(oneshot::Sender<R>) -> I,
+        done: fn(R) -> Done,
+    ) {
+        let (reply, answer) = oneshot::channel();
+        // A full ring: the next tick asks again.
+        if ring.push(input(reply)).is_err() {
+            return;
         }
-        let _ = results.send(Done::Withdrawn);
-    });
+        let caller = self.clone();
+        tokio::spawn(async move {
+            if let Ok(report) = answer.await {
+                caller.bring(done(report));
+            }
+        });
+    }
+
+    /// The duty is gone only when the host ends.
+    fn bring(&self, done: Done) {
+        let _ = self.results.send(done);
+    }
 }
--- a/crates/node/src/duties/peers/handlers.rs
+++ b/crates/node/src/duties/peers/handlers.rs
@@ -1,9 +1,10 @@
 //! What this host does for other hosts.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dunlinrock_coord::once::Key;
+use dunlinrock_decide::admit::Load;
 use http_body_util::Full;
 use tokio::sync::oneshot;
 use viz::{
@@ -47,7 +48,10 @@
             Err(Trouble::not_run(Kind::Unavailable, detail))
         }
     };
-    answer(&result)
+    answer(
+        &result,
+        view.pools.get(&pool).map(|route| route.heard().load),
+    )
 }
 
 /// Takes in a keyed request that a third host passes on.
@@ -66,7 +70,7 @@
             "the key names other hosts",
         )),
     };
-    answer(&result)
+    answer(&result, None)
 }
 
 /// Takes in a message for the ledger.
@@ -100,6 +104,28 @@
 
 /// Takes in a message for the control duty and gives its answer back.
 pub(super) async fn control(shared: &Shared, request: Request) -> Response {
+    let counts = (Count::ControlIn, Count::ControlOut);
+    ask(shared, request, counts, |from, frame, reply| {
+        control::Input::Hear { from, frame, reply }
+    })
+    .await
+}
+
+/// Takes in an ask for shares and room.
+pub(super) async fn steer(shared: &Shared, request: Request) -> Response {
+    let counts = (Count::SteerIn, Count::SteerOut);
+    ask(shared, request, counts, |from, frame, reply| {
+        control::Input::Steer { from, frame, reply }
+    })
+    .await
+}
+
+async fn ask(
+    shared: &Shared,
+    request: Request,
+    counts: (Count, Count),
+    input: impl FnOnce(IpAddr, Bytes, oneshot::Sender<control::Reply>) -> control::Input,
+) -> Response {
     let Some(from) = peer(&request) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
@@ -107,21 +133,17 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     shared.metrics.count(Count::ControlMessages);
-    shared.metrics.add(Count::ControlIn, frame.len() as u64);
+    shared.metrics.add(counts.0, frame.len() as u64);
     let (reply, answer) = oneshot::channel();
-    let input = control::Input::Hear {
-        from: from.ip(),
-        frame,
-        reply,
-    };
-    if shared.control.push(input).is_err() {
+    if shared.control.push(input(from.ip(), frame, reply)).is_err() {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     match tokio::time::timeout(CONTROL_TIME, answer).await {
         Ok(Ok(control::Reply::Frame(frame))) => {
-            shared.metrics.add(Count::ControlOut, frame.len() as u64);
+            shared.metrics.add(counts.1, frame.len() as u64);
             Response::new(Body::from(Full::from(frame)))
         }
+        Ok(Ok(control::Reply::Taken)) => StatusCode::NO_CONTENT.into_response(),
         Ok(Ok(control::Reply::Stranger)) => {
             shared.metrics.count(Count::Strangers);
             StatusCode::FORBIDDEN.into_response()
@@ -168,8 +190,8 @@
     }
 }
 
-fn answer(result: &Result<Answer, Trouble>) -> Response {
-    match write_answer(result) {
+fn answer(result: &Result<Answer, Trouble>, load: Option<Load>) -> Response {
+    match write_answer(result, load) {
         Ok(frame) => Response::new(Body::from(Full::from(frame))),
         Err(e) => {
             log::error!(error:% = e; "an answer to another host could not be written");
--- a/crates/node/src/duties/peers/mod.rs
+++ b/crates/node/src/duties/peers/mod.rs
@@ -7,7 +7,11 @@
 use tokio::{net::TcpListener, sync::watch};
 use viz::{Request, Router, Tree};
 
-use super::{control::CONTROL_PATH, ledger::LEDGER_PATH, spawn};
+use super::{
+    control::{CONTROL_PATH, STEER_PATH},
+    ledger::LEDGER_PATH,
+    spawn,
+};
 use crate::{
     run::{CALL_PATH, RUN_PATH},
     serve,
@@ -54,6 +58,7 @@
     let client = Client::open(answer_bytes.unwrap_or(usize::MAX));
     let (run, call) = (Arc::clone(&shared), Arc::clone(&shared));
     let (ledger, control) = (Arc::clone(&shared), Arc::clone(&shared));
+    let steer = Arc::clone(&shared);
     let relayed = client.clone();
     Router::new()
         .post(RUN_PATH, move |request: Request| {
@@ -72,6 +77,10 @@
             let shared = Arc::clone(&control);
             async move { Ok(handlers::control(&shared, request).await) }
         })
+        .post(STEER_PATH, move |request: Request| {
+            let shared = Arc::clone(&steer);
+            async move { Ok(handlers::steer(&shared, request).await) }
+        })
         .get(DUMP_PATH, move |_: Request| {
             let shared = Arc::clone(&shared);
             async move { Ok(handlers::dump(&shared).await) }
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -5,7 +5,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     thread::JoinHandle,
@@ -14,21 +14,23 @@
 
 use anyhow::Context;
 use arc_swap::ArcSwap;
+use dunlinrock_decide::steer::Grantee;
 use dunlinrock_schema::settings::Settings;
 use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
     duties::{callers, control, ledger, peers, pools},
+    meters::Meters,
     metrics::Metrics,
     ring,
     shared::Shared,
     view::{Member, View},
 };
 
-/// Bits of an incarnation below its time in milliseconds. They are random, so that two processes
-/// that start under one name in the same millisecond differ.
-const RANDOM_BITS: u32 = 20;
+/// Bits of an incarnation below its time in milliseconds since 1970. They are random, so that two
+/// processes that start under one name in the same millisecond differ.
+pub(crate) const INCARNATION_BITS: u32 = 20;
 
 /// A running host. Dropped without [`Host::leave`], it goes on until the process ends.
 #[derive(Debug)]
@@ -69,6 +71,7 @@
         let limits = ledger::limits(&timing);
         let ledger = ledger::open(me.incarnation, limits, clock, Arc::clone(&view))?;
         let (control, inputs) = ring::open(control::RING);
+        let grantee = Arc::new(Mutex::new(Grantee::open(&me.name, &me.region)));
         let shared = Arc::new(Shared {
             limits: settings.limits.clone().unwrap_or_default(),
             timing,
@@ -76,6 +79,8 @@
             me,
             clock,
             view,
+            grantee,
+            meters: Meters::default(),
             published: watch::channel(0).0,
             pools,
             ledger: ledger.sender,
@@ -199,8 +204,8 @@
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    let random = rand::random::<u64>() & ((1 << RANDOM_BITS) - 1);
-    (millis(since) << RANDOM_BITS) | random
+    let random = rand::random::<u64>() & ((1 << INCARNATION_BITS) - 1);
+    (millis(since) << INCARNATION_BITS) | random
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod dump;
 pub mod duties;
 pub mod host;
+pub mod meters;
 pub mod metrics;
 pub mod operate;
 pub mod ring;
--- a/crates/node/src/metrics/count.rs
+++ b/crates/node/src/metrics/count.rs
@@ -25,6 +25,10 @@
     ControlIn,
     /// Bytes of control messages sent.
     ControlOut,
+    /// Bytes of steering messages taken in.
+    SteerIn,
+    /// Bytes of steering messages sent.
+    SteerOut,
     /// Messages refused because their sender is no member.
     Strangers,
     /// Calls to the platform's store.
@@ -36,7 +40,7 @@
 }
 
 /// All counters, in the order of their values.
-pub const COUNTS: [Count; 15] = [
+pub const COUNTS: [Count; 17] = [
     Count::Lookups,
     Count::Calls,
     Count::Answered,
@@ -48,6 +52,8 @@
     Count::ControlMessages,
     Count::ControlIn,
     Count::ControlOut,
+    Count::SteerIn,
+    Count::SteerOut,
     Count::Strangers,
     Count::StoreCalls,
     Count::StoreFailures,
@@ -69,6 +75,8 @@
             Count::ControlMessages => "peer.control",
             Count::ControlIn => "peer.control_in_bytes",
             Count::ControlOut => "peer.control_out_bytes",
+            Count::SteerIn => "peer.steer_in_bytes",
+            Count::SteerOut => "peer.steer_out_bytes",
             Count::Strangers => "peer.strangers",
             Count::StoreCalls => "store.calls",
             Count::StoreFailures => "store.failures",
--- a/crates/node/src/operate/mod.rs
+++ b/crates/node/src/operate/mod.rs
@@ -7,5 +7,3 @@
     apply::{Doubt, apply},
     read::{InForce, read},
 };
-
-pub(crate) use self::read::fetch;
--- a/crates/node/src/operate/read.rs
+++ b/crates/node/src/operate/read.rs
@@ -35,7 +35,7 @@
 }
 
 /// Fetches the pieces of a root that `held` lacks and joins them.
-pub(crate) async fn fetch(store: &Store, root: &Root, held: &mut Pieces) -> anyhow::Result<Config> {
+async fn fetch(store: &Store, root: &Root, held: &mut Pieces) -> anyhow::Result<Config> {
     let tree = Hash::read(&root.now.tree).context("the root names no tree")?;
     loop {
         let missing = match pieces::join(tree, held) {
--- a/crates/node/src/run/dispatch.rs
+++ b/crates/node/src/run/dispatch.rs
@@ -1,13 +1,13 @@
 //! Chooses the region and the pool for a request and has it run there.
 
 use std::{
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, PoisonError},
     time::Duration,
 };
 
 use dunlinrock_decide::{
     admit::{Candidate, choose},
-    steer::Reason,
+    steer::{Reason, Refusal},
 };
 use dunlinrock_schema::api::Run;
 use tokio::time::Instant;
@@ -32,6 +32,13 @@
 /// Hand-overs between hosts at the most: one to the owner, one more where the owner changed since.
 pub const MAX_HOPS: u8 = 2;
 
+/// Bytes of a request's head, for the use of a link.
+const HEAD_BYTES: f64 = 500.0;
+/// Bytes of an answer, for the use of a link, before its size is known.
+const ANSWER_BYTES: f64 = 2_000.0;
+/// Time after which room may be there again: hosts ask for it once a second.
+const LEND_PAUSE: Duration = Duration::from_secs(1);
+
 /// Pause before a new view is looked for when the owner of a pool has changed under a request.
 const VIEW_PAUSE: Duration = Duration::from_millis(20);
 
@@ -76,8 +83,8 @@
         if call.hops >= MAX_HOPS {
             return Err(unowned(&route.id));
         }
-        route.sent.fetch_add(1, Ordering::Relaxed);
-        return forward::forward(client, owner, &route.id, call).await;
+        route.send();
+        return forward::forward(shared, client, route, owner, call).await;
     }
     match hold(shared, client, route, call).await {
         Held::Answer(answer) => Ok(answer),
@@ -111,18 +118,50 @@
         return Err(Trouble::not_run(Kind::UnknownService, detail));
     }
     let from = view.region(call.client, &shared.me.region);
+    shared.meters.entered(&call.service, &from);
     // The same request draws the same region again: a refused one whose each try drew another
     // would soon be served, and the regions that are left would get more than their shares.
     let picked = view.shares.pick(&call.service, &from, call.identity);
-    picked.map(Arc::clone).map_err(|refusal| {
-        let why = match refusal.reason {
-            Reason::Starting => "this host has not heard yet where traffic goes",
-            Reason::Nowhere => "no region serves it",
-            Reason::Lost => "it moves to another region no faster than its cap",
-        };
-        let detail = format!("{} for callers of {from}: {why}", call.service);
-        Trouble::not_run(Kind::Unavailable, detail).retry_after(refusal.retry_after)
-    })
+    let region = picked
+        .map(Arc::clone)
+        .map_err(|refusal| unservable(call, &from, refusal))?;
+    if region == shared.me.region || lent(shared, call, &region) {
+        return Ok(region);
+    }
+    home(shared, view, call, &region)
+}
+
+/// Takes room that the region's hosts lent to this one; false where there is none left.
+fn lent(shared: &Shared, call: &Call, region: &str) -> bool {
+    let mut grantee = shared
+        .grantee
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let request = call.body.len() as f64 + HEAD_BYTES;
+    grantee.take(region, &call.service, request, ANSWER_BYTES, shared.now())
+}
+
+/// The region to turn to when another lends no room: this host's own, which turns away itself what
+/// it cannot take. A share that no grant covers must not go out: many hosts that each exceed their
+/// grants a little overrun the region together.
+fn home(shared: &Shared, view: &View, call: &Call, region: &str) -> Result<Arc<str>, Trouble> {
+    let own = &shared.me.region;
+    let service = view.services.get(&call.service);
+    if service.is_some_and(|service| service.regions.contains_key(own)) {
+        return Ok(Arc::clone(own));
+    }
+    let detail = format!("region {region} lends no room for {} now", call.service);
+    Err(Trouble::not_run(Kind::Overloaded, detail).retry_after(LEND_PAUSE))
+}
+
+fn unservable(call: &Call, from: &str, refusal: Refusal) -> Trouble {
+    let why = match refusal.reason {
+        Reason::Starting => "this host has not heard yet where traffic goes",
+        Reason::Nowhere => "no region serves it",
+        Reason::Lost => "it moves to another region no faster than its cap",
+    };
+    let detail = format!("{} for callers of {from}: {why}", call.service);
+    Trouble::not_run(Kind::Unavailable, detail).retry_after(refusal.retry_after)
 }
 
 fn pool(
@@ -144,10 +183,11 @@
 }
 
 fn candidate(route: &PoolRoute, now: Duration) -> Candidate {
+    let heard = route.heard();
     Candidate {
-        load: route.load,
-        age: now.saturating_sub(route.heard),
+        load: heard.load,
+        age: now.saturating_sub(heard.at),
         delay: route.delay,
-        sent: route.sent.load(Ordering::Relaxed),
+        sent: route.sent(),
     }
 }
--- a/crates/node/src/run/forward.rs
+++ b/crates/node/src/run/forward.rs
@@ -5,9 +5,10 @@
 use anyhow::Context;
 use bytes::Bytes;
 use dunlinrock_coord::once::Attempts;
+use dunlinrock_decide::admit::Load;
 use dunlinrock_schema::{
     api::Run,
-    peer::{AnswerHead, Field, RunAnswer, RunHead, TroubleHead},
+    peer::{AnswerHead, Field, PoolLoad, RunAnswer, RunEnd, RunHead, TroubleHead},
 };
 use hyper::{
     HeaderMap, Method, StatusCode,
@@ -19,26 +20,33 @@
 use crate::{
     call::Call,
     duties::pools::PoolId,
-    view::Member,
+    shared::Shared,
+    view::{Member, PoolRoute},
     wire::{self, Answer, Client, Failure, Kind, PackError, Trouble},
 };
 
 /// Path on which hosts take requests for the pools they own.
 pub const RUN_PATH: &str = "/peer/v1/run";
 
-/// Hands `call` to the owner of a pool and waits for its answer until the deadline.
+/// Hands `call` to the owner of a pool and waits for its answer until the deadline. The answer
+/// brings the pool's load along: fresh where it is used most, and at no cost where it is not.
 pub(super) async fn forward(
+    shared: &Shared,
     client: &Client,
+    route: &PoolRoute,
     owner: &Member,
-    pool: &PoolId,
     call: &Call,
 ) -> Result<Answer, Trouble> {
-    hand(client, owner, RUN_PATH, &pool.domain, call).await
+    let (result, load) = hand(client, owner, RUN_PATH, &route.id.domain, call).await;
+    if let Some(load) = load {
+        route.hear(load, shared.now());
+    }
+    result
 }
 
 /// Passes a keyed request on to the owner of its key.
 pub(super) async fn relay(client: &Client, owner: &Member, call: &Call) -> Result<Answer, Trouble> {
-    let result = hand(client, owner, CALL_PATH, "", call).await;
+    let (result, _) = hand(client, owner, CALL_PATH, "", call).await;
     // That this attempt was not sent says nothing of the earlier ones of the key.
     result.map_err(|trouble| Trouble {
         run: not_below(trouble.run, call),
@@ -61,24 +69,25 @@
     path: &str,
     domain: &str,
     call: &Call,
-) -> Result<Answer, Trouble> {
+) -> (Result<Answer, Trouble>, Option<Load>) {
     let time = call.deadline.saturating_duration_since(Instant::now());
-    let frame = wire::join(&head(domain, call, time), &call.body).map_err(|e| unsent(&e))?;
-    match client.post(owner.peers, path, frame, time).await {
+    let frame = match wire::join(&head(domain, call, time), &call.body) {
+        Ok(frame) => frame,
+        Err(e) => return (Err(unsent(&e)), None),
+    };
+    let trouble = match client.post(owner.peers, path, frame, time).await {
         Ok(answer) if answer.status == StatusCode::OK => {
-            read_answer(&answer.body).unwrap_or_else(|e| Err(lost(&e)))
+            return read_answer(&answer.body).unwrap_or_else(|e| (Err(lost(&e)), None));
         }
-        Ok(answer) => Err(refused(owner, &answer)),
-        Err(e) if e.is_unsent() => Err(unsent(&e)),
-        Err(e @ Failure::Timeout(_)) => Err(Trouble::unknown(
+        Ok(answer) => refused(owner, &answer),
+        Err(e) if e.is_unsent() => unsent(&e),
+        Err(e @ Failure::Timeout(_)) => Trouble::unknown(
             Kind::DeadlinePassed,
             format!("handed to {}: {e}", owner.name),
-        )),
-        Err(e) => Err(Trouble::unknown(
-            Kind::TargetFailed,
-            format!("handed to {}: {e}", owner.name),
-        )),
-    }
+        ),
+        Err(e) => Trouble::unknown(Kind::TargetFailed, format!("handed to {}: {e}", owner.name)),
+    };
+    (Err(trouble), None)
 }
 
 /// A status other than 200 comes before the other host takes the frame in, but for one: it could
@@ -111,6 +120,7 @@
         path: Arc::clone(&call.path),
         fields: write_fields(&call.headers),
         remaining_us: u64::try_from(time.as_micros()).unwrap_or(u64::MAX),
+        region: Arc::clone(&call.region),
         client: call.client.to_string().into(),
         caller: call.caller,
         topic: call.topic,
@@ -139,6 +149,7 @@
         headers: read_fields(&head.fields)?,
         body,
         deadline: Instant::now() + Duration::from_micros(head.remaining_us),
+        region: head.region,
         client: head.client.parse().context("the caller's address")?,
         caller: head.caller,
         topic: head.topic,
@@ -154,7 +165,11 @@
 }
 
 /// Writes what became of a request, for another host or for the ledger.
-pub fn write_answer(result: &Result<Answer, Trouble>) -> Result<Vec<u8>, PackError> {
+pub fn write_answer(
+    result: &Result<Answer, Trouble>,
+    load: Option<Load>,
+) -> Result<Vec<u8>, PackError> {
+    let load = load.as_ref().map(write_load);
     match result {
         Ok(answer) => {
             let fields = write_fields(&answer.headers);
@@ -162,24 +177,55 @@
                 status: answer.status.as_u16(),
                 fields,
             };
-            wire::join(&RunAnswer::Answer(head), &answer.body)
+            wire::join(
+                &RunAnswer {
+                    end: RunEnd::Answer(head),
+                    load,
+                },
+                &answer.body,
+            )
+        }
+        Err(trouble) => {
+            let end = RunEnd::Trouble(write_trouble(trouble));
+            wire::join(&RunAnswer { end, load }, &[])
         }
-        Err(trouble) => wire::join(&RunAnswer::Trouble(write_trouble(trouble)), &[]),
     }
 }
 
 /// Reads what [`write_answer`] wrote.
-pub fn read_answer(frame: &Bytes) -> Result<Result<Answer, Trouble>, PackError> {
+pub fn read_answer(frame: &Bytes) -> Result<(Result<Answer, Trouble>, Option<Load>), PackError> {
     let (head, body): (RunAnswer, Bytes) = wire::split(frame)?;
-    Ok(match head {
-        RunAnswer::Answer(head) => Ok(Answer {
+    let result = match head.end {
+        RunEnd::Answer(head) => Ok(Answer {
             status: StatusCode::from_u16(head.status)
                 .map_err(|_| PackError::Frame("its status is none"))?,
             headers: read_fields(&head.fields).map_err(|_| PackError::Frame("a field is none"))?,
             body,
         }),
-        RunAnswer::Trouble(trouble) => Err(read_trouble(&trouble)),
-    })
+        RunEnd::Trouble(trouble) => Err(read_trouble(&trouble)),
+    };
+    Ok((result, head.load.as_ref().map(read_load)))
+}
+
+fn write_load(load: &Load) -> PoolLoad {
+    let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    PoolLoad {
+        queued: load.queued,
+        busy: load.busy,
+        slots: load.slots,
+        wait_us: micros(load.wait),
+        turn_us: micros(load.turn),
+    }
+}
+
+fn read_load(load: &PoolLoad) -> Load {
+    Load {
+        queued: load.queued,
+        busy: load.busy,
+        slots: load.slots,
+        wait: Duration::from_micros(load.wait_us),
+        turn: Duration::from_micros(load.turn_us),
+    }
 }
 
 fn write_trouble(trouble: &Trouble) -> TroubleHead {
--- a/crates/node/src/run/holder.rs
+++ b/crates/node/src/run/holder.rs
@@ -4,7 +4,7 @@
 
 use dunlinrock_decide::admit::{Ending, Offer, Outcome, Refusal};
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use tokio::time::sleep_until;
+use tokio::time::{Instant, sleep_until};
 
 use super::target::{self, Ran};
 use crate::{
@@ -98,6 +98,8 @@
                 running.retain(|other| *other != name);
                 report(shared, &ticket, &name, &ran);
                 ticket.finish(&name, ran.outcome);
+                let home = call.region == shared.me.region;
+                shared.meters.ran(&route.id.service, ran.time, home);
                 if ran.outcome == Outcome::Ok && let Some(answer) = ran.answer {
                     ticket.open = false;
                     return Held::Answer(answer);
@@ -146,8 +148,9 @@
     name: Arc<str>,
 ) -> BoxFuture<'a, (Arc<str>, Ran)> {
     let address = route.targets.get(&name).copied();
+    let since = Instant::now();
     async move {
-        let ran = match address {
+        let mut ran = match address {
             Some(address) => target::send(client, call, address).await,
             // The pool duty is ahead of this request's view by one configuration.
             None => Ran {
@@ -155,8 +158,10 @@
                 answer: None,
                 detail: format!("target {name} is not in the configuration at hand"),
                 report: None,
+                time: Duration::ZERO,
             },
         };
+        ran.time = since.elapsed();
         (name, ran)
     }
     .boxed()
--- a/crates/node/src/run/keyed.rs
+++ b/crates/node/src/run/keyed.rs
@@ -75,7 +75,8 @@
             Some(Event::Answer(frame)) => {
                 ticket.open = false;
                 let frame = Bytes::copy_from_slice(&frame);
-                return forward::read_answer(&frame).unwrap_or_else(|e| Err(unreadable(&e)));
+                let read = forward::read_answer(&frame);
+                return read.map_or_else(|e| Err(unreadable(&e)), |(result, _)| result);
             }
             Some(Event::Refused {
                 run,
@@ -108,7 +109,7 @@
                 log::warn!(request = &*call.request, detail = &*trouble.detail; "run without answer");
                 Outcome::Lost
             }
-            Ok(answer) => match forward::write_answer(&Ok(answer)) {
+            Ok(answer) => match forward::write_answer(&Ok(answer), None) {
                 Ok(frame) => Outcome::Answered(frame.into()),
                 Err(_) => Outcome::Lost,
             },
--- a/crates/node/src/run/target.rs
+++ b/crates/node/src/run/target.rs
@@ -26,6 +26,8 @@
     pub detail: String,
     /// The target's word about its load.
     pub report: Option<Report>,
+    /// Time from its start to its end.
+    pub time: Duration,
 }
 
 /// Sends `call` to the target at `address` and waits for its whole answer until the deadline.
@@ -94,6 +96,7 @@
         answer: (!shed).then_some(answer),
         detail,
         report,
+        time: Duration::ZERO,
     }
 }
 
@@ -103,6 +106,7 @@
         answer: None,
         detail,
         report: None,
+        time: Duration::ZERO,
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,19 +2,21 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
+use dunlinrock_decide::steer::Grantee;
 use dunlinrock_schema::settings::{LimitSettings, Settings, TimingSettings};
 use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
     duties::{control, ledger, pools},
+    meters::Meters,
     metrics::Metrics,
     ring,
     view::{Member, View},
@@ -35,6 +37,10 @@
     pub clock: Clock,
     /// The newest view.
     pub view: Arc<ArcSwap<View>>,
+    /// What other regions' hosts lent to this one.
+    pub grantee: Arc<Mutex<Grantee>>,
+    /// What is measured of the traffic.
+    pub meters: Meters,
     /// Number of the newest view, for those who wait for one.
     pub published: watch::Sender<u64>,
     /// To the pools duty.
--- a/crates/node/src/view/mod.rs
+++ b/crates/node/src/view/mod.rs
@@ -18,7 +18,7 @@
 pub use self::{
     answers::{Answers, VARIANTS},
     member::Member,
-    route::{PoolRoute, ServiceRoute},
+    route::{Heard, PoolRoute, RouteParts, ServiceRoute},
 };
 use crate::duties::pools::PoolId;
 
--- a/crates/node/src/view/route.rs
+++ b/crates/node/src/view/route.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, atomic::AtomicU32},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -31,12 +34,78 @@
     pub owner: Option<Arc<Member>>,
     /// Addresses of its targets by name.
     pub targets: BTreeMap<Arc<str>, SocketAddr>,
+    /// One-way delay to the owner.
+    pub delay: Duration,
     /// Its load, as last heard.
+    heard: Mutex<Heard>,
+    /// Requests that this host has handed to it since that was heard.
+    sent: AtomicU32,
+}
+
+/// The load of a pool as last heard, and when.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Heard {
+    /// The load.
     pub load: Load,
-    /// When that was heard, on this host's clock.
-    pub heard: Duration,
+    /// When it was heard, on this host's clock.
+    pub at: Duration,
+}
+
+impl PoolRoute {
+    /// Makes a route; what `before` heard or sent since `heard` is taken over.
+    pub fn open(parts: RouteParts, heard: Heard, before: Option<&PoolRoute>) -> PoolRoute {
+        let last = before
+            .map(|route| (route.heard(), route.sent()))
+            .filter(|(h, _)| h.at >= heard.at);
+        let (heard, sent) = last.unwrap_or((heard, 0));
+        let RouteParts {
+            id,
+            owner,
+            targets,
+            delay,
+        } = parts;
+        let (heard, sent) = (Mutex::new(heard), AtomicU32::new(sent));
+        PoolRoute {
+            id,
+            owner,
+            targets,
+            delay,
+            heard,
+            sent,
+        }
+    }
+
+    /// Its load, as last heard.
+    pub fn heard(&self) -> Heard {
+        *self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes its owner's word about its load, which counts what was handed over before it.
+    pub fn hear(&self, load: Load, at: Duration) {
+        *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = Heard { load, at };
+        self.sent.store(0, Ordering::Relaxed);
+    }
+
+    /// Counts a request that is handed over.
+    pub fn send(&self) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Requests handed over since the load was heard.
+    pub fn sent(&self) -> u32 {
+        self.sent.load(Ordering::Relaxed)
+    }
+}
+
+/// What a route is made from.
+#[derive(Debug)]
+pub struct RouteParts {
+    /// Which pool.
+    pub id: Arc<PoolId>,
+    /// Host that owns it; none while no host is live.
+    pub owner: Option<Arc<Member>>,
+    /// Addresses of its targets by name.
+    pub targets: BTreeMap<Arc<str>, SocketAddr>,
     /// One-way delay to the owner.
     pub delay: Duration,
-    /// Requests that this host has handed to it since that was heard.
-    pub sent: AtomicU32,
 }
