--- a/crates/once/src/ledger/mod.rs
+++ b/crates/once/src/ledger/mod.rs
@@ -217,6 +217,10 @@
     }
 
     fn on_message(&mut self, from: u64, message: Message, out: &mut Vec<Action>) {
+        // A host that was only paused was called gone; without this its claims stay closed.
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.gone = false;
+        }
         match message {
             Message::Claim(m) => self.with_key(from, &m.key, |l, k| l.on_claim(k, m.caller, out)),
             Message::ClaimAnswer(m) => {
--- a/crates/once/src/ledger/request.rs
+++ b/crates/once/src/ledger/request.rs
@@ -72,7 +72,7 @@
     /// A request whose key has no record.
     fn on_new(&mut self, role: Role, request: Request, out: &mut Vec<Action>) {
         if let Some((run, reason, retry_after)) = self.turn_away(role, &request) {
-            if reason == Reason::Full {
+            if reason == Reason::Full && self.is_full() {
                 self.shut();
             }
             self.refuse(request.ticket, run, reason, retry_after, out);
--- /dev/null
+++ b/crates/once/tests/ledger.rs
@@ -0,0 +1,526 @@
+//! What a ledger does, input by input, and each failure that was found on the way.
+
+use std::time::Duration;
+
+use dunlinrock_once::{
+    Action, Attempts, Key, Ledger, Limits, Message, Outcome, Reason, Request, Run,
+};
+use dunlinrock_schema::once::{Claim, ClaimAnswer, EndKind, Verdict};
+
+const START: Duration = Duration::ZERO;
+const OWNER: u64 = 1;
+const WITNESS: u64 = 2;
+
+fn limits() -> Limits {
+    Limits {
+        records: 3,
+        answer_bytes: 10,
+        answer_max: 8,
+        epochs_held: 2,
+        part_records: 2,
+        ..Limits::default()
+    }
+}
+
+fn pair() -> (Ledger, Ledger) {
+    let open = |me| Ledger::open(me, limits(), START);
+    (open(OWNER), open(WITNESS))
+}
+
+fn key(owner: &Ledger, witness: &Ledger, nonce: &str, now: Duration) -> Key {
+    Key::bind(owner.seat(now), witness.seat(now), nonce).unwrap()
+}
+
+fn request(key: &Key, ticket: u64, attempts: Attempts) -> Request {
+    Request {
+        key: key.clone(),
+        caller: 7,
+        attempts,
+        ticket,
+    }
+}
+
+fn first(key: &Key, ticket: u64) -> Request {
+    request(key, ticket, Attempts::FIRST)
+}
+
+/// Carries every message between two ledgers until none is left; returns the other actions.
+fn settle(
+    owner: &mut Ledger,
+    witness: &mut Ledger,
+    out: Vec<Action>,
+    now: Duration,
+) -> Vec<Action> {
+    let mut rest = Vec::new();
+    let mut queue: std::collections::VecDeque<_> = out.into();
+    while let Some(action) = queue.pop_front() {
+        match action {
+            Action::Tell { to: OWNER, message } => queue.extend(owner.hear(WITNESS, message, now)),
+            Action::Tell { message, .. } => queue.extend(witness.hear(OWNER, message, now)),
+            other => rest.push(other),
+        }
+    }
+    rest
+}
+
+/// Runs a key on the owner to its answer.
+fn answered(owner: &mut Ledger, witness: &mut Ledger, key: &Key, answer: &[u8], now: Duration) {
+    let out = owner.request(first(key, 900), now);
+    let out = settle(owner, witness, out, now);
+    assert!(matches!(&out[..], [Action::Send { .. }]), "{out:?}");
+    owner.finished(key, Outcome::Answered(answer.into()), now);
+}
+
+/// What a single refusal says.
+fn refusal(actions: &[Action]) -> (Run, Reason) {
+    match actions {
+        [Action::Refuse { run, reason, .. }] => (*run, *reason),
+        other => panic!("no single refusal: {other:?}"),
+    }
+}
+
+fn both_tried() -> Attempts {
+    Attempts {
+        owner: 1,
+        witness: 1,
+    }
+}
+
+#[test]
+fn a_first_attempt_that_reaches_a_restarted_process_is_not_told_no() {
+    // The caller sees its connection break and its library send the attempt again by itself, still
+    // as the first. The owner ran the request and died; a new process has its address.
+    // Told `run: no`, the caller would book a second time: the new process cannot know.
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let out = owner.request(first(&key, 1), START);
+    let out = settle(&mut owner, &mut witness, out, START);
+    assert!(matches!(&out[..], [Action::Send { .. }]));
+
+    let mut owner = Ledger::open(11, limits(), START);
+    let out = owner.request(first(&key, 2), START);
+    assert_eq!(refusal(&out), (Run::Unknown, Reason::Stranger));
+}
+
+#[test]
+fn a_key_turned_away_for_want_of_room_is_never_taken_later() {
+    // The caller is told `run: no` by a full owner. A copy of the same attempt, sent by the
+    // caller's library on another connection, arrives when the ledger has room again.
+    // It must not run: the caller already books under another key.
+    let (mut owner, mut witness) = pair();
+    for nonce in ["a", "b", "c"] {
+        let key = key(&owner, &witness, nonce, START);
+        answered(&mut owner, &mut witness, &key, b"x", START);
+    }
+    let next = limits().epoch_length;
+    let late = key(&owner, &witness, "late", next);
+    let out = owner.request(first(&late, 1), next);
+    assert_eq!(refusal(&out), (Run::No, Reason::Full));
+
+    let room = next * 2;
+    let out = owner.request(first(&late, 2), room);
+    assert_eq!(refusal(&out), (Run::No, Reason::Full));
+    let fresh = key(&owner, &witness, "fresh", room);
+    let out = owner.request(first(&fresh, 3), room);
+    assert!(matches!(&out[..], [Action::Tell { .. }]), "{out:?}");
+}
+
+#[test]
+fn a_full_witness_refuses_the_claim_and_the_request_does_not_run() {
+    let (mut owner, mut witness) = pair();
+    for n in 0..limits().records {
+        let key = Key::bind(
+            Ledger::open(9, limits(), START).seat(START),
+            witness.seat(START),
+            &format!("f{n}"),
+        );
+        let claim = Claim {
+            caller: 1,
+            key: key.unwrap().to_string().into(),
+        };
+        witness.hear(9, Message::Claim(claim), START);
+    }
+    let key = key(&owner, &witness, "n", START);
+    let out = owner.request(first(&key, 1), START);
+    let out = settle(&mut owner, &mut witness, out, START);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+    assert_eq!(witness.counts().records, limits().records);
+}
+
+#[test]
+fn a_grant_that_a_paused_owner_finds_on_waking_sends_nothing() {
+    // The caller was told nothing and went to the witness, which has granted the claim.
+    // The owner was paused before it read the grant, for longer than its timeout.
+    // By its own clock the claim is over: it closes the key first and then reads the grant.
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let out = owner.request(first(&key, 1), START);
+    let [Action::Tell { message, .. }] = &out[..] else {
+        panic!("{out:?}")
+    };
+    let out = witness.hear(OWNER, message.clone(), START);
+    let [Action::Tell { message, .. }] = &out[..] else {
+        panic!("{out:?}")
+    };
+    let waking = limits().claim_timeout + Duration::from_secs(60);
+    let out = owner.hear(WITNESS, message.clone(), waking);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+    let out = owner.request(first(&key, 2), waking);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+}
+
+#[test]
+fn a_closed_owner_says_no_to_a_caller_that_tried_the_witness_only_on_the_witness_word() {
+    // The caller tried the witness first, without an answer, then the owner, whose claim is lost.
+    // The first attempt may still be under way to the witness, so `no` needs the witness's close.
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let attempts = Attempts {
+        owner: 0,
+        witness: 1,
+    };
+    owner.request(request(&key, 1, attempts), START);
+    let over = limits().claim_timeout;
+    let out = owner.tick(over);
+    assert!(
+        matches!(
+            &out[..],
+            [Action::Tell {
+                message: Message::Close(_),
+                ..
+            }]
+        ),
+        "{out:?}"
+    );
+    let out = settle(&mut owner, &mut witness, out, over);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+    let out = witness.request(first(&key, 2), over);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+}
+
+#[test]
+fn without_the_witness_word_a_closed_owner_says_unknown() {
+    let (mut owner, witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    owner.request(request(&key, 1, both_tried()), START);
+    let over = limits().claim_timeout;
+    owner.tick(over);
+    let out = owner.tick(over + limits().ask_timeout);
+    assert_eq!(refusal(&out), (Run::Unknown, Reason::OtherSilent));
+}
+
+#[test]
+fn a_claim_that_the_witness_took_ends_with_the_witness_answer() {
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let out = witness.request(first(&key, 1), START);
+    assert!(matches!(&out[..], [Action::Send { .. }]));
+    let attempts = Attempts {
+        owner: 0,
+        witness: 1,
+    };
+    let out = owner.request(request(&key, 2, attempts), START);
+    assert_eq!(settle(&mut owner, &mut witness, out, START), []);
+    let out = witness.finished(&key, Outcome::Answered(b"yes".as_slice().into()), START);
+    let out = settle(&mut owner, &mut witness, out, START);
+    let tickets: Vec<_> = out
+        .iter()
+        .map(|action| match action {
+            Action::Answer { ticket, answer } => (*ticket, &**answer),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(tickets, [(1, b"yes".as_slice()), (2, b"yes".as_slice())]);
+}
+
+#[test]
+fn a_request_that_no_target_ran_is_dead_on_both_sides() {
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let out = owner.request(first(&key, 1), START);
+    settle(&mut owner, &mut witness, out, START);
+    let retry_after = Some(Duration::from_secs(3));
+    let out = owner.finished(&key, Outcome::NotRun { retry_after }, START);
+    assert_eq!(refusal(&out), (Run::No, Reason::NotRun));
+
+    let out = owner.request(request(&key, 2, both_tried()), START);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+    let out = witness.request(request(&key, 3, both_tried()), START);
+    let out = settle(&mut owner, &mut witness, out, START);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+}
+
+#[test]
+fn answers_beyond_the_bytes_held_are_dropped_oldest_first() {
+    let (mut owner, mut witness) = pair();
+    let keys = ["a", "b", "c"].map(|nonce| key(&owner, &witness, nonce, START));
+    for key in &keys {
+        answered(&mut owner, &mut witness, key, b"1234", START);
+    }
+    assert_eq!(owner.counts().answer_bytes, 8);
+    let out = owner.request(first(&keys[0], 1), START);
+    assert_eq!(refusal(&out), (Run::Yes, Reason::Dropped));
+    let out = owner.request(first(&keys[2], 2), START);
+    assert!(matches!(&out[..], [Action::Answer { ticket: 2, .. }]));
+}
+
+#[test]
+fn an_answer_too_long_to_hold_still_reaches_those_who_wait() {
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let out = owner.request(first(&key, 1), START);
+    settle(&mut owner, &mut witness, out, START);
+    let long = Outcome::Answered(b"123456789".as_slice().into());
+    let out = owner.finished(&key, long, START);
+    assert!(matches!(&out[..], [Action::Answer { ticket: 1, .. }]));
+    assert_eq!(owner.counts().answer_bytes, 0);
+    let out = owner.request(first(&key, 2), START);
+    assert_eq!(refusal(&out), (Run::Yes, Reason::Dropped));
+}
+
+#[test]
+fn another_caller_with_the_key_gets_neither_answer_nor_run() {
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    answered(&mut owner, &mut witness, &key, b"mine", START);
+    let other = Request {
+        caller: 8,
+        ..first(&key, 1)
+    };
+    let out = owner.request(other.clone(), START);
+    assert_eq!(refusal(&out), (Run::No, Reason::Mismatch));
+    let out = witness.request(other, START);
+    assert_eq!(refusal(&out), (Run::No, Reason::Mismatch));
+}
+
+#[test]
+fn more_attempts_than_may_wait_are_turned_away() {
+    let (mut owner, witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    for ticket in 0..8 {
+        owner.request(first(&key, ticket), START);
+    }
+    let out = owner.request(first(&key, 8), START);
+    assert_eq!(refusal(&out), (Run::Unknown, Reason::Crowded));
+    assert_eq!(owner.counts().waiting, 8);
+}
+
+#[test]
+fn keys_of_epochs_not_held_or_not_begun_are_refused() {
+    let (mut owner, witness) = pair();
+    let old = key(&owner, &witness, "n", START);
+    let later = limits().epoch_length * 2;
+    let ahead = key(&owner, &witness, "n", later * 2);
+    let out = owner.request(first(&old, 1), later);
+    assert_eq!(refusal(&out), (Run::Unknown, Reason::EpochEnded));
+    let out = owner.request(first(&ahead, 2), later);
+    assert_eq!(refusal(&out), (Run::Unknown, Reason::EpochAhead));
+    assert_eq!(owner.counts().records, 0);
+}
+
+#[test]
+fn a_run_that_outlasts_its_epoch_still_ends_for_its_caller() {
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let out = owner.request(first(&key, 1), START);
+    settle(&mut owner, &mut witness, out, START);
+    let later = limits().epoch_length * 5;
+    let out = owner.finished(&key, Outcome::Answered(b"x".as_slice().into()), later);
+    assert!(matches!(&out[..], [Action::Answer { ticket: 1, .. }]));
+    assert_eq!(owner.counts().records, 0);
+    assert_eq!(owner.counts().answer_bytes, 0);
+}
+
+#[test]
+fn messages_of_others_than_the_key_names_are_ignored() {
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    owner.request(first(&key, 1), START);
+    let text: std::sync::Arc<str> = key.to_string().into();
+    let grant = ClaimAnswer {
+        key: text.clone(),
+        verdict: Verdict::Granted,
+    };
+    assert_eq!(owner.hear(9, Message::ClaimAnswer(grant), START), []);
+    let claim = Claim {
+        caller: 7,
+        key: text,
+    };
+    assert_eq!(witness.hear(9, Message::Claim(claim), START), []);
+    let claim = Claim {
+        caller: 7,
+        key: "no key".into(),
+    };
+    assert_eq!(witness.hear(OWNER, Message::Claim(claim), START), []);
+    assert_eq!(witness.counts().records, 0);
+}
+
+#[test]
+fn a_claim_without_an_answer_is_sent_again_until_it_times_out() {
+    let (mut owner, witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let mut told = owner.request(first(&key, 1), START).len();
+    while let Some(wake) = owner.next_wake() {
+        let out = owner.tick(wake);
+        told += out
+            .iter()
+            .filter(|a| matches!(a, Action::Tell { .. }))
+            .count();
+    }
+    // At 0 and 100 ms; the next, at 300 ms, comes after the timeout of 250 ms.
+    assert_eq!(told, 2);
+}
+
+#[test]
+fn a_host_falsely_called_gone_is_asked_again_once_it_is_heard() {
+    let (mut owner, mut witness) = pair();
+    owner.peer_gone(WITNESS, START);
+    let lost = key(&owner, &witness, "lost", START);
+    let out = owner.request(first(&lost, 1), START);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+
+    let other = key(&witness, &owner, "other", START);
+    let out = witness.request(first(&other, 2), START);
+    settle(&mut owner, &mut witness, out, START);
+    let next = key(&owner, &witness, "next", START);
+    let out = owner.request(first(&next, 3), START);
+    let out = settle(&mut owner, &mut witness, out, START);
+    assert!(matches!(&out[..], [Action::Send { .. }]), "{out:?}");
+}
+
+#[test]
+fn a_stopping_witness_hands_what_it_took_to_the_owner() {
+    // The witness took a request and answered it; then it is stopped as planned and exits.
+    // The caller, which lost the answer, asks the owner: it gets the answer from there, and further
+    // keys with the same binding run on the owner without a claim.
+    let (mut owner, mut witness) = pair();
+    let taken = key(&owner, &witness, "taken", START);
+    let next = key(&owner, &witness, "next", START);
+    witness.request(first(&taken, 1), START);
+    witness.finished(&taken, Outcome::Answered(b"x".as_slice().into()), START);
+    let out = witness.stop(&[OWNER], START + Duration::from_secs(5), START);
+    assert_eq!(settle(&mut owner, &mut witness, out, START), []);
+    assert!(witness.stopped());
+
+    let out = owner.request(request(&taken, 2, both_tried()), START);
+    assert!(
+        matches!(&out[..], [Action::Answer { ticket: 2, .. }]),
+        "{out:?}"
+    );
+    let out = owner.request(first(&next, 3), START);
+    assert!(
+        matches!(&out[..], [Action::Send { ticket: 3, .. }]),
+        "{out:?}"
+    );
+}
+
+#[test]
+fn a_stopping_owner_hands_answers_to_the_witness_and_new_keys_go_there() {
+    let (mut owner, mut witness) = pair();
+    let done = key(&owner, &witness, "done", START);
+    let next = key(&owner, &witness, "next", START);
+    answered(&mut owner, &mut witness, &done, b"x", START);
+    let out = owner.stop(&[WITNESS], START + Duration::from_secs(5), START);
+    settle(&mut owner, &mut witness, out, START);
+    assert!(owner.stopped());
+
+    let out = witness.request(request(&done, 1, both_tried()), START);
+    assert!(
+        matches!(&out[..], [Action::Answer { ticket: 1, .. }]),
+        "{out:?}"
+    );
+    let out = owner.request(first(&next, 2), START);
+    assert_eq!(refusal(&out), (Run::No, Reason::Leaving));
+    let out = witness.request(request(&next, 3, both_tried()), START);
+    assert!(
+        matches!(&out[..], [Action::Send { ticket: 3, .. }]),
+        "{out:?}"
+    );
+}
+
+#[test]
+fn a_stop_waits_for_open_requests_until_its_deadline() {
+    let (mut owner, mut witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    let out = owner.request(first(&key, 1), START);
+    settle(&mut owner, &mut witness, out, START);
+    let deadline = START + Duration::from_secs(5);
+    assert_eq!(owner.stop(&[WITNESS], deadline, START), []);
+    assert_eq!(owner.next_wake(), Some(deadline));
+    let out = owner.tick(deadline);
+    let [
+        Action::Tell {
+            message: Message::Handover(part),
+            ..
+        },
+    ] = &out[..]
+    else {
+        panic!("{out:?}")
+    };
+    assert_eq!(part.records[0].end.kind, EndKind::Unknown);
+    settle(&mut owner, &mut witness, out, deadline);
+    assert!(owner.stopped());
+}
+
+#[test]
+fn a_lost_part_of_a_hand_over_is_sent_again_and_the_rest_is_not() {
+    let (mut owner, mut witness) = pair();
+    for nonce in ["a", "b", "c"] {
+        let key = key(&owner, &witness, nonce, START);
+        answered(&mut owner, &mut witness, &key, b"x", START);
+    }
+    let mut parts = owner.stop(&[WITNESS], START + Duration::from_secs(5), START);
+    assert_eq!(parts.len(), 2);
+    parts.pop();
+    settle(&mut owner, &mut witness, parts, START);
+    assert_eq!(owner.counts().parts_left, 1);
+
+    let later = owner.next_wake().unwrap();
+    let parts = owner.tick(later);
+    assert_eq!(parts.len(), 1);
+    settle(&mut owner, &mut witness, parts, later);
+    assert!(owner.stopped());
+}
+
+#[test]
+fn a_stop_ends_without_a_peer_that_does_not_answer() {
+    let (mut owner, witness) = pair();
+    drop(witness);
+    owner.stop(&[WITNESS], START + Duration::from_secs(5), START);
+    assert!(!owner.stopped());
+    let mut last = START;
+    while let Some(wake) = owner.next_wake() {
+        last = wake;
+        owner.tick(wake);
+    }
+    assert!(owner.stopped());
+    assert_eq!(last, limits().handover_timeout);
+}
+
+#[test]
+fn the_owner_alone_needs_no_claim() {
+    let (mut owner, _) = pair();
+    let seat = owner.seat(START);
+    let key = Key::bind(seat, seat, "n").unwrap();
+    let out = owner.request(first(&key, 1), START);
+    assert!(
+        matches!(&out[..], [Action::Send { ticket: 1, .. }]),
+        "{out:?}"
+    );
+}
+
+#[test]
+fn a_request_without_a_waiting_caller_may_be_abandoned_and_its_claim_is_not_used() {
+    let (mut owner, mut witness) = pair();
+    let sent = key(&owner, &witness, "sent", START);
+    let out = owner.request(first(&sent, 1), START);
+    settle(&mut owner, &mut witness, out, START);
+    assert_eq!(owner.cancel(1, START), [Action::Abandon { key: sent }]);
+
+    let claiming = key(&owner, &witness, "claiming", START);
+    let out = owner.request(first(&claiming, 2), START);
+    assert_eq!(owner.cancel(2, START), []);
+    assert_eq!(settle(&mut owner, &mut witness, out, START), []);
+    let out = owner.request(first(&claiming, 3), START);
+    assert_eq!(refusal(&out), (Run::No, Reason::Closed));
+}
--- /dev/null
+++ b/crates/once/tests/random.rs
@@ -0,0 +1,173 @@
+//! Long random runs over several hosts, keys and restarts.
+
+mod sim;
+
+use std::time::Duration;
+
+use dunlinrock_once::{Faults, Limits};
+use proptest::{
+    prelude::{ProptestConfig, any, proptest},
+    test_runner::RngSeed,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+
+use self::sim::{Event, Fate, Sim, Target, call::Told};
+
+const HOSTS: usize = 4;
+const CALLS: usize = 120;
+const END: Duration = Duration::from_secs(60);
+
+fn limits() -> Limits {
+    Limits {
+        records: 24,
+        answer_bytes: 64,
+        epoch_length: Duration::from_secs(5),
+        epochs_held: 2,
+        part_records: 3,
+        ask_timeout: Duration::from_secs(1),
+        ..Limits::default()
+    }
+}
+
+fn millis(rng: &mut SmallRng, most: u64) -> Duration {
+    Duration::from_millis(rng.random_range(0..most))
+}
+
+fn target(rng: &mut SmallRng) -> Target {
+    match rng.random_range(0..20) {
+        0..4 => Target::Refuses,
+        4..6 => Target::DiesAfter,
+        6..8 => Target::DiesBefore,
+        8..12 => Target::Answers(millis(rng, 4_000)),
+        _ => Target::Answers(Duration::ZERO),
+    }
+}
+
+fn fate(rng: &mut SmallRng) -> Fate {
+    match rng.random_range(0..20) {
+        0 => Fate::Lose,
+        1 => Fate::Double(millis(rng, 3_000)),
+        2 => Fate::Delay(millis(rng, 3_000)),
+        _ => Fate::Pass,
+    }
+}
+
+fn disturb(sim: &mut Sim, rng: &mut SmallRng) {
+    let host = rng.random_range(0..HOSTS);
+    match rng.random_range(0..40) {
+        0..2 => sim.restart(host),
+        2..5 => {
+            let time = millis(rng, 15_000);
+            sim.pause(host, time);
+        }
+        5..7 => {
+            sim.stop(host);
+            let when = sim.now + Duration::from_secs(8);
+            sim.at(when, Event::Restart(host));
+        }
+        7 => {
+            // A false word: the host lives.
+            let incarnation = sim.incarnation(host).expect("hosts restart at once");
+            sim.at(sim.now, Event::Gone(incarnation));
+        }
+        _ => {}
+    }
+}
+
+/// Plays one run.
+fn play(seed: u64, limits: Limits) -> Sim {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut net = SmallRng::seed_from_u64(!seed);
+    let faults = move |_: &mut Sim, packet: &sim::Packet| {
+        let target = target(&mut net);
+        // A target gets a request once; the connection there is the host's own.
+        let fate = match packet {
+            sim::Packet::Send { .. } | sim::Packet::Done { .. } => Fate::Pass,
+            _ => fate(&mut net),
+        };
+        (fate, Some(target))
+    };
+    let mut sim = Sim::open(HOSTS, limits, Box::new(faults));
+    for _ in 0..CALLS {
+        let until = sim.now + millis(&mut rng, 1_000);
+        sim.run_until(until);
+        disturb(&mut sim, &mut rng);
+        let owner = rng.random_range(0..HOSTS);
+        let witness = rng.random_range(0..HOSTS);
+        let first = usize::from(rng.random_range(0..5) == 0);
+        let caller = rng.random();
+        sim.call(caller, [owner, witness], first);
+    }
+    let end = sim.now + END;
+    sim.run_until(end);
+    sim
+}
+
+/// Checks a run, and returns how many calls were settled by an answer and otherwise.
+fn judge(sim: &Sim, seed: u64) -> (usize, usize) {
+    let (mut answered, mut refused) = (0, 0);
+    for call in &sim.calls {
+        assert!(call.broken.is_empty(), "seed {seed}: {call:?}");
+        match &call.settled {
+            Some(Told::Answer(_)) => answered += 1,
+            Some(Told::Refused(..)) => refused += 1,
+            None => {}
+        }
+    }
+    assert!(sim.peak.0 <= sim.limits.records, "seed {seed}: records");
+    assert!(
+        sim.peak.1 <= sim.limits.answer_bytes,
+        "seed {seed}: answer bytes"
+    );
+    (answered, refused)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_promise_is_broken_in_long_random_runs(seed in any::<u64>()) {
+        judge(&play(seed, limits()), seed);
+    }
+}
+
+#[test]
+fn random_runs_settle_calls_both_ways() {
+    let sum = |(a, b): (usize, usize), (c, d): (usize, usize)| (a + c, b + d);
+    let (answered, refused) = (0..20)
+        .map(|seed| judge(&play(seed, limits()), seed))
+        .fold((0, 0), sum);
+    println!(
+        "of {} calls: {answered} answered, {refused} told `no` or `yes`",
+        20 * CALLS
+    );
+    assert!(answered > 20 * CALLS / 4, "{answered} answered");
+    assert!(refused > 20 * CALLS / 50, "{refused} told `no` or `yes`");
+}
+
+/// Without one safeguard, the same runs break a promise: they reach the states that matter.
+#[rstest]
+#[case::skip_claim(Faults { skip_claim: true, ..Faults::default() })]
+#[case::ignore_attempts(Faults { ignore_attempts: true, ..Faults::default() })]
+#[case::run_claimed(Faults { run_claimed: true, ..Faults::default() })]
+#[case::reopen(Faults { reopen: true, ..Faults::default() })]
+#[case::any_epoch(Faults { any_epoch: true, ..Faults::default() })]
+#[case::late_grant(Faults { late_grant: true, ..Faults::default() })]
+fn random_runs_find_a_missing_safeguard(#[case] faults: Faults) {
+    let limits = Limits { faults, ..limits() };
+    let broken = |seed| {
+        play(seed, limits)
+            .calls
+            .iter()
+            .any(|call| !call.broken.is_empty())
+    };
+    let found = (0..100).filter(|seed| broken(*seed)).count();
+    println!("{faults:?}: found by {found} of 100 runs");
+    assert!(found > 0);
+}
--- /dev/null
+++ b/crates/once/tests/sim/host.rs
@@ -0,0 +1,131 @@
+//! Hosts: their process, which dies, pauses and restarts, and its ledger.
+
+use std::time::Duration;
+
+use dunlinrock_once::{Action, Ledger};
+
+use super::{Event, Packet, Sim, WORD};
+
+pub(crate) struct Host {
+    /// `None` while the process is dead.
+    pub(crate) ledger: Option<Ledger>,
+    pub(crate) paused: bool,
+    /// What arrives while the process is paused.
+    pub(crate) inbox: Vec<Packet>,
+    /// Call and attempt of each ticket.
+    tickets: Vec<(usize, usize)>,
+}
+
+impl Host {
+    pub(crate) fn ticket(&mut self, call: usize, attempt: usize) -> u64 {
+        self.tickets.push((call, attempt));
+        u64::try_from(self.tickets.len() - 1).expect("few tickets")
+    }
+
+    pub(crate) fn attempt_of(&self, ticket: u64) -> (usize, usize) {
+        self.tickets[usize::try_from(ticket).expect("few tickets")]
+    }
+}
+
+impl Sim {
+    pub(crate) fn fresh_host(&mut self) -> Host {
+        let incarnation = self.next_incarnation;
+        self.next_incarnation += 1;
+        Host {
+            ledger: Some(Ledger::open(incarnation, self.limits, self.now)),
+            paused: false,
+            inbox: Vec::new(),
+            tickets: Vec::new(),
+        }
+    }
+
+    pub(crate) fn incarnation(&self, host: usize) -> Option<u64> {
+        self.hosts[host].ledger.as_ref().map(Ledger::incarnation)
+    }
+
+    pub(crate) fn host_of(&self, incarnation: u64) -> Option<usize> {
+        (0..self.hosts.len()).find(|host| self.incarnation(*host) == Some(incarnation))
+    }
+
+    /// Gives an input to a host's ledger, does what comes out, and sets its timer.
+    pub(crate) fn drive(
+        &mut self,
+        host: usize,
+        f: impl FnOnce(&mut Ledger, Duration) -> Vec<Action>,
+    ) {
+        if self.hosts[host].paused {
+            return;
+        }
+        let now = self.now;
+        let Some(ledger) = &mut self.hosts[host].ledger else {
+            return;
+        };
+        let actions = f(ledger, now);
+        let counts = ledger.counts();
+        let incarnation = ledger.incarnation();
+        if let Some(wake) = ledger.next_wake() {
+            self.at(wake.max(now), Event::Wake(host));
+        }
+        self.peak.0 = self.peak.0.max(counts.records);
+        self.peak.1 = self.peak.1.max(counts.answer_bytes);
+        self.act(host, incarnation, actions);
+    }
+
+    /// Kills a host's process. Attempts that wait there fail at once.
+    pub(crate) fn kill(&mut self, host: usize) {
+        let Some(ledger) = self.hosts[host].ledger.take() else {
+            return;
+        };
+        self.at(self.now + WORD, Event::Gone(ledger.incarnation()));
+        self.hosts[host].paused = false;
+        self.hosts[host].inbox.clear();
+        for call in 0..self.calls.len() {
+            let Some(latest) = self.calls[call].attempts.last() else {
+                continue;
+            };
+            if latest.host == host {
+                let attempt = self.calls[call].attempts.len() - 1;
+                self.at(self.now + super::CALLER_HOP, Event::Retry { call, attempt });
+            }
+        }
+    }
+
+    /// Kills a host's process and starts another in its place.
+    pub(crate) fn restart(&mut self, host: usize) {
+        self.kill(host);
+        self.hosts[host] = self.fresh_host();
+    }
+
+    /// Pauses a host's process; others take it for gone meanwhile.
+    pub(crate) fn pause(&mut self, host: usize, time: Duration) {
+        if self.hosts[host].ledger.is_none() || self.hosts[host].paused {
+            return;
+        }
+        self.hosts[host].paused = true;
+        self.at(self.now + time, Event::Resume(host));
+        if let Some(incarnation) = self.incarnation(host).filter(|_| time > WORD) {
+            self.at(self.now + WORD, Event::Gone(incarnation));
+        }
+    }
+
+    pub(crate) fn resume(&mut self, host: usize) {
+        if !self.hosts[host].paused {
+            return;
+        }
+        self.hosts[host].paused = false;
+        for packet in std::mem::take(&mut self.hosts[host].inbox) {
+            self.at(self.now, Event::Arrive(packet));
+        }
+        self.at(self.now, Event::Wake(host));
+    }
+
+    /// Begins a planned stop of a host.
+    pub(crate) fn stop(&mut self, host: usize) {
+        let peers: Vec<u64> = (0..self.hosts.len())
+            .filter(|other| *other != host)
+            .filter_map(|other| self.incarnation(other))
+            .collect();
+        let deadline = self.now + Duration::from_secs(5);
+        self.drive(host, |ledger, now| ledger.stop(&peers, deadline, now));
+    }
+}
