--- /dev/null
+++ b/crates/once/benches/keyed_request.rs
@@ -0,0 +1,97 @@
+//! Cost of one keyed request: both sides together, and beside it an owner without a witness.
+//!
+//! The clock moves 1 ms a request, so that each ledger holds about 90,000 records throughout: three
+//! epochs of 30 s at 1,000 keyed requests a second.
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use dunlinrock_once::{Action, Attempts, Key, Ledger, Limits, Outcome, Request};
+
+const STEP: Duration = Duration::from_millis(1);
+const WARM: u64 = 90_000;
+
+struct Pair {
+    owner: Ledger,
+    witness: Ledger,
+    now: Duration,
+    ticket: u64,
+    solo: bool,
+}
+
+impl Pair {
+    fn open(solo: bool) -> Pair {
+        let limits = Limits {
+            epoch_length: Duration::from_secs(30),
+            ..Limits::default()
+        };
+        let mut pair = Pair {
+            owner: Ledger::open(u64::MAX / 3, limits, Duration::ZERO),
+            witness: Ledger::open(u64::MAX / 5, limits, Duration::ZERO),
+            now: Duration::ZERO,
+            ticket: 0,
+            solo,
+        };
+        for _ in 0..WARM {
+            pair.request();
+        }
+        pair
+    }
+
+    fn key(&self) -> Key {
+        let owner = self.owner.seat(self.now);
+        let witness = if self.solo {
+            owner
+        } else {
+            self.witness.seat(self.now)
+        };
+        let nonce = format!("{:032x}", self.ticket.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        Key::bind(owner, witness, &nonce).expect("a nonce")
+    }
+
+    /// One request from its arrival at the owner to its answer; returns the messages it took.
+    fn request(&mut self) -> usize {
+        self.now += STEP;
+        self.ticket += 1;
+        let key = self.key();
+        let request = Request {
+            key: key.clone(),
+            caller: self.ticket,
+            attempts: Attempts::FIRST,
+            ticket: self.ticket,
+        };
+        let mut messages = 0;
+        let mut out = self.owner.request(request, self.now);
+        while let Some(Action::Tell { to, message }) = out.pop() {
+            messages += 1;
+            out = if to == self.owner.incarnation() {
+                self.owner
+                    .hear(self.witness.incarnation(), message, self.now)
+            } else {
+                self.witness
+                    .hear(self.owner.incarnation(), message, self.now)
+            };
+        }
+        let answer = Outcome::Answered([0; 64].as_slice().into());
+        black_box(self.owner.finished(&key, answer, self.now));
+        messages
+    }
+}
+
+fn keyed_request(c: &mut Criterion) {
+    let mut group = c.benchmark_group("keyed request");
+    let mut pair = Pair::open(false);
+    println!("messages a request: {}", pair.request());
+    group.bench_function("owner and witness", |b| b.iter(|| pair.request()));
+    let mut solo = Pair::open(true);
+    println!("messages a request, owner alone: {}", solo.request());
+    group.bench_function("owner alone", |b| b.iter(|| solo.request()));
+    let text = pair.key().to_string();
+    group.bench_function("key from text", |b| {
+        b.iter(|| black_box(&text).parse::<Key>())
+    });
+    group.finish();
+}
+
+criterion_group!(benches, keyed_request);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/once/examples/bytes_held.rs
@@ -0,0 +1,97 @@
+//! Prints the memory a ledger takes for a record, and the bytes of its messages.
+//!
+//! ```text
+//! cargo run --release -p dunlinrock-once --example bytes_held
+//! ```
+
+use std::{fs, time::Duration};
+
+use dunlinrock_once::{Action, Attempts, Key, Ledger, Limits, Message, Outcome, Request};
+
+const START: Duration = Duration::ZERO;
+const STEPS: [u64; 3] = [50_000, 100_000, 200_000];
+
+fn main() {
+    println!("side     answer bytes  records  resident KB  bytes a record");
+    for answer in [0, 256, 1024] {
+        fill(answer);
+    }
+    let (claim, granted) = messages();
+    println!("claim: {claim} bytes, its answer: {granted} bytes, as MessagePack with field names");
+}
+
+fn limits() -> Limits {
+    Limits {
+        records: 400_000,
+        answer_bytes: usize::MAX,
+        ..Limits::default()
+    }
+}
+
+fn key(owner: &Ledger, witness: &Ledger, n: u64) -> Key {
+    let nonce = format!("{:032x}", n.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    Key::bind(owner.seat(START), witness.seat(START), &nonce).expect("a nonce")
+}
+
+/// Fills an owner's ledger; the witness's is filled alike in the process, so each gets half.
+fn fill(answer: usize) {
+    let mut owner = Ledger::open(u64::MAX / 3, limits(), START);
+    let mut witness = Ledger::open(u64::MAX / 5, limits(), START);
+    let (mut n, mut last) = (0, (0, resident()));
+    for step in STEPS {
+        while n < step {
+            n += 1;
+            run(&mut owner, &mut witness, n, answer);
+        }
+        let now = resident();
+        let grown = (now - last.1) * 1024 / (step - last.0);
+        println!("both     {answer:12}  {step:7}  {now:11}  {grown:14}");
+        last = (step, now);
+    }
+    assert_eq!(owner.counts().records, witness.counts().records);
+}
+
+fn run(owner: &mut Ledger, witness: &mut Ledger, n: u64, answer: usize) {
+    let key = key(owner, witness, n);
+    let request = Request {
+        key: key.clone(),
+        caller: n,
+        attempts: Attempts::FIRST,
+        ticket: n,
+    };
+    let claim = tell(owner.request(request, START));
+    let granted = tell(witness.hear(owner.incarnation(), claim, START));
+    owner.hear(witness.incarnation(), granted, START);
+    owner.finished(&key, Outcome::Answered(vec![0; answer].into()), START);
+}
+
+fn tell(out: Vec<Action>) -> Message {
+    match out.into_iter().next() {
+        Some(Action::Tell { message, .. }) => message,
+        other => panic!("no message: {other:?}"),
+    }
+}
+
+/// Resident memory of this process, in KB.
+fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").expect("Linux");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let words = line.and_then(|line| line.split_whitespace().nth(1));
+    words.and_then(|kb| kb.parse().ok()).expect("a number")
+}
+
+fn messages() -> (usize, usize) {
+    let mut owner = Ledger::open(u64::MAX / 3, limits(), START);
+    let mut witness = Ledger::open(u64::MAX / 5, limits(), START);
+    let request = Request {
+        key: key(&owner, &witness, 1),
+        caller: u64::MAX,
+        attempts: Attempts::FIRST,
+        ticket: 1,
+    };
+    let claim = tell(owner.request(request, START));
+    let size = |message: &Message| rmp_serde::to_vec_named(message).expect("it encodes").len();
+    let claim_size = size(&claim);
+    let granted = tell(witness.hear(owner.incarnation(), claim, START));
+    (claim_size, size(&granted))
+}
