--- /dev/null
+++ b/crates/once/tests/matrix.rs
@@ -0,0 +1,86 @@
+//! The fault matrix of keyed requests: every fault at every step, and every pair of them.
+
+mod sim;
+
+use std::{env, fs, path::PathBuf};
+
+use self::sim::matrix::{FAULTS, STORIES, Step, Story, applies, markdown, play};
+
+const HEAD: &str = "# Faults of keyed requests
+
+Written by the test `matrix` of crates/once (`UPDATE=1 cargo test -p dunlinrock-once --test matrix`)
+from runs of the real ledgers in virtual time, with two hosts and one caller that makes up to four
+attempts, at each side in turn. A cell says what the caller has in the end, how often the request
+ran at targets, and how many attempts it took; `-` is a fault that cannot strike there. The fault
+strikes as the first message of the step goes out. No cell runs a request twice, and in each cell
+with `no` it ran 0 times.
+
+";
+
+/// Every step and fault that can meet in a story.
+fn cells(steps: &[Step]) -> Vec<(Step, sim::matrix::Fault)> {
+    let all = steps
+        .iter()
+        .flat_map(|step| FAULTS.iter().map(|(fault, _)| (*step, *fault)));
+    all.filter(|(step, fault)| applies(*step, *fault)).collect()
+}
+
+#[test]
+fn every_fault_at_every_step_strikes_and_breaks_no_promise() {
+    let mut count = 0;
+    for (story, name, steps) in STORIES {
+        for cell in cells(steps) {
+            let got = play(story, &[cell]);
+            assert_eq!(got.struck, 1, "{name}, {cell:?}: the step never came");
+            assert!(got.broken.is_empty(), "{name}, {cell:?}: {got:?}");
+            count += 1;
+        }
+    }
+    println!("{count} cells");
+}
+
+#[test]
+fn no_pair_of_faults_breaks_a_promise() {
+    let (mut pairs, mut struck) = (0, 0);
+    for (story, name, steps) in STORIES {
+        let cells = cells(steps);
+        for one in &cells {
+            for two in &cells {
+                let got = play(story, &[*one, *two]);
+                assert!(got.broken.is_empty(), "{name}, {one:?}, {two:?}: {got:?}");
+                pairs += 1;
+                struck += usize::from(got.struck == 2);
+            }
+        }
+    }
+    println!("{pairs} pairs, both faults struck in {struck}");
+}
+
+#[test]
+fn without_a_fault_each_story_ends_with_the_answer_of_one_run() {
+    for (story, name, _) in STORIES {
+        let got = play(story, &[]);
+        let expected = match story {
+            // The owner's claims are lost and no attempt reached the witness.
+            Story::Closing => ("`no`", 0),
+            _ => ("answer", 1),
+        };
+        assert_eq!((got.end, got.runs), expected, "{name}: {got:?}");
+    }
+}
+
+#[test]
+fn the_table_in_the_notes_is_what_the_runs_give() {
+    let path: PathBuf = [
+        env!("CARGO_MANIFEST_DIR"),
+        "../../docs/notes/at-most-once-faults.md",
+    ]
+    .iter()
+    .collect();
+    let text = format!("{HEAD}{}", markdown().trim_end()) + "\n";
+    if env::var_os("UPDATE").is_some() {
+        fs::write(&path, &text).unwrap();
+    }
+    let held = fs::read_to_string(&path).unwrap_or_default();
+    assert!(held == text, "{} is old: run with UPDATE=1", path.display());
+}
--- a/crates/once/tests/sim/host.rs
+++ b/crates/once/tests/sim/host.rs
@@ -90,6 +90,18 @@
         }
     }
 
+    /// Ends a host's process if its planned stop is over; looks again later otherwise.
+    pub(crate) fn exit(&mut self, host: usize) {
+        let Some(ledger) = &self.hosts[host].ledger else {
+            return;
+        };
+        if ledger.stopped() {
+            self.kill(host);
+        } else if ledger.next_wake().is_some() {
+            self.at(self.now + WORD, Event::Exit(host));
+        }
+    }
+
     /// Kills a host's process and starts another in its place.
     pub(crate) fn restart(&mut self, host: usize) {
         self.kill(host);
--- /dev/null
+++ b/crates/once/tests/sim/matrix.rs
@@ -0,0 +1,357 @@
+//! The fault matrix: each fault at each step of a keyed request, and what its caller gets.
+
+use std::{fmt::Write, time::Duration};
+
+use dunlinrock_once::{Limits, Message, Run};
+
+use super::{Event, Fate, Packet, Sim, Target, call::Told};
+
+/// Where a fault strikes: as the first message of this kind goes out, or at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Step {
+    Request,
+    Claim,
+    ClaimAnswer,
+    Send,
+    TargetAnswer,
+    Answer,
+    Close,
+    CloseAnswer,
+    AnswerAsk,
+    AnswerGive,
+    Handover,
+    HandoverAnswer,
+    EpochEnd,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Fault {
+    Lost,
+    Doubled,
+    Late,
+    OwnerDead,
+    OwnerPaused,
+    OwnerRestarted,
+    WitnessDead,
+    WitnessPaused,
+    WitnessRestarted,
+    BothDead,
+    BothPaused,
+    BothRestarted,
+    TargetRefuses,
+    TargetDies,
+    TargetKilled,
+    CallerTurns,
+}
+
+/// What leads to the steps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Story {
+    /// A request to the owner that is claimed, sent and answered.
+    Plain,
+    /// The caller's first attempt, at the witness, is lost; so are the owner's claims.
+    Closing,
+    /// The request takes longer than the caller waits; the caller turns to the witness.
+    LongRun,
+    /// The answer is lost and the owner is stopped as planned before the caller asks again.
+    OwnerStops,
+    /// The same with a witness that took the request.
+    WitnessStops,
+    /// The epoch ends while the request runs.
+    EpochEnds,
+}
+
+pub(crate) const STORIES: [(Story, &str, &[Step]); 6] = [
+    (
+        Story::Plain,
+        "a claimed request",
+        &[
+            Step::Request,
+            Step::Claim,
+            Step::ClaimAnswer,
+            Step::Send,
+            Step::TargetAnswer,
+            Step::Answer,
+        ],
+    ),
+    (
+        Story::Closing,
+        "first attempt and claims lost",
+        &[Step::Close, Step::CloseAnswer],
+    ),
+    (
+        Story::LongRun,
+        "a run longer than the caller waits",
+        &[Step::AnswerAsk, Step::AnswerGive],
+    ),
+    (
+        Story::OwnerStops,
+        "planned stop of the owner",
+        &[Step::Handover, Step::HandoverAnswer],
+    ),
+    (
+        Story::WitnessStops,
+        "planned stop of the witness",
+        &[Step::Handover, Step::HandoverAnswer],
+    ),
+    (
+        Story::EpochEnds,
+        "epoch ends during the run",
+        &[Step::EpochEnd],
+    ),
+];
+
+pub(crate) const FAULTS: [(Fault, &str); 16] = [
+    (Fault::Lost, "message lost"),
+    (Fault::Doubled, "doubled"),
+    (Fault::Late, "late"),
+    (Fault::OwnerDead, "owner dead"),
+    (Fault::OwnerPaused, "owner paused"),
+    (Fault::OwnerRestarted, "owner restarted"),
+    (Fault::WitnessDead, "witness dead"),
+    (Fault::WitnessPaused, "witness paused"),
+    (Fault::WitnessRestarted, "witness restarted"),
+    (Fault::BothDead, "both dead"),
+    (Fault::BothPaused, "both paused past the epoch"),
+    (Fault::BothRestarted, "both restarted"),
+    (Fault::TargetRefuses, "targets refuse"),
+    (Fault::TargetDies, "target dies before the run"),
+    (Fault::TargetKilled, "request kills its target"),
+    (Fault::CallerTurns, "caller turns to the other side"),
+];
+
+const OWNER: usize = 0;
+const WITNESS: usize = 1;
+const PAUSE: Duration = Duration::from_secs(5);
+/// Longer than the epochs held.
+const LONG_PAUSE: Duration = Duration::from_secs(50);
+const LATE: Duration = Duration::from_secs(4);
+const LONG_WORK: Duration = Duration::from_secs(3);
+const STOP: Duration = Duration::from_millis(500);
+const EXIT: Duration = Duration::from_millis(1500);
+const END: Duration = Duration::from_secs(200);
+
+fn limits(story: Story) -> Limits {
+    let length = match story {
+        Story::EpochEnds => Duration::from_secs(1),
+        _ => Duration::from_secs(20),
+    };
+    Limits {
+        epoch_length: length,
+        epochs_held: 2,
+        part_records: 1,
+        ..Limits::default()
+    }
+}
+
+/// Whether a fault can strike at a step.
+pub(crate) fn applies(step: Step, fault: Fault) -> bool {
+    let connection = matches!(step, Step::Send | Step::TargetAnswer | Step::Answer);
+    match fault {
+        // One connection carries a request and its answer once.
+        Fault::Doubled => !connection && step != Step::EpochEnd,
+        Fault::Lost | Fault::Late => step != Step::EpochEnd,
+        // The targets have done their part by then.
+        Fault::TargetRefuses | Fault::TargetDies | Fault::TargetKilled => step <= Step::Send,
+        _ => true,
+    }
+}
+
+/// What came of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Cell {
+    /// What the caller has in the end.
+    pub(crate) end: &'static str,
+    pub(crate) runs: u32,
+    pub(crate) attempts: usize,
+    /// Broken promises, of this call and the one beside it.
+    pub(crate) broken: Vec<&'static str>,
+    /// Faults that did strike.
+    pub(crate) struck: usize,
+}
+
+/// Plays a story with faults.
+pub(crate) fn play(story: Story, faults: &[(Step, Fault)]) -> Cell {
+    let mut sim = Sim::open(2, limits(story), striker(story, faults));
+    let first = match story {
+        Story::Closing | Story::WitnessStops => WITNESS,
+        _ => OWNER,
+    };
+    if matches!(story, Story::LongRun | Story::EpochEnds) {
+        sim.set_work(LONG_WORK);
+    }
+    let call = sim.bind(1, [OWNER, WITNESS]);
+    let beside = sim.bind(2, [OWNER, WITNESS]);
+    sim.attempt(call, first);
+    let stopping = match story {
+        Story::OwnerStops => Some(OWNER),
+        Story::WitnessStops => Some(WITNESS),
+        _ => None,
+    };
+    if let Some(host) = stopping {
+        // A key of the same binding is used for the first time after the stop.
+        let side = 1 - host;
+        sim.at(STOP, Event::Stop(host));
+        sim.at(EXIT, Event::Exit(host));
+        sim.at(EXIT * 2, Event::Attempt { call: beside, side });
+    }
+    if story == Story::EpochEnds {
+        let end = sim.limits.epoch_length * 2;
+        sim.at(end, Event::Put(Packet::EpochEnd));
+    }
+    sim.run_until(END);
+    cell(&sim, call, beside)
+}
+
+fn cell(sim: &Sim, call: usize, beside: usize) -> Cell {
+    let mine = &sim.calls[call];
+    let end = match &mine.settled {
+        Some(Told::Answer(_)) => "answer",
+        Some(Told::Refused(Run::No, _)) => "`no`",
+        Some(Told::Refused(Run::Yes, _)) => "`yes`",
+        Some(Told::Refused(Run::Unknown, _)) | None => "`unknown`",
+    };
+    let mut broken = mine.broken.clone();
+    broken.extend(&sim.calls[beside].broken);
+    Cell {
+        end,
+        runs: mine.runs,
+        attempts: mine.attempts.len(),
+        broken,
+        struck: sim.struck,
+    }
+}
+
+/// Strikes with each fault once, as the first message of its step goes out.
+fn striker(story: Story, faults: &[(Step, Fault)]) -> super::Faults {
+    let mut left = faults.to_vec();
+    let mut lost_request = false;
+    let mut lost_answer = false;
+    Box::new(move |sim, packet| {
+        let step = step_of(packet);
+        let mut fate = Fate::Pass;
+        match (story, step) {
+            (Story::Closing, Some(Step::Request)) if !lost_request => {
+                lost_request = true;
+                fate = Fate::Lose;
+            }
+            (Story::Closing, Some(Step::Claim)) => fate = Fate::Lose,
+            (Story::OwnerStops | Story::WitnessStops, Some(Step::Answer)) if !lost_answer => {
+                lost_answer = true;
+                fate = Fate::Lose;
+            }
+            _ => {}
+        }
+        let mut target = None;
+        left.retain(|(at, fault)| {
+            // A fault of the targets strikes with the first send after its step has come.
+            let hit = step == Some(*at);
+            if hit {
+                sim.struck += 1;
+                strike(sim, *fault, &mut fate);
+                target = target_of(*fault).or(target);
+            }
+            !hit
+        });
+        if let Some(target) = target {
+            sim.next_target = Some(target);
+        }
+        let target = match packet {
+            Packet::Send { .. } => sim.next_target.take(),
+            _ => None,
+        };
+        (fate, target)
+    })
+}
+
+fn step_of(packet: &Packet) -> Option<Step> {
+    Some(match packet {
+        Packet::Request { call: 0, .. } => Step::Request,
+        Packet::Send { call: 0, .. } => Step::Send,
+        Packet::Reply { call: 0, .. } => Step::Answer,
+        Packet::Done { key, .. } if key.nonce() == "n0" => Step::TargetAnswer,
+        Packet::EpochEnd => Step::EpochEnd,
+        Packet::Peer { message, .. } => match message {
+            Message::Claim(_) => Step::Claim,
+            Message::ClaimAnswer(_) => Step::ClaimAnswer,
+            Message::Close(_) => Step::Close,
+            Message::CloseAnswer(_) => Step::CloseAnswer,
+            Message::AnswerAsk(_) => Step::AnswerAsk,
+            Message::AnswerGive(_) => Step::AnswerGive,
+            Message::Handover(_) => Step::Handover,
+            Message::HandoverAnswer(_) => Step::HandoverAnswer,
+        },
+        _ => return None,
+    })
+}
+
+fn target_of(fault: Fault) -> Option<Target> {
+    match fault {
+        Fault::TargetRefuses => Some(Target::Refuses),
+        Fault::TargetDies => Some(Target::DiesBefore),
+        Fault::TargetKilled => Some(Target::DiesAfter),
+        _ => None,
+    }
+}
+
+fn strike(sim: &mut Sim, fault: Fault, fate: &mut Fate) {
+    match fault {
+        Fault::Lost => *fate = Fate::Lose,
+        Fault::Doubled => *fate = Fate::Double(LATE),
+        Fault::Late => *fate = Fate::Delay(LATE),
+        Fault::OwnerDead => sim.kill(OWNER),
+        Fault::OwnerPaused => sim.pause(OWNER, PAUSE),
+        Fault::OwnerRestarted => sim.restart(OWNER),
+        Fault::WitnessDead => sim.kill(WITNESS),
+        Fault::WitnessPaused => sim.pause(WITNESS, PAUSE),
+        Fault::WitnessRestarted => sim.restart(WITNESS),
+        Fault::BothDead => [OWNER, WITNESS].into_iter().for_each(|host| sim.kill(host)),
+        Fault::BothPaused => {
+            sim.pause(OWNER, LONG_PAUSE);
+            sim.pause(WITNESS, LONG_PAUSE);
+        }
+        Fault::BothRestarted => {
+            sim.restart(OWNER);
+            sim.restart(WITNESS);
+        }
+        Fault::TargetRefuses | Fault::TargetDies | Fault::TargetKilled => {}
+        Fault::CallerTurns => {
+            let attempt = sim.calls[0].attempts.len() - 1;
+            sim.at(sim.now, Event::Retry { call: 0, attempt });
+        }
+    }
+}
+
+/// The matrix as Markdown, steps down and faults across the columns of several tables.
+pub(crate) fn markdown() -> String {
+    let mut text = String::new();
+    for faults in FAULTS.chunks(4) {
+        let names: Vec<&str> = faults.iter().map(|(_, name)| *name).collect();
+        let _ = writeln!(text, "| step | {} |", names.join(" | "));
+        let _ = writeln!(text, "|---|{}", "---|".repeat(names.len()));
+        for (story, name, steps) in STORIES {
+            for step in steps {
+                let cells = faults.iter().map(|(fault, _)| show(story, *step, *fault));
+                let cells: Vec<String> = cells.collect();
+                let _ = writeln!(text, "| {name}: {step:?} | {} |", cells.join(" | "));
+            }
+        }
+        text.push('\n');
+    }
+    text
+}
+
+fn show(story: Story, step: Step, fault: Fault) -> String {
+    if !applies(step, fault) {
+        return "-".to_owned();
+    }
+    let cell = play(story, &[(step, fault)]);
+    if !cell.broken.is_empty() {
+        return format!("BROKEN: {}", cell.broken.join(", "));
+    }
+    format!(
+        "{}, runs {}, attempts {}",
+        cell.end, cell.runs, cell.attempts
+    )
+}
