--- a/crates/once/src/ledger/handover.rs
+++ b/crates/once/src/ledger/handover.rs
@@ -18,6 +18,10 @@
     record::{Other, Record, State, Talk},
 };
 
+/// Parts under way to one peer at a time. A full ledger has hundreds of parts; sent at once, and
+/// again while the first are still being read, they would hold up the heartbeats beside them.
+const WINDOW: usize = 4;
+
 /// A planned stop.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Stop {
@@ -34,7 +38,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct Frozen {
     at: Duration,
-    /// When to give up on peers that do not answer.
+    /// When to give up on peers that do not answer; moves on with each answer.
     until: Duration,
     /// When to send what is left again.
     again: Duration,
@@ -76,6 +80,15 @@
         }
     }
 
+    /// Parts that may be under way to a peer now: the first of those left.
+    fn window(&self, peer: u64) -> impl Iterator<Item = (u32, &Vec<Key>)> {
+        let parts = self.frozen.iter().flat_map(move |frozen| {
+            let all = (peer, 0)..=(peer, u32::MAX);
+            frozen.parts.range(all)
+        });
+        parts.map(|((_, part), keys)| (*part, keys)).take(WINDOW)
+    }
+
     /// Gives up on a peer.
     pub(super) fn drop_peer(&mut self, peer: u64) {
         self.peers.remove(&peer);
@@ -121,7 +134,7 @@
             totals,
             parts,
         });
-        self.offer(out);
+        self.offer_all(out);
     }
 
     /// Closes the keys whose claim has no answer yet: their callers are told, and no late grant
@@ -173,24 +186,32 @@
         parts
     }
 
-    /// Sends every part that is not acknowledged.
-    fn offer(&self, out: &mut Vec<Action>) {
-        let Some(frozen) = self.stop.as_ref().and_then(|stop| stop.frozen.as_ref()) else {
+    /// Sends the parts that may be under way, to every peer.
+    fn offer_all(&self, out: &mut Vec<Action>) {
+        let Some(stop) = &self.stop else {
             return;
         };
-        for ((peer, part), keys) in &frozen.parts {
-            let records = keys.iter().filter_map(|key| self.handed(key)).collect();
-            let message = Message::Handover(Handover {
-                first_epoch: frozen.epochs.0,
-                last_epoch: frozen.epochs.1,
-                part: *part,
-                parts: frozen.totals.get(peer).copied().unwrap_or(1),
-                records,
-            });
-            out.push(Action::Tell { to: *peer, message });
+        for peer in &stop.peers {
+            for (part, keys) in stop.window(*peer) {
+                self.offer(*peer, part, keys, out);
+            }
         }
     }
 
+    fn offer(&self, to: u64, part: u32, keys: &[Key], out: &mut Vec<Action>) {
+        let Some(frozen) = self.stop.as_ref().and_then(|stop| stop.frozen.as_ref()) else {
+            return;
+        };
+        let message = Message::Handover(Handover {
+            first_epoch: frozen.epochs.0,
+            last_epoch: frozen.epochs.1,
+            part,
+            parts: frozen.totals.get(&to).copied().unwrap_or(1),
+            records: keys.iter().filter_map(|key| self.handed(key)).collect(),
+        });
+        out.push(Action::Tell { to, message });
+    }
+
     fn handed(&self, key: &Key) -> Option<Handed> {
         let record = self.table.get(key)?;
         // A request that is still at a target when the deadline comes may have run.
@@ -213,17 +234,37 @@
             return;
         }
         frozen.again = again;
-        self.offer(out);
+        self.offer_all(out);
     }
 
-    pub(super) fn on_handover_answer(&mut self, from: u64, answer: &HandoverAnswer) {
+    pub(super) fn on_handover_answer(
+        &mut self,
+        from: u64,
+        answer: &HandoverAnswer,
+        out: &mut Vec<Action>,
+    ) {
+        let until = self.clock + self.limits.handover_timeout;
         let Some(stop) = &mut self.stop else {
             return;
         };
         if !answer.accepted {
             stop.drop_peer(from);
-        } else if let Some(frozen) = &mut stop.frozen {
-            frozen.parts.remove(&(from, answer.part));
+            return;
+        }
+        let Some(frozen) = &mut stop.frozen else {
+            return;
+        };
+        if frozen.parts.remove(&(from, answer.part)).is_none() {
+            return;
+        }
+        frozen.until = until;
+        // The part that comes into the window now; the others in it are under way.
+        let next = self
+            .stop
+            .as_ref()
+            .and_then(|stop| stop.window(from).nth(WINDOW - 1));
+        if let Some((part, keys)) = next {
+            self.offer(from, part, keys, out);
         }
     }
 
--- a/crates/once/src/ledger/mod.rs
+++ b/crates/once/src/ledger/mod.rs
@@ -237,7 +237,7 @@
                 self.with_key(from, &m.key, |l, k| l.on_give(&k, m.end, out));
             }
             Message::Handover(m) => self.on_handover(from, m, out),
-            Message::HandoverAnswer(m) => self.on_handover_answer(from, &m),
+            Message::HandoverAnswer(m) => self.on_handover_answer(from, &m, out),
         }
     }
 
--- a/crates/once/src/ledger/table.rs
+++ b/crates/once/src/ledger/table.rs
@@ -61,7 +61,7 @@
         let record = self.epochs.get_mut(&epoch)?.remove(key)?;
         self.records -= 1;
         self.open -= usize::from(record.is_open());
-        if let Some(pending) = record.pending {
+        if let Some(pending) = &record.pending {
             self.timers.remove(&(pending.due(), key.clone()));
         }
         Some(record)
@@ -71,7 +71,7 @@
     pub(crate) fn put(&mut self, key: Key, record: Record) {
         self.records += 1;
         self.open += usize::from(record.is_open());
-        if let Some(pending) = record.pending {
+        if let Some(pending) = &record.pending {
             self.timers.insert((pending.due(), key.clone()));
         }
         let epoch = self.epoch_of(&key);
--- a/crates/once/src/ledger/time.rs
+++ b/crates/once/src/ledger/time.rs
@@ -52,7 +52,7 @@
         let Some(mut record) = self.table.take(&key) else {
             return;
         };
-        match record.pending {
+        match record.pending.as_deref().copied() {
             Some(pending) if pending.until <= self.clock => {
                 self.give_up(&key, &mut record, out);
             }
@@ -70,11 +70,11 @@
         out: &mut Vec<Action>,
     ) {
         let interval = pending.interval.saturating_mul(2);
-        record.pending = Some(Pending {
+        record.pending = Some(Box::new(Pending {
             again: self.clock + interval,
             interval,
             ..pending
-        });
+        }));
         self.tell_talk(key, record.caller, pending.talk, out);
     }
 
@@ -90,12 +90,12 @@
             Talk::Claim => self.limits.claim_timeout,
             Talk::Close | Talk::Ask => self.limits.ask_timeout,
         };
-        record.pending = Some(Pending {
+        record.pending = Some(Box::new(Pending {
             talk,
             until: self.clock + timeout,
             again: self.clock + self.limits.resend_interval(),
             interval: self.limits.resend_interval(),
-        });
+        }));
         self.tell_talk(key, record.caller, talk, out);
     }
 
--- a/crates/once/src/limits.rs
+++ b/crates/once/src/limits.rs
@@ -19,9 +19,13 @@
     pub ask_timeout: Duration,
     /// Time after which an unanswered message is sent again; doubles with each further one.
     pub resend: Duration,
-    /// Length of an epoch.
+    /// Length of an epoch. A key is served for `epochs_held - 1` to `epochs_held` of them after its
+    /// look-up, which has to cover the time a look-up is cached and a caller goes on trying.
     pub epoch_length: Duration,
     /// Epochs held, the present one included. At least 2, or a key could end as it is given out.
+    ///
+    /// `records` has to hold what comes in `epoch_length * epochs_held`: two records, one on each
+    /// side, for each keyed request.
     pub epochs_held: u64,
     /// How long a stopping host offers its records to peers that do not answer.
     pub handover_timeout: Duration,
@@ -50,11 +54,11 @@
             claim_timeout: Duration::from_millis(250),
             ask_timeout: Duration::from_secs(5),
             resend: Duration::from_millis(100),
-            epoch_length: Duration::from_secs(300),
+            epoch_length: Duration::from_secs(120),
             epochs_held: 3,
             handover_timeout: Duration::from_secs(3),
             part_records: 256,
-            part_bytes: 256 << 10,
+            part_bytes: 64 << 10,
             faults: Faults::default(),
         }
     }
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -87,8 +87,9 @@
     pub(crate) state: State,
     /// Attempts that wait. None in a final state, but where `pending` is a close or an ask.
     pub(crate) waiters: Vec<Waiter>,
-    /// Talk under way with the other side; the ledger's timers hold its `due`.
-    pub(crate) pending: Option<Pending>,
+    /// Talk under way with the other side; the ledger's timers hold its `due`. Boxed, since most
+    /// records are at rest and held for minutes.
+    pub(crate) pending: Option<Box<Pending>>,
     /// Whether the other side waits to be told how the request ended.
     pub(crate) asked: bool,
 }
--- a/crates/once/tests/ledger.rs
+++ b/crates/once/tests/ledger.rs
@@ -482,6 +482,34 @@
     assert!(owner.stopped());
 }
 
+#[test]
+fn a_long_hand_over_keeps_few_parts_under_way() {
+    let limits = Limits {
+        records: 100,
+        part_records: 1,
+        ..limits()
+    };
+    let mut owner = Ledger::open(OWNER, limits, START);
+    let mut witness = Ledger::open(WITNESS, limits, START);
+    for n in 0..20 {
+        let key = key(&owner, &witness, &format!("n{n}"), START);
+        answered(&mut owner, &mut witness, &key, b"", START);
+    }
+    let mut parts = owner.stop(&[WITNESS], START + Duration::from_secs(5), START);
+    let mut sent = parts.len();
+    while let Some(Action::Tell { message, .. }) = parts.pop() {
+        assert!(parts.len() < 4, "{} parts under way", parts.len() + 1);
+        let [Action::Tell { message, .. }] = &witness.hear(OWNER, message, START)[..] else {
+            panic!("no answer")
+        };
+        let more = owner.hear(WITNESS, message.clone(), START);
+        sent += more.len();
+        parts.extend(more);
+    }
+    assert_eq!(sent, 20);
+    assert!(owner.stopped());
+}
+
 #[test]
 fn a_stop_ends_without_a_peer_that_does_not_answer() {
     let (mut owner, witness) = pair();
