--- a/crates/once/src/action.rs
+++ b/crates/once/src/action.rs
@@ -118,3 +118,13 @@
         retry_after: Option<Duration>,
     },
 }
+
+impl Action {
+    /// Attempt that this action tells something.
+    pub(crate) fn told(&self) -> Option<u64> {
+        match self {
+            Action::Answer { ticket, .. } | Action::Refuse { ticket, .. } => Some(*ticket),
+            Action::Tell { .. } | Action::Send { .. } | Action::Abandon { .. } => None,
+        }
+    }
+}
--- a/crates/once/src/ledger/mod.rs
+++ b/crates/once/src/ledger/mod.rs
@@ -146,7 +146,7 @@
         self.input(now, |ledger, out| ledger.on_finished(key, outcome, out))
     }
 
-    /// Forgets an attempt whose caller is gone.
+    /// Forgets an attempt whose caller is gone; nothing that comes out from now on names it.
     pub fn cancel(&mut self, ticket: u64, now: Duration) -> Vec<Action> {
         self.input(now, |ledger, out| ledger.on_cancel(ticket, out))
     }
@@ -217,6 +217,9 @@
     }
 
     fn on_message(&mut self, from: u64, message: Message, out: &mut Vec<Action>) {
+        if from == self.me {
+            return;
+        }
         // A host that was only paused was called gone; without this its claims stay closed.
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.gone = false;
@@ -289,7 +292,7 @@
     /// Puts a record back, unless its epoch has ended and nobody waits for it any more.
     fn put(&mut self, key: Key, record: Record) {
         let epoch = self.table.epoch_of(&key);
-        if epoch < self.swept && !record.is_open() && record.waiters.is_empty() {
+        if epoch < self.swept && record.is_at_rest() {
             self.table.release(&record);
             self.table.trim(epoch);
             return;
--- a/crates/once/src/ledger/run.rs
+++ b/crates/once/src/ledger/run.rs
@@ -55,6 +55,8 @@
 
     pub(super) fn on_cancel(&mut self, ticket: u64, out: &mut Vec<Action>) {
         let Some(key) = self.table.end_ticket(ticket) else {
+            // It may have timed out with this very input: nobody is there to be told.
+            out.retain(|action| action.told() != Some(ticket));
             return;
         };
         let Some(mut record) = self.table.take(&key) else {
--- a/crates/once/src/ledger/table.rs
+++ b/crates/once/src/ledger/table.rs
@@ -124,7 +124,7 @@
         let ended = std::mem::replace(&mut self.epochs, later);
         for (epoch, mut records) in ended {
             records.retain(|_, record| {
-                let keep = record.is_open() || !record.waiters.is_empty();
+                let keep = !record.is_at_rest();
                 if !keep {
                     self.records -= 1;
                     if let State::Answered { order, answer } = &record.state {
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Whether nobody waits on this side: the record is held for retries only.
+    pub(crate) fn is_at_rest(&self) -> bool {
+        !self.is_open() && self.waiters.is_empty() && self.pending.is_none()
+    }
+
     /// Whether the key's end is still to come on this side.
     pub(crate) fn is_open(&self) -> bool {
         matches!(self.state, State::Claiming | State::Running)
--- /dev/null
+++ b/crates/once/tests/inputs.rs
@@ -0,0 +1,270 @@
+//! One ledger under random inputs, some of them forged: every attempt is told one thing, once.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use dunlinrock_once::{
+    Action, Attempts, Key, Ledger, Limits, Message, Outcome, Reason, Request, Seat,
+};
+use dunlinrock_schema::once::{
+    AnswerAsk, AnswerGive, Claim, ClaimAnswer, Close, CloseAnswer, Closing, End, EndKind, Handed,
+    Handover, HandoverAnswer, Verdict,
+};
+use proptest::{
+    prelude::{ProptestConfig, any, proptest},
+    test_runner::RngSeed,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+
+const ME: u64 = 1;
+const INPUTS: usize = 400;
+
+fn limits() -> Limits {
+    Limits {
+        records: 12,
+        answer_bytes: 20,
+        answer_max: 8,
+        waiters: 3,
+        epoch_length: Duration::from_secs(4),
+        epochs_held: 2,
+        part_records: 2,
+        ..Limits::default()
+    }
+}
+
+/// A ledger with what it still owes.
+struct Run {
+    ledger: Ledger,
+    now: Duration,
+    rng: SmallRng,
+    /// Attempts that were not told anything yet.
+    waiting: BTreeSet<u64>,
+    /// Requests that were given out to be sent.
+    sent: BTreeMap<Key, u64>,
+    ever_sent: BTreeSet<Key>,
+    tickets: u64,
+}
+
+impl Run {
+    fn open(seed: u64) -> Run {
+        Run {
+            ledger: Ledger::open(ME, limits(), Duration::ZERO),
+            now: Duration::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            waiting: BTreeSet::new(),
+            sent: BTreeMap::new(),
+            ever_sent: BTreeSet::new(),
+            tickets: 0,
+        }
+    }
+
+    fn key(&mut self) -> Key {
+        let now = self.ledger.epoch(self.now);
+        let epoch = (now + 1).saturating_sub(self.rng.random_range(0..3));
+        let mut seat = || Seat {
+            incarnation: self.rng.random_range(1..4),
+            epoch,
+        };
+        let (owner, witness) = (seat(), seat());
+        let nonce = self.rng.random_range(0..3).to_string();
+        Key::bind(owner, witness, &nonce).unwrap()
+    }
+
+    fn end(&mut self) -> End {
+        let kinds = [
+            EndKind::Answered,
+            EndKind::Dropped,
+            EndKind::Unknown,
+            EndKind::Closed,
+            EndKind::Mismatch,
+        ];
+        End {
+            kind: *kinds.choose(&mut self.rng).unwrap(),
+            answer: vec![0; self.rng.random_range(0..12)],
+        }
+    }
+
+    fn message(&mut self) -> Message {
+        let caller = self.rng.random_range(0..2);
+        let key = self.key().to_string().into();
+        match self.rng.random_range(0..9) {
+            0 | 1 => Message::Claim(Claim { caller, key }),
+            2 | 3 => {
+                let all = [
+                    Verdict::Granted,
+                    Verdict::Taken,
+                    Verdict::Closed,
+                    Verdict::Ended,
+                    Verdict::Full,
+                ];
+                let verdict = *all.choose(&mut self.rng).unwrap();
+                Message::ClaimAnswer(ClaimAnswer { key, verdict })
+            }
+            4 => Message::Close(Close { caller, key }),
+            5 => {
+                let all = [Closing::Closed, Closing::Taken, Closing::Unknown];
+                let closing = *all.choose(&mut self.rng).unwrap();
+                Message::CloseAnswer(CloseAnswer { closing, key })
+            }
+            6 => Message::AnswerAsk(AnswerAsk { caller, key }),
+            7 => {
+                let end = self.end();
+                Message::AnswerGive(AnswerGive { end, key })
+            }
+            _ => self.handover(caller, key),
+        }
+    }
+
+    fn handover(&mut self, caller: u64, key: std::sync::Arc<str>) -> Message {
+        let part = self.rng.random_range(0..3);
+        if self.rng.random() {
+            let accepted = self.rng.random();
+            return Message::HandoverAnswer(HandoverAnswer { accepted, part });
+        }
+        let end = self.end();
+        let epoch = self.ledger.epoch(self.now);
+        Message::Handover(Handover {
+            first_epoch: epoch.saturating_sub(1),
+            last_epoch: epoch,
+            part,
+            parts: self.rng.random_range(0..3),
+            records: vec![Handed { caller, end, key }],
+        })
+    }
+
+    fn outcome(&mut self) -> Outcome {
+        match self.rng.random_range(0..4) {
+            0 => Outcome::Lost,
+            1 => Outcome::NotRun { retry_after: None },
+            _ => Outcome::Answered(vec![0; self.rng.random_range(0..12)].into()),
+        }
+    }
+
+    fn input(&mut self) {
+        self.now += Duration::from_millis(self.rng.random_range(0..300));
+        let now = self.now;
+        let actions = match self.rng.random_range(0..100) {
+            0..40 => self.request(),
+            40..75 => {
+                let message = coded(&self.message());
+                let from = self.rng.random_range(1..4);
+                self.ledger.hear(from, message, now)
+            }
+            75..90 => self.finish(),
+            90..94 => self.cancel(),
+            94..96 => self.ledger.peer_gone(self.rng.random_range(2..4), now),
+            96 if self.rng.random_range(0..10) == 0 => {
+                let deadline = now + Duration::from_secs(2);
+                self.ledger.stop(&[2, 3], deadline, now)
+            }
+            _ => self.ledger.tick(now),
+        };
+        self.take(actions);
+    }
+
+    fn request(&mut self) -> Vec<Action> {
+        self.tickets += 1;
+        self.waiting.insert(self.tickets);
+        let request = Request {
+            key: self.key(),
+            caller: self.rng.random_range(0..2),
+            attempts: Attempts {
+                owner: self.rng.random_range(0..2),
+                witness: self.rng.random_range(0..2),
+            },
+            ticket: self.tickets,
+        };
+        self.ledger.request(request, self.now)
+    }
+
+    fn finish(&mut self) -> Vec<Action> {
+        let outcome = self.outcome();
+        match self.sent.pop_first() {
+            Some((key, _)) => self.ledger.finished(&key, outcome, self.now),
+            None => Vec::new(),
+        }
+    }
+
+    fn cancel(&mut self) -> Vec<Action> {
+        match self.waiting.pop_first() {
+            Some(ticket) => self.ledger.cancel(ticket, self.now),
+            None => Vec::new(),
+        }
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Tell { to, .. } => assert_ne!(to, ME, "a message to itself"),
+                Action::Send { key, ticket } => {
+                    assert!(
+                        self.waiting.contains(&ticket),
+                        "nobody waits with the request"
+                    );
+                    assert!(self.ever_sent.insert(key.clone()), "sent twice: {key}");
+                    self.sent.insert(key, ticket);
+                }
+                Action::Abandon { key } => assert!(self.sent.contains_key(&key)),
+                Action::Answer { ticket, .. } => self.told(ticket, None),
+                Action::Refuse { ticket, reason, .. } => self.told(ticket, Some(reason)),
+            }
+        }
+        let counts = self.ledger.counts();
+        assert!(counts.records <= limits().records);
+        assert!(counts.answer_bytes <= limits().answer_bytes);
+        assert_eq!(counts.waiting, self.waiting.len());
+    }
+
+    fn told(&mut self, ticket: u64, reason: Option<Reason>) {
+        let known = self.waiting.remove(&ticket);
+        assert!(
+            known,
+            "ticket {ticket} is told {reason:?} without being owed it"
+        );
+    }
+
+    /// Ends what is at targets, lets every timeout come, and sees that nothing is left over.
+    fn drain(mut self) {
+        while !self.sent.is_empty() {
+            let actions = self.finish();
+            self.take(actions);
+        }
+        while let Some(wake) = self.ledger.next_wake() {
+            self.now = self.now.max(wake);
+            let actions = self.ledger.tick(self.now);
+            self.take(actions);
+            let next = self.ledger.next_wake();
+            assert!(next.is_none_or(|next| next > self.now), "due, and not done");
+        }
+        assert_eq!(self.waiting, BTreeSet::new(), "never told anything");
+        assert_eq!(self.ledger.counts().open, 0);
+    }
+}
+
+/// The message after its way over the wire.
+fn coded(message: &Message) -> Message {
+    let bytes = rmp_serde::to_vec_named(message).unwrap();
+    let read = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(*message, read);
+    read
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_attempt_is_told_one_thing_once_and_nothing_is_left_over(seed in any::<u64>()) {
+        let mut run = Run::open(seed);
+        for _ in 0..INPUTS {
+            run.input();
+        }
+        run.drain();
+    }
+}
--- a/crates/once/tests/ledger.rs
+++ b/crates/once/tests/ledger.rs
@@ -5,7 +5,7 @@
 use dunlinrock_once::{
     Action, Attempts, Key, Ledger, Limits, Message, Outcome, Reason, Request, Run,
 };
-use dunlinrock_schema::once::{Claim, ClaimAnswer, EndKind, Verdict};
+use dunlinrock_schema::once::{Claim, ClaimAnswer, EndKind, Handover, Verdict};
 
 const START: Duration = Duration::ZERO;
 const OWNER: u64 = 1;
@@ -355,6 +355,28 @@
     assert_eq!(witness.counts().records, 0);
 }
 
+#[test]
+fn a_message_from_the_host_itself_is_ignored() {
+    let (mut owner, _) = pair();
+    let part = Message::Handover(Handover {
+        first_epoch: 0,
+        last_epoch: 0,
+        part: 0,
+        parts: 1,
+        records: Vec::new(),
+    });
+    assert_eq!(owner.hear(OWNER, part, START), []);
+}
+
+#[test]
+fn a_cancelled_attempt_that_times_out_with_the_same_input_is_not_told() {
+    let (mut owner, witness) = pair();
+    let key = key(&owner, &witness, "n", START);
+    owner.request(first(&key, 1), START);
+    assert_eq!(owner.cancel(1, limits().claim_timeout), []);
+    assert_eq!(owner.counts().waiting, 0);
+}
+
 #[test]
 fn a_claim_without_an_answer_is_sent_again_until_it_times_out() {
     let (mut owner, witness) = pair();
