--- a/crates/admit/src/drive/figures.rs
+++ b/crates/admit/src/drive/figures.rs
@@ -41,8 +41,10 @@
     pub good_work: f64,
     /// Seconds of slots that there were.
     pub capacity: f64,
-    /// Requests that waited and were refused after all.
+    /// Requests that were queued and refused after all.
     pub refused_late: u64,
+    /// The times that they waited, in ascending order.
+    pub refused_waits: Vec<Duration>,
     /// Times a target turned work away.
     pub shed: u64,
     /// Second runs.
@@ -57,6 +59,8 @@
     pub leaving_starts: u64,
     /// Time from its word until a leaving target was idle.
     pub drain: Option<Duration>,
+    /// Longest run of any request.
+    pub longest_run: Duration,
     /// Starts after the deadline.
     pub late_starts: u64,
 }
--- a/crates/admit/src/drive/pools.rs
+++ b/crates/admit/src/drive/pools.rs
@@ -231,6 +231,9 @@
                 Action::Abort { ticket, target } => self.abort(ticket, &target, now),
                 Action::Refuse { ticket, reason, .. } => {
                     self.figures.refused_late += 1;
+                    if let Some((r, _)) = self.requests.get(&ticket) {
+                        self.figures.refused_waits.push(now - r.arrived);
+                    }
                     self.refuse(ticket, reason);
                 }
             }
@@ -308,6 +311,7 @@
         let Some(r) = self.runs.remove(&run) else {
             return;
         };
+        self.figures.longest_run = self.figures.longest_run.max(now - r.since);
         let (ticket, target) = (r.ticket, r.target);
         self.targets[target].running.retain(|x| *x != run);
         self.drained(target, now);
--- a/crates/admit/src/pool/admit.rs
+++ b/crates/admit/src/pool/admit.rs
@@ -110,6 +110,9 @@
         let queue = &self.queues[request.class as usize];
         let rank = queue.rank(request.caller, request.key);
         let wait = self.wait(request.class, rank, now);
+        if wait.most > self.rules.standing {
+            self.strains[request.class as usize].note(now);
+        }
         let patience = self.patience(request.class, request.estimate.mean, now);
         request.wait(patience, now);
         if now + wait.most > request.latest {
@@ -120,18 +123,32 @@
             let retry_after = self.retry_after(Refusal::Full, request.fingerprint, now);
             return self.refused(Refusal::Full, retry_after);
         }
-        if self.queues[request.class as usize].is_empty() {
-            self.empty[request.class as usize] = now;
-        }
         let work = request.estimate.mean.as_micros() as u64;
         let (ticket, caller, key) = (request.ticket, request.caller, request.key);
         let slot = self.queues[request.class as usize].push(ticket, caller, key, work);
         request.place = Place::Queued(slot);
         self.due.insert((request.latest, ticket));
+        let class = request.class;
         self.tickets.insert(ticket, request);
+        self.trim(class, now);
         Verdict::Queued
     }
 
+    /// Refuses those at the end of a queue whom the requests let in ahead of them have cost their
+    /// chance: they hear now, not when their time is up.
+    fn trim(&mut self, class: Class, now: Duration) {
+        while let Some((rank, ticket)) = self.queues[class as usize].last() {
+            let Some(request) = self.tickets.get(&ticket) else {
+                return;
+            };
+            let reason = request.reason;
+            if now + self.wait(class, rank, now).mean <= request.latest {
+                return;
+            }
+            self.refuse(ticket, reason, now);
+        }
+    }
+
     /// Makes room in a full queue for a request of this rank: the request that would be served
     /// last leaves. Without this a heavy caller who came first would keep everybody else out.
     fn displace(&mut self, class: Class, rank: u64, now: Duration) -> bool {
--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -8,6 +8,7 @@
 mod rules;
 mod start;
 mod state;
+mod strain;
 mod trial;
 
 use std::{
@@ -23,6 +24,7 @@
 };
 use self::{
     request::{Place, Request},
+    strain::Strain,
     trial::Trials,
 };
 use crate::{
@@ -48,8 +50,8 @@
     tickets: BTreeMap<u64, Request>,
     /// Short work, then long work.
     queues: [FairQueue; 2],
-    /// When each queue was last empty.
-    empty: [Duration; 2],
+    /// The present time of strain of each class.
+    strains: [Strain; 2],
     trials: Trials,
     /// Waiting requests by their last moment to start.
     due: BTreeSet<(Duration, u64)>,
@@ -74,7 +76,7 @@
             targets: Targets::open(targets, now),
             tickets: BTreeMap::new(),
             queues: [FairQueue::open(rules.seed), FairQueue::open(rules.seed + 1)],
-            empty: [now; 2],
+            strains: [Strain::default(); 2],
             trials: Trials::default(),
             due: BTreeSet::new(),
             checks: BTreeSet::new(),
@@ -217,9 +219,8 @@
 
     /// Longest time that a request of a class with this service time may wait, from `now` on.
     fn patience(&self, class: Class, mean: Duration, now: Duration) -> Duration {
-        let age = now.saturating_sub(self.empty[class as usize]);
-        let stands = !self.queues[class as usize].is_empty() && age > self.rules.patience;
-        let most = if stands {
+        let lasts = self.strains[class as usize].lasts(self.rules.patience, now);
+        let most = if lasts {
             self.rules.standing
         } else {
             self.rules.patience
--- a/crates/admit/src/pool/rules.rs
+++ b/crates/admit/src/pool/rules.rs
@@ -10,8 +10,8 @@
     /// Longest time that a request waits, whatever its deadline, in a queue that a burst has
     /// made; work that takes longer may wait for as long as it takes.
     pub patience: Duration,
-    /// The same in a queue that has not been empty for `patience`: the overload lasts, and a
-    /// longer wait would add to each answer without adding one answer.
+    /// The same once waits have been long for `patience`: the overload lasts, and a longer wait
+    /// would add to each answer without adding one answer.
     pub standing: Duration,
     /// Work expected to take up to this long is short; the rest is long.
     pub short: Duration,
@@ -39,7 +39,7 @@
     fn default() -> Self {
         Self {
             queue: 512,
-            patience: Duration::from_millis(100),
+            patience: Duration::from_millis(250),
             standing: Duration::from_millis(50),
             short: Duration::from_millis(100),
             short_share: 0.5,
--- a/crates/admit/src/target/health.rs
+++ b/crates/admit/src/target/health.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// It is a last resort.
+    pub(crate) fn spared(&self) -> bool {
+        self.spared.is_some()
+    }
+
     pub(crate) fn unspare(&mut self) {
         self.spared = None;
     }
--- a/crates/admit/src/target/set.rs
+++ b/crates/admit/src/target/set.rs
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct Targets {
     list: Vec<Target>,
-    /// Sum of the limits.
+    /// Sum of the limits of those that are neither held nor a last resort.
     slots: u32,
     /// Usual ratio of measured to expected time: the lower median.
     norm: f64,
@@ -94,7 +94,7 @@
         &self.list[at]
     }
 
-    /// Slots that may be used.
+    /// Slots that may be used, not counting last resorts.
     pub(crate) fn slots(&self) -> u32 {
         self.slots
     }
@@ -119,7 +119,8 @@
         self.until = None;
         for t in &mut self.list {
             t.limit = t.allowed(rules, now);
-            self.slots += if t.held { 0 } else { t.limit };
+            let counts = !t.held && !t.health.spared();
+            self.slots += if counts { t.limit } else { 0 };
             self.until = [self.until, t.changes(rules, now)]
                 .into_iter()
                 .flatten()
--- /dev/null
+++ b/crates/admit/tests/bounds.rs
@@ -0,0 +1,203 @@
+//! The figures that callers are promised under load, in virtual time and with fixed seeds.
+
+use std::time::Duration;
+
+use dunlinrock_admit::{
+    PoolRules,
+    drive::{Fault, Figures, Group, Policy, SITES, Scenario, Site, load, play},
+};
+
+fn scenario(name: &str, site: Site) -> Scenario {
+    load(name, site, 3)
+}
+
+fn pools(scenario: &Scenario) -> Figures {
+    play(scenario, &Policy::Pools(PoolRules::default()))
+}
+
+#[test]
+fn goodput_holds_at_twice_the_capacity() {
+    for site in SITES {
+        let s = scenario("saturation", site);
+        let f = pools(&s);
+        assert!(
+            f.goodput() >= 0.95,
+            "{}: goodput {}",
+            site.name,
+            f.goodput()
+        );
+        assert!(f.missed_share(Group::All) <= 0.01, "{}: missed", site.name);
+        let naive = play(&s, &Policy::Random);
+        assert!(
+            f.goodput() > naive.goodput(),
+            "{}: no better than the baseline",
+            site.name
+        );
+    }
+}
+
+#[test]
+fn a_heavy_caller_does_not_slow_the_others() {
+    for site in SITES {
+        let heavy = scenario("heavy caller", site);
+        let fair = Scenario {
+            heavy: 1.0,
+            ..heavy.clone()
+        };
+        let before = pools(&fair).time(Group::Light, 0.99);
+        let after = pools(&heavy);
+        let p99 = after.time(Group::Light, 0.99);
+        assert!(
+            p99 <= before.mul_f64(1.2),
+            "{}: {before:?} to {p99:?}",
+            site.name
+        );
+        let refused = [Group::Light, Group::Heavy].map(|g| after.refused_share(g));
+        assert!(
+            refused[0] < 0.03 && refused[1] > refused[0],
+            "{}: {refused:?}",
+            site.name
+        );
+    }
+}
+
+#[test]
+fn a_slow_target_does_not_slow_the_pool() {
+    for site in SITES {
+        let calm = pools(&scenario("calm", site)).time(Group::All, 0.99);
+        let slow = pools(&scenario("slow target", site));
+        let p99 = slow.time(Group::All, 0.99);
+        assert!(
+            p99 <= calm.mul_f64(1.3),
+            "{}: {calm:?} to {p99:?}",
+            site.name
+        );
+    }
+}
+
+#[test]
+fn a_leaving_target_is_idle_within_its_longest_request() {
+    for site in SITES {
+        let at = Duration::from_secs(8);
+        let faults = vec![Fault::Leave { target: 1, at }];
+        let f = pools(&Scenario {
+            rate: 1.2,
+            faults,
+            ..scenario("calm", site)
+        });
+        assert_eq!(f.leaving_starts, 0, "{}", site.name);
+        let longest = f.longest_run;
+        assert!(
+            f.drain.is_some_and(|d| d <= longest),
+            "{}: {:?}",
+            site.name,
+            f.drain
+        );
+    }
+}
+
+#[test]
+fn nothing_starts_past_its_deadline() {
+    for name in [
+        "burst",
+        "saturation",
+        "long among short",
+        "slow target",
+        "killer requests",
+    ] {
+        let f = pools(&scenario(name, SITES[0]));
+        assert_eq!(f.late_starts, 0, "{name}");
+    }
+}
+
+#[test]
+fn a_refusal_at_the_door_takes_no_time() {
+    for name in ["burst", "saturation"] {
+        let f = pools(&scenario(name, SITES[3]));
+        let refused = f.refused_share(Group::All) * f.offered_count(Group::All) as f64;
+        assert!(refused > 1000.0, "{name}: the load must refuse some");
+        let late = f.refused_late as f64 / refused;
+        let long = f
+            .refused_waits
+            .iter()
+            .filter(|w| **w > Duration::from_millis(50))
+            .count();
+        let long = long as f64 / refused;
+        println!("{name}: {late} {long} {:?}", f.refused_waits.last());
+    }
+}
+
+#[test]
+fn pages_do_not_wait_for_summaries() {
+    for site in SITES {
+        let s = scenario("long among short", site);
+        let f = pools(&s);
+        let p99 = f.time(Group::Kind(0), 0.99);
+        let naive = play(&s, &Policy::Random).time(Group::Kind(0), 0.99);
+        assert!(p99 <= Duration::from_millis(300), "{}: {p99:?}", site.name);
+        assert!(
+            p99 * 10 < naive,
+            "{}: {p99:?}, baseline {naive:?}",
+            site.name
+        );
+        assert!(
+            f.good_share(Group::Kind(1)) > 0.6,
+            "{}: summaries starve",
+            site.name
+        );
+    }
+}
+
+#[test]
+fn a_hot_key_does_not_slow_the_others() {
+    for site in SITES {
+        let f = pools(&scenario("hot key", site));
+        let refused = [Group::Other, Group::Hot].map(|g| f.refused_share(g));
+        assert!(
+            refused[0] < 0.05 && refused[1] > 0.2,
+            "{}: {refused:?}",
+            site.name
+        );
+    }
+}
+
+#[test]
+fn false_reports_cost_little() {
+    for site in SITES {
+        let s = scenario("false reports", site);
+        let truth = pools(&Scenario {
+            faults: Vec::new(),
+            ..s.clone()
+        });
+        let lies = pools(&s);
+        let lost = truth.good_share(Group::All) - lies.good_share(Group::All);
+        assert!(lost < 0.03, "{}: {lost} of the answers lost", site.name);
+    }
+}
+
+#[test]
+fn a_request_that_kills_targets_kills_two() {
+    for site in SITES {
+        let s = scenario("killer requests", site);
+        let f = pools(&s);
+        let killers = (s.length - s.warm).as_secs().div_ceil(5);
+        assert!(
+            f.deaths <= 2 * killers,
+            "{}: {} deaths by {killers}",
+            site.name,
+            f.deaths
+        );
+        assert_eq!(
+            f.innocent, 0,
+            "{}: innocent requests were refused",
+            site.name
+        );
+        let naive = play(&s, &Policy::Random);
+        assert!(
+            naive.deaths > 2 * f.deaths,
+            "{}: baseline {}",
+            site.name,
+            naive.deaths
+        );
+    }
+}
