--- /dev/null
+++ b/crates/admit/tests/random.rs
@@ -0,0 +1,420 @@
+//! Random loads, reports and faults against what must hold of a pool at every step.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use dunlinrock_admit::{
+    Action, Cancelled, Ending, Offer, Outcome, Pool, PoolRules, Report, TargetSpec, Verdict,
+};
+use proptest::{
+    collection::vec,
+    prelude::{Just, ProptestConfig, Strategy, any},
+    prop_oneof, proptest,
+    test_runner::RngSeed,
+};
+
+const TARGETS: usize = 5;
+const SLOTS: u32 = 3;
+const QUEUE: usize = 12;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Offer {
+        caller: u64,
+        key: u64,
+        kind: u64,
+        print: u64,
+        give: u64,
+        repeatable: bool,
+        tried: bool,
+    },
+    Finish {
+        pick: usize,
+        outcome: Outcome,
+    },
+    Cancel {
+        pick: usize,
+    },
+    Report {
+        target: usize,
+        report: Report,
+    },
+    Configure {
+        listed: u8,
+        leaving: u8,
+        slots: u32,
+    },
+    Wait {
+        ms: u64,
+    },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let outcome = prop_oneof![
+        6 => Just(Outcome::Ok),
+        1 => Just(Outcome::Failed),
+        1 => Just(Outcome::Refused),
+        1 => Just(Outcome::Died),
+        1 => Just(Outcome::TimedOut),
+    ];
+    let offer = (
+        0..5_u64,
+        0..5_u64,
+        0..3_u64,
+        0..40_u64,
+        1..400_u64,
+        any::<bool>(),
+        0..8_u8,
+    );
+    let offer = offer.prop_map(
+        |(caller, key, kind, print, give, repeatable, tried)| Op::Offer {
+            caller,
+            key,
+            kind,
+            print,
+            give,
+            repeatable,
+            tried: tried == 0,
+        },
+    );
+    let report = (0..TARGETS, 0..9_u32, 0..9_u32, 0..12_u8, 0..6_u8);
+    let report = report.prop_map(|(target, busy, slots, leaving, cold)| Op::Report {
+        target,
+        report: Report {
+            busy,
+            slots,
+            leaving: leaving == 0,
+            cold: cold == 0,
+        },
+    });
+    let configure = (any::<u8>(), any::<u8>(), 1..5_u32).prop_map(|(a, b, slots)| Op::Configure {
+        listed: a,
+        leaving: b & a & b.rotate_left(3),
+        slots,
+    });
+    prop_oneof![
+        12 => offer,
+        10 => (any::<usize>(), outcome).prop_map(|(pick, outcome)| Op::Finish { pick, outcome }),
+        1 => any::<usize>().prop_map(|pick| Op::Cancel { pick }),
+        2 => report,
+        1 => configure,
+        4 => (1..60_u64).prop_map(|ms| Op::Wait { ms }),
+        1 => (500..9000_u64).prop_map(|ms| Op::Wait { ms }),
+    ]
+}
+
+/// What is known of the pool from outside.
+struct Model {
+    pool: Pool,
+    now: Duration,
+    number: u64,
+    /// Deadlines of the requests without a final verdict.
+    open: BTreeMap<u64, Duration>,
+    closed: BTreeSet<u64>,
+    /// Requests that may run once only.
+    once: BTreeSet<u64>,
+    /// Requests of which a run may have had an effect.
+    ran: BTreeSet<u64>,
+    /// Runs, by ticket and target.
+    runs: Vec<(u64, Arc<str>)>,
+    slots: BTreeMap<Arc<str>, u32>,
+    leaving: BTreeSet<Arc<str>>,
+    /// Last word of a target that it leaves.
+    reported: BTreeMap<Arc<str>, Duration>,
+}
+
+fn name(i: usize) -> Arc<str> {
+    format!("t{i}").into()
+}
+
+fn rules() -> PoolRules {
+    PoolRules {
+        queue: QUEUE,
+        eject: Duration::from_secs(1),
+        ..PoolRules::default()
+    }
+}
+
+impl Model {
+    fn open() -> Self {
+        let spec = |i| TargetSpec {
+            name: name(i),
+            slots: SLOTS,
+            leaving: false,
+            cold: false,
+        };
+        let specs: Vec<TargetSpec> = (0..TARGETS).map(spec).collect();
+        Self {
+            pool: Pool::open(rules(), &specs, Duration::ZERO),
+            now: Duration::ZERO,
+            number: 0,
+            open: BTreeMap::new(),
+            closed: BTreeSet::new(),
+            once: BTreeSet::new(),
+            ran: BTreeSet::new(),
+            runs: Vec::new(),
+            slots: (0..TARGETS).map(|i| (name(i), SLOTS)).collect(),
+            leaving: BTreeSet::new(),
+            reported: BTreeMap::new(),
+        }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match op.clone() {
+            Op::Offer {
+                caller,
+                key,
+                kind,
+                print,
+                give,
+                repeatable,
+                tried,
+            } => {
+                self.number += 1;
+                let offer = Offer {
+                    ticket: self.number,
+                    caller,
+                    key,
+                    kind,
+                    fingerprint: print,
+                    deadline: self.now + Duration::from_millis(give),
+                    repeatable,
+                    tried: if tried { vec![name(0)] } else { Vec::new() },
+                };
+                self.offer(offer);
+            }
+            Op::Finish { pick, outcome } => self.finish(pick, outcome),
+            Op::Cancel { pick } => self.cancel(pick),
+            Op::Report { target, report } => {
+                if report.leaving {
+                    self.reported.insert(name(target), self.now);
+                }
+                self.pool.report(&name(target), report, self.now);
+            }
+            Op::Configure {
+                listed,
+                leaving,
+                slots,
+            } => self.configure(listed, leaving, slots),
+            Op::Wait { ms } => self.wait(Duration::from_millis(ms)),
+        }
+        self.poll();
+        self.check();
+    }
+
+    fn offer(&mut self, offer: Offer) {
+        let ticket = offer.ticket;
+        self.open.insert(ticket, offer.deadline);
+        if !offer.repeatable {
+            self.once.insert(ticket);
+        }
+        let tried = offer.tried.clone();
+        match self.pool.offer(offer, self.now) {
+            Verdict::Start { target } => {
+                assert!(!tried.contains(&target), "sent where it had failed");
+                self.start(ticket, target);
+            }
+            Verdict::Queued => {}
+            Verdict::Refused { .. } => self.close(ticket),
+        }
+    }
+
+    fn start(&mut self, ticket: u64, target: Arc<str>) {
+        let deadline = self.open.get(&ticket).expect("only an open request starts");
+        assert!(self.now <= *deadline, "{ticket} starts past its deadline");
+        assert!(!self.leaving.contains(&target), "{target} is leaving");
+        let said = self.reported.get(&target).copied();
+        assert!(
+            said.is_none_or(|at| self.now >= at + Duration::from_secs(5)),
+            "{target} has said that it leaves"
+        );
+        let others = self.runs.iter().filter(|r| r.0 == ticket).count();
+        let again = others > 0 || self.ran.contains(&ticket);
+        assert!(
+            !again || !self.once.contains(&ticket),
+            "{ticket} runs a second time"
+        );
+        assert!(others < 2, "{ticket} runs three times at once");
+        self.runs.push((ticket, Arc::clone(&target)));
+        let busy = self.runs.iter().filter(|(_, t)| *t == target).count();
+        let slots = self.slots.get(&target).copied().unwrap_or(0);
+        assert!(
+            busy <= slots as usize,
+            "{target} runs {busy} with {slots} slots"
+        );
+    }
+
+    fn close(&mut self, ticket: u64) {
+        assert!(
+            self.open.remove(&ticket).is_some(),
+            "{ticket} has a second verdict"
+        );
+        assert!(self.closed.insert(ticket), "{ticket} has a second verdict");
+    }
+
+    fn finish(&mut self, pick: usize, outcome: Outcome) {
+        if self.runs.is_empty() {
+            return;
+        }
+        let (ticket, target) = self.runs.remove(pick % self.runs.len());
+        if outcome != Outcome::Refused {
+            self.ran.insert(ticket);
+        }
+        match self.pool.finish(ticket, &target, outcome, self.now) {
+            Ending::Final { ran } => {
+                assert_eq!(ran, self.ran.contains(&ticket), "whether {ticket} ran");
+                self.close(ticket);
+            }
+            Ending::Again | Ending::Other => assert!(self.open.contains_key(&ticket)),
+            Ending::Stale => assert!(self.closed.contains(&ticket)),
+        }
+    }
+
+    fn cancel(&mut self, pick: usize) {
+        let Some(ticket) = self.open.keys().nth(pick % self.open.len().max(1)).copied() else {
+            return;
+        };
+        match self.pool.cancel(ticket, self.now) {
+            Cancelled::Queued { ran } => {
+                assert_eq!(ran, self.ran.contains(&ticket), "whether {ticket} ran");
+                self.close(ticket);
+            }
+            Cancelled::Running(targets) => {
+                let own = self.runs.iter().filter(|(t, _)| *t == ticket).count();
+                assert_eq!(targets.len(), own);
+                self.close(ticket);
+            }
+            Cancelled::Unknown => panic!("{ticket} is open"),
+        }
+        assert_eq!(self.pool.cancel(ticket, self.now), Cancelled::Unknown);
+    }
+
+    fn configure(&mut self, listed: u8, leaving: u8, slots: u32) {
+        let bit = |mask: u8, i: usize| mask >> i & 1 == 1;
+        let spec = |i| TargetSpec {
+            name: name(i),
+            slots,
+            leaving: bit(leaving, i),
+            cold: false,
+        };
+        let specs: Vec<TargetSpec> = (0..TARGETS).filter(|i| bit(listed, *i)).map(spec).collect();
+        self.pool.reconfigure(rules(), &specs, self.now);
+        self.slots = specs
+            .iter()
+            .map(|s| (Arc::clone(&s.name), s.slots))
+            .collect();
+        let gone = (0..TARGETS)
+            .filter(|i| !bit(listed, *i) || bit(leaving, *i))
+            .map(name);
+        self.leaving = gone.collect();
+        // A target that is listed again may be another process.
+        self.reported.retain(|t, _| self.slots.contains_key(t));
+    }
+
+    fn wait(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some(at) = self.pool.next_wake().filter(|t| *t <= until) {
+            assert!(at >= self.now, "a wake in the past");
+            self.now = at;
+            self.poll();
+            assert!(
+                self.pool.next_wake().is_none_or(|t| t > at),
+                "a wake that does nothing"
+            );
+        }
+        self.now = until;
+    }
+
+    fn poll(&mut self) {
+        for action in self.pool.poll(self.now) {
+            match action {
+                Action::Start { ticket, target } | Action::Hedge { ticket, target } => {
+                    self.start(ticket, target);
+                }
+                Action::Abort { ticket, target } => {
+                    let at = self
+                        .runs
+                        .iter()
+                        .position(|r| r.0 == ticket && r.1 == target);
+                    self.runs.remove(at.expect("only what runs is aborted"));
+                    let end = self
+                        .pool
+                        .finish(ticket, &target, Outcome::Cancelled, self.now);
+                    assert_eq!(end, Ending::Stale);
+                }
+                Action::Refuse { ticket, ran, .. } => {
+                    assert_eq!(ran, self.ran.contains(&ticket), "whether {ticket} ran");
+                    assert!(
+                        self.runs.iter().all(|r| r.0 != ticket),
+                        "{ticket} is refused and runs"
+                    );
+                    self.close(ticket);
+                }
+            }
+        }
+    }
+
+    fn check(&self) {
+        let state = self.pool.state(self.now);
+        assert!(
+            state.load.queued as usize <= QUEUE + SLOTS as usize * TARGETS,
+            "queue unbounded"
+        );
+        assert_eq!(state.load.busy as usize, self.runs.len(), "slots are lost");
+        let usable = state.targets.iter().filter(|t| !t.leaving).count();
+        let out = state
+            .targets
+            .iter()
+            .filter(|t| t.ejected && !t.leaving)
+            .count();
+        assert!(out <= usable / 3, "{out} of {usable} ejected");
+        assert!(state.targets.len() <= 3 * TARGETS, "targets unbounded");
+        let open = self.open.len();
+        let running: BTreeSet<u64> = self.runs.iter().map(|r| r.0).collect();
+        let waiting = self.open.keys().filter(|t| !running.contains(t)).count();
+        assert_eq!(state.load.queued as usize, waiting, "{open} open");
+    }
+
+    /// Ends all runs and lets time pass: everybody has got a verdict, and all slots are free.
+    fn close_all(&mut self) {
+        for _ in 0..20 {
+            while !self.runs.is_empty() {
+                self.finish(0, Outcome::Ok);
+                self.poll();
+            }
+            self.wait(Duration::from_secs(10));
+            self.poll();
+        }
+        assert!(self.open.is_empty(), "no verdict for {:?}", self.open);
+        let state = self.pool.state(self.now);
+        assert_eq!(state.load.busy, 0);
+        assert!(
+            state.targets.iter().all(|t| !t.held),
+            "a target is held for nobody"
+        );
+        assert_eq!(self.pool.next_wake(), None);
+    }
+}
+
+fn play(ops: &[Op]) {
+    let mut model = Model::open();
+    ops.iter().for_each(|op| model.apply(op));
+    model.close_all();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_pool_keeps_its_promises(ops in vec(op(), 1..250)) {
+        play(&ops);
+    }
+}
