--- a/crates/steer/src/grants/bucket.rs
+++ b/crates/steer/src/grants/bucket.rs
@@ -34,8 +34,11 @@
         self.tokens = (self.tokens + rate * time).min(most);
     }
 
-    pub(super) fn has(&self, tokens: f64) -> bool {
-        self.tokens >= tokens
+    /// Seconds until there are so many tokens at `rate`; 0 where there are, infinite where none
+    /// come.
+    pub(super) fn wait(&self, tokens: f64, rate: f64) -> f64 {
+        let missing = tokens - self.tokens;
+        if missing <= 0.0 { 0.0 } else { missing / rate }
     }
 
     pub(super) fn take(&mut self, tokens: f64) {
--- a/crates/steer/src/grants/grantee.rs
+++ b/crates/steer/src/grants/grantee.rs
@@ -2,8 +2,22 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use thiserror::Error;
+
 use super::{Ask, Grant, Need, TTL, bucket::Bucket};
 
+/// No room for a request now.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("no room was lent for it; try again after {} ms", retry_after.as_millis())]
+pub struct Shortage {
+    /// Time after which there is room for one request at the rate that is lent now; a grant's
+    /// lifetime where none is.
+    pub retry_after: Duration,
+}
+
+/// Shortest time to wait; rounding would else end a wait just before its time.
+const SHORTEST: Duration = Duration::from_millis(1);
+
 /// Buckets of one region and service.
 #[derive(Clone, Debug)]
 struct Pool {
@@ -12,6 +26,8 @@
     requests: Bucket,
     request_bytes: Bucket,
     answer_bytes: Bucket,
+    /// Sizes of the last request and of its expected answer.
+    sizes: (f64, f64),
 }
 
 /// Sums of the grants that hold now.
@@ -29,6 +45,7 @@
             requests: Bucket::open(now),
             request_bytes: Bucket::open(now),
             answer_bytes: Bucket::open(now),
+            sizes: (0.0, 0.0),
         }
     }
 
@@ -42,7 +59,8 @@
     }
 
     /// Fills the buckets by what was lent up to now.
-    fn fill(&mut self, request: f64, answer: f64, now: Duration) {
+    fn fill(&mut self, now: Duration) {
+        let (request, answer) = self.sizes;
         let sum = self.sum(now);
         self.requests.fill(sum.rate, 1.0, now);
         self.request_bytes.fill(sum.request_bytes, request, now);
@@ -99,34 +117,44 @@
         {
             return;
         }
-        pool.fill(0.0, 0.0, now);
+        pool.fill(now);
         pool.grants.insert(grant.grantor.clone(), (until, grant));
     }
 
-    /// Takes room for one request, with its size and the size that its answer is expected to have;
-    /// `false` where there is none, and then nothing is taken.
+    /// Takes room for one request, by its size and the size that its answer is expected to have.
+    ///
+    /// # Errors
+    ///
+    /// [`Shortage`] where there is no room now; then nothing is taken. A request whose deadline
+    /// allows it may wait for so long and try again.
     pub fn take(
         &mut self,
         region: &str,
         service: &str,
-        request: f64,
-        answer: f64,
+        (request, answer): (f64, f64),
         now: Duration,
-    ) -> bool {
+    ) -> Result<(), Shortage> {
         let Some(pool) = self.pool(region, service) else {
-            return false;
+            return Err(Shortage { retry_after: TTL });
         };
-        pool.fill(request, answer, now);
-        let room = !pool.grants.is_empty()
-            && pool.requests.has(1.0)
-            && pool.request_bytes.has(request)
-            && pool.answer_bytes.has(answer);
-        if room {
-            pool.requests.take(1.0);
-            pool.request_bytes.take(request);
-            pool.answer_bytes.take(answer);
+        pool.sizes = (request, answer);
+        pool.fill(now);
+        let sum = pool.sum(now);
+        let wait = pool
+            .requests
+            .wait(1.0, sum.rate)
+            .max(pool.request_bytes.wait(request, sum.request_bytes))
+            .max(pool.answer_bytes.wait(answer, sum.answer_bytes));
+        if wait > 0.0 || pool.grants.is_empty() {
+            let wait = Duration::try_from_secs_f64(wait).unwrap_or(TTL);
+            return Err(Shortage {
+                retry_after: wait.clamp(SHORTEST, TTL),
+            });
         }
-        room
+        pool.requests.take(1.0);
+        pool.request_bytes.take(request);
+        pool.answer_bytes.take(answer);
+        Ok(())
     }
 
     /// Puts an answer's size right, once it is known: `more` bytes than expected, below 0 for
--- a/crates/steer/src/grants/mod.rs
+++ b/crates/steer/src/grants/mod.rs
@@ -34,7 +34,11 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-pub use {grantee::Grantee, grantor::Grantor, own::Own};
+pub use {
+    grantee::{Grantee, Shortage},
+    grantor::Grantor,
+    own::Own,
+};
 
 /// Time after which a grant ends by itself.
 pub const TTL: Duration = Duration::from_secs(3);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -61,7 +61,7 @@
 
 pub use {
     blocks::{Blocks, Builder},
-    grants::{Ask, Grant, Grantee, Grantor, Links, Need, Own},
+    grants::{Ask, Grant, Grantee, Grantor, Links, Need, Own, Shortage},
     shift::{Ceilings, Peer, Reason, Refusal, Rows, Shares},
     spill::{Traffic, Traffics},
     spread::{Goal, Goals},
--- a/crates/steer/src/spill/mod.rs
+++ b/crates/steer/src/spill/mod.rs
@@ -11,10 +11,11 @@
 
 use crate::{Ceilings, Goal, Goals, Grantee, Grantor, Need, Rows, Shares};
 
-/// How much more is asked for than the mean rate needs: requests come unevenly, and a bucket that
-/// is filled at the mean rate alone turns some away. At 1.25 a host with 40 requests a second to a
-/// region turns away less than one in a thousand.
-pub const MARGIN: f64 = 1.25;
+/// How many times the square root of the rate is asked for on top of it: requests come unevenly,
+/// and a bucket that is filled at the mean rate alone turns some away. A rate of a few requests a
+/// second needs twice its mean, one of hundreds a tenth more; a fixed part would be too little for
+/// the one and too much for the other.
+pub const SAFETY: f64 = 1.5;
 
 /// What a host measures of one service's callers in one region.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -39,6 +40,20 @@
     shares: &Shares,
     traffic: &Traffics,
     region: &str,
+) -> BTreeMap<Arc<str>, Vec<Need>> {
+    let mut needs = means(goals, shares, traffic, region);
+    for need in needs.values_mut().flatten() {
+        need.rate += SAFETY * need.rate.sqrt();
+    }
+    needs
+}
+
+/// The needs at their mean rates.
+fn means(
+    goals: &Goals,
+    shares: &Shares,
+    traffic: &Traffics,
+    region: &str,
 ) -> BTreeMap<Arc<str>, Vec<Need>> {
     let rows = shares.rows();
     let mut needs: BTreeMap<Arc<str>, Vec<Need>> = BTreeMap::new();
@@ -48,7 +63,7 @@
                 continue;
             }
             let list = needs.entry(serving).or_default();
-            add(list, service, share * traffic.rate * MARGIN, &traffic);
+            add(list, service, share * traffic.rate, &traffic);
         }
     }
     needs
@@ -65,7 +80,7 @@
 ) -> Ceilings {
     let (grantee, grantor) = lent;
     let rows = shares.rows();
-    let needs = needs(goals, shares, traffic, region);
+    let needs = means(goals, shares, traffic, region);
     let mut ceilings = Ceilings::new();
     for (service, callers, goal, traffic) in lanes(goals, traffic) {
         if traffic.rate <= 0.0 {
@@ -82,7 +97,7 @@
                 let need = list.and_then(|list| list.iter().find(|n| n.service == *service));
                 // Callers of several regions share the grants by what each wants.
                 need.map_or(0.0, |need| {
-                    share * MARGIN * grantee.rate(&serving, need, now) / need.rate
+                    share * grantee.rate(&serving, need, now) / need.rate
                 })
             };
             out.insert(serving, ceiling);
--- a/crates/steer/tests/drive/meter.rs
+++ b/crates/steer/tests/drive/meter.rs
@@ -87,6 +87,18 @@
         }
     }
 
+    /// Forgets what was before: hosts that start have no grants yet and refuse more.
+    pub fn reset(&mut self, now: Duration) {
+        self.from = now;
+        self.counted = 0.0;
+        self.shed = 0.0;
+        self.report = Report {
+            headroom: 1.0,
+            link: 1.0,
+            ..Report::default()
+        };
+    }
+
     pub fn refused(&mut self, now: Duration) {
         if now > self.from {
             self.counted += 1.0;
