--- a/crates/node/src/run/dispatch.rs
+++ b/crates/node/src/run/dispatch.rs
@@ -7,7 +7,7 @@
 
 use dunlinrock_decide::{
     admit::{Candidate, choose},
-    steer::{Reason, Refusal},
+    steer::{Reason, Refusal, Shortage},
 };
 use dunlinrock_schema::api::Run;
 use tokio::time::Instant;
@@ -36,8 +36,6 @@
 const HEAD_BYTES: f64 = 500.0;
 /// Bytes of an answer, for the use of a link, before its size is known.
 const ANSWER_BYTES: f64 = 2_000.0;
-/// Time after which room may be there again: hosts ask for it once a second.
-const LEND_PAUSE: Duration = Duration::from_secs(1);
 
 /// Pause before a new view is looked for when the owner of a pool has changed under a request.
 const VIEW_PAUSE: Duration = Duration::from_millis(20);
@@ -55,7 +53,10 @@
         };
         tried.push(Arc::clone(&route.id));
         match run(shared, client, &route, call).await {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                count(shared, call, &region, &answer);
+                return Ok(answer);
+            }
             Err(trouble) if goes_on(&trouble, call) => last = Some(trouble),
             Err(trouble) => return Err(trouble),
         }
@@ -125,33 +126,57 @@
     let region = picked
         .map(Arc::clone)
         .map_err(|refusal| unservable(call, &from, refusal))?;
-    if region == shared.me.region || lent(shared, call, &region) {
+    if region == shared.me.region {
         return Ok(region);
     }
-    home(shared, view, call, &region)
+    match borrow(shared, call, &region) {
+        Ok(()) => Ok(region),
+        Err(shortage) => home(shared, view, call, &region, shortage),
+    }
 }
 
-/// Takes room that the region's hosts lent to this one; false where there is none left.
-fn lent(shared: &Shared, call: &Call, region: &str) -> bool {
+/// Takes room that the region's hosts lent to this one.
+fn borrow(shared: &Shared, call: &Call, region: &str) -> Result<(), Shortage> {
     let mut grantee = shared
         .grantee
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
-    let request = call.body.len() as f64 + HEAD_BYTES;
-    grantee.take(region, &call.service, request, ANSWER_BYTES, shared.now())
+    let sizes = (call.body.len() as f64 + HEAD_BYTES, ANSWER_BYTES);
+    grantee.take(region, &call.service, sizes, shared.now())
+}
+
+/// Counts an answer, and puts right what was taken of a link before its size was known.
+fn count(shared: &Shared, call: &Call, region: &str, answer: &Answer) {
+    shared
+        .meters
+        .answered(&call.service, call.body.len(), answer.body.len());
+    if region != &*shared.me.region {
+        let mut grantee = shared
+            .grantee
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let more = answer.body.len() as f64 - ANSWER_BYTES;
+        grantee.settle(region, &call.service, more);
+    }
 }
 
 /// The region to turn to when another lends no room: this host's own, which turns away itself what
 /// it cannot take. A share that no grant covers must not go out: many hosts that each exceed their
 /// grants a little overrun the region together.
-fn home(shared: &Shared, view: &View, call: &Call, region: &str) -> Result<Arc<str>, Trouble> {
+fn home(
+    shared: &Shared,
+    view: &View,
+    call: &Call,
+    region: &str,
+    shortage: Shortage,
+) -> Result<Arc<str>, Trouble> {
     let own = &shared.me.region;
     let service = view.services.get(&call.service);
     if service.is_some_and(|service| service.regions.contains_key(own)) {
         return Ok(Arc::clone(own));
     }
     let detail = format!("region {region} lends no room for {} now", call.service);
-    Err(Trouble::not_run(Kind::Overloaded, detail).retry_after(LEND_PAUSE))
+    Err(Trouble::not_run(Kind::Overloaded, detail).retry_after(shortage.retry_after))
 }
 
 fn unservable(call: &Call, from: &str, refusal: Refusal) -> Trouble {
