--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -13,6 +13,7 @@
 use crate::{
     args::Apply,
     exit::{Exit, Failure},
+    out,
     rt::block_on,
 };
 
@@ -41,7 +42,7 @@
             Failure::of(exit, &doubt)
         })?;
         let revision = revision(&verdict)?;
-        println!("{verdict}");
+        out::line(format_args!("{verdict}"))?;
         match args.list {
             Some(list) if args.wait => follow(list, revision, time).await,
             _ => Ok(()),
@@ -78,10 +79,10 @@
     loop {
         let behind = hosts::behind(list, revision).await?;
         if behind.is_empty() {
-            println!(
+            out::line(format_args!(
                 "every listed host follows it after {:.1} s",
                 start.elapsed().as_secs_f64()
-            );
+            ))?;
             return Ok(());
         }
         if start.elapsed() >= time {
--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -3,12 +3,16 @@
 use dunlinrock_config::config::{self, Checked};
 use dunlinrock_schema::config::Config;
 
-use crate::{args::Check, exit::Failure};
+use crate::{args::Check, exit::Failure, out};
 
 /// Checks a directory and prints what it holds.
 pub(crate) fn check(args: &Check) -> Result<(), Failure> {
     let config = read(&args.dir)?;
-    println!("{}: sound, {}", args.dir.display(), sizes(&config));
+    out::line(format_args!(
+        "{}: sound, {}",
+        args.dir.display(),
+        sizes(&config)
+    ))?;
     Ok(())
 }
 
--- a/crates/cli/src/commands/dump.rs
+++ b/crates/cli/src/commands/dump.rs
@@ -11,6 +11,7 @@
 use crate::{
     args::Dump,
     exit::{Exit, Failure},
+    out,
     rt::block_on,
 };
 
@@ -31,7 +32,7 @@
         );
         return Err(Failure::open(Exit::Failed, message));
     };
-    println!("{value:#}");
+    out::line(format_args!("{value:#}"))?;
     Ok(())
 }
 
--- a/crates/cli/src/commands/fake.rs
+++ b/crates/cli/src/commands/fake.rs
@@ -6,6 +6,7 @@
 use crate::{
     args::{Fake, FakeTargets},
     exit::Failure,
+    out,
     rt::{Signals, block_on},
     stand,
 };
@@ -15,12 +16,12 @@
     match args {
         Fake::Store(args) => {
             let store = Store::bind(&args.bind.to_string(), StoreRules::default())?;
-            println!("store on {}", store.addr());
+            out::line(format_args!("store on {}", store.addr()))?;
             wait()
         }
         Fake::List(args) => {
             let list = List::bind(&args.bind.to_string(), ListRules::default())?;
-            println!("list of hosts on {}", list.addr());
+            out::line(format_args!("list of hosts on {}", list.addr()))?;
             wait()
         }
         Fake::Targets(args) => targets(args),
@@ -30,11 +31,11 @@
 fn targets(args: &FakeTargets) -> Result<(), Failure> {
     let mut config = check::read(&args.dir)?;
     let targets = stand::bind(&mut config, false, args.warm)?;
-    println!(
+    out::line(format_args!(
         "{} targets of {}",
         targets.iter().count(),
         args.dir.display()
-    );
+    ))?;
     wait()
 }
 
--- a/crates/cli/src/commands/history.rs
+++ b/crates/cli/src/commands/history.rs
@@ -8,6 +8,7 @@
 use crate::{
     args::History,
     exit::{Exit, Failure},
+    out,
     rt::block_on,
 };
 
@@ -20,18 +21,18 @@
             .await
             .map_err(|e| Failure::of(Exit::Away, &e))
     })??;
-    println!(
+    out::line(format_args!(
         "{:>8}  {:<24}  {:<16}  {:<16}",
         "revision", "at", "by", "apply"
-    );
+    ))?;
     for entry in entries {
-        println!(
+        out::line(format_args!(
             "{:>8}  {:<24}  {:<16}  {:<16}",
             entry.revision,
             date(entry.at_ms),
             entry.by,
             entry.id
-        );
+        ))?;
     }
     Ok(())
 }
--- a/crates/cli/src/commands/hosts.rs
+++ b/crates/cli/src/commands/hosts.rs
@@ -15,6 +15,7 @@
 use crate::{
     args::{Hosts, HostsFrom},
     exit::{Exit, Failure},
+    out,
     rt::block_on,
 };
 
@@ -31,7 +32,6 @@
             service,
         } => print_found(&block_on(look_up(*at, *client, service))??),
     }
-    Ok(())
 }
 
 /// Names the listed hosts that do not follow a revision yet; those that leave do not count.
@@ -73,35 +73,37 @@
     Err(Failure::open(Exit::Failed, message))
 }
 
-fn print_listing(listing: &Listing) {
-    println!(
+fn print_listing(listing: &Listing) -> Result<(), Failure> {
+    out::line(format_args!(
         "{:<16}{:<16}{:<16}{:<22}{:<22}state",
         "host", "region", "domain", "callers", "peers"
-    );
+    ))?;
     for host in &listing.hosts {
         let state = if host.leaving { "leaving" } else { "live" };
-        println!(
+        out::line(format_args!(
             "{:<16}{:<16}{:<16}{:<22}{:<22}{state}",
             host.name, host.region, host.domain, host.callers, host.peers
-        );
+        ))?;
     }
+    Ok(())
 }
 
-fn print_found(found: &Found) {
-    println!(
+fn print_found(found: &Found) -> Result<(), Failure> {
+    out::line(format_args!(
         "{} at revision {}, for callers near {}; good for {} ms",
         found.service, found.revision, found.region, found.ttl_ms
-    );
+    ))?;
     for host in &found.hosts {
-        println!(
+        out::line(format_args!(
             "{:<16}{:<22}{:<16}{:>8}",
             host.name, host.address, host.domain, host.weight
-        );
+        ))?;
     }
     if let Some(binding) = &found.binding {
-        println!(
+        out::line(format_args!(
             "requests that may not be repeated: owner {}, witness {}, key {}.NONCE",
             binding.owner, binding.witness, binding.prefix
-        );
+        ))?;
     }
+    Ok(())
 }
--- a/crates/cli/src/commands/load.rs
+++ b/crates/cli/src/commands/load.rs
@@ -14,6 +14,7 @@
     caller::{Caller, Rules},
     exit::{Exit, Failure},
     load::{self, Mix, Pace, Report, Tally},
+    out,
     rt::block_on,
 };
 
@@ -81,15 +82,15 @@
 
 fn print(report: &Report, json: Option<&Path>) -> Result<(), Failure> {
     let Some(path) = json else {
-        print!("{report}");
+        out::print(format_args!("{report}"))?;
         return Ok(());
     };
     let text = serde_json::to_string_pretty(report).context("writing the report")?;
     if path == Path::new("-") {
-        println!("{text}");
+        out::line(format_args!("{text}"))?;
         return Ok(());
     }
-    print!("{report}");
+    out::print(format_args!("{report}"))?;
     fs::write(path, text + "\n")
         .map_err(|e| Failure::open(Exit::Usage, format!("cannot write {}: {e}", path.display())))
 }
--- a/crates/cli/src/commands/plan.rs
+++ b/crates/cli/src/commands/plan.rs
@@ -3,7 +3,7 @@
 use dunlinrock_config::plan as compare;
 
 use super::{check, store};
-use crate::{args::Plan, exit::Failure, rt::block_on};
+use crate::{args::Plan, exit::Failure, out, rt::block_on};
 
 /// Prints the difference between a directory and what is in force.
 pub(crate) fn plan(args: &Plan) -> Result<(), Failure> {
@@ -14,8 +14,10 @@
         Some(found) => (found.root.now.revision, found.config),
         None => (0, dunlinrock_schema::config::Config::default()),
     };
-    println!("against revision {revision}:");
-    print!("{}", compare::plan(&old, &new));
-    println!("apply with --base {revision} to be told if another apply comes first");
+    out::line(format_args!("against revision {revision}:"))?;
+    out::print(format_args!("{}", compare::plan(&old, &new)))?;
+    out::line(format_args!(
+        "apply with --base {revision} to be told if another apply comes first"
+    ))?;
     Ok(())
 }
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -7,7 +7,7 @@
 mod table;
 
 use std::{
-    io::{IsTerminal, Write},
+    io::IsTerminal,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread::{self, JoinHandle},
     time::{Duration, Instant},
@@ -20,6 +20,7 @@
     commands,
     exit::{Exit, Failure},
     load::{self, Mix, Pace, Tally},
+    out,
     rt::block_on,
 };
 
@@ -51,13 +52,17 @@
         return Err(Failure::open(Exit::Usage, "--rate takes a number above 0"));
     }
     let config = commands::read(&args.dir)?;
-    println!("{}: {}", args.dir.display(), commands::sizes(&config));
+    out::line(format_args!(
+        "{}: {}",
+        args.dir.display(),
+        commands::sizes(&config)
+    ))?;
     let mut stage = Stage::open(config)?;
-    println!(
+    out::line(format_args!(
         "{} hosts are ready at revision {}",
         stage.hosts.len(),
         stage.revision()
-    );
+    ))?;
     let pace = Pace {
         rate: args.rate,
         time: LOAD,
@@ -67,19 +72,22 @@
     let probe = Probe::spawn(&stage)?;
     let start = Instant::now();
     let load = start_load(&stage, &pace, &tally)?;
-    progress(start, DRAIN_AT, &tally);
+    progress(start, DRAIN_AT, &tally)?;
     let drain = stage.drain()?;
     probe.drain(&drain.domain);
-    println!("drain of domain {} is in force", drain.domain);
-    progress(start, STOP_AT, &tally);
+    out::line(format_args!("drain of domain {} is in force", drain.domain))?;
+    progress(start, STOP_AT, &tally)?;
     let stop = stop(&mut stage)?;
-    progress(start, LOAD, &tally);
+    progress(start, LOAD, &tally)?;
     join(load)?;
     let stop = stop.map(join).transpose()?;
     let samples = probe.stop()?;
     let tally = lock(&tally).clone();
     let audit = Audit::of(&stage, &tally, &samples, &drain, stop);
-    print!("{}", table::table(&stage, &pace, &tally, &samples, &audit));
+    out::print(format_args!(
+        "{}",
+        table::table(&stage, &pace, &tally, &samples, &audit)
+    ))?;
     audit.judge()
 }
 
@@ -107,7 +115,7 @@
     let Some(host) = stage.take_host() else {
         return Ok(None);
     };
-    println!("planned stop of host {} begins", host.name());
+    out::line(format_args!("planned stop of host {} begins", host.name()))?;
     spawn("stop", move || stop_host(host)).map(Some)
 }
 
@@ -125,7 +133,7 @@
 }
 
 /// Shows what callers got so far, once a second, until a time after `start`.
-fn progress(start: Instant, until: Duration, tally: &Mutex<Tally>) {
+fn progress(start: Instant, until: Duration, tally: &Mutex<Tally>) -> Result<(), Failure> {
     let live = std::io::stdout().is_terminal();
     loop {
         let now = start.elapsed();
@@ -142,15 +150,15 @@
             other += totals.ended() - totals.answered;
         }
         let end = if live { '\r' } else { '\n' };
-        print!(
+        out::print(format_args!(
             "{:>4.0} s: {sent:>6} sent, {answered:>6} answered, {other:>4} not{end}",
             start.elapsed().as_secs_f64()
-        );
-        let _ = std::io::stdout().flush();
+        ))?;
     }
     if live {
-        println!();
+        out::line("")?;
     }
+    Ok(())
 }
 
 fn lock(tally: &Mutex<Tally>) -> MutexGuard<'_, Tally> {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod exit;
 pub mod load;
 mod logs;
+mod out;
 mod rt;
 mod stand;
 
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use std::{fs, path::Path};
+use std::{fs, path::Path, process::Stdio};
 
 use dunlinrock_fakes::{Down, List, ListRules, Store, StoreRules};
-use support::program::{Ended, Running, example, free, run};
+use support::program::{Ended, Running, example, free, program, run};
 
 fn store() -> Store {
     Store::bind("127.0.0.1:0", StoreRules::default()).unwrap()
@@ -219,6 +219,23 @@
     );
 }
 
+#[test]
+fn a_reader_that_has_seen_enough_is_no_error() {
+    // `dunlinrock show ... | head` closes the pipe while the program still writes.
+    let store = store();
+    assert_eq!(on(&store, &["apply", &cursuri()]).code, 0);
+    let at = store.addr().to_string();
+    let mut child = program(&["show", "--store", &at])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let ended = child.wait_with_output().unwrap();
+    assert_eq!(ended.status.code(), Some(0), "{ended:?}");
+    assert_eq!(ended.stderr, b"");
+}
+
 #[test]
 fn waiting_needs_a_list_of_hosts() {
     let store = store();
