--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -72,12 +72,18 @@
     let probe = Probe::spawn(&stage)?;
     let start = Instant::now();
     let load = start_load(&stage, &pace, &tally)?;
+    progress(start, DRAIN_AT - TICK, &tally)?;
+    let earlier = stage.started();
     progress(start, DRAIN_AT, &tally)?;
-    let drain = stage.drain()?;
+    let drain = stage.drain(&earlier)?;
     probe.drain(&drain.domain);
-    out::line(format_args!("drain of domain {} is in force", drain.domain))?;
+    out::line(format_args!(
+        "drain of domain {} is in force, {:.3} s after its apply began",
+        drain.domain,
+        drain.at.elapsed().as_secs_f64()
+    ))?;
     progress(start, STOP_AT, &tally)?;
-    let stop = stop(&mut stage)?;
+    let stop = stop(&mut stage, &drain.domain)?;
     progress(start, LOAD, &tally)?;
     join(load)?;
     let stop = stop.map(join).transpose()?;
@@ -111,8 +117,11 @@
 }
 
 /// Stops one host that the drain left in use; tells how long it took.
-fn stop(stage: &mut Stage) -> Result<Option<JoinHandle<Result<Stopped, Failure>>>, Failure> {
-    let Some(host) = stage.take_host() else {
+fn stop(
+    stage: &mut Stage,
+    drained: &str,
+) -> Result<Option<JoinHandle<Result<Stopped, Failure>>>, Failure> {
+    let Some(host) = stage.take_host(drained) else {
         return Ok(None);
     };
     out::line(format_args!("planned stop of host {} begins", host.name()))?;
--- a/crates/cli/src/demo/probe.rs
+++ b/crates/cli/src/demo/probe.rs
@@ -44,7 +44,9 @@
     /// Last time at which it was seen at work, or to have begun some.
     pub(super) busy: Instant,
     /// Requests begun up to then.
-    started: u64,
+    pub(super) started: u64,
+    /// Requests begun before the drain.
+    pub(super) before: u64,
 }
 
 /// What was seen.
@@ -128,10 +130,17 @@
             self.region(name, slots, busy);
         }
         for (name, (busy, started)) in domains {
-            let seen = Domain { busy: now, started };
-            let domain = self.domains.entry(Arc::clone(name)).or_insert(seen.clone());
+            let domain = self.domains.entry(Arc::clone(name)).or_insert(Domain {
+                busy: now,
+                started,
+                before: started,
+            });
             if busy > 0 || started != domain.started {
-                *domain = seen;
+                domain.busy = now;
+                domain.started = started;
+            }
+            if drained.is_none() {
+                domain.before = started;
             }
         }
     }
--- a/crates/cli/src/demo/stage.rs
+++ b/crates/cli/src/demo/stage.rs
@@ -97,10 +97,23 @@
         self.regions.get(&callers).cloned()
     }
 
-    /// Drains the first failure domain.
-    pub(super) fn drain(&mut self) -> Result<Drained, Failure> {
-        let domain = self.config.domains.keys().next().cloned();
-        let domain = domain.ok_or_else(|| failed("the configuration has no domain"))?;
+    /// Counts the requests that the targets of each domain have begun.
+    pub(super) fn started(&self) -> BTreeMap<Arc<str>, u64> {
+        let mut started = BTreeMap::new();
+        for target in self.targets.iter() {
+            if let Some(entry) = self.config.targets.get(target.name()) {
+                *started.entry(Arc::clone(&entry.domain)).or_default() += target.counts().started;
+            }
+        }
+        started
+    }
+
+    /// Drains the domain that began the most requests since `earlier`: the drain of an idle one
+    /// would show nothing.
+    pub(super) fn drain(&mut self, earlier: &BTreeMap<Arc<str>, u64>) -> Result<Drained, Failure> {
+        let begun = |(name, n): &(Arc<str>, u64)| n - earlier.get(name).copied().unwrap_or(0);
+        let busiest = self.started().into_iter().max_by_key(begun);
+        let (domain, _) = busiest.ok_or_else(|| failed("the configuration has no target"))?;
         let drain = Drain {
             kind: DrainKind::Domain,
             name: Arc::clone(&domain),
@@ -112,8 +125,9 @@
     }
 
     /// Takes out a host of a domain that is not drained.
-    pub(super) fn take_host(&mut self) -> Option<Host> {
-        let last = self.config.domains.keys().next_back()?;
+    pub(super) fn take_host(&mut self, drained: &str) -> Option<Host> {
+        let mut domains = self.config.domains.keys().rev();
+        let last = domains.find(|name| ***name != *drained)?;
         let name = host_name(last, HOSTS);
         let at = self.hosts.iter().position(|host| **host.name() == *name)?;
         Some(self.hosts.remove(at))
--- a/crates/cli/src/demo/table.rs
+++ b/crates/cli/src/demo/table.rs
@@ -43,6 +43,12 @@
         let (mean, low) = (region.mean() * 100.0, region.low() * 100.0);
         writeln!(out, "{name:<32}{:>8}{mean:>7.1}%{low:>7.1}%", region.slots)?;
     }
+    writeln!(out, "\nRequests begun by targets")?;
+    writeln!(out, "{:<32}{:>12}{:>12}", "domain", "before drain", "after")?;
+    for (name, domain) in &samples.domains {
+        let after = domain.started - domain.before;
+        writeln!(out, "{name:<32}{:>12}{after:>12}", domain.before)?;
+    }
     writeln!(out, "\nHeadroom of links (answers, mean)")?;
     writeln!(
         out,
@@ -59,10 +65,10 @@
     }
     writeln!(out, "\nDrain time")?;
     let drain = audit.drain.as_secs_f64();
-    writeln!(out, "domain {:<25}{drain:>8.2} s", audit.domain)?;
+    writeln!(out, "domain {:<25}{drain:>8.3} s", audit.domain)?;
     if let Some(stop) = &audit.stop {
         let time = stop.time.as_secs_f64();
-        writeln!(out, "host {:<27}{time:>8.2} s", stop.name)?;
+        writeln!(out, "host {:<27}{time:>8.3} s", stop.name)?;
     }
     writeln!(out, "\nPromises")?;
     for (text, kept) in audit.promises() {
