--- a/crates/node/src/call/intake.rs
+++ b/crates/node/src/call/intake.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dunlinrock_schema::settings::LimitSettings;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::HeaderMap;
+use hyper::{HeaderMap, body::Body as _};
 use viz::Body;
 
 use crate::wire::{self, Kind, Trouble};
@@ -32,6 +32,9 @@
 
 /// Reads a whole body, or says why it was not taken. Nothing has run at that point.
 pub async fn read_body(body: Body, bounds: Bounds) -> Result<Bytes, Trouble> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
     let whole = Limited::new(body, bounds.bytes).collect();
     match tokio::time::timeout(bounds.time, whole).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
--- a/crates/node/src/duties/callers/mod.rs
+++ b/crates/node/src/duties/callers/mod.rs
@@ -1,4 +1,4 @@
-//! Serves callers: look-ups and calls.
+//! Serves callers: look-ups and calls, and the pools owned here.
 
 mod call;
 mod lookup;
@@ -9,13 +9,15 @@
 use tokio::{net::TcpListener, sync::watch};
 use viz::{Body, Request, Response, Router, StatusCode, Tree};
 
-use super::spawn;
-use crate::{serve, shared::Shared, wire::Client};
+use super::{pools, spawn};
+use crate::{ring, serve, shared::Shared, wire::Client};
 
-/// Spawns the duty on a bound listener; it ends when `stop` turns true and the last answer is out.
+/// Spawns the duty on a bound listener. It ends when `stop` has turned true, the last answer is out,
+/// and the pools were told to stop.
 pub fn open(
     shared: Arc<Shared>,
     listener: std::net::TcpListener,
+    pools: ring::Receiver<pools::Input>,
     stop: watch::Receiver<bool>,
 ) -> io::Result<JoinHandle<()>> {
     spawn("callers", move || async move {
@@ -27,8 +29,9 @@
             }
         };
         let limits = limits(&shared);
+        let pools = pools::drive(shared.clock, pools);
         let tree = Arc::new(Tree::from(router(shared)));
-        let Ok(()) = serve::serve(listener, tree, limits, stop).await;
+        let (Ok(()), ()) = futures::join!(serve::serve(listener, tree, limits, stop), pools);
     })
 }
 
--- a/crates/node/src/duties/control/routes.rs
+++ b/crates/node/src/duties/control/routes.rs
@@ -23,7 +23,7 @@
     view::{Heard, Member, PoolRoute, RouteParts, ServiceRoute},
 };
 
-/// Delay within a failure domain, and from a host to itself.
+/// Delay within a failure domain.
 const LOCAL: Duration = Duration::from_micros(100);
 /// Delay assumed where the configuration has no link between two regions.
 const FAR: Duration = Duration::from_millis(100);
@@ -202,6 +202,9 @@
 
 /// One-way delay between two hosts, by the configuration.
 fn delay(config: &Config, me: &Member, other: &Member) -> Duration {
+    if me.name == other.name {
+        return Duration::ZERO;
+    }
     if me.domain == other.domain {
         return LOCAL;
     }
--- a/crates/node/src/duties/pools/input.rs
+++ b/crates/node/src/duties/pools/input.rs
@@ -31,6 +31,8 @@
         target: Arc<str>,
         /// How it ended.
         outcome: Outcome,
+        /// The target's word about its own load, where its answer brought one.
+        report: Option<Report>,
     },
     /// A holder is gone: its request leaves the queue, its runs have been aborted. Full ring:
     /// delivered later.
@@ -40,15 +42,6 @@
         /// The request.
         ticket: u64,
     },
-    /// A target's word about its own load. Full ring: dropped, the next one replaces it.
-    Report {
-        /// The pool.
-        pool: Arc<PoolId>,
-        /// The target.
-        target: Arc<str>,
-        /// Its word.
-        report: Report,
-    },
     /// Words of other hosts about requests that kill their targets. Full ring: delivered later.
     Hear(Vec<Word>),
     /// Asks for the state of every pool. Full ring: the asker goes without.
--- a/crates/node/src/duties/pools/mod.rs
+++ b/crates/node/src/duties/pools/mod.rs
@@ -4,33 +4,31 @@
 //! task that carries one request, offers it and then gets events: where to send it, what to abort,
 //! or that it is turned away. The duty never waits for a holder: events go into a channel that the
 //! holder owns, and one that is gone is cancelled.
+//!
+//! It shares its thread with the callers' duty, whose requests need it most: a decision takes about
+//! a microsecond, and waking another thread and being woken by it took some tens, twice a request.
+//! The notes of the path (`docs/notes/threads.md`) have the figures. Other duties reach it through
+//! its ring all the same.
 
 mod input;
 mod owned;
 mod plan;
 
-use std::{collections::BTreeMap, io, sync::Arc, thread::JoinHandle};
+use std::{collections::BTreeMap, sync::Arc};
 
 use self::owned::Owned;
 pub use self::{
     input::{Event, Events, Input, PoolReport},
     plan::{PoolId, PoolPlan},
 };
-use super::spawn;
 use crate::{clock::Clock, ring};
 
 /// Inputs that may wait for the duty. Each request makes two or three; at 20,000 requests a second
 /// this is a hundred milliseconds of work, beyond which an offer is better turned away at once.
 pub const RING: usize = 4096;
 
-/// Spawns the duty.
-pub fn open(clock: Clock) -> io::Result<(ring::Sender<Input>, JoinHandle<()>)> {
-    let (sender, receiver) = ring::open(RING);
-    let thread = spawn("pools", move || drive(clock, receiver))?;
-    Ok((sender, thread))
-}
-
-async fn drive(clock: Clock, mut inputs: ring::Receiver<Input>) {
+/// Drives the pools until [`Input::Stop`] comes.
+pub(super) async fn drive(clock: Clock, mut inputs: ring::Receiver<Input>) {
     let mut pools: BTreeMap<Arc<PoolId>, Owned> = BTreeMap::new();
     loop {
         let wake = pools.values().filter_map(Owned::next_wake).min();
@@ -70,9 +68,10 @@
             ticket,
             target,
             outcome,
+            report,
         } => {
             if let Some(owned) = pools.get_mut(&pool) {
-                owned.finish(ticket, &target, outcome, now);
+                owned.finish(ticket, &target, (outcome, report), now);
             }
         }
         Input::Cancel { pool, ticket } => {
@@ -80,15 +79,6 @@
                 owned.cancel(ticket, now);
             }
         }
-        Input::Report {
-            pool,
-            target,
-            report,
-        } => {
-            if let Some(owned) = pools.get_mut(&pool) {
-                owned.report(&target, report, now);
-            }
-        }
         Input::Hear(words) => {
             for owned in pools.values_mut() {
                 owned.hear(&words, now);
--- a/crates/node/src/duties/pools/owned.rs
+++ b/crates/node/src/duties/pools/owned.rs
@@ -107,7 +107,16 @@
         self.poll(now);
     }
 
-    pub(super) fn finish(&mut self, ticket: u64, target: &str, outcome: Outcome, now: Duration) {
+    pub(super) fn finish(
+        &mut self,
+        ticket: u64,
+        target: &str,
+        (outcome, report): (Outcome, Option<Report>),
+        now: Duration,
+    ) {
+        if let Some(report) = report {
+            self.pool.report(target, report, now);
+        }
         let ending = self.pool.finish(ticket, target, outcome, now);
         match ending {
             Ending::Final { .. } => {
@@ -137,11 +146,6 @@
         self.poll(now);
     }
 
-    pub(super) fn report(&mut self, target: &str, report: Report, now: Duration) {
-        self.pool.report(target, report, now);
-        self.poll(now);
-    }
-
     pub(super) fn hear(&mut self, words: &[Word], now: Duration) {
         for word in words {
             self.pool.hear(*word, now);
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -32,13 +32,24 @@
 /// processes that start under one name in the same millisecond differ.
 pub(crate) const INCARNATION_BITS: u32 = 20;
 
+/// Pause before a full ring is tried again.
+const PUSH_PAUSE: Duration = Duration::from_millis(1);
+
 /// A running host. Dropped without [`Host::leave`], it goes on until the process ends.
 #[derive(Debug)]
 pub struct Host {
     shared: Arc<Shared>,
     stop: watch::Sender<bool>,
     control: JoinHandle<control::Ending>,
-    threads: Vec<JoinHandle<()>>,
+    threads: Threads,
+}
+
+/// Threads of the duties that serve.
+#[derive(Debug)]
+struct Threads {
+    callers: JoinHandle<()>,
+    peers: JoinHandle<()>,
+    ledger: JoinHandle<()>,
 }
 
 impl Host {
@@ -66,7 +77,7 @@
         let prefix = settings.metrics.clone().unwrap_or_default().prefix;
         let metrics = Metrics::open(&prefix, receiver)?;
         let view = Arc::new(ArcSwap::from_pointee(View::empty()));
-        let (pools, pools_thread) = pools::open(clock)?;
+        let (pools, pool_inputs) = ring::open(pools::RING);
         let timing = settings.timing.clone().unwrap_or_default();
         let limits = ledger::limits(&timing);
         let ledger = ledger::open(me.incarnation, limits, clock, Arc::clone(&view))?;
@@ -90,12 +101,11 @@
             tickets: AtomicU64::new(1),
         });
         let (stop, stopped) = watch::channel(false);
-        let threads = vec![
-            callers::open(Arc::clone(&shared), callers, stopped.clone())?,
-            peers::open(Arc::clone(&shared), peers, stopped)?,
-            pools_thread,
-            ledger.thread,
-        ];
+        let threads = Threads {
+            callers: callers::open(Arc::clone(&shared), callers, pool_inputs, stopped.clone())?,
+            peers: peers::open(Arc::clone(&shared), peers, stopped)?,
+            ledger: ledger.thread,
+        };
         let control = control::open(Arc::clone(&shared), inputs)?;
         log::info!(
             host = &*shared.me.name, incarnation = shared.me.incarnation,
@@ -169,11 +179,12 @@
             .join()
             .map_err(|_| anyhow::anyhow!("the control duty died"))?;
         self.stop.send_replace(true);
-        self.shared.pools.push(pools::Input::Stop).ok();
-        self.shared.ledger.push(ledger::Input::Stop).ok();
-        for thread in self.threads {
-            thread.join().map_err(|_| anyhow::anyhow!("a duty died"))?;
-        }
+        join(self.threads.peers)?;
+        // The pools end after the last request of another host has left them.
+        push(&self.shared.pools, pools::Input::Stop);
+        join(self.threads.callers)?;
+        push(&self.shared.ledger, ledger::Input::Stop);
+        join(self.threads.ledger)?;
         log::info!(host = &*self.shared.me.name, drain_ms = millis(ending.drain); "host stopped");
         Ok(ending.drain)
     }
@@ -184,6 +195,22 @@
     }
 }
 
+fn join(thread: JoinHandle<()>) -> anyhow::Result<()> {
+    let name = thread.thread().name().unwrap_or("duty").to_owned();
+    thread
+        .join()
+        .map_err(|_| anyhow::anyhow!("the {name} duty died"))
+}
+
+/// Pushes a command, waiting while the ring is full; its duty empties it in milliseconds.
+fn push<T>(ring: &ring::Sender<T>, command: T) {
+    let mut command = command;
+    while let Err(ring::Full(back)) = ring.push(command) {
+        command = back;
+        std::thread::sleep(PUSH_PAUSE);
+    }
+}
+
 fn metrics_address(settings: &Settings) -> anyhow::Result<Option<SocketAddr>> {
     let address = settings
         .metrics
--- a/crates/node/src/run/holder.rs
+++ b/crates/node/src/run/holder.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dunlinrock_decide::admit::{Ending, Offer, Outcome, Refusal};
+use dunlinrock_decide::admit::{Ending, Offer, Outcome, Refusal, Report};
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use tokio::time::{Instant, sleep_until};
 
@@ -48,12 +48,13 @@
 }
 
 impl Ticket<'_> {
-    fn finish(&self, target: &Arc<str>, outcome: Outcome) {
+    fn finish(&self, target: &Arc<str>, outcome: Outcome, report: Option<Report>) {
         self.shared.pools.deliver(Input::Finish {
             pool: Arc::clone(&self.pool),
             ticket: self.number,
             target: Arc::clone(target),
             outcome,
+            report,
         });
     }
 }
@@ -96,8 +97,7 @@
                     continue; // aborted meanwhile
                 }
                 running.retain(|other| *other != name);
-                report(shared, &ticket, &name, &ran);
-                ticket.finish(&name, ran.outcome);
+                ticket.finish(&name, ran.outcome, ran.report);
                 let home = call.region == shared.me.region;
                 shared.meters.ran(&route.id.service, ran.time, home);
                 if ran.outcome == Outcome::Ok && let Some(answer) = ran.answer {
@@ -133,7 +133,7 @@
             },
             () = sleep_until(call.deadline) => {
                 for name in &running {
-                    ticket.finish(name, Outcome::TimedOut);
+                    ticket.finish(name, Outcome::TimedOut, None);
                 }
                 return Held::Trouble(late(started));
             }
@@ -180,18 +180,6 @@
     }
 }
 
-fn report(shared: &Shared, ticket: &Ticket<'_>, target: &Arc<str>, ran: &Ran) {
-    if let Some(report) = ran.report {
-        let (pool, target) = (Arc::clone(&ticket.pool), Arc::clone(target));
-        // A full ring drops it: the target's next answer brings a newer one.
-        let _ = shared.pools.push(Input::Report {
-            pool,
-            target,
-            report,
-        });
-    }
-}
-
 fn ended(last: Option<Ran>, ran: bool) -> Held {
     let Some(last) = last else {
         return Held::Trouble(Trouble::unknown(
