--- /dev/null
+++ b/crates/admit/tests/choose.rs
@@ -0,0 +1,107 @@
+//! Which pool a request is handed to.
+
+use std::time::Duration;
+
+use dunlinrock_admit::{Candidate, Load, choose};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn candidate(slots: u32, busy: u32, wait: u64) -> Candidate {
+    let load = Load {
+        slots,
+        busy,
+        wait: ms(wait),
+        turn: ms(2),
+        ..Load::default()
+    };
+    Candidate {
+        load,
+        ..Candidate::default()
+    }
+}
+
+/// How often each candidate is chosen, over many draws.
+fn shares(candidates: &[Candidate]) -> Vec<f64> {
+    const DRAWS: u64 = 10_000;
+    let mut counts = vec![0_u32; candidates.len()];
+    for i in 0..DRAWS {
+        let draw = i
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+            .rotate_left(17)
+            .wrapping_mul(0x2545_f491_4f6c_dd1d);
+        if let Some(at) = choose(candidates, draw) {
+            counts[at] += 1;
+        }
+    }
+    counts
+        .into_iter()
+        .map(|n| f64::from(n) / DRAWS as f64)
+        .collect()
+}
+
+#[test]
+fn the_own_pool_is_used_while_it_has_free_slots() {
+    let own = candidate(9, 5, 0);
+    let other = Candidate {
+        delay: ms(1),
+        ..candidate(9, 0, 0)
+    };
+    assert_eq!(shares(&[own, other]), [1.0, 0.0]);
+}
+
+#[test]
+fn work_goes_over_when_the_wait_is_longer_than_the_way() {
+    let own = candidate(9, 9, 30);
+    let other = Candidate {
+        delay: ms(1),
+        ..candidate(9, 3, 0)
+    };
+    assert_eq!(shares(&[own, other]), [0.0, 1.0]);
+}
+
+/// Summaries lag by half a second. A pool that looked idle gets work from everybody until the next
+/// one; a host at least counts what it has itself sent there.
+#[test]
+fn what_was_sent_since_the_summary_counts() {
+    let own = candidate(9, 9, 10);
+    let idle = Candidate {
+        delay: ms(1),
+        age: ms(400),
+        ..candidate(9, 3, 0)
+    };
+    assert_eq!(shares(&[own, idle])[1], 1.0);
+    let filled = Candidate { sent: 30, ..idle };
+    assert_eq!(shares(&[own, filled])[1], 0.0);
+}
+
+#[test]
+fn a_pool_without_slots_gets_nothing() {
+    assert_eq!(
+        shares(&[candidate(0, 0, 0), candidate(9, 9, 900)]),
+        [0.0, 1.0]
+    );
+    assert_eq!(choose(&[candidate(0, 0, 0)], 1), None);
+    assert_eq!(choose(&[], 1), None);
+}
+
+#[test]
+fn equal_pools_share_by_their_slots() {
+    let s = shares(&[candidate(4, 0, 0), candidate(8, 0, 0), candidate(12, 0, 0)]);
+    assert!(
+        (s[0] - 1.0 / 6.0).abs() < 0.1 && (s[2] - 0.5).abs() < 0.1,
+        "{s:?}"
+    );
+}
+
+#[test]
+fn an_old_summary_is_not_believed() {
+    let own = candidate(9, 9, 10);
+    let old = Candidate {
+        delay: ms(1),
+        age: ms(60_000),
+        ..candidate(9, 0, 0)
+    };
+    assert_eq!(shares(&[own, old]), [1.0, 0.0]);
+}
--- /dev/null
+++ b/crates/admit/tests/pool.rs
@@ -0,0 +1,245 @@
+//! What a pool does at single moments.
+
+mod common;
+
+use std::sync::Arc;
+
+use dunlinrock_admit::{
+    Action, Cancelled, Ending, Offer, Outcome, Pool, PoolRules, Refusal, Report, TargetSpec,
+    Verdict,
+};
+
+use common::{ms, name, offer, pool, specs, start, started, teach};
+
+#[test]
+fn starts_go_to_the_emptiest_target() {
+    let mut p = pool(3, 3);
+    let mut targets: Vec<Arc<str>> = (0..3).map(|i| start(&mut p, i, ms(0))).collect();
+    targets.sort();
+    assert_eq!(targets, [name(0), name(1), name(2)]);
+}
+
+#[test]
+fn what_cannot_be_answered_in_time_is_refused_at_once() {
+    let mut p = pool(1, 1);
+    let now = teach(&mut p, ms(0));
+    start(&mut p, 1, now);
+    let late = Offer {
+        deadline: now + ms(10),
+        ..offer(2, now)
+    };
+    let Verdict::Refused {
+        reason,
+        retry_after,
+    } = p.offer(late, now)
+    else {
+        panic!("it cannot be done in 10 ms");
+    };
+    assert_eq!(reason, Refusal::Late);
+    assert!(retry_after >= ms(50));
+    assert_eq!(p.state(now).load.queued, 0);
+}
+
+#[test]
+fn a_queued_request_starts_when_a_slot_is_free() {
+    let mut p = pool(1, 1);
+    let now = teach(&mut p, ms(0));
+    let target = start(&mut p, 1, now);
+    assert_eq!(p.offer(offer(2, now), now), Verdict::Queued);
+    p.finish(1, &target, Outcome::Ok, now + ms(20));
+    assert_eq!(started(&p.poll(now + ms(20))), [2]);
+}
+
+/// The caller is told that its request was not run after it has waited as long as requests may.
+/// The only slot is taken by a run that does not end; nobody else comes. The pool must not keep
+/// the request until the deadline, and must not start it afterwards.
+#[test]
+fn a_request_that_waited_in_vain_is_refused_and_never_starts() {
+    let mut p = pool(1, 1);
+    let now = teach(&mut p, ms(0));
+    let target = start(&mut p, 1, now);
+    p.offer(offer(2, now), now);
+    let (refused, at) = loop {
+        let at = p.next_wake().expect("a request waits");
+        let actions = p.poll(at);
+        if let Some(Action::Refuse {
+            ticket,
+            reason,
+            ran,
+            ..
+        }) = actions.first()
+        {
+            break ((*ticket, *reason, *ran), at);
+        }
+    };
+    assert_eq!(refused, (2, Refusal::Patience, false));
+    assert_eq!(at, now + PoolRules::default().patience);
+    p.finish(1, &target, Outcome::Ok, at);
+    assert_eq!(p.poll(at), []);
+}
+
+#[test]
+fn a_cancelled_request_leaves_the_queue() {
+    let mut p = pool(1, 1);
+    let now = teach(&mut p, ms(0));
+    let target = start(&mut p, 1, now);
+    p.offer(offer(2, now), now);
+    assert_eq!(p.cancel(2, now), Cancelled::Queued { ran: false });
+    assert_eq!(
+        p.cancel(1, now),
+        Cancelled::Running(vec![Arc::clone(&target)])
+    );
+    assert_eq!(p.finish(1, &target, Outcome::Cancelled, now), Ending::Stale);
+    assert_eq!(p.poll(now), []);
+    assert_eq!(p.state(now).load.busy, 0);
+}
+
+#[test]
+fn a_light_caller_overtakes_a_heavy_one() {
+    let mut p = pool(1, 1);
+    let now = teach(&mut p, ms(0));
+    let target = start(&mut p, 0, now);
+    for i in 1..6 {
+        let heavy = Offer {
+            caller: 7,
+            ..offer(i, now)
+        };
+        assert_eq!(p.offer(heavy, now), Verdict::Queued);
+    }
+    assert_eq!(p.offer(offer(10, now), now), Verdict::Queued);
+    p.finish(0, &target, Outcome::Ok, now + ms(20));
+    let first = started(&p.poll(now + ms(20)))[0];
+    p.finish(first, &target, Outcome::Ok, now + ms(40));
+    let second = started(&p.poll(now + ms(40)))[0];
+    assert!(
+        [first, second].contains(&10),
+        "the light caller waits behind {first} and {second}"
+    );
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_new() {
+    let mut p = pool(2, 2);
+    p.report(
+        "t0",
+        Report {
+            leaving: true,
+            ..Report::default()
+        },
+        ms(0),
+    );
+    assert_eq!([1, 2].map(|i| start(&mut p, i, ms(0))), [name(1), name(1)]);
+    assert_eq!(p.offer(offer(3, ms(0)), ms(0)), Verdict::Queued);
+    p.report(
+        "t1",
+        Report {
+            leaving: true,
+            ..Report::default()
+        },
+        ms(1),
+    );
+    let actions = p.poll(ms(1));
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            ticket: 3,
+            reason: Refusal::NoTarget,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn a_target_that_is_removed_finishes_its_runs() {
+    let mut p = pool(2, 1);
+    let targets = [1, 2].map(|i| start(&mut p, i, ms(0)));
+    p.reconfigure(PoolRules::default(), &specs(1, 1), ms(1));
+    assert_eq!(p.state(ms(1)).load.busy, 2);
+    let end = p.finish(2, &targets[1], Outcome::Ok, ms(5));
+    assert_eq!(end, Ending::Final { ran: true });
+    let waits = p.offer(offer(3, ms(5)), ms(5));
+    assert_eq!(waits, Verdict::Queued, "t0 is busy and t1 is gone");
+}
+
+#[test]
+fn a_cold_target_gets_its_slots_bit_by_bit() {
+    let rules = PoolRules {
+        ramp: ms(3000),
+        ..PoolRules::default()
+    };
+    let cold = TargetSpec {
+        cold: true,
+        ..specs(1, 3)[0].clone()
+    };
+    let p = Pool::open(rules, std::slice::from_ref(&cold), ms(0));
+    assert_eq!(p.state(ms(0)).targets[0].limit, 1);
+    let limits = [999, 1000, 2000].map(|t| {
+        let mut p = Pool::open(
+            PoolRules {
+                ramp: ms(3000),
+                ..PoolRules::default()
+            },
+            std::slice::from_ref(&cold),
+            ms(0),
+        );
+        p.poll(ms(t));
+        p.state(ms(t)).targets[0].limit
+    });
+    assert_eq!(limits, [1, 2, 3]);
+}
+
+#[test]
+fn a_false_report_holds_back_half_the_slots_for_a_while() {
+    let mut p = pool(1, 8);
+    let full = Report {
+        busy: 1000,
+        slots: 8,
+        ..Report::default()
+    };
+    let mut held = 0;
+    for t in 0..240 {
+        let now = ms(500 * t);
+        p.report("t0", full, now);
+        p.poll(now);
+        let limit = p.state(now).targets[0].limit;
+        assert!(limit >= 4);
+        held += u32::from(limit < 8);
+    }
+    assert!(
+        (1..=48).contains(&held),
+        "held back at {held} of 240 moments"
+    );
+    p.report(
+        "t0",
+        Report {
+            busy: 0,
+            slots: 1000,
+            ..Report::default()
+        },
+        ms(120_000),
+    );
+    assert!(
+        p.state(ms(120_000)).targets[0].limit <= 8,
+        "a report never raises"
+    );
+}
+
+#[test]
+fn memory_does_not_grow_with_callers_keys_or_kinds() {
+    let mut p = pool(2, 2);
+    for i in 0..100_000_u64 {
+        let now = ms(i);
+        let o = Offer {
+            kind: i,
+            deadline: now + ms(50),
+            ..offer(i, now)
+        };
+        if let Verdict::Start { target } = p.offer(o, now) {
+            p.finish(i, &target, Outcome::Ok, now + ms(1));
+        }
+        p.poll(now + ms(1));
+    }
+    let state = p.state(ms(100_000));
+    assert!(state.kinds <= 256, "{} kinds", state.kinds);
+    assert!(state.load.queued <= 512);
+}
--- /dev/null
+++ b/crates/admit/tests/quarantine.rs
@@ -0,0 +1,125 @@
+//! Who is suspected and who is convicted.
+
+use std::time::Duration;
+
+use dunlinrock_admit::{Grade, Quarantine, Victim, Word};
+
+fn at(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn victim(fingerprint: u64, since: u64) -> Victim {
+    Victim {
+        fingerprint,
+        since: at(since),
+    }
+}
+
+#[test]
+fn two_deaths_convict_only_if_the_second_was_alone() {
+    let mut q = Quarantine::open();
+    q.death(&[victim(1, 0), victim(2, 0)], at(1));
+    q.death(&[victim(1, 2), victim(2, 2)], at(3));
+    assert_eq!([1, 2].map(|f| q.grade(f, at(3))), [Some(Grade::Suspect); 2]);
+    q.death(&[victim(1, 4)], at(5));
+    assert_eq!(
+        [1, 2].map(|f| q.grade(f, at(5))),
+        [Some(Grade::Convict), Some(Grade::Suspect)]
+    );
+}
+
+/// A whole failure domain loses power. A popular page ran on each of its targets, and on some of
+/// them it was alone. Callers see failures once; the page must not be refused afterwards, because
+/// all those runs had begun before the first death was known.
+#[test]
+fn a_domain_that_dies_at_once_convicts_nobody() {
+    let mut q = Quarantine::open();
+    for _ in 0..8 {
+        q.death(&[victim(1, 0)], at(1));
+    }
+    assert_eq!(q.grade(1, at(1)), Some(Grade::Suspect));
+}
+
+#[test]
+fn a_run_that_ends_well_clears_a_suspect_and_not_a_convict() {
+    let mut q = Quarantine::open();
+    q.death(&[victim(1, 0)], at(1));
+    q.ran(1);
+    assert_eq!(q.grade(1, at(2)), None);
+    q.death(&[victim(1, 2)], at(3));
+    assert_eq!(
+        q.grade(1, at(3)),
+        Some(Grade::Suspect),
+        "the earlier death was not its doing"
+    );
+    q.death(&[victim(1, 4)], at(5));
+    q.ran(1);
+    assert_eq!(q.grade(1, at(5)), Some(Grade::Convict));
+}
+
+#[test]
+fn a_death_here_convicts_a_suspect_of_a_peer() {
+    let mut q = Quarantine::open();
+    q.hear(
+        Word {
+            fingerprint: 1,
+            grade: Grade::Suspect,
+            life: at(60),
+        },
+        at(10),
+    );
+    q.death(&[victim(1, 11)], at(12));
+    assert_eq!(q.grade(1, at(12)), Some(Grade::Convict));
+    let words = q.words();
+    assert_eq!(words.len(), 1);
+    assert_eq!((words[0].fingerprint, words[0].grade), (1, Grade::Convict));
+    assert_eq!(q.words(), [], "said once");
+}
+
+#[test]
+fn a_word_is_idempotent_and_ends() {
+    let mut q = Quarantine::open();
+    let word = Word {
+        fingerprint: 1,
+        grade: Grade::Convict,
+        life: at(60),
+    };
+    q.hear(word, at(0));
+    q.hear(word, at(30));
+    assert_eq!(q.grade(1, at(59)), Some(Grade::Convict));
+    assert_eq!(
+        q.grade(1, at(60)),
+        None,
+        "a word that goes round does not last for ever"
+    );
+    q.hear(
+        Word {
+            life: at(1_000_000),
+            ..word
+        },
+        at(100),
+    );
+    assert!(
+        q.remaining(1, at(100)) <= at(3600),
+        "a peer cannot refuse a request for good"
+    );
+}
+
+#[test]
+fn records_are_bounded_and_convicts_stay_longest() {
+    let mut q = Quarantine::open();
+    q.hear(
+        Word {
+            fingerprint: 0,
+            grade: Grade::Convict,
+            life: at(60),
+        },
+        at(0),
+    );
+    for f in 1..10_000 {
+        q.death(&[victim(f, 0)], at(1));
+    }
+    assert!(q.all(at(1)).len() <= 256);
+    assert!(q.words().len() <= 256);
+    assert_eq!(q.grade(0, at(1)), Some(Grade::Convict));
+}
