--- a/crates/admit/examples/sweep.rs
+++ b/crates/admit/examples/sweep.rs
@@ -62,7 +62,7 @@
     },
     Sweep {
         name: "ramp-s",
-        loads: &["killer requests"],
+        loads: &["cold target", "killer requests"],
         values: &[0.1, 2.0, 5.0, 10.0, 30.0],
         set: |rules, x| rules.ramp = Duration::from_secs_f64(x),
     },
--- a/crates/admit/src/drive/pools.rs
+++ b/crates/admit/src/drive/pools.rs
@@ -230,10 +230,7 @@
                 }
                 Action::Abort { ticket, target } => self.abort(ticket, &target, now),
                 Action::Refuse { ticket, reason, .. } => {
-                    self.figures.refused_late += 1;
-                    if let Some((r, _)) = self.requests.get(&ticket) {
-                        self.figures.refused_waits.push(now - r.arrived);
-                    }
+                    self.refused_late(ticket, now);
                     self.refuse(ticket, reason);
                 }
             }
@@ -248,6 +245,16 @@
         }
     }
 
+    fn refused_late(&mut self, ticket: u64, now: Duration) {
+        let Some((request, _)) = self.requests.get(&ticket) else {
+            return;
+        };
+        if self.counts(request) {
+            self.figures.refused_late += 1;
+            self.figures.refused_waits.push(now - request.arrived);
+        }
+    }
+
     fn start(&mut self, ticket: u64, name: &str, now: Duration) {
         let target = self.names.iter().position(|n| &**n == name).unwrap_or(0);
         let (request, _) = self.requests[&ticket];
--- a/crates/admit/src/fair/queue.rs
+++ b/crates/admit/src/fair/queue.rs
@@ -8,11 +8,8 @@
 /// pays, keys are only what is popular, and a strict share would punish every popular course.
 const KEY_SHARE: u64 = 4;
 
-/// Span over which the speed of the clock is measured: a few starts of a small pool.
-const SPAN: Duration = Duration::from_millis(100);
-
-/// Weight of the latest span in that speed.
-const GAIN: f64 = 0.3;
+/// Seconds of queueing over which the speed of the clock is averaged.
+const MEMORY: f64 = 0.2;
 
 /// A place in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,27 +38,35 @@
 }
 
 /// How fast the clock of a queue moves while requests wait.
+///
+/// The jump of the clock when the queue runs empty counts too: without it only the queues that
+/// last would be measured, and callers would be refused for waits that never come.
 #[derive(Clone, Copy, Debug, Default)]
 struct Pace {
-    /// Clock and time at the start of the present span.
+    /// Clock and time when it was last looked at.
     mark: Option<(u64, Duration)>,
-    /// Clock units, which are microseconds of work, per second.
-    speed: Option<f64>,
+    /// Way of the clock, in microseconds of work, of late.
+    way: f64,
+    /// Time that it took, in seconds.
+    time: f64,
 }
 
 impl Pace {
     fn note(&mut self, clock: u64, now: Duration) {
-        let Some((from, since)) = self.mark else {
-            self.mark = Some((clock, now));
-            return;
-        };
-        let time = now.saturating_sub(since);
-        if time < SPAN {
-            return;
+        if let Some((from, since)) = self.mark {
+            self.way += (clock - from) as f64;
+            self.time += now.saturating_sub(since).as_secs_f64();
         }
-        let fresh = (clock - from) as f64 / time.as_secs_f64();
-        self.speed = Some(self.speed.map_or(fresh, |old| old + GAIN * (fresh - old)));
         self.mark = Some((clock, now));
+        if self.time > MEMORY {
+            self.way /= 2.0;
+            self.time /= 2.0;
+        }
+    }
+
+    /// Units of the clock per second.
+    fn speed(&self) -> Option<f64> {
+        (self.time > MEMORY / 10.0).then(|| (self.way / self.time).max(1.0))
     }
 }
 
@@ -187,8 +192,8 @@
     /// still come. Where every caller offers more than its share, half of what is served comes so.
     pub(crate) fn reach(&self, rank: u64) -> Duration {
         let lead = rank.saturating_sub(self.clock) as f64;
-        match self.pace.speed {
-            Some(speed) if lead > 0.0 => Duration::from_secs_f64((lead / speed.max(1.0)).min(1e6)),
+        match self.pace.speed() {
+            Some(speed) if lead > 0.0 => Duration::from_secs_f64((lead / speed).min(1e6)),
             _ => Duration::ZERO,
         }
     }
@@ -198,6 +203,10 @@
         self.clock = self.clock.max(slot.rank);
         self.pace.note(self.clock, now);
         self.take(slot);
+        if self.list.is_empty() {
+            self.pace.note(self.clock, now);
+            self.pace.mark = None;
+        }
     }
 
     /// Removes a request that leaves without having been started, and takes back its charge:
--- a/crates/admit/src/target/health.rs
+++ b/crates/admit/src/target/health.rs
@@ -7,9 +7,11 @@
 
 use std::time::Duration;
 
-/// Weight of a sample in the ratio of measured to expected time. With exponential times the ratio
-/// of a healthy target scatters by 0.38 around 1, so that a threshold of 3 is 5 deviations away.
-const GAIN: f64 = 0.25;
+/// Weight of a sample in the ratio of measured to expected time. With 0.25 a run of long requests
+/// had a healthy target ejected every few hundred thousand, which cost a third of a pool for
+/// seconds; with 0.1 a target 10 times slower is still found within its first runs, since each of
+/// them gives several samples while it lasts.
+const GAIN: f64 = 0.1;
 
 /// Samples before a target is judged.
 const SAMPLES: u32 = 4;
