--- a/crates/admit/src/drive/figures.rs
+++ b/crates/admit/src/drive/figures.rs
@@ -45,7 +45,7 @@
     pub refused_late: u64,
     /// The times that they waited, in ascending order.
     pub refused_waits: Vec<Duration>,
-    /// Times a target turned work away.
+    /// Times a target turned work away, over the whole play.
     pub shed: u64,
     /// Second runs.
     pub repeats: u64,
--- a/crates/admit/src/pool/rules.rs
+++ b/crates/admit/src/pool/rules.rs
@@ -45,7 +45,7 @@
             short_share: 0.5,
             reserve: 1.0,
             guess: Duration::from_millis(20),
-            ramp: Duration::from_secs(10),
+            ramp: Duration::from_secs(2),
             slow: 3.0,
             eject: Duration::from_secs(5),
             retry_share: 0.1,
--- a/crates/admit/src/target/limit.rs
+++ b/crates/admit/src/target/limit.rs
@@ -56,6 +56,11 @@
         self.ramp = Some(now);
     }
 
+    /// Its slots are still growing.
+    pub(crate) fn ramping(&self, ramp: Duration, now: Duration) -> bool {
+        self.ramp.is_some_and(|at| now < at + ramp)
+    }
+
     pub(crate) fn leaving(&self, now: Duration) -> bool {
         self.leaving.is_some_and(|at| now < at + LEAVE_LIFE)
     }
@@ -89,6 +94,7 @@
         };
     }
 
+    /// Takes a report; true if it says for the first time in a while that the caches are cold.
     pub(crate) fn report(
         &mut self,
         report: Report,
@@ -96,7 +102,7 @@
         busy: u32,
         rules: &PoolRules,
         now: Duration,
-    ) {
+    ) -> bool {
         match self.leaving {
             _ if report.leaving => self.leaving = Some(now),
             Some(at) if now >= at + LEAVE_LAG => {
@@ -105,7 +111,8 @@
             }
             _ => {}
         }
-        if report.cold && now >= self.cold_after {
+        let cold = report.cold && now >= self.cold_after;
+        if cold {
             self.ramp = Some(now);
             self.cold_after = now + COLD_EVERY.max(2 * rules.ramp);
         }
@@ -125,6 +132,7 @@
                 until: now + rules.report_life,
             };
         }
+        cold
     }
 
     /// Slots that may be used at `now`; at least one, as none of these caps means that the target
--- a/crates/admit/src/target/mod.rs
+++ b/crates/admit/src/target/mod.rs
@@ -90,9 +90,19 @@
         .min()
     }
 
+    /// It is slow or fails. A target that warms up is given twice the time.
+    fn bad(&self, rules: &PoolRules, norm: f64, now: Duration) -> bool {
+        let warms = self.limits.ramping(rules.ramp, now);
+        let slow = if warms { 2.0 * rules.slow } else { rules.slow };
+        self.health.bad(slow, norm)
+    }
+
     fn take_report(&mut self, report: Report, rules: &PoolRules, now: Duration) {
         let busy = self.busy();
-        self.limits.report(report, self.slots, busy, rules, now);
+        if self.limits.report(report, self.slots, busy, rules, now) {
+            // That it was slow has been explained: it warms only if it is given work.
+            self.health.restore();
+        }
     }
 
     /// Rank for the next start, least first: the share of its slots in use, scaled by how slow it
--- a/crates/admit/src/target/set.rs
+++ b/crates/admit/src/target/set.rs
@@ -146,7 +146,7 @@
             .iter_mut()
             .filter(|t| t.hopeful(now) && !t.health.ejected())
         {
-            if !t.health.bad(rules.slow, self.norm) {
+            if !t.bad(rules, self.norm, now) {
                 t.health.unspare();
             } else if out < most {
                 t.health.eject(rules.eject, now);
@@ -221,7 +221,7 @@
         let t = &mut self.list[end.target];
         t.running.retain(|x| *x != end.ticket);
         let busy = t.busy();
-        let usual = !t.health.bad(rules.slow, norm) && !t.health.ejected();
+        let usual = !t.bad(rules, norm, now) && !t.health.ejected();
         let good = match end.outcome {
             Outcome::Ok => {
                 t.health.good();
--- a/crates/admit/tests/bounds.rs
+++ b/crates/admit/tests/bounds.rs
@@ -75,6 +75,29 @@
     }
 }
 
+/// A target comes back with cold caches and takes three times as long until it has run 200
+/// requests. If it were ejected for that, it would get no requests and never warm; callers would
+/// miss a target's slots for the rest of the hour.
+#[test]
+fn a_cold_target_is_left_in_use_until_it_is_warm() {
+    for site in SITES {
+        let s = scenario("cold target", site);
+        let warm = pools(&Scenario {
+            faults: Vec::new(),
+            ..s.clone()
+        });
+        let cold = pools(&s);
+        let lost = warm.good_share(Group::All) - cold.good_share(Group::All);
+        assert!(lost < 0.01, "{}: {lost} of the answers lost", site.name);
+        assert!(
+            cold.ejected == 0.0,
+            "{}: ejected {}",
+            site.name,
+            cold.ejected
+        );
+    }
+}
+
 #[test]
 fn a_leaving_target_is_idle_within_its_longest_request() {
     for site in SITES {
