--- a/crates/admit/examples/sweep.rs
+++ b/crates/admit/examples/sweep.rs
@@ -30,6 +30,12 @@
         values: &[10.0, 25.0, 50.0, 100.0, 250.0],
         set: |rules, x| rules.standing = Duration::from_secs_f64(x / 1e3),
     },
+    Sweep {
+        name: "burst-ms",
+        loads: &["burst", "short bursts", "saturation", "heavy caller"],
+        values: &[100.0, 250.0, 500.0, 1000.0, 2000.0],
+        set: |rules, x| rules.burst = Duration::from_secs_f64(x / 1e3),
+    },
     Sweep {
         name: "short-share",
         loads: &["long among short"],
--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -219,7 +219,7 @@
 
     /// Longest time that a request of a class with this service time may wait, from `now` on.
     fn patience(&self, class: Class, mean: Duration, now: Duration) -> Duration {
-        let lasts = self.strains[class as usize].lasts(self.rules.patience, now);
+        let lasts = self.strains[class as usize].lasts(self.rules.burst, now);
         let most = if lasts {
             self.rules.standing
         } else {
--- a/crates/admit/src/pool/rules.rs
+++ b/crates/admit/src/pool/rules.rs
@@ -10,9 +10,11 @@
     /// Longest time that a request waits, whatever its deadline, in a queue that a burst has
     /// made; work that takes longer may wait for as long as it takes.
     pub patience: Duration,
-    /// The same once waits have been long for `patience`: the overload lasts, and a longer wait
-    /// would add to each answer without adding one answer.
+    /// The same once waits have been long for `burst`: the overload lasts, and a longer wait would
+    /// add to each answer without adding one answer.
     pub standing: Duration,
+    /// Longest time that a burst and the queue it leaves may take.
+    pub burst: Duration,
     /// Work expected to take up to this long is short; the rest is long.
     pub short: Duration,
     /// Share of the slots, 0 to 1, that short work is sure of while it competes with long work.
@@ -41,6 +43,7 @@
             queue: 512,
             patience: Duration::from_millis(250),
             standing: Duration::from_millis(50),
+            burst: Duration::from_millis(500),
             short: Duration::from_millis(100),
             short_share: 0.5,
             reserve: 1.0,
