--- a/crates/steer/src/spill/mod.rs
+++ b/crates/steer/src/spill/mod.rs
@@ -17,6 +17,11 @@
 /// the one and too much for the other.
 pub const SAFETY: f64 = 1.5;
 
+/// Part of the safety that a share leaves free in what was granted. With all of it, each rise of a
+/// measured rate since the ask would send the share back a little; with none, requests find no
+/// room wherever grants are scarce.
+pub const KEPT: f64 = 0.5;
+
 /// What a host measures of one service's callers in one region.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Traffic {
@@ -43,11 +48,26 @@
 ) -> BTreeMap<Arc<str>, Vec<Need>> {
     let mut needs = means(goals, shares, traffic, region);
     for need in needs.values_mut().flatten() {
-        need.rate += SAFETY * need.rate.sqrt();
+        need.rate = asked(need.rate);
     }
     needs
 }
 
+/// The rate to ask for, for a mean rate.
+fn asked(mean: f64) -> f64 {
+    mean + SAFETY * mean.sqrt()
+}
+
+/// The mean rate that a granted rate carries while few requests find no room.
+fn usable(granted: f64) -> f64 {
+    if !granted.is_finite() {
+        return granted;
+    }
+    let safety = SAFETY * KEPT;
+    let root = (safety * safety + 4.0 * granted).sqrt() - safety;
+    (root / 2.0).powi(2)
+}
+
 /// The needs at their mean rates.
 fn means(
     goals: &Goals,
@@ -87,6 +107,10 @@
             continue;
         }
         let row = row(&rows, service, callers);
+        // What stays with a region that cannot serve is refused for certain; then it is better to
+        // use all that was granted, and have a request now and then find no room.
+        let lost = |region: &Arc<str>| !goal.able.contains(region);
+        let stuck = row.is_some_and(|row| row.keys().any(lost));
         let mut out = Row::new();
         for (serving, share) in wanted(goal, row) {
             let ceiling = if free(region, callers, &serving) {
@@ -97,7 +121,9 @@
                 let need = list.and_then(|list| list.iter().find(|n| n.service == *service));
                 // Callers of several regions share the grants by what each wants.
                 need.map_or(0.0, |need| {
-                    share * grantee.rate(&serving, need, now) / need.rate
+                    let granted = grantee.rate(&serving, need, now);
+                    let rate = if stuck { granted } else { usable(granted) };
+                    share * rate / need.rate
                 })
             };
             out.insert(serving, ceiling);
