--- a/crates/steer/src/hosts/table.rs
+++ b/crates/steer/src/hosts/table.rs
@@ -70,7 +70,8 @@
         range: std::ops::Range<usize>,
         least: u16,
     ) -> usize {
-        let mut best: [(f64, usize); ANSWER] = [(f64::INFINITY, 0); ANSWER];
+        let value = hash::mix(block);
+        let mut best: [Option<(u64, usize)>; ANSWER] = [None; ANSWER];
         let most = if least > SUSPECT { FULL } else { SUSPECT };
         for at in range {
             let (key, weight) = self.keys[at];
@@ -78,14 +79,14 @@
                 continue;
             }
             // The order goes by the name alone: a change of load must not send callers elsewhere.
-            let score = hash::score(key, block, 1.0);
-            let place = best.partition_point(|(other, _)| *other <= score);
+            let score = hash::mix(key ^ value);
+            let place = best.partition_point(|other| other.is_some_and(|(o, _)| o >= score));
             if place < ANSWER {
                 best[place..].rotate_right(1);
-                best[place] = (score, at);
+                best[place] = Some((score, at));
             }
         }
-        let found = best.iter().filter(|(score, _)| score.is_finite());
+        let found = best.iter().flatten();
         let free = choices.list[count..].iter_mut();
         let mut added = 0;
         for (slot, (_, at)) in free.zip(found) {
