--- /dev/null
+++ b/crates/coord/examples/slopes.rs
@@ -0,0 +1,41 @@
+//! Prints what hosts cost each other and the store, counted in virtual time.
+//!
+//! ```text
+//! cargo run --release -p dunlinrock-coord --example slopes
+//! ```
+//!
+//! Each row drives that many hosts' state machines for a minute: every host reports changing
+//! facts, and the configuration changes every 19 s (4,500 a day). Bytes are those of the encoded
+//! messages, without the headers of the protocol that carries them.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::{fleet::Fleet, slopes};
+
+fn main() {
+    println!(
+        "| domains | hosts a domain | hosts | store calls/s | sent B/s a host | sent and received B/s, busiest host | change, ms | word, ms | leave, ms |"
+    );
+    println!("|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
+    let mut kinds = Vec::new();
+    let sizes = [
+        (3, 1),
+        (6, 2),
+        (4, 12),
+        (8, 6),
+        (16, 3),
+        (4, 48),
+        (16, 12),
+        (48, 4),
+    ];
+    for (domains, hosts) in sizes {
+        let row = slopes::measure(Fleet::open(domains, hosts, 1));
+        println!("{row}");
+        kinds.push((domains, hosts, row.kinds()));
+    }
+    println!("\nBytes a second and host, sent, by kind of message:\n");
+    for (domains, hosts, text) in kinds {
+        println!("* {domains} x {hosts}: {text}");
+    }
+}
--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -33,6 +33,7 @@
 //! ```
 
 mod receive;
+mod refresh;
 mod settings;
 mod spread;
 mod table;
@@ -147,6 +148,8 @@
     superseded: Option<u64>,
     /// States as last told to the caller.
     told: BTreeMap<Arc<str>, (u64, HostState)>,
+    /// Hosts of each domain that are not gone, as last told.
+    live: BTreeMap<Arc<str>, usize>,
     told_silent: BTreeSet<Arc<str>>,
 }
 
@@ -210,6 +213,7 @@
             listed: false,
             superseded: None,
             told: BTreeMap::new(),
+            live: BTreeMap::new(),
             told_silent: BTreeSet::new(),
         };
         member.introduce_me(now);
@@ -356,22 +360,10 @@
         }
     }
 
+    /// How many hosts there are to watch a host; two are enough to decide.
     fn watchers_of(&self, host: &Host) -> usize {
-        let inside = self.told.iter().filter(|(name, (_, state))| {
-            let there = !matches!(state, HostState::Gone);
-            there
-                && self
-                    .table
-                    .hosts
-                    .get(*name)
-                    .is_some_and(|one| one.domain == host.domain)
-        });
-        // Two are enough to decide, so more need not be counted.
-        inside
-            .take(WATCHERS)
-            .count()
-            .saturating_sub(1)
-            .min(WATCHERS)
+        let inside = self.live.get(&host.domain).copied().unwrap_or_default();
+        inside.saturating_sub(1).min(WATCHERS)
     }
 
     /// Notes another process under this host's name.
--- a/crates/coord/src/member/receive.rs
+++ b/crates/coord/src/member/receive.rs
@@ -42,11 +42,8 @@
             self.other_me(beat.incarnation, out);
             return;
         }
-        let old = self.state_of(&beat.name);
         self.table.beat(beat, now);
-        if self.state_of(&beat.name) != old || !self.told.contains_key(&beat.name) {
-            self.refresh(now, out);
-        }
+        self.refresh_one(now, &beat.name, out);
         self.revision_came(&beat.name, beat.revision, out);
         self.compare(now, &beat.name, beat.sum, out);
     }
--- a/crates/coord/src/member/spread.rs
+++ b/crates/coord/src/member/spread.rs
@@ -141,7 +141,9 @@
         match &rumor.word {
             Word::State(word) if word.name == self.me.name => self.word_of_me(now, word, out),
             Word::State(word) => {
-                self.table.word(word, now);
+                if self.table.word(word, now) {
+                    self.refresh_one(now, &word.name, out);
+                }
             }
             Word::Quarantine(word) => out.push(Action::Quarantined(word.clone())),
             Word::Domain(word) => {
@@ -150,9 +152,9 @@
                 if word.beat > last.0 {
                     *last = (word.beat, word.silent);
                 }
+                self.refresh_silent(out);
             }
         }
-        self.refresh(now, out);
         true
     }
 
--- a/crates/coord/src/member/tick.rs
+++ b/crates/coord/src/member/tick.rs
@@ -1,14 +1,10 @@
 //! What a host does as time passes.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use dunlinrock_schema::coord::{Beat, Digest, Far, Grant, HostState, Message, Report};
 
-use super::{Action, Membership, topology::topology};
+use super::{Action, Membership};
 
 /// Most grants in one digest, so that its size is bounded; more take turns.
 const DIGEST_GRANTS: usize = 8;
@@ -16,8 +12,6 @@
 const QUIET_ROUNDS: u32 = 4;
 /// Times the `gone` silence after which a host that nobody answers counts as alone.
 const ALONE: u32 = 3;
-/// Times the `gone` silence after which a host that is not listed and not heard is forgotten.
-const FORGET: u32 = 20;
 
 impl Membership {
     /// Lets time pass. Call it at least once a heartbeat: a gap longer than the silence that makes
@@ -249,66 +243,6 @@
         };
         send(&self.topology.near, &Message::Far(far), out);
     }
-
-    /// Tells the caller what changed, and works out anew who speaks to whom.
-    pub(super) fn refresh(&mut self, now: Duration, out: &mut Vec<Action>) {
-        self.table
-            .forget(now, self.timings.gone * FORGET, &self.me.name);
-        let mut told = BTreeMap::new();
-        for (name, host) in &self.table.hosts {
-            told.insert(name.clone(), (host.incarnation, self.state_of(name)));
-        }
-        for (name, (incarnation, state)) in &told {
-            if self.told.get(name) != Some(&(*incarnation, *state)) {
-                out.push(Action::Changed {
-                    name: name.clone(),
-                    incarnation: *incarnation,
-                    state: *state,
-                });
-            }
-        }
-        self.told = told;
-        self.reports.retain(|name, _| self.told.contains_key(name));
-        self.refresh_topology(now);
-        self.refresh_silent(out);
-    }
-
-    fn refresh_topology(&mut self, now: Duration) {
-        let mut domains: BTreeMap<Arc<str>, BTreeSet<Arc<str>>> = BTreeMap::new();
-        for (name, (_, state)) in &self.told {
-            let host = self.table.hosts.get(name);
-            let domain = host.map(|host| host.domain.clone()).unwrap_or_default();
-            if *state != HostState::Gone && !domain.is_empty() {
-                domains.entry(domain).or_default().insert(name.clone());
-            }
-        }
-        self.topology = topology(&self.me.name, &self.me.domain, &domains);
-        let old = std::mem::take(&mut self.watched);
-        for name in &self.topology.watched {
-            let since = old.get(name).copied().unwrap_or(now);
-            self.watched.insert(name.clone(), since);
-        }
-    }
-
-    /// A domain is silent when two hosts of this domain hear nothing from it, or the only one.
-    fn refresh_silent(&mut self, out: &mut Vec<Action>) {
-        let needed = (self.topology.near.len() + 1).min(2);
-        let mut silent = BTreeSet::new();
-        for (domain, said) in &self.silent {
-            let there = |by: &Arc<str>| self.topology.near.contains(by) || *by == self.me.name;
-            let count = said.iter().filter(|(by, (_, silent))| *silent && there(by));
-            if count.count() >= needed {
-                silent.insert(domain.clone());
-            }
-        }
-        for domain in silent.symmetric_difference(&self.told_silent) {
-            out.push(Action::Silent {
-                domain: domain.clone(),
-                silent: silent.contains(domain),
-            });
-        }
-        self.told_silent = silent;
-    }
 }
 
 fn send(to: &[Arc<str>], message: &Message, out: &mut Vec<Action>) {
--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Configurations for tests and benches.
 #![allow(dead_code)]
 
+pub(crate) mod fleet;
+pub(crate) mod slopes;
 pub(crate) mod store;
 
 use std::{collections::BTreeMap, sync::Arc};
--- /dev/null
+++ b/crates/coord/tests/common/slopes.rs
@@ -0,0 +1,174 @@
+//! What hosts cost each other and the store, counted in virtual time.
+#![allow(dead_code)]
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use dunlinrock_coord::{member::HostState, pieces};
+use dunlinrock_schema::coord::{Facts, Grant, Pool, Quarantine, QuarantineKind, Share};
+
+use super::{config, fleet::Fleet};
+
+/// Time between two changes of the configuration at 4,500 a day.
+const CHANGE: Duration = Duration::from_secs(19);
+const ROUNDS: u32 = 3;
+const LONG: Duration = Duration::from_secs(60);
+
+pub(crate) struct Row {
+    pub(crate) domains: usize,
+    pub(crate) hosts: usize,
+    /// Store calls a second.
+    pub(crate) calls: f64,
+    /// Bytes sent a second, on average over the hosts.
+    pub(crate) sent: f64,
+    /// Bytes sent and received a second, by the busiest host.
+    pub(crate) busiest: f64,
+    pub(crate) change: Duration,
+    pub(crate) word: Duration,
+    pub(crate) leave: Duration,
+    /// Bytes sent a second and host, by kind.
+    pub(crate) by_kind: BTreeMap<&'static str, f64>,
+}
+
+/// Facts of a host that owns four pools, grants four slots and has four shares.
+fn facts(turn: u64) -> Facts {
+    let service = |n: u64| -> std::sync::Arc<str> { format!("service-{n:03}").into() };
+    let pool = |n| Pool {
+        service: service(n),
+        domain: "domain-00".into(),
+        queued: turn % 40,
+        busy: turn % 90,
+        slots: 88,
+    };
+    let grant = |n: u64| Grant {
+        service: service(n),
+        region: format!("region-{n:02}").into(),
+        slots: (turn % 10) as f64,
+        expires_ms: 3000,
+    };
+    let share = |n: u64| Share {
+        service: service(n),
+        region: format!("region-{n:02}").into(),
+        share: 1.0 / (turn + 1) as f64,
+    };
+    Facts {
+        revision: 0,
+        pools: (0..4).map(pool).collect(),
+        grants: (0..4).map(grant).collect(),
+        shares: (0..4).map(share).collect(),
+        leaving: Vec::new(),
+    }
+}
+
+pub(crate) fn measure(mut fleet: Fleet) -> Row {
+    let mut config = config(740, 22, 20_000);
+    fleet.apply("first", pieces::split(&config));
+    fleet.run(Duration::from_secs(20));
+    assert!(fleet.nodes.values().all(|node| node.follower.ready()));
+    fleet.reset_counts();
+    let start = fleet.now;
+    let mut change = Duration::ZERO;
+    for turn in 0..ROUNDS {
+        let service = config.services.get_mut("service-123").unwrap();
+        service.cap.share = 0.1 + f64::from(turn) / 100.0;
+        fleet.apply(&format!("change{turn}"), pieces::split(&config));
+        let revision = fleet.store.revision();
+        let took = fleet.until(LONG, |fleet| {
+            let mut nodes = fleet.nodes.values();
+            nodes.all(|node| node.follower.revision() == revision)
+        });
+        change = change.max(took.expect("a change reaches all"));
+        let next = start + CHANGE * (turn + 1);
+        while fleet.now < next {
+            let now = fleet.now.as_secs();
+            for node in fleet.nodes.values_mut() {
+                node.member.set_facts(facts(now));
+            }
+            fleet.run(Duration::from_secs(1));
+        }
+    }
+    let mut row = counted(&fleet, fleet.now - start);
+    row.change = change;
+    row.word = word(&mut fleet);
+    row.leave = leave(&mut fleet);
+    row
+}
+
+fn counted(fleet: &Fleet, time: Duration) -> Row {
+    let count = fleet.nodes.len() as f64;
+    let seconds = time.as_secs_f64();
+    let sent: u64 = fleet.nodes.values().map(|node| node.sent).sum();
+    let both = fleet.nodes.values().map(|node| node.sent + node.received);
+    let mut domains: Vec<_> = fleet
+        .nodes
+        .values()
+        .map(|node| node.member.me().domain.clone())
+        .collect();
+    domains.dedup();
+    let by_kind = fleet
+        .counts
+        .iter()
+        .map(|(kind, (_, bytes))| (*kind, *bytes as f64 / seconds / count));
+    Row {
+        domains: domains.len(),
+        hosts: fleet.nodes.len() / domains.len(),
+        calls: fleet.store_calls as f64 / seconds,
+        sent: sent as f64 / seconds / count,
+        busiest: both.max().unwrap_or_default() as f64 / seconds,
+        change: Duration::ZERO,
+        word: Duration::ZERO,
+        leave: Duration::ZERO,
+        by_kind: by_kind.collect(),
+    }
+}
+
+fn word(fleet: &mut Fleet) -> Duration {
+    let word = Quarantine {
+        kind: QuarantineKind::Request,
+        id: "0123456789abcdef".into(),
+        ttl_ms: 60_000,
+    };
+    fleet.act("host-01-00", |member, now| member.say(now, word));
+    let took = fleet.until(LONG, |fleet| {
+        let mut nodes = fleet.nodes.values();
+        nodes.all(|node| !node.member.quarantines(fleet.now).is_empty())
+    });
+    took.expect("a word reaches all")
+}
+
+fn leave(fleet: &mut Fleet) -> Duration {
+    fleet.act("host-01-00", |member, now| {
+        member.set_state(now, HostState::Leaving)
+    });
+    let took = fleet.until(LONG, |fleet| {
+        fleet
+            .seen("host-01-00")
+            .iter()
+            .all(|state| *state == HostState::Leaving)
+    });
+    took.expect("leaving reaches all")
+}
+
+impl Row {
+    pub(crate) fn kinds(&self) -> String {
+        let one = |(kind, bytes): (&&str, &f64)| format!("{kind} {bytes:.0}");
+        self.by_kind.iter().map(one).collect::<Vec<_>>().join(", ")
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "| {} | {} | {} | {:.2} | {:.0} | {:.0} | {} | {} | {} |",
+            self.domains,
+            self.hosts,
+            self.domains * self.hosts,
+            self.calls,
+            self.sent,
+            self.busiest,
+            self.change.as_millis(),
+            self.word.as_millis(),
+            self.leave.as_millis()
+        )
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/member.rs
@@ -0,0 +1,272 @@
+//! Membership in virtual time: who is seen how, how fast, and what a paused host may do.
+
+mod common;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use common::fleet::{Fleet, name};
+use dunlinrock_coord::member::{Action, HostState};
+use dunlinrock_schema::coord::{Quarantine, QuarantineKind};
+
+const SETTLE: Duration = Duration::from_secs(15);
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+/// Hosts that are started, listed and caught up.
+fn settled(domains: usize, hosts: usize) -> Fleet {
+    let mut fleet = Fleet::open(domains, hosts, 7);
+    fleet.run(SETTLE);
+    for (name, node) in &fleet.nodes {
+        assert!(node.member.caught_up(), "{name}");
+        assert_eq!(node.member.serving().len(), domains * hosts, "{name}");
+    }
+    fleet
+}
+
+fn only(state: HostState) -> BTreeSet<HostState> {
+    BTreeSet::from([state])
+}
+
+#[test]
+fn all_hosts_see_each_other_serve_and_nobody_is_doubted_in_ten_minutes() {
+    let mut fleet = settled(6, 2);
+    fleet.nodes.values_mut().for_each(|node| node.log.clear());
+    fleet.run(MINUTE * 10);
+    for (name, node) in &fleet.nodes {
+        assert!(node.log.is_empty(), "{name}: {:?}", node.log);
+    }
+}
+
+// A look-up must not name a dead host for long. The host dies without a word; those that watch it
+// miss its heartbeats, doubt it after one second and agree after three that it is gone.
+#[test]
+fn a_dead_host_is_gone_everywhere_within_five_seconds() {
+    for (domains, hosts) in [(6, 2), (8, 12)] {
+        let mut fleet = settled(domains, hosts);
+        fleet.node("host-00-00").dead = true;
+        let suspect = fleet.until(MINUTE, |fleet| {
+            !fleet.seen("host-00-00").contains(&HostState::Serving)
+        });
+        assert!(suspect.unwrap() <= ms(1500), "{suspect:?}");
+        let gone = fleet.until(MINUTE, |fleet| {
+            fleet.seen("host-00-00") == only(HostState::Gone)
+        });
+        assert!(gone.unwrap() <= ms(3500), "{gone:?}");
+    }
+}
+
+#[test]
+fn a_leaving_host_is_known_to_all_long_before_a_silent_one_is_suspect() {
+    let mut fleet = settled(8, 12);
+    fleet.act("host-03-05", |member, now| {
+        member.set_state(now, HostState::Leaving)
+    });
+    let known = fleet.until(MINUTE, |fleet| {
+        fleet.seen("host-03-05") == only(HostState::Leaving)
+    });
+    assert!(known.unwrap() <= ms(200), "{known:?}");
+    fleet.run(MINUTE);
+    assert_eq!(fleet.seen("host-03-05"), only(HostState::Leaving));
+}
+
+// Two callers of one key could be sent to two processes of one name. The host restarts at once, so
+// nobody has missed it yet; the new incarnation is known by its own word, and late messages of the
+// old one change nothing.
+#[test]
+fn a_restart_supersedes_the_old_incarnation_everywhere() {
+    let mut fleet = settled(6, 2);
+    fleet.start(2, 1, 2);
+    fleet.run(ms(100));
+    fleet.list(2, 1, 2);
+    fleet.send_listing();
+    fleet.run(SETTLE);
+    for (other, node) in &fleet.nodes {
+        let host = &node.member.hosts()["host-02-01"];
+        assert_eq!(host.incarnation, 2, "{other}");
+        assert_eq!(
+            node.member.state_of("host-02-01"),
+            HostState::Serving,
+            "{other}"
+        );
+    }
+    fleet.list(2, 1, 1);
+    fleet.send_listing();
+    for node in fleet.nodes.values() {
+        assert_eq!(node.member.hosts()["host-02-01"].incarnation, 2);
+    }
+}
+
+// A paused host wakes and believes it still owns its targets. Its own ticks show the gap, so it is
+// not caught up until another host has answered; it also doubts none of the others for a silence
+// that was its own.
+#[test]
+fn a_paused_host_that_wakes_takes_nothing_up_before_another_has_answered() {
+    let mut fleet = settled(6, 2);
+    fleet.node("host-01-01").paused = true;
+    fleet.run(MINUTE);
+    assert_eq!(fleet.seen("host-01-01"), only(HostState::Gone));
+    fleet.cut.insert("domain-01".into());
+    fleet.node("host-01-00").paused = true;
+    fleet.wake("host-01-01");
+    assert!(!fleet.node("host-01-01").member.caught_up());
+    fleet.run(ms(1000));
+    assert!(!fleet.node("host-01-01").member.caught_up());
+    fleet.cut.clear();
+    fleet.wake("host-01-00");
+    fleet.run(SETTLE);
+    let node = fleet.node("host-01-01");
+    assert!(node.member.caught_up());
+    assert_eq!(node.member.serving().len(), 12);
+    assert_eq!(fleet.seen("host-01-01"), only(HostState::Serving));
+}
+
+// The process was replaced while it was paused. When it wakes, it must not act under the name that
+// another process has by now, however long ago that was said.
+#[test]
+fn a_paused_host_that_was_replaced_finds_itself_superseded() {
+    let mut fleet = settled(6, 2);
+    let mut old = fleet.nodes.remove(&name(1, 1)).unwrap();
+    fleet.run(SETTLE);
+    fleet.start(1, 1, 2);
+    fleet.list(1, 1, 2);
+    fleet.send_listing();
+    fleet.run(MINUTE * 5);
+    let actions = old.member.tick(fleet.now);
+    assert!(!old.member.caught_up());
+    let Some(Action::Send { to, message }) = actions.iter().find(|action| {
+        matches!(
+            action,
+            Action::Send {
+                message: dunlinrock_schema::coord::Message::SyncAsk(_),
+                ..
+            }
+        )
+    }) else {
+        panic!("it asks nobody: {actions:?}");
+    };
+    let now = fleet.now;
+    let answers = fleet.node(to).member.receive(now, message);
+    for answer in answers {
+        if let Action::Send { message, .. } = answer {
+            old.member.receive(fleet.now, &message);
+        }
+    }
+    assert_eq!(old.member.superseded(), Some(2));
+    assert!(!old.member.caught_up());
+    fleet.run(SETTLE);
+    assert_eq!(fleet.seen("host-01-01"), only(HostState::Serving));
+}
+
+// A region is cut off for minutes, then reached again. Each side sees the other's domains silent
+// and keeps its own; afterwards all is as before, without a restart.
+#[test]
+fn a_region_cut_off_for_minutes_is_silent_and_comes_back() {
+    let mut fleet = settled(6, 2);
+    let region = ["domain-00", "domain-01"];
+    fleet.cut.extend(region.map(Into::into));
+    let silent = fleet.until(MINUTE, |fleet| {
+        let node = &fleet.nodes["host-04-00"];
+        region.iter().all(|domain| node.member.is_silent(domain))
+    });
+    assert!(silent.unwrap() <= ms(4000), "{silent:?}");
+    fleet.run(MINUTE * 5);
+    assert_eq!(fleet.node("host-04-00").member.serving().len(), 8);
+    assert_eq!(fleet.node("host-00-00").member.serving().len(), 4);
+    assert!(fleet.node("host-00-00").member.caught_up());
+    fleet.cut.clear();
+    fleet.run(SETTLE);
+    for (name, node) in &fleet.nodes {
+        assert_eq!(node.member.serving().len(), 12, "{name}");
+    }
+}
+
+// Hosts of a lost region all die at once: nobody inside is left to say so.
+#[test]
+fn a_lost_region_is_silent_to_all_others_within_four_seconds() {
+    let mut fleet = settled(8, 6);
+    for host in 0..6 {
+        fleet.node(&name(0, host)).dead = true;
+        fleet.node(&name(1, host)).dead = true;
+    }
+    let silent = fleet.until(MINUTE, |fleet| {
+        let alive = fleet.nodes.values().filter(|node| !node.dead);
+        alive
+            .into_iter()
+            .all(|node| node.member.is_silent("domain-00") && node.member.is_silent("domain-01"))
+    });
+    assert!(silent.unwrap() <= ms(4000), "{silent:?}");
+}
+
+// The platform's list lags: it still names a host that died, and does not name one that started.
+#[test]
+fn a_lagging_list_neither_revives_the_dead_nor_hides_the_living() {
+    let mut fleet = settled(6, 2);
+    fleet.node("host-00-00").dead = true;
+    fleet.run(SETTLE);
+    fleet.start(3, 7, 1);
+    let listing = fleet.listing.clone();
+    fleet.act("host-03-07", |member, now| member.listing(now, &listing));
+    fleet.run(SETTLE);
+    fleet.send_listing();
+    fleet.run(SETTLE);
+    assert_eq!(fleet.seen("host-00-00"), only(HostState::Gone));
+    assert!(fleet.node("host-03-07").member.caught_up());
+    for near in ["host-03-00", "host-03-01"] {
+        let state = fleet.node(near).member.state_of("host-03-07");
+        assert_eq!(state, HostState::Serving, "{near}");
+    }
+}
+
+// Word of a killing request must reach every host within three seconds, also when one message in
+// five is lost: the sums in heartbeats and digests show what is missing.
+#[test]
+fn a_quarantine_reaches_all_hosts_within_three_seconds_with_a_fifth_of_messages_lost() {
+    for loss in [0.0, 0.2] {
+        let mut fleet = settled(16, 12);
+        fleet.loss = loss;
+        let word = Quarantine {
+            kind: QuarantineKind::Request,
+            id: "f1".into(),
+            ttl_ms: 60_000,
+        };
+        fleet.act("host-05-03", |member, now| member.say(now, word));
+        let known = fleet.until(MINUTE, |fleet| {
+            let mut nodes = fleet.nodes.values();
+            nodes.all(|node| !node.member.quarantines(fleet.now).is_empty())
+        });
+        println!("loss {loss}: {known:?}");
+        assert!(known.unwrap() <= ms(3000), "{known:?}");
+        fleet.loss = 0.0;
+        fleet.run(MINUTE * 2);
+        let left = fleet
+            .nodes
+            .values()
+            .filter(|node| !node.member.quarantines(fleet.now).is_empty());
+        assert_eq!(left.count(), 0);
+    }
+}
+
+// One host's link is bad in one direction: a single watcher hears nothing from a healthy host and
+// must not have it declared gone.
+#[test]
+fn one_watcher_alone_cannot_have_a_healthy_host_declared_gone() {
+    let mut fleet = settled(2, 8);
+    fleet.loss = 0.3;
+    fleet.nodes.values_mut().for_each(|node| node.log.clear());
+    fleet.run(MINUTE * 2);
+    let gone = |action: &Action| {
+        matches!(
+            action,
+            Action::Changed {
+                state: HostState::Gone,
+                ..
+            }
+        )
+    };
+    for (name, node) in &fleet.nodes {
+        assert!(!node.log.iter().any(|(_, action)| gone(action)), "{name}");
+    }
+}
