--- /dev/null
+++ b/crates/node/tests/dead_host.rs
@@ -0,0 +1,188 @@
+//! Hosts that die or pause in the middle of a request. They are processes of their own: this test
+//! program, started again to run nothing but one host.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command},
+    sync::Arc,
+    time::Duration,
+};
+
+use common::{Deployment, FIRST, kind, problem, until};
+use dunlinrock_node::Host;
+use dunlinrock_schema::{api::Run, settings::Settings};
+
+/// Names the file of the settings of the host that a child runs.
+const SETTINGS: &str = "DUNLINROCK_TEST_SETTINGS";
+/// The test that a child runs.
+const CHILD: &str = "child_runs_one_host";
+
+const PATH: &str = "/v1/call/records/pay/7";
+
+/// One host in a process of its own; killed when dropped.
+struct Remote {
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Remote {
+    fn spawn(d: &Deployment, name: &str, domain: &str) -> Remote {
+        let text = serde_json::to_vec(&d.settings(name, domain)).expect("settings");
+        let settings = std::env::temp_dir().join(format!("{name}-{}.json", std::process::id()));
+        std::fs::write(&settings, text).expect("written");
+        let child = Command::new(std::env::current_exe().expect("this program"))
+            .args(["--exact", CHILD, "--nocapture", "--test-threads", "1"])
+            .env(SETTINGS, &settings)
+            .spawn()
+            .expect("a child");
+        Remote { child, settings }
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    fn kill(&mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("reaped");
+    }
+}
+
+impl Drop for Remote {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Not a test of its own: what a child runs, until it is killed. Without settings it does nothing.
+#[test]
+fn child_runs_one_host() {
+    let Some(path) = std::env::var_os(SETTINGS) else {
+        return;
+    };
+    let text = std::fs::read(path).expect("the settings of the parent");
+    let settings: Settings = serde_json::from_slice(&text).expect("settings");
+    let host = Host::spawn(settings).expect("the host starts");
+    host.wait().expect("ends when killed");
+}
+
+/// A host here and one in a process of its own, alone in a region, so that they are each other's
+/// witness.
+async fn pair(work: Duration) -> (Deployment, Remote) {
+    let mut d = Deployment::open("cursuri", work);
+    d.host("here", "cluj-a");
+    d.apply().await;
+    let remote = Remote::spawn(&d, "there", "cluj-b");
+    d.hosts[0]
+        .until(|view| view.ready && view.members.len() == 2)
+        .await;
+    (d, remote)
+}
+
+/// Looks up until the owner of the binding is the host in the other process, or is not.
+async fn bind(d: &Deployment, owned_there: bool) -> (String, SocketAddr, SocketAddr) {
+    let here = d.hosts[0].callers();
+    for n in 1..=250 {
+        let path = format!("/v1/hosts/records?client=10.0.0.{n}");
+        let answer = d.get(here, &path).await;
+        let hosts: dunlinrock_schema::api::Hosts =
+            serde_json::from_slice(&answer.body).expect("a look-up");
+        let binding = hosts.binding.expect("a binding");
+        let owner: SocketAddr = binding.owner.parse().expect("an address");
+        let witness: SocketAddr = binding.witness.parse().expect("an address");
+        if (owner != here) == owned_there && owner != witness {
+            return (format!("{}.n1", binding.prefix), owner, witness);
+        }
+    }
+    panic!("no binding of 250 has the owner asked for");
+}
+
+// The caller sees: a broken connection, then `unknown` from the witness, and `unknown` again. Order:
+// the owner has the claim and sends the payment to a target; the owner dies; the caller turns to
+// the witness, which gave its claim away and cannot know how far the owner came. A second run would
+// charge twice, so the witness never runs it.
+#[tokio::test]
+async fn a_key_whose_owner_died_after_its_claim_is_not_run_by_the_witness() {
+    let (d, mut remote) = pair(Duration::from_millis(800)).await;
+    let d = Arc::new(d);
+    let (key, owner, witness) = bind(&d, true).await;
+    let (caller, text) = (Arc::clone(&d), key.clone());
+    let first = tokio::spawn(async move {
+        let request = hyper::Request::post(format!("http://{owner}{PATH}"))
+            .header("idempotency-key", &text)
+            .header("dunlinrock-attempts", FIRST)
+            .header("dunlinrock-caller", "a test")
+            .body(http_body_util::Full::new("seat 4".into()))
+            .expect("a request");
+        caller.client.call(request, common::LONG).await
+    });
+    until("it starts", || d.runs().contains_key(key.as_str())).await;
+    remote.kill();
+    assert!(first.await.expect("no panic").is_err(), "the owner is dead");
+    let mut attempts = 0;
+    loop {
+        let stated = format!("owner=1, witness={attempts}");
+        let answer = d.post(witness, PATH, &key, &stated).await;
+        assert_eq!(problem(&answer).run, Run::Unknown, "{answer:?}");
+        attempts += 1;
+        // Once more after the owner's death is known here.
+        if d.hosts[0].shared().view.load().members.len() == 1 && attempts > 1 {
+            break;
+        }
+    }
+    assert_eq!(d.runs().get(key.as_str()), Some(&1));
+}
+
+// The caller sees: its answer, from the witness. Order: the owner dies before the key reaches it;
+// the witness has no record of the key, takes it and runs it; no owner is left to claim it.
+#[tokio::test]
+async fn a_key_whose_owner_died_before_it_came_runs_at_the_witness() {
+    let (d, mut remote) = pair(Duration::ZERO).await;
+    let (key, _, witness) = bind(&d, true).await;
+    remote.kill();
+    let mut answer = d.post(witness, PATH, &key, FIRST).await;
+    // Targets that the dead host owned are taken over a little later; until then: not run.
+    let mut n = 1;
+    while answer.status != 200 {
+        assert_ne!(problem(&answer).run, Run::Yes, "{answer:?}");
+        let nonce = format!("{key}-{n}");
+        answer = d.post(witness, PATH, &nonce, FIRST).await;
+        n += 1;
+    }
+    assert!(d.runs().values().all(|runs| *runs == 1), "{:?}", d.runs());
+}
+
+// The caller sees: `run: no` from the owner, and `no` or `unknown` from the woken witness. Order:
+// the witness is paused; the owner's claim has no answer; the owner closes the key after its time.
+// The witness wakes and answers a claim that nobody waits for any more: the late grant must not
+// start the request, since its caller was told that it did not run.
+#[tokio::test]
+async fn a_claim_whose_answer_comes_too_late_is_not_used() {
+    let (d, remote) = pair(Duration::ZERO).await;
+    let (key, owner, witness) = bind(&d, false).await;
+    remote.signal("STOP");
+    let answer = d.post(owner, PATH, &key, FIRST).await;
+    let told = problem(&answer);
+    assert_eq!(
+        (kind(&told), told.run),
+        ("key-refused", Run::No),
+        "{told:?}"
+    );
+    remote.signal("CONT");
+    d.hosts[0]
+        .until(|view| view.members.values().all(|m| !m.suspect) && view.members.len() == 2)
+        .await;
+    let answer = d.post(witness, PATH, &key, "owner=1, witness=0").await;
+    assert_ne!(answer.status, 200, "{answer:?}");
+    let answer = d.post(owner, PATH, &key, "owner=1, witness=1").await;
+    assert_ne!(answer.status, 200, "{answer:?}");
+    assert!(d.runs().is_empty(), "{:?}", d.runs());
+}
--- /dev/null
+++ b/crates/node/tests/ring.rs
@@ -0,0 +1,51 @@
+//! Rings between duties.
+
+use dunlinrock_node::ring::{self, Full};
+
+// The sender sees: its item back. Order: the duty is behind, its ring is full. The sender decides
+// what that means; an item dropped silently would leave its caller waiting for the deadline.
+#[tokio::test]
+async fn a_full_ring_gives_the_item_back() {
+    let (sender, mut receiver) = ring::open(2);
+    assert!(sender.push(1).is_ok() && sender.push(2).is_ok());
+    assert!(matches!(sender.push(3), Err(Full(3))));
+    assert_eq!(receiver.recv().await, Some(1));
+    assert!(sender.push(3).is_ok());
+    assert_eq!(
+        (receiver.recv().await, receiver.recv().await),
+        (Some(2), Some(3))
+    );
+}
+
+// The duty sees: the word that a slot is free, late but surely. Order: it comes while the ring is
+// full; lost, the slot would count as taken for good.
+#[tokio::test]
+async fn an_item_that_must_not_be_lost_waits_for_room() {
+    let (sender, mut receiver) = ring::open(1);
+    sender.deliver("first");
+    sender.deliver("second");
+    assert_eq!(receiver.recv().await, Some("first"));
+    assert_eq!(receiver.recv().await, Some("second"));
+}
+
+// The duty sees: the end of its ring. Order: its last sender is dropped on another thread while it
+// waits. Woken before the sender is gone, it would look, find the ring open, and wait for good.
+#[test]
+fn a_receiver_learns_that_its_last_sender_is_gone() {
+    for _ in 0..20_000 {
+        let (sender, mut receiver) = ring::open::<u8>(1);
+        let (begun, begin) = std::sync::mpsc::channel();
+        let (ended, end) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().build();
+            begun.send(()).expect("the test waits");
+            let last = runtime.expect("a runtime").block_on(receiver.recv());
+            ended.send(last).ok();
+        });
+        begin.recv().expect("it begins");
+        drop(sender);
+        // Long, so that only a hang meets it.
+        let last = end.recv_timeout(std::time::Duration::from_secs(10));
+        assert_eq!(last, Ok(None), "the receiver still waits");
+    }
+}
--- /dev/null
+++ b/crates/node/tests/shedding.rs
@@ -0,0 +1,67 @@
+//! Targets that turn work away.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Deployment, FIRST, problem};
+use dunlinrock_schema::api::Run;
+
+/// More requests than the test sends.
+const MANY: u64 = 1_000_000;
+
+// The caller sees: its answer. Order: the first target says explicitly that it did not run the
+// request, so it may go to another one under the same claim; a new claim is not needed, and a
+// second run cannot come of it.
+#[tokio::test]
+async fn a_reservation_that_a_target_sheds_runs_once_at_another() {
+    let mut d = Deployment::open("cursuri", Duration::ZERO);
+    d.start().await;
+    for target in d.targets.iter() {
+        target.shed(1);
+    }
+    let bound = d.bind("catalogue").await;
+    for n in 0..20 {
+        let key = format!("{}.n{n}", bound.prefix);
+        let path = format!("/v1/call/catalogue/reserve/{n}");
+        let answer = d.post(bound.owner, &path, &key, FIRST).await;
+        match answer.status.as_u16() {
+            200 => assert_eq!(d.runs().get(key.as_str()), Some(&1), "{answer:?}"),
+            _ => {
+                assert_eq!(problem(&answer).run, Run::No, "{answer:?}");
+                assert_eq!(d.runs().get(key.as_str()), None, "{answer:?}");
+            }
+        }
+    }
+    let shed: u64 = d.targets.iter().map(|target| target.counts().shed).sum();
+    let ran = d.runs().len();
+    assert!(shed > 0, "no target shed anything");
+    assert!(ran >= 18, "{ran} of 20 ran, after {shed} were shed");
+}
+
+// The caller sees: `run: no`. Order: every target says that it did not run the request, and the
+// host has that word for each send; nothing was left open, so `unknown` would only make the caller
+// wait for a booking that nobody made.
+#[tokio::test]
+async fn a_reservation_that_every_target_sheds_did_not_run() {
+    let mut d = Deployment::open("cursuri", Duration::ZERO);
+    d.start().await;
+    d.targets.iter().for_each(|target| target.shed(MANY));
+    let bound = d.bind("catalogue").await;
+    let key = format!("{}.n1", bound.prefix);
+    let answer = d
+        .post(bound.owner, "/v1/call/catalogue/reserve/4", &key, FIRST)
+        .await;
+    assert_eq!(problem(&answer).run, Run::No, "{answer:?}");
+    d.targets.iter().for_each(|target| target.shed(0));
+    let again = d
+        .post(
+            bound.owner,
+            "/v1/call/catalogue/reserve/4",
+            &key,
+            "owner=1, witness=0",
+        )
+        .await;
+    assert_eq!(problem(&again).run, Run::No, "{again:?}");
+    assert!(d.runs().is_empty(), "{:?}", d.runs());
+}
--- /dev/null
+++ b/crates/node/tests/store_down.rs
@@ -0,0 +1,54 @@
+//! Hosts without a store, and without a configuration.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Deployment, FIRST, kind, problem};
+use dunlinrock_fakes::Down;
+use dunlinrock_schema::api::Run;
+use rstest::rstest;
+
+// The caller sees: whole answers from a host that never reached the store. Order: the store goes
+// down, a host starts, hears of the others on the platform's list, and asks them for the root and
+// its pieces. Waiting for the store would leave a region without new hosts for as long as it is
+// away.
+#[rstest]
+#[case::refusing(Down::Refuse)]
+#[case::closing(Down::Close)]
+#[case::failing(Down::Unavailable)]
+#[tokio::test]
+async fn a_host_that_starts_learns_the_configuration_from_peers(#[case] how: Down) {
+    let mut d = Deployment::open("cursuri", Duration::ZERO);
+    d.start().await;
+    d.store.down(how);
+    let late = d.host("late", "cluj-b").callers();
+    d.settle(1).await;
+    let answer = d.get(late, "/v1/call/catalogue/courses").await;
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+    let bound = d.bind("records").await;
+    let key = format!("{}.n1", bound.prefix);
+    let answer = d.post(late, "/v1/call/records/pay/1", &key, FIRST).await;
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+    assert_eq!(d.runs().get(key.as_str()), Some(&1));
+}
+
+// The caller sees: 503 and `run: no`, with a time to come back; with a key `unknown`. Order: a host
+// starts before anything was applied. It knows no target, so nothing ran; but of a key, which other
+// hosts may have taken before, it cannot say so.
+#[tokio::test]
+async fn a_host_without_a_configuration_turns_callers_away() {
+    let mut d = Deployment::open("cursuri", Duration::ZERO);
+    let host = d.host("first", "cluj-a").callers();
+    for path in ["/v1/call/catalogue/courses", "/v1/hosts/catalogue"] {
+        let answer = d.get(host, path).await;
+        let problem = problem(&answer);
+        assert_eq!((kind(&problem), problem.run), ("not-ready", Run::No));
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+    assert_eq!(d.get(host, "/v1/ready").await.status, 503);
+    let path = "/v1/call/catalogue/reserve/4";
+    let answer = d.post(host, path, "1.2.3.4.n1", FIRST).await;
+    assert_eq!(problem(&answer).run, Run::Unknown, "{answer:?}");
+}
