--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -60,7 +60,7 @@
 pub mod spread;
 
 pub use {
-    blocks::{Blocks, Builder},
+    blocks::{Blocks, Builder, Full},
     grants::{Ask, Grant, Grantee, Grantor, Links, Need, Own, Shortage},
     shift::{Ceilings, Peer, Reason, Refusal, Rows, Shares},
     spill::{Traffic, Traffics},
