--- a/crates/cli/src/commands/load.rs
+++ b/crates/cli/src/commands/load.rs
@@ -18,8 +18,8 @@
     rt::block_on,
 };
 
-/// Attempts that a caller makes of one request.
-const ATTEMPTS: u32 = 6;
+/// Attempts that a caller makes of one request; its deadline ends most before.
+const ATTEMPTS: u32 = 10;
 
 /// Runs a load and reports what callers got.
 pub(crate) fn load(args: &Load) -> Result<(), Failure> {
--- a/crates/cli/src/demo/callers.rs
+++ b/crates/cli/src/demo/callers.rs
@@ -13,8 +13,8 @@
 /// Callers near each region.
 const CALLERS: u64 = 8;
 
-/// Attempts that a caller makes of one request.
-const ATTEMPTS: u32 = 6;
+/// Attempts that a caller makes of one request; its deadline ends most before.
+const ATTEMPTS: u32 = 10;
 
 /// Opens the callers; those of one region follow those of another.
 pub(super) fn open(stage: &Stage, seed: u64) -> Vec<Arc<Caller>> {
--- /dev/null
+++ b/crates/cli/tests/apply.rs
@@ -0,0 +1,167 @@
+//! Operators' commands on the store: plan, apply, show and history.
+
+mod support;
+
+use std::{fs, process::Stdio};
+
+use dunlinrock_fakes::Down;
+use support::program::{copy, cursuri, drained, on, program, run, store, text};
+
+#[test]
+fn an_apply_is_planned_shown_and_listed() {
+    let store = store();
+    let plan = on(&store, &["plan", &cursuri()]);
+    assert_eq!(plan.code, 0, "{plan:?}");
+    assert!(plan.out.contains("against revision 0"), "{plan:?}");
+    let apply = on(&store, &["apply", "--id", "first", &cursuri()]);
+    assert_eq!(
+        (apply.code, apply.out.as_str()),
+        (0, "in force as revision 1\n")
+    );
+    let again = on(&store, &["apply", "--id", "second", &cursuri()]);
+    assert_eq!(again.code, 0, "{again:?}");
+    assert!(again.out.contains("no change"), "{again:?}");
+    let history = on(&store, &["history"]);
+    assert_eq!(history.code, 0, "{history:?}");
+    assert!(
+        history.out.contains("first") && history.out.contains("ana"),
+        "{history:?}"
+    );
+    assert!(!history.out.contains("second"), "{history:?}");
+}
+
+#[test]
+fn what_show_prints_can_be_applied_again() {
+    let store = store();
+    assert_eq!(on(&store, &["apply", &cursuri()]).code, 0);
+    let show = on(&store, &["show"]);
+    assert_eq!(show.code, 0, "{show:?}");
+    let dir = tempfile::tempdir().unwrap();
+    fs::write(dir.path().join("all.toml"), show.out).unwrap();
+    let again = on(&store, &["apply", &text(dir.path())]);
+    assert!(again.out.contains("no change"), "{again:?}");
+}
+
+#[test]
+fn an_apply_that_was_overtaken_is_told_so() {
+    // Two operators plan on revision 1. One applies a drain; the other's apply must not take
+    // effect on a ground that its operator has not seen, and says what came in between.
+    let store = store();
+    assert_eq!(on(&store, &["apply", &cursuri()]).code, 0);
+    let dir = drained();
+    let drain = on(
+        &store,
+        &["apply", "--base", "1", "--id", "drain", &text(dir.path())],
+    );
+    assert_eq!(drain.code, 0, "{drain:?}");
+    let other = copy(
+        "x.toml",
+        "[drains]\ny = { kind = \"domain\", name = \"iasi-a\" }\n",
+    );
+    let late = on(&store, &["apply", "--base", "1", &text(other.path())]);
+    assert_eq!(late.code, 3, "{late:?}");
+    assert!(
+        late.err.contains("overtaken") && late.err.contains("drain"),
+        "{late:?}"
+    );
+    assert!(on(&store, &["show"]).out.contains("# Revision 2"));
+}
+
+#[test]
+fn an_apply_whose_answers_are_lost_finds_out_that_it_took_effect() {
+    let store = store();
+    store.lose_answers(3);
+    let apply = on(&store, &["apply", &cursuri()]);
+    assert_eq!(
+        (apply.code, apply.out.as_str()),
+        (0, "in force as revision 1\n")
+    );
+    assert_eq!(store.counts().lost, 3);
+}
+
+#[test]
+fn an_apply_without_a_certain_answer_says_that_it_may_have_taken_effect() {
+    // The write of the root takes effect, its answer never comes, and the store goes away. The
+    // operator must not be told that nothing happened. A second try under the same id, when the
+    // store is back, finds what became of the first.
+    let store = store();
+    store.hold_answers(Some("dunlinrock/root"));
+    let at = store.addr().to_string();
+    let args = [
+        "apply",
+        "--store",
+        &at,
+        "--timeout",
+        "1",
+        "--id",
+        "mine",
+        &cursuri(),
+    ];
+    let child = program(&args)
+        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    while store.peek("dunlinrock/root").is_none() {
+        std::thread::yield_now();
+    }
+    store.down(Down::Refuse);
+    let ended = child.wait_with_output().unwrap();
+    assert_eq!(ended.status.code(), Some(5), "{ended:?}");
+    let err = String::from_utf8(ended.stderr).unwrap();
+    assert!(
+        err.contains("may have taken effect") && err.contains("mine"),
+        "{err}"
+    );
+    store.hold_answers(None);
+    store.up();
+    let again = loop {
+        // The port opens on the serving thread, at some moment after `up`.
+        let again = run(&args);
+        if again.code != 4 {
+            break again;
+        }
+    };
+    assert_eq!(
+        (again.code, again.out.as_str()),
+        (0, "in force as revision 1\n"),
+        "{again:?}"
+    );
+}
+
+#[test]
+fn a_store_without_a_configuration_says_so() {
+    let store = store();
+    let show = on(&store, &["show"]);
+    assert_eq!(show.code, 1, "{show:?}");
+    assert!(
+        show.err.contains("no configuration was applied"),
+        "{show:?}"
+    );
+}
+
+#[test]
+fn a_reader_that_has_seen_enough_is_no_error() {
+    // `dunlinrock show ... | head` closes the pipe while the program still writes.
+    let store = store();
+    assert_eq!(on(&store, &["apply", &cursuri()]).code, 0);
+    let at = store.addr().to_string();
+    let mut child = program(&["show", "--store", &at])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let ended = child.wait_with_output().unwrap();
+    assert_eq!(ended.status.code(), Some(0), "{ended:?}");
+    assert_eq!(ended.stderr, b"");
+}
+
+#[test]
+fn waiting_needs_a_list_of_hosts() {
+    let store = store();
+    let apply = on(&store, &["apply", "--wait", &cursuri()]);
+    assert_eq!(apply.code, 2, "{apply:?}");
+    assert!(apply.err.contains("--list"), "{apply:?}");
+    assert_eq!(store.counts().writes, 0);
+}
--- a/crates/cli/tests/support/program.rs
+++ b/crates/cli/tests/support/program.rs
@@ -1,11 +1,14 @@
 //! Runs of the built program.
 
 use std::{
+    fs,
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
 };
 
+use dunlinrock_fakes::{Store, StoreRules};
+
 /// What a run printed and how it ended.
 #[derive(Debug)]
 pub(crate) struct Ended {
@@ -73,3 +76,43 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap().to_string()
 }
+
+/// A store on a free port.
+pub(crate) fn store() -> Store {
+    Store::bind("127.0.0.1:0", StoreRules::default()).unwrap()
+}
+
+/// Runs a command on a store with the Cursuri example.
+pub(crate) fn on(store: &Store, args: &[&str]) -> Ended {
+    let at = store.addr().to_string();
+    run(&[&args[..1], &["--store", &at], &args[1..]].concat())
+}
+
+/// Directory of the Cursuri example.
+pub(crate) fn cursuri() -> String {
+    example("cursuri").display().to_string()
+}
+
+/// A copy of the Cursuri example with one more file.
+pub(crate) fn copy(name: &str, text: &str) -> tempfile::TempDir {
+    let dir = tempfile::tempdir().unwrap();
+    for entry in fs::read_dir(example("cursuri")).unwrap() {
+        let path = entry.unwrap().path();
+        fs::copy(&path, dir.path().join(path.file_name().unwrap())).unwrap();
+    }
+    fs::write(dir.path().join(name), text).unwrap();
+    dir
+}
+
+/// A copy of the Cursuri example with a drain.
+pub(crate) fn drained() -> tempfile::TempDir {
+    copy(
+        "drains.toml",
+        "[drains]\nx = { kind = \"domain\", name = \"cluj-a\" }\n",
+    )
+}
+
+/// A path as an argument.
+pub(crate) fn text(path: &Path) -> String {
+    path.display().to_string()
+}
--- a/crates/fakes/src/store/http.rs
+++ b/crates/fakes/src/store/http.rs
@@ -158,6 +158,10 @@
     };
     shared.announce();
     pause(shared).await;
+    let held = shared.lock().hold.as_deref() == Some(key);
+    if held {
+        std::future::pending::<()>().await;
+    }
     if lost { Err(Closed) } else { Ok(res) }
 }
 
--- a/crates/fakes/src/store/mod.rs
+++ b/crates/fakes/src/store/mod.rs
@@ -77,6 +77,12 @@
         self.shared.lock().lose = writes;
     }
 
+    /// Lets writes of a key take effect and never answers them, until it is called with `None`;
+    /// their connections stay open.
+    pub fn hold_answers(&self, key: Option<&str>) {
+        self.shared.lock().hold = key.map(Into::into);
+    }
+
     /// Ends a lease at once, as if its holder had paused for longer than its time to live.
     pub fn lapse(&self, lease: u64) -> bool {
         let lapsed = self.shared.lock().end_lease(lease);
--- a/crates/fakes/src/store/state.rs
+++ b/crates/fakes/src/store/state.rs
@@ -42,6 +42,8 @@
     pub(super) delay: Duration,
     /// Writes whose answer will be dropped.
     pub(super) lose: u64,
+    /// Key whose writes get no answer, though their connections stay open.
+    pub(super) hold: Option<Arc<str>>,
 }
 
 impl State {
@@ -57,6 +59,7 @@
             down: None,
             delay: Duration::ZERO,
             lose: 0,
+            hold: None,
         }
     }
 
--- a/crates/fakes/tests/store.rs
+++ b/crates/fakes/tests/store.rs
@@ -275,6 +275,27 @@
     });
 }
 
+#[test]
+fn a_held_answer_never_comes_although_the_write_took_effect() {
+    let store = store();
+    block_on(async {
+        store.hold_answers(Some("k"));
+        let write = put(&store, "k", &[], "one");
+        let seen = async {
+            while store.peek("k").is_none() {
+                tokio::task::yield_now().await;
+            }
+            put(&store, "other", &[], "two").await.unwrap()
+        };
+        tokio::select! {
+            _ = write => panic!("the answer came"),
+            other = seen => assert_eq!(other.status, 201),
+        }
+        store.hold_answers(None);
+        assert_eq!(put(&store, "k", &[], "three").await.unwrap().status, 200);
+    });
+}
+
 #[test]
 fn a_slow_store_has_written_although_its_writer_gave_up() {
     let store = store();
