--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -21,7 +21,8 @@
 /// Checks `text`, read from the file `name`, against a JSON Schema and gives it as a `T`.
 ///
 /// Of JSON Schema, the keywords `$ref` into `definitions`, `type`, `properties`, `required`,
-/// `additionalProperties`, `items`, `enum`, `minimum` and `maximum` are held.
+/// `additionalProperties`, `items`, `enum`, `minimum`, `maximum` and the `format` `socket-address` are
+/// held.
 ///
 /// # Errors
 ///
--- a/crates/config/src/check/rules.rs
+++ b/crates/config/src/check/rules.rs
@@ -86,6 +86,11 @@
             .collect()
     }
 
+    /// Whether a text is an address that a process can listen on or connect to.
+    pub(super) fn is_address(self) -> bool {
+        self.here.get("format").and_then(Value::as_str) == Some("socket-address")
+    }
+
     pub(super) fn minimum(self) -> Option<f64> {
         self.here.get("minimum").and_then(Value::as_f64)
     }
--- a/crates/config/src/check/walk.rs
+++ b/crates/config/src/check/walk.rs
@@ -14,6 +14,7 @@
 };
 use crate::{
     Findings, Place,
+    settings::parse_address,
     source::{Path, Places},
 };
 
@@ -154,6 +155,12 @@
     }
 
     fn text(&mut self, rules: Rules<'_>, name: &str, at: usize, text: &str) -> Option<Value> {
+        if rules.is_address()
+            && let Err(fault) = parse_address(text)
+        {
+            // Still a text: what else is wrong with the whole is looked for as well.
+            self.error(at, fault);
+        }
         let choices = rules.choices();
         if choices.is_empty() || choices.contains(&text) {
             return Some(Value::String(text.to_owned()));
--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -56,24 +56,10 @@
     }
 }
 
+/// The addresses themselves are checked with the document, so that a wrong one is named beside
+/// whatever else is wrong.
 fn addresses(settings: &Settings, places: &Places, findings: &mut Findings) {
-    let metrics = settings.metrics.as_ref().and_then(|m| m.address.as_ref());
-    let mut listens = Vec::new();
-    for (path, address, bound) in [
-        (&["callers"][..], Some(&settings.callers), true),
-        (&["peers"], Some(&settings.peers), true),
-        (&["store", "address"], Some(&settings.store.address), false),
-        (&["list", "address"], Some(&settings.list.address), false),
-        (&["metrics", "address"], metrics, false),
-    ] {
-        let Some(address) = address else { continue };
-        match parse_address(address) {
-            Ok(parsed) if bound => listens.push(parsed),
-            Ok(_) => {}
-            Err(fault) => findings.error(places.value(path), fault),
-        }
-    }
-    if listens.len() == 2 && listens[0] == listens[1] {
+    if settings.callers == settings.peers {
         findings.error(
             places.value(&["peers"]),
             "`peers` is the address of `callers` too; give it another port",
