--- a/crates/cli/src/demo/stage.rs
+++ b/crates/cli/src/demo/stage.rs
@@ -151,12 +151,12 @@
 
     fn settings(&self, name: &str, domain: &Arc<str>, region: &Arc<str>) -> Settings {
         let store = StoreSettings {
-            address: self.store.addr().to_string().into(),
+            address: self.store.addr().to_string(),
             prefix: PREFIX.into(),
             timeout_ms: std::num::NonZeroU64::MIN.saturating_add(1999),
         };
         let list = ListSettings {
-            address: self.list.addr().to_string().into(),
+            address: self.list.addr().to_string(),
             poll_ms: 200,
         };
         Settings {
