--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -138,11 +138,14 @@
     /// Digests heard directly and not passed on yet.
     heard: BTreeMap<Arc<str>, Digest>,
     digest_stamp: u64,
+    /// Since when the words of each host that was heard differ from this host's.
+    differs: BTreeMap<Arc<str>, Duration>,
     due: Due,
     last_tick: Duration,
     /// Since when other hosts are asked; `None` once one has answered.
     asking: Option<Duration>,
-    /// Counts up with each ask, to ask others in turn.
+    /// Counts up with each ask, to ask others in turn; begins at a place of the host's own, as hosts
+    /// started together would all ask the same one.
     turn: usize,
     listed: bool,
     superseded: Option<u64>,
@@ -207,9 +210,10 @@
             digests: BTreeMap::new(),
             heard: BTreeMap::new(),
             digest_stamp: 0,
+            differs: BTreeMap::new(),
             last_tick: now,
             asking: Some(now),
-            turn: 0,
+            turn: place as usize,
             listed: false,
             superseded: None,
             told: BTreeMap::new(),
--- a/crates/coord/src/member/receive.rs
+++ b/crates/coord/src/member/receive.rs
@@ -80,10 +80,15 @@
         }
     }
 
-    /// Asks for words where another host's sum differs. Words on their way make sums differ for a
-    /// moment, so this is bounded by time.
+    /// Asks for words where another host's sum has differed for a while. A word that is on its way,
+    /// or ends here a moment before it ends there, makes sums differ without any being missed.
     fn compare(&mut self, now: Duration, from: &Arc<str>, sum: u64, out: &mut Vec<Action>) {
-        if sum != self.words.sum(now) && now >= self.due.sync {
+        if sum == self.words.sum(now) {
+            self.differs.remove(from);
+            return;
+        }
+        let since = *self.differs.entry(from.clone()).or_insert(now);
+        if now >= since + self.timings.sync / 2 && now >= self.due.sync {
             self.ask(now, from, out);
         }
     }
@@ -147,6 +152,7 @@
         };
         Some(dunlinrock_schema::coord::Rumor {
             origin: host.domain.clone(),
+            ttl_ms: self.timings.word.as_millis() as u64,
             word: dunlinrock_schema::coord::Word::State(word),
         })
     }
--- a/crates/coord/src/member/refresh.rs
+++ b/crates/coord/src/member/refresh.rs
@@ -34,6 +34,7 @@
         }
         self.told = told;
         self.reports.retain(|name, _| self.told.contains_key(name));
+        self.differs.retain(|name, _| self.told.contains_key(name));
         self.refresh_topology(now);
         self.refresh_silent(out);
     }
--- a/crates/coord/src/member/settings.rs
+++ b/crates/coord/src/member/settings.rs
@@ -34,7 +34,8 @@
     pub digest: Duration,
     /// Time between two rounds in which digests are passed on within a domain.
     pub far: Duration,
-    /// Least time between two asks for missed words.
+    /// Least time between two asks for missed words; half of it is the time for which another host's
+    /// words must differ before it is asked, as a word on its way makes them differ for a moment.
     pub sync: Duration,
     /// Time for which a word of a state is passed on.
     pub word: Duration,
@@ -46,10 +47,10 @@
             beat: Duration::from_millis(250),
             suspect: Duration::from_secs(1),
             gone: Duration::from_secs(3),
-            report: Duration::from_secs(4),
+            report: Duration::from_secs(8),
             digest: Duration::from_secs(1),
-            far: Duration::from_secs(5),
-            sync: Duration::from_secs(1),
+            far: Duration::from_secs(10),
+            sync: Duration::from_millis(500),
             word: Duration::from_secs(30),
         }
     }
--- a/crates/coord/src/member/spread.rs
+++ b/crates/coord/src/member/spread.rs
@@ -75,8 +75,13 @@
     }
 
     fn start(&mut self, now: Duration, word: Word, out: &mut Vec<Action>) {
+        let ttl_ms = match &word {
+            Word::Quarantine(word) => word.ttl_ms,
+            _ => self.timings.word.as_millis() as u64,
+        };
         let rumor = Rumor {
             origin: self.me.domain.clone(),
+            ttl_ms,
             word,
         };
         if self.take(now, &rumor, out) {
--- a/crates/coord/src/member/tick.rs
+++ b/crates/coord/src/member/tick.rs
@@ -6,8 +6,9 @@
 
 use super::{Action, Membership};
 
-/// Most grants in one digest, so that its size is bounded; more take turns.
-const DIGEST_GRANTS: usize = 8;
+/// Most grants in one digest, so that its size is bounded; more take turns. Every host gets a digest
+/// of each domain every ten seconds; with eight grants each that alone took 3.6 KB/s at 49 domains.
+const DIGEST_GRANTS: usize = 4;
 /// A report without a change is sent every so many rounds, as the last one may be lost.
 const QUIET_ROUNDS: u32 = 4;
 /// Times the `gone` silence after which a host that nobody answers counts as alone.
@@ -126,30 +127,35 @@
     }
 
     fn send_reports(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let newcomers = std::mem::take(&mut self.newcomers);
-        let due = now >= self.due.report;
-        if !due && newcomers.is_empty() {
+        let newcomers: Vec<_> = std::mem::take(&mut self.newcomers).into_iter().collect();
+        if !newcomers.is_empty() {
+            send(&newcomers, &self.make_report(true), out);
+        }
+        if now < self.due.report {
             return;
         }
+        self.due.report = now + self.timings.report;
+        self.quiet += 1;
+        if self.stamp != self.reported || self.quiet >= QUIET_ROUNDS {
+            self.reported = self.stamp;
+            self.quiet = 0;
+            send(&self.topology.near, &self.make_report(false), out);
+        }
+    }
+
+    /// Shares are a third of a report, and only a host that starts needs those of others.
+    fn make_report(&self, shares: bool) -> Message {
         let mut facts = self.facts.clone();
         facts.revision = self.revision;
-        let report = Message::Report(Report {
+        if !shares {
+            facts.shares.clear();
+        }
+        Message::Report(Report {
             name: self.me.name.clone(),
             incarnation: self.me.incarnation,
             stamp: self.stamp,
             facts,
-        });
-        if due {
-            self.due.report = now + self.timings.report;
-            self.quiet += 1;
-            if self.stamp != self.reported || self.quiet >= QUIET_ROUNDS {
-                self.reported = self.stamp;
-                self.quiet = 0;
-                send(&self.topology.near, &report, out);
-                return;
-            }
-        }
-        send(&newcomers.into_iter().collect::<Vec<_>>(), &report, out);
+        })
     }
 
     fn send_digests(&mut self, now: Duration, out: &mut Vec<Action>) {
@@ -233,7 +239,8 @@
             return;
         }
         self.due.far = now + self.timings.far;
-        let heard = std::mem::take(&mut self.heard);
+        let mut heard = std::mem::take(&mut self.heard);
+        heard.retain(|domain, _| self.topology.passed.contains(domain));
         if heard.is_empty() {
             return;
         }
--- a/crates/coord/src/member/topology.rs
+++ b/crates/coord/src/member/topology.rs
@@ -26,6 +26,8 @@
     pub(super) partners: Vec<Arc<str>>,
     /// Domains whose speakers speak to it.
     pub(super) expected: BTreeSet<Arc<str>>,
+    /// Those of them whose digests it passes on; the second host that hears them keeps quiet.
+    pub(super) passed: BTreeSet<Arc<str>>,
 }
 
 /// Works out the part of `me`, given the live hosts by domain.
@@ -41,23 +43,33 @@
         .filter(|name| *name != me && watchers(name, &inside).contains(me))
         .cloned()
         .collect();
-    let ranked: BTreeMap<&Arc<str>, Vec<&Arc<str>>> = domains
+    let ranked: Vec<(&Arc<str>, Vec<&Arc<str>>)> = domains
         .iter()
-        .filter(|(domain, hosts)| *domain != mine && !hosts.is_empty())
-        .map(|(domain, hosts)| (domain, rendezvous::rank(domain, hosts)))
+        .filter(|(_, hosts)| !hosts.is_empty())
+        // Not the rank of the relays: they have their own part to send.
+        .map(|(domain, hosts)| (domain, rendezvous::rank(&format!("{domain} speaks"), hosts)))
         .collect();
-    let own = rendezvous::rank(mine, &inside);
     let mut partners = Vec::new();
     let mut expected = BTreeSet::new();
-    for (domain, hosts) in &ranked {
-        for (speaker, partner) in pairs(mine, &own, domain, hosts) {
-            if speaker == *me {
+    let mut passed = BTreeSet::new();
+    let own = ranked.iter().position(|(domain, _)| *domain == mine);
+    for (index, (domain, _)) in ranked.iter().enumerate() {
+        let Some(own) = own.filter(|own| *own != index) else {
+            continue;
+        };
+        for (speaker, partner) in pairs(&ranked, own, index) {
+            // A domain of one host is spoken to once.
+            if speaker == me && !partners.contains(partner) {
                 partners.push(partner.clone());
             }
         }
-        let heard = pairs(domain, hosts, mine, &own);
-        if heard.iter().any(|(_, partner)| partner == me) {
-            expected.insert((*domain).clone());
+        for (turn, (_, partner)) in pairs(&ranked, index, own).enumerate() {
+            if partner == me {
+                expected.insert((*domain).clone());
+            }
+            if partner == me && turn == 0 {
+                passed.insert((*domain).clone());
+            }
         }
     }
     Topology {
@@ -66,6 +78,7 @@
         watched,
         partners,
         expected,
+        passed,
     }
 }
 
@@ -78,17 +91,17 @@
 }
 
 /// The hosts of one domain that speak to another, each with the host it speaks to.
-fn pairs(
-    from: &str,
-    speakers: &[&Arc<str>],
-    to: &str,
-    hosts: &[&Arc<str>],
-) -> Vec<(Arc<str>, Arc<str>)> {
-    let chosen = rendezvous::choose(to, speakers.iter().copied(), SPEAKERS);
-    let partners = rendezvous::choose(from, hosts.iter().copied(), SPEAKERS);
-    chosen
-        .into_iter()
-        .enumerate()
-        .map(|(index, speaker)| (speaker.clone(), partners[index % partners.len()].clone()))
-        .collect()
+///
+/// The place among the domains chooses the place among the hosts, so that speaking is shared out
+/// evenly; a free choice by rendezvous gave some hosts three times the bytes of others.
+fn pairs<'a>(
+    ranked: &'a [(&Arc<str>, Vec<&'a Arc<str>>)],
+    from: usize,
+    to: usize,
+) -> impl Iterator<Item = (&'a Arc<str>, &'a Arc<str>)> {
+    let (speakers, partners) = (&ranked[from].1, &ranked[to].1);
+    (0..SPEAKERS).map(move |turn| {
+        let speaker = speakers[(to + turn) % speakers.len()];
+        (speaker, partners[(from + turn) % partners.len()])
+    })
 }
--- a/crates/coord/src/member/words.rs
+++ b/crates/coord/src/member/words.rs
@@ -32,27 +32,27 @@
 
 impl Words {
     /// Takes a word; `false` for one that is known.
-    pub(super) fn take(&mut self, rumor: &Rumor, now: Duration, state_ttl: Duration) -> bool {
+    ///
+    /// A word carries the time it has left, so it ends at about the same time everywhere. If each
+    /// host counted a time of its own from when it heard of it, hosts that ask each other for what
+    /// they lack would hand an old word round for ever.
+    pub(super) fn take(&mut self, rumor: &Rumor, now: Duration, memory: Duration) -> bool {
         let key = key(&rumor.word);
-        let ttl = match &rumor.word {
-            Word::Quarantine(word) => Duration::from_millis(word.ttl_ms),
-            _ => state_ttl,
-        };
-        let ends = now + ttl;
+        let ends = now + Duration::from_millis(rumor.ttl_ms);
         if let Some(kept) = self.kept.get_mut(&key) {
             // The same request killed another target: the word starts anew.
             let renewed =
                 matches!(rumor.word, Word::Quarantine(_)) && ends > kept.ends + LEAST_LEFT * 5;
             if renewed {
                 kept.ends = ends;
-                kept.forget = ends + state_ttl;
+                kept.forget = ends + memory;
             }
             return renewed;
         }
         if self.kept.len() >= MOST {
             return false;
         }
-        let forget = ends + state_ttl;
+        let forget = ends + memory;
         let rumor = rumor.clone();
         self.kept.insert(
             key,
@@ -105,8 +105,9 @@
 
 fn left(kept: &Kept, now: Duration) -> Rumor {
     let mut rumor = kept.rumor.clone();
+    rumor.ttl_ms = kept.ends.saturating_sub(now).as_millis() as u64;
     if let Word::Quarantine(word) = &mut rumor.word {
-        word.ttl_ms = kept.ends.saturating_sub(now).as_millis() as u64;
+        word.ttl_ms = rumor.ttl_ms;
     }
     rumor
 }
--- /dev/null
+++ b/crates/coord/tests/follow.rs
@@ -0,0 +1,208 @@
+//! The follower: never back, whole or nothing, whatever order roots and pieces come in.
+
+mod common;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use common::{config, fleet::Fleet, store::Store};
+use dunlinrock_coord::{
+    follow::{Action, Follower, Source, Timings},
+    pieces::{self, Pieces},
+    root::{Apply, Intent, Pace},
+};
+use dunlinrock_schema::{config::Config, coord::Root};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+/// Configurations of several revisions, their roots, and all pieces ever written.
+fn history(count: usize) -> (Vec<Config>, Vec<Root>, Pieces) {
+    let mut store = Store::default();
+    let mut configs = Vec::new();
+    let mut roots = Vec::new();
+    let mut config = config(8, 4, 700);
+    for turn in 0..count {
+        let name = format!("service-{:03}", turn % 8);
+        let service = config.services.get_mut(name.as_str()).unwrap();
+        service.cap.share = 0.1 + turn as f64 / 100.0;
+        let block = format!("10.{turn}.0.0/16");
+        config.blocks.insert(block.into(), "region-01".into());
+        if turn % 3 == 2 {
+            config.blocks.pop_first();
+        }
+        let intent = Intent {
+            id: format!("a{turn}").into(),
+            by: "op".into(),
+            at_ms: 0,
+            base: None,
+        };
+        let mut apply = Apply::open(intent, pieces::split(&config), Pace::default());
+        let mut asks = apply.poll(Duration::ZERO);
+        while let Some(asked) = asks.pop() {
+            let answer = store.run(&asked.ask);
+            asks.extend(apply.answer(asked.number, answer, Duration::ZERO));
+        }
+        configs.push(config.clone());
+        roots.push(store.read().unwrap());
+    }
+    (configs, roots, store.bytes())
+}
+
+// Roots and pieces come late, doubled, out of order, some never, from sources that lack some. At
+// each moment the copy is one of the configurations, whole, and no older than the one before.
+#[test]
+fn random_orders_and_losses_never_revert_and_never_show_a_part() {
+    let (configs, roots, all) = history(12);
+    let mut switched = BTreeSet::new();
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut follower = Follower::open(Timings::default());
+        let mut patched = Config::default();
+        let mut asks: Vec<(Source, Vec<pieces::Hash>)> = Vec::new();
+        let mut now = Duration::ZERO;
+        let mut last = 0;
+        for _ in 0..400 {
+            now += ms(rng.random_range(0..400));
+            let from = Source::Peer(
+                ["h1", "h2", "h3"]
+                    .choose(&mut rng)
+                    .unwrap()
+                    .to_string()
+                    .into(),
+            );
+            let actions = match rng.random_range(0..4) {
+                0 => follower.root(now, from, roots.choose(&mut rng).unwrap().clone()),
+                1 | 2 if !asks.is_empty() => {
+                    let index = rng.random_range(0..asks.len());
+                    let (from, hashes) = asks[index].clone();
+                    if rng.random_bool(0.7) {
+                        asks.remove(index);
+                    }
+                    let held = hashes.iter().filter_map(|hash| all.get(hash).cloned());
+                    let part: Vec<Arc<[u8]>> = held.filter(|_| rng.random_bool(0.9)).collect();
+                    follower.pieces(now, &from, part)
+                }
+                _ => follower.tick(now),
+            };
+            for action in actions {
+                match action {
+                    Action::AskPieces { from, hashes } => asks.push((from, hashes)),
+                    Action::Switch(switch) => {
+                        let revision = switch.entry.revision;
+                        assert!(revision > last && switch.before == last, "seed {seed}");
+                        let copy = follower.copy().unwrap();
+                        let tree = copy.tree().unwrap();
+                        let whole = pieces::join(tree, &copy.pieces).unwrap();
+                        assert_eq!(whole, configs[revision as usize - 1], "seed {seed}");
+                        let both = switch.old.into_iter().chain(copy.pieces.clone()).collect();
+                        pieces::patch(&mut patched, &switch.diff, &both).unwrap();
+                        assert_eq!(patched, whole, "seed {seed}");
+                        let listed = pieces::list(tree, &copy.pieces).unwrap();
+                        let needed: BTreeSet<_> =
+                            listed.leaves.into_values().chain(listed.nodes).collect();
+                        assert_eq!(copy.pieces.keys().copied().collect::<BTreeSet<_>>(), needed);
+                        last = revision;
+                        switched.insert(revision);
+                    }
+                    Action::AskRoot { .. } => {}
+                }
+            }
+            assert_eq!(follower.revision(), last);
+        }
+    }
+    assert!(switched.len() > 6, "{switched:?}");
+}
+
+// The store has been down since before this host started. It must still become ready, from peers.
+#[test]
+fn a_host_that_starts_with_the_store_down_learns_the_configuration_from_peers() {
+    let mut fleet = Fleet::open(6, 2, 3);
+    fleet.apply("a", pieces::split(&config(20, 4, 3000)));
+    fleet.run(ms(15_000));
+    assert!(fleet.nodes.values().all(|node| node.follower.ready()));
+    fleet.store_down = true;
+    fleet.run(Duration::from_secs(600));
+    fleet.start(2, 0, 2);
+    fleet.list(2, 0, 2);
+    fleet.send_listing();
+    let ready = fleet.until(ms(20_000), |fleet| {
+        fleet.nodes["host-02-00"].follower.ready()
+    });
+    println!("ready after {ready:?}");
+    assert!(ready.unwrap() <= ms(5000), "{ready:?}");
+}
+
+// One region cannot reach the store's answers: a whole domain is new, all its hosts start at once
+// with the store down. They learn from relays of other domains.
+#[test]
+fn a_domain_that_starts_whole_with_the_store_down_learns_from_other_domains() {
+    let mut fleet = Fleet::open(6, 2, 3);
+    fleet.apply("a", pieces::split(&config(20, 4, 3000)));
+    fleet.run(ms(15_000));
+    fleet.store_down = true;
+    fleet.start(4, 0, 2);
+    fleet.start(4, 1, 2);
+    fleet.list(4, 0, 2);
+    fleet.list(4, 1, 2);
+    fleet.send_listing();
+    let ready = fleet.until(ms(30_000), |fleet| {
+        fleet.nodes.values().all(|node| node.follower.ready())
+    });
+    println!("ready after {ready:?}");
+    assert!(ready.unwrap() <= ms(10_000), "{ready:?}");
+}
+
+// A message down the tree is lost. The host hears in a heartbeat that others are ahead, and asks.
+#[test]
+fn a_change_reaches_all_hosts_within_seventeen_seconds_with_a_fifth_of_messages_lost() {
+    let mut fleet = Fleet::open(6, 12, 5);
+    let mut config = config(20, 4, 3000);
+    fleet.apply("a", pieces::split(&config));
+    fleet.run(ms(20_000));
+    fleet.loss = 0.2;
+    for turn in 0..5 {
+        config.services.get_mut("service-003").unwrap().cap.share = 0.2 + f64::from(turn) / 50.0;
+        fleet.apply(&format!("b{turn}"), pieces::split(&config));
+        let revision = fleet.store.revision();
+        let took = fleet.until(ms(60_000), |fleet| {
+            fleet
+                .nodes
+                .values()
+                .all(|node| node.follower.revision() == revision)
+        });
+        println!("in force everywhere after {took:?}");
+        assert!(took.unwrap() <= ms(17_000), "{took:?}");
+    }
+    for (name, node) in &fleet.nodes {
+        assert!(
+            node.switches.is_sorted_by_key(|(_, revision)| *revision),
+            "{name}"
+        );
+    }
+}
+
+#[test]
+fn a_changed_service_costs_a_host_under_four_kilobytes_with_its_root() {
+    let mut fleet = Fleet::open(1, 8, 5);
+    let mut config = config(740, 22, 200_000);
+    for turn in 0..12 {
+        config.services.get_mut("service-003").unwrap().cap.share = 0.2 + f64::from(turn) / 50.0;
+        fleet.apply(&format!("operator-apply-{turn:02}"), pieces::split(&config));
+        fleet.run(ms(20_000));
+    }
+    fleet.reset_counts();
+    config.services.get_mut("service-003").unwrap().cap.share = 0.9;
+    fleet.apply("operator-apply-12", pieces::split(&config));
+    fleet.run(ms(2000));
+    let (messages, bytes) = fleet.counts["root_give"];
+    println!("{messages} gives of {} bytes", bytes / messages);
+    assert_eq!(messages, 6);
+    assert!(bytes / messages < 4096, "{}", bytes / messages);
+    assert!(
+        !fleet.counts.contains_key("piece_ask"),
+        "{:?}",
+        fleet.counts
+    );
+}
