--- a/crates/config/src/goal/mod.rs
+++ b/crates/config/src/goal/mod.rs
@@ -12,6 +12,10 @@
 
 use dunlinrock_schema::config::{Config, DrainKind, Link, Target};
 
+/// Part of a cap's speed at which each host moves its shares. The rest is kept for what is not a
+/// host's own move, as `docs/decisions/shift.md` says.
+pub const PACE: f64 = 0.8;
+
 /// For each serving region its part of the traffic; the parts sum up to 1, or there are none.
 pub type Row = BTreeMap<Arc<str>, f64>;
 
--- a/crates/config/src/plan/mod.rs
+++ b/crates/config/src/plan/mod.rs
@@ -18,9 +18,10 @@
     pub callers: Arc<str>,
     /// Part of the callers' traffic that moves in all, of 1.
     pub moved: f64,
-    /// Windows of the cap that the move takes.
+    /// Least windows of the cap that the move needs.
     pub windows: u64,
-    /// Time the move takes under the cap; longer where regions grant too little headroom.
+    /// Time the move takes at the hosts' pace, which is below the cap's; longer where regions grant
+    /// too little headroom.
     pub takes: Duration,
 }
 
--- a/crates/config/src/plan/shifts.rs
+++ b/crates/config/src/plan/shifts.rs
@@ -5,7 +5,7 @@
 use dunlinrock_schema::config::{Cap, Config};
 
 use super::Shift;
-use crate::goal::{Row, goal};
+use crate::goal::{PACE, Row, goal};
 
 /// Part of the traffic below which a difference is rounding, not a shift.
 const LEAST: f64 = 1e-9;
@@ -51,12 +51,13 @@
 }
 
 fn shift(service: &Arc<str>, callers: &Arc<str>, moved: f64, cap: &Cap) -> Shift {
-    let windows = (moved / cap.share - LEAST).ceil().max(1.0) as u64;
+    let windows = moved / cap.share;
+    let window = Duration::from_millis(cap.window_ms).as_secs_f64();
     Shift {
         service: service.clone(),
         callers: callers.clone(),
         moved,
-        windows,
-        takes: Duration::from_millis(cap.window_ms.saturating_mul(windows)),
+        windows: (windows - LEAST).ceil().max(1.0) as u64,
+        takes: Duration::try_from_secs_f64(window * windows / PACE).unwrap_or(Duration::MAX),
     }
 }
--- a/crates/steer/src/shift/lane.rs
+++ b/crates/steer/src/shift/lane.rs
@@ -10,6 +10,9 @@
 /// Share below which a difference is rounding.
 const LEAST: f64 = 1e-9;
 
+/// Shortest window that is reckoned with; a speed is the cap by the window.
+const SHORTEST: Duration = Duration::from_millis(1);
+
 /// One serving region of a lane.
 #[derive(Clone, Debug)]
 pub(super) struct Part {
@@ -104,7 +107,7 @@
             }
         }
         self.aim(goal, ceilings);
-        let speed = PACE * goal.cap / goal.window.as_secs_f64();
+        let speed = PACE * goal.cap / goal.window.max(SHORTEST).as_secs_f64();
         let most = goal.window.mul_f64(STEP);
         let time = now.saturating_sub(self.stepped).min(most);
         self.stepped = now;
@@ -191,7 +194,7 @@
             return free;
         }
         let since = *self.held.get_or_insert(now);
-        if now.saturating_sub(since) > goal.window * PATIENCE {
+        if now.saturating_sub(since) > goal.window.saturating_mul(PATIENCE) {
             return 1.0;
         }
         0.0
--- a/crates/steer/src/shift/mod.rs
+++ b/crates/steer/src/shift/mod.rs
@@ -34,7 +34,7 @@
 /// Part of the cap's speed at which a host moves. The rest is kept for what is not a host's own
 /// move: steps that began before a window (at most [`STEP`]), and callers who change hosts when a
 /// third of all hosts end at once (a third of [`LEAD`]): 0.8 * 1.05 + 0.45 / 3 = 0.99.
-pub const PACE: f64 = 0.8;
+pub use dunlinrock_config::goal::PACE;
 
 /// Part of a window for which a host that was idle makes up at most.
 pub const STEP: f64 = 0.05;
--- a/crates/steer/tests/runs_hold_their_bounds.rs
+++ b/crates/steer/tests/runs_hold_their_bounds.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
-use drive::{Policy, Report, run, scenarios};
+use drive::{Policy, Report, TICK, example, run, scenarios};
+use dunlinrock_config::plan::plan;
+use dunlinrock_schema::config::{Drain, DrainKind};
 
 const SEED: u64 = 1;
 
@@ -50,6 +52,25 @@
     }
 }
 
+/// An operator reads the time of a drain in the plan before it starts; the hosts must keep to it.
+#[test]
+fn a_plan_tells_the_time_of_a_drain() {
+    for (deployment, domain) in [("cursuri", "bucharest-a"), ("tidepool", "lower-mainland-a")] {
+        let old = example(deployment);
+        let mut new = old.clone();
+        let name = domain.into();
+        let kind = DrainKind::Domain;
+        new.drains.insert("run".into(), Drain { kind, name });
+        let told = plan(&old, &new).shifts.into_iter().map(|s| s.takes).max();
+        let told = told.expect("a shift");
+        let report = check(deployment, "domain drained at night");
+        let took = report.settled.expect("the shift ends");
+        // A shift counts as ended a hundredth before its end.
+        assert!(took <= told + TICK, "told {told:?}, took {took:?}");
+        assert!(took >= told.mul_f64(0.7), "told {told:?}, took {took:?}");
+    }
+}
+
 /// Cursuri's other regions and links can take the whole region; Tidepool's links cannot, and what
 /// they cannot take stays where it is until the drain ends.
 #[test]
