--- a/crates/steer/tests/a_shift_stays_under_its_cap.rs
+++ b/crates/steer/tests/a_shift_stays_under_its_cap.rs
@@ -184,6 +184,30 @@
     }
 }
 
+/// Eight hosts get a new file at once, four get it 17 s later and end at that moment, all together.
+/// Their callers go to the eight, which are ahead: the traffic jumps by the difference. It must fit
+/// under the cap beside what the eight have moved themselves in the same window.
+#[test]
+fn a_third_of_the_hosts_end_while_they_lag() {
+    let before = goals(&[("a", 0.9), ("b", 0.1)]);
+    let after = goals(&[("a", 0.2), ("b", 0.8)]);
+    let mut fleet = Fleet::open(12, &before);
+    fleet.goals[..8].fill(after);
+    while fleet.now < Duration::from_secs(17) {
+        fleet.tick();
+    }
+    fleet.hosts.truncate(8);
+    fleet.goals.truncate(8);
+    for _ in 0..100 {
+        fleet.tick();
+    }
+    assert!(fleet.moved() <= CAP, "moved {} in a window", fleet.moved());
+    assert!(
+        fleet.moved() >= CAP * 0.8,
+        "the run moved too little to tell"
+    );
+}
+
 /// The callers see a short refusal, not a jump: a new host has heard none of its peers yet, and
 /// must not start from the goal, from which they are far. Once it hears one it starts from there.
 #[test]
