--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -28,7 +28,7 @@
 /// All mistakes found, each with its place and its fix.
 pub fn check<T: DeserializeOwned>(name: &str, text: &str, schema: &str) -> Result<T, Findings> {
     let mut findings = Findings::default();
-    let document = Document::read(name, text, schema, &mut findings);
+    let mut document = Document::read(name, text, schema, &mut findings);
     let value = document.typed(&mut findings);
     match value {
         Some(value) if !findings.has_errors() => Ok(value),
@@ -73,9 +73,9 @@
         }
     }
 
-    /// What is well-formed of the document, as a `T`.
-    pub(crate) fn typed<T: DeserializeOwned>(&self, findings: &mut Findings) -> Option<T> {
-        let value = self.value.clone()?;
+    /// What is well-formed of the document, as a `T`; it can be taken once.
+    pub(crate) fn typed<T: DeserializeOwned>(&mut self, findings: &mut Findings) -> Option<T> {
+        let value = self.value.take()?;
         match serde_json::from_value(value) {
             Ok(value) => Some(value),
             Err(error) => {
--- a/crates/config/src/config/draft.rs
+++ b/crates/config/src/config/draft.rs
@@ -37,7 +37,7 @@
             complete: true,
         };
         for file in files {
-            let document = Document::read(&file.name, &file.text, schema::CONFIG, findings);
+            let mut document = Document::read(&file.name, &file.text, schema::CONFIG, findings);
             draft.complete &= document.parsed;
             if let Some(part) = document.typed(findings) {
                 draft.merge(part);
--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -30,7 +30,7 @@
 /// All mistakes found.
 pub fn check(name: &str, text: &str) -> Result<Settings, Findings> {
     let mut findings = Findings::default();
-    let document = Document::read(name, text, schema::SETTINGS, &mut findings);
+    let mut document = Document::read(name, text, schema::SETTINGS, &mut findings);
     let settings: Option<Settings> = document.typed(&mut findings);
     if let Some(settings) = &settings {
         addresses(settings, &document.places, &mut findings);
--- a/crates/config/src/source/mod.rs
+++ b/crates/config/src/source/mod.rs
@@ -59,29 +59,27 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Places {
     source: Source,
-    keys: BTreeMap<Path, usize>,
-    values: BTreeMap<Path, usize>,
+    /// By path: where the key stands, and where its value starts.
+    entries: BTreeMap<Path, (usize, usize)>,
 }
 
 impl Places {
     pub(crate) fn open(source: Source) -> Self {
         Self {
             source,
-            keys: BTreeMap::new(),
-            values: BTreeMap::new(),
+            entries: BTreeMap::new(),
         }
     }
 
     pub(crate) fn add(&mut self, path: Path, key: usize, value: usize) {
-        self.keys.insert(path.clone(), key);
-        self.values.insert(path, value);
+        self.entries.insert(path, (key, value));
     }
 
     /// Place of the value at `path`; of its nearest table where it is not written out.
     pub(crate) fn value(&self, path: &[&str]) -> Place {
         let path = owned(path);
-        match self.values.get(&path) {
-            Some(offset) => self.source.place(*offset),
+        match self.entries.get(&path) {
+            Some((_, value)) => self.source.place(*value),
             None => self.nearest(path),
         }
     }
@@ -93,8 +91,8 @@
 
     fn nearest(&self, mut path: Path) -> Place {
         while !path.is_empty() {
-            if let Some(offset) = self.keys.get(&path) {
-                return self.source.place(*offset);
+            if let Some((key, _)) = self.entries.get(&path) {
+                return self.source.place(*key);
             }
             path.pop();
         }
@@ -104,7 +102,7 @@
     /// Names defined in a section, those with mistakes included.
     pub(crate) fn names(&self, section: &str) -> impl Iterator<Item = &Arc<str>> {
         let section: Arc<str> = section.into();
-        self.keys
+        self.entries
             .range(vec![section.clone()]..)
             .take_while(move |(path, _)| path[0] == section)
             .filter(|(path, _)| path.len() == 2)
@@ -113,13 +111,13 @@
 
     /// Whether a key is written at `path`.
     pub(crate) fn has(&self, path: &[&str]) -> bool {
-        self.keys.contains_key(&owned(path))
+        self.entries.contains_key(&owned(path))
     }
 
     /// Number of keys written right under `path`, those with mistakes included.
     pub(crate) fn count(&self, path: &[&str]) -> usize {
         let path = owned(path);
-        let below = self.keys.range(path.clone()..);
+        let below = self.entries.range(path.clone()..);
         below
             .map(|(key, _)| key)
             .take_while(|key| key.starts_with(&path))
