--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -21,14 +21,15 @@
 /// Checks `text`, read from the file `name`, against a JSON Schema and gives it as a `T`.
 ///
 /// Of JSON Schema, the keywords `$ref` into `definitions`, `type`, `properties`, `required`,
-/// `additionalProperties`, `items`, `enum`, `minimum` and `maximum` are held.
+/// `additionalProperties`, `items`, `enum`, `minimum`, `maximum` and the `format` `socket-address` are
+/// held.
 ///
 /// # Errors
 ///
 /// All mistakes found, each with its place and its fix.
 pub fn check<T: DeserializeOwned>(name: &str, text: &str, schema: &str) -> Result<T, Findings> {
     let mut findings = Findings::default();
-    let document = Document::read(name, text, schema, &mut findings);
+    let mut document = Document::read(name, text, schema, &mut findings);
     let value = document.typed(&mut findings);
     match value {
         Some(value) if !findings.has_errors() => Ok(value),
@@ -73,9 +74,9 @@
         }
     }
 
-    /// What is well-formed of the document, as a `T`.
-    pub(crate) fn typed<T: DeserializeOwned>(&self, findings: &mut Findings) -> Option<T> {
-        let value = self.value.clone()?;
+    /// What is well-formed of the document, as a `T`; it can be taken once.
+    pub(crate) fn typed<T: DeserializeOwned>(&mut self, findings: &mut Findings) -> Option<T> {
+        let value = self.value.take()?;
         match serde_json::from_value(value) {
             Ok(value) => Some(value),
             Err(error) => {
