--- a/crates/cli/src/caller/link.rs
+++ b/crates/cli/src/caller/link.rs
@@ -28,6 +28,10 @@
 /// Time that a connection without requests is kept.
 const IDLE: Duration = Duration::from_secs(30);
 
+/// Time beyond the deadline that a host's last word is waited for. A host that gives a request up at
+/// its deadline says whether it ran; a caller that hangs up at the same moment would miss that.
+const GRACE: Duration = Duration::from_millis(500);
+
 /// Media type of an error answer.
 const PROBLEM: &str = "application/problem+json";
 
@@ -101,7 +105,7 @@
         let Ok(req) = req.body(Full::new(ask.body.clone())) else {
             return Tried::Unsent;
         };
-        match tokio::time::timeout(left, self.exchange(req)).await {
+        match tokio::time::timeout(left + GRACE, self.exchange(req)).await {
             Ok(Ok((status, headers, body))) => read(status, &headers, body),
             Ok(Err(failure)) => failure,
             Err(_) => Tried::Lost,
--- a/crates/cli/src/load/report.rs
+++ b/crates/cli/src/load/report.rs
@@ -95,6 +95,29 @@
     }
 }
 
+/// Reasons that are shown; details with numbers in them make many that differ.
+const SHOWN: usize = 8;
+
+impl Report {
+    /// Shows the most frequent reasons.
+    fn show_reasons(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut reasons: Vec<_> = self.reasons.iter().collect();
+        reasons.sort_by_key(|(_, number)| std::cmp::Reverse(**number));
+        let shown = reasons.len().min(SHOWN);
+        for (reason, number) in &reasons[..shown] {
+            writeln!(f, "{number} without an answer: {reason}")?;
+        }
+        let rest: u64 = reasons[shown..].iter().map(|(_, number)| **number).sum();
+        match rest {
+            0 => Ok(()),
+            _ => writeln!(
+                f,
+                "{rest} without an answer, for other reasons (see --json)"
+            ),
+        }
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
@@ -129,9 +152,6 @@
                 share.max_ms
             )?;
         }
-        for (reason, number) in &self.reasons {
-            writeln!(f, "{number} without an answer: {reason}")?;
-        }
-        Ok(())
+        self.show_reasons(f)
     }
 }
--- a/crates/cli/tests/load.rs
+++ b/crates/cli/tests/load.rs
@@ -138,3 +138,22 @@
     let text = serde_json::to_string(&report).unwrap();
     assert_eq!(serde_json::from_str::<Report>(&text).unwrap(), report);
 }
+
+#[test]
+fn a_report_shows_the_most_frequent_reasons_and_counts_the_rest() {
+    let (_, mut report, _) = load(own);
+    report.reasons = (1..=10)
+        .map(|n| (format!("reason {n}").into(), n))
+        .collect();
+    let text = report.to_string();
+    let shown: Vec<&str> = text
+        .lines()
+        .filter(|line| line.contains("without"))
+        .collect();
+    assert_eq!(shown.len(), 9);
+    assert_eq!(shown[0], "10 without an answer: reason 10");
+    assert_eq!(
+        shown[8],
+        "3 without an answer, for other reasons (see --json)"
+    );
+}
