--- a/crates/cli/src/caller/keyed.rs
+++ b/crates/cli/src/caller/keyed.rs
@@ -107,7 +107,7 @@
 
 async fn bind(caller: &Caller, ask: &Ask, deadline: Instant) -> Option<Key> {
     let hosts = caller.look_up(&ask.service, deadline).await?;
-    Key::open(hosts.binding.as_ref()?, &caller.nonce())
+    Key::open(hosts.binding.as_ref()?, &Caller::nonce())
 }
 
 async fn attempt(
--- a/crates/cli/src/caller/mod.rs
+++ b/crates/cli/src/caller/mod.rs
@@ -139,9 +139,10 @@
         addresses.get(usize::try_from(self.draw(n)).ok()?).copied()
     }
 
-    /// Makes a nonce for a key.
-    fn nonce(&self) -> String {
-        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+    /// Makes a nonce for a key. Never from the seed: two callers with one seed, or one that was
+    /// started again, would use a key for two requests, and the second would get no answer.
+    fn nonce() -> String {
+        let mut rng = rand::rng();
         format!("{:016x}{:016x}", rng.random::<u64>(), rng.random::<u64>())
     }
 
--- a/crates/cli/tests/caller.rs
+++ b/crates/cli/tests/caller.rs
@@ -165,6 +165,17 @@
     });
 }
 
+#[test]
+fn callers_with_one_seed_make_different_keys() {
+    // A load is run twice with one seed against the same hosts. With equal nonces the second run
+    // would use the first one's keys for its own requests, and be refused.
+    block_on(async {
+        let (_, first, _) = keyed(|_| whole("{}"), |_| Play::Close).await;
+        let (_, second, _) = keyed(|_| whole("{}"), |_| Play::Close).await;
+        assert_ne!(keys(&first), keys(&second));
+    });
+}
+
 #[test]
 fn a_certain_no_with_a_time_to_wait_is_tried_again_under_a_new_key() {
     block_on(async {
