--- a/crates/fakes/src/list/mod.rs
+++ b/crates/fakes/src/list/mod.rs
@@ -77,12 +77,12 @@
 
     /// Refuses connections from now on.
     pub fn down(&self) {
-        self.shared.gate.set(false);
+        self.shared.gate.turn(false);
     }
 
     /// Serves again; announcements sent meanwhile are missing.
     pub fn up(&self) {
-        self.shared.gate.set(true);
+        self.shared.gate.turn(true);
     }
 
     /// Sets the lag of announcements to come.
--- a/crates/fakes/src/serve/mod.rs
+++ b/crates/fakes/src/serve/mod.rs
@@ -20,7 +20,7 @@
     sync::{Semaphore, oneshot},
 };
 
-pub(crate) use gate::Gate;
+pub(crate) use gate::{Gate, Port};
 
 use crate::answer::Answer;
 
@@ -69,8 +69,10 @@
         loop {
             if !gate.is_open() {
                 SockRef::from(&self.listener).shutdown(Shutdown::Read)?;
+                self.gate.note(Port::Shut);
                 gate.opened().await;
                 SockRef::from(&self.listener).listen(BACKLOG)?;
+                self.gate.note(Port::Open);
             }
             let listener = tokio::net::TcpListener::from_std(self.listener.try_clone()?)?;
             tokio::select! {
@@ -98,6 +100,12 @@
     }
 }
 
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.gate.note(Port::Gone);
+    }
+}
+
 /// Binds an address by its number and listens.
 ///
 /// A port that the system chose is let go when its socket stops listening, and a target that
--- a/crates/fakes/src/store/mod.rs
+++ b/crates/fakes/src/store/mod.rs
@@ -59,11 +59,15 @@
     /// Takes the store down in the way given; waiting watches are cut.
     pub fn down(&self, down: Down) {
         self.shared.down(down);
+        if down == Down::Refuse {
+            self.shared.gate.turn(false);
+        }
     }
 
     /// Brings the store back; it holds what it held.
     pub fn up(&self) {
         self.shared.up();
+        self.shared.gate.turn(true);
     }
 
     /// Delays each answer. A read is delayed before it looks, a write after it took effect, so
--- a/crates/fakes/src/target/mod.rs
+++ b/crates/fakes/src/target/mod.rs
@@ -132,12 +132,13 @@
 
     /// Takes the target down: connections are cut and refused, its work is lost.
     pub fn down(&self) {
-        self.shared.gate.set(false);
+        self.shared.gate.turn(false);
     }
 
     /// Brings the target back, with a cold cache.
     pub fn up(&self) {
-        self.shared.revive();
+        self.shared.change(State::chill);
+        self.shared.gate.turn(true);
     }
 
     /// Empties the cache: the target is slow until it is warm again.
