--- a/crates/steer/src/blocks/mod.rs
+++ b/crates/steer/src/blocks/mod.rs
@@ -15,7 +15,7 @@
 use dunlinrock_schema::config::Config;
 use ipnet::IpNet;
 
-pub use builder::Builder;
+pub use builder::{Builder, Full};
 use table::Table;
 
 /// Index of a name; [`NOWHERE`] where no block covers the address.
--- a/crates/steer/src/shift/lane.rs
+++ b/crates/steer/src/shift/lane.rs
@@ -92,6 +92,16 @@
         self.peers = rows.cloned().collect();
     }
 
+    /// Takes a row over as it is.
+    pub(super) fn follow(&mut self, row: &Row) {
+        for part in &mut self.parts {
+            part.share = 0.0;
+        }
+        for (region, share) in row {
+            self.part(region).share = *share;
+        }
+    }
+
     /// Part of the traffic that is still to move.
     pub(super) fn remaining(&self) -> f64 {
         self.parts.iter().map(Part::gain).sum()
--- a/crates/steer/src/shift/mod.rs
+++ b/crates/steer/src/shift/mod.rs
@@ -7,13 +7,14 @@
 //! the regions they move to have granted headroom. What cannot move yet is refused with the time
 //! after which a new try helps.
 //!
-//! Each host decides for itself. That the sum over hosts stays under the cap rests on three rules:
+//! Each host decides for itself. That the sum over hosts stays under the cap rests on four rules:
 //!
 //! * A host moves at [`PACE`] of the cap's speed and does not make up for time it was idle beyond
 //!   [`STEP`] of a window. The limit needs no memory of earlier moves, so that it holds across the
 //!   replacement of a host, whose memory is gone.
 //! * A new host starts from the mean of its peers' shares. If it started from the goal, its part
 //!   of the traffic would jump; where no peer has shares there is no traffic to jump.
+//! * A host takes the shares of other regions' callers over from the hosts there.
 //! * A host stays within [`LEAD`] of the cap of its slowest peer, for [`PATIENCE`] windows: when a
 //!   host dies and its callers go to others, the traffic jumps by the difference of their shares.
 //!
@@ -90,6 +91,26 @@
         }
     }
 
+    /// Takes over the shares of other regions' callers from living hosts of those regions, given by
+    /// region; `own` is the region of this host.
+    ///
+    /// Nearly all callers use hosts of their own region, and those go only as far as grants carry
+    /// their traffic. A host elsewhere has no such traffic to hold it, and would run ahead to the
+    /// goal; should the region's hosts all end, its callers would jump there. So it follows, and
+    /// goes on by itself from where they ended.
+    pub fn follow(&mut self, own: &str, peers: &BTreeMap<Arc<str>, Vec<&Rows>>) {
+        for (service, lanes) in &mut self.lanes {
+            for (callers, lane) in lanes.iter_mut().filter(|(name, _)| ***name != *own) {
+                let rows = peers.get(callers).into_iter().flatten();
+                let rows = rows.filter_map(|rows| rows.get(service)?.get(callers));
+                let mean = start::mean_row(rows);
+                if !mean.is_empty() {
+                    lane.follow(&mean);
+                }
+            }
+        }
+    }
+
     /// Whether the host has shares to go by.
     pub fn ready(&self) -> bool {
         !self.lanes.is_empty()
--- a/crates/steer/src/shift/start.rs
+++ b/crates/steer/src/shift/start.rs
@@ -1,6 +1,6 @@
 //! The shares that a new host starts from.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use dunlinrock_config::goal::{Row, normal};
 
@@ -44,24 +44,33 @@
     }
 }
 
-fn mean(all: &[&Rows]) -> Rows {
-    let mut sums = Rows::new();
-    for rows in all {
-        for (service, lanes) in *rows {
-            let sums = sums.entry(service.clone()).or_default();
-            for (callers, row) in lanes {
-                let sums: &mut BTreeMap<_, _> = sums.entry(callers.clone()).or_default();
-                for (region, share) in row {
-                    *sums.entry(region.clone()).or_default() += share;
-                }
-            }
+/// Mean of rows; empty where there are none.
+pub(super) fn mean_row<'r>(rows: impl Iterator<Item = &'r Row>) -> Row {
+    let mut sum = Row::new();
+    for row in rows {
+        for (region, share) in row {
+            *sum.entry(region.clone()).or_default() += share;
         }
     }
-    for lanes in sums.values_mut() {
-        for row in lanes.values_mut() {
-            *row = normal(std::mem::take(row));
+    normal(sum)
+}
+
+fn mean(all: &[&Rows]) -> Rows {
+    let mut lists: BTreeMap<_, BTreeMap<_, Vec<&Row>>> = BTreeMap::new();
+    for (service, lanes) in all.iter().copied().flatten() {
+        let lists = lists.entry(service).or_default();
+        for (callers, row) in lanes {
+            lists.entry(callers).or_default().push(row);
         }
-        lanes.retain(|_, row| !row.is_empty());
     }
-    sums
+    let mean = |rows: Vec<&Row>| mean_row(rows.into_iter());
+    let lanes = |lanes: BTreeMap<&Arc<str>, Vec<&Row>>| {
+        let rows = lanes.into_iter();
+        let rows = rows.map(|(callers, rows)| (callers.clone(), mean(rows)));
+        rows.filter(|(_, row)| !row.is_empty()).collect()
+    };
+    let services = lists.into_iter();
+    services
+        .map(|(service, rows)| (service.clone(), lanes(rows)))
+        .collect()
 }
--- a/crates/steer/tests/a_shift_stays_under_its_cap.rs
+++ b/crates/steer/tests/a_shift_stays_under_its_cap.rs
@@ -258,6 +258,28 @@
     assert_eq!(&**host.pick("s", "a", 1).unwrap(), "b");
 }
 
+/// A host of region `b` goes by the shares of `a`'s hosts for `a`'s callers while one of them lives,
+/// and on from there, under the cap, once none does.
+#[test]
+fn a_host_elsewhere_follows_the_callers_own_hosts() {
+    let goal = goals(&[("a", 0.1), ("b", 0.9)]);
+    let mut host = Shares::open();
+    host.hear(&[]);
+    host.steer(&goal, &Ceilings::default(), Duration::ZERO);
+    let row = BTreeMap::from([("a".into(), 0.8), ("b".into(), 0.2)]);
+    let rows = Rows::from([("s".into(), BTreeMap::from([("a".into(), row)]))]);
+    let homes = BTreeMap::from([("a".into(), vec![&rows])]);
+    host.follow("b", &homes);
+    assert!((share(&host.rows(), "a") - 0.8).abs() < 1e-9);
+    host.follow("b", &BTreeMap::new());
+    host.steer(&goal, &Ceilings::default(), TICK);
+    let left = share(&host.rows(), "a");
+    assert!((0.8 - CAP..0.8).contains(&left), "{left}");
+    // Its own region's callers are its own to steer.
+    host.follow("a", &homes);
+    assert!((share(&host.rows(), "a") - left).abs() < 1e-9);
+}
+
 /// Region `a` is lost. Its callers are refused until their share has moved, with the time after
 /// which the same request is served. The time must be true: a caller that waits for it is served,
 /// and not much sooner either.
--- a/crates/steer/tests/drive/host.rs
+++ b/crates/steer/tests/drive/host.rs
@@ -137,10 +137,19 @@
         let heard = self.heard.values();
         let heard = heard.map(|(_, rows)| Peer { rows: Some(rows) });
         let peers: Vec<Peer<'_>> = heard.chain(silent).collect();
+        let mut homes: BTreeMap<Arc<str>, Vec<&Rows>> = BTreeMap::new();
+        for (name, (_, rows)) in &self.heard {
+            // Hosts are named by their region and a number.
+            let region = goals.lanes.values().flat_map(BTreeMap::keys);
+            let region = region.filter(|region| name.starts_with(&***region)).max();
+            let region = region.expect("a region").clone();
+            homes.entry(region).or_default().push(&**rows);
+        }
         if self.listed.is_empty() {
             return;
         }
         self.shares.hear(&peers);
+        self.shares.follow(&self.region, &homes);
         let lent = (&self.grantee, &self.grantor);
         let ceilings = spill::ceilings(goals, &self.shares, &self.traffic, &self.region, lent, now);
         self.shares.steer(goals, &ceilings, now);
--- a/crates/steer/tests/drive/scenario.rs
+++ b/crates/steer/tests/drive/scenario.rs
@@ -83,6 +83,12 @@
                 world.join(&format!("{name}-new-{n}"), &name);
             }
         }),
+        scenario("a region's hosts end in a shift", CLOSING, 150, |world| {
+            turn(&mut world.config);
+            world.run(Duration::from_secs(90));
+            let region = main(&world.config);
+            world.hosts.retain(|host| host.region != region);
+        }),
         scenario("12 hosts cut off, domain drained", NIGHT, 90, |world| {
             world.cut = true;
             let name = domain(&world.config);
--- a/crates/steer/tests/runs_hold_their_bounds.rs
+++ b/crates/steer/tests/runs_hold_their_bounds.rs
@@ -106,6 +106,13 @@
     }
 }
 
+/// All hosts of the largest region end, its targets stay. Grants held its hosts back in a shift; the
+/// hosts that its callers turn to have had no such traffic, and must not have run ahead to the goal.
+#[test]
+fn a_regions_hosts_end_in_a_shift() {
+    check_all("a region's hosts end in a shift");
+}
+
 #[test]
 fn twelve_hosts_act_alone() {
     for report in check_all("12 hosts cut off, domain drained") {
