--- a/crates/steer/src/spill/mod.rs
+++ b/crates/steer/src/spill/mod.rs
@@ -9,7 +9,7 @@
 
 use dunlinrock_config::goal::Row;
 
-use crate::{Ceilings, Goal, Goals, Grantee, Grantor, Need, Rows, Shares};
+use crate::{Ceilings, Goal, Goals, Grantee, Grantor, Need, Rows, Shares, hash};
 
 /// How many times the square root of the rate is asked for on top of it: requests come unevenly,
 /// and a bucket that is filled at the mean rate alone turns some away. A rate of a few requests a
@@ -134,6 +134,23 @@
     ceilings
 }
 
+/// Hosts of a region that one host asks. With more, asks and grants would grow with the square of
+/// the fleet; eight hold the room of a few when one or two of them end.
+pub const ASKED: usize = 8;
+
+/// The hosts of a region that the host `own` asks: all where they are few, else some that are its
+/// own choice, so that each is asked by about as many as the others.
+pub fn grantors<'h>(own: &str, hosts: &'h [Arc<str>]) -> Vec<&'h Arc<str>> {
+    let own = hash::text(own);
+    let mut hosts: Vec<_> = hosts
+        .iter()
+        .map(|host| (hash::mix(own ^ hash::text(host)), host))
+        .collect();
+    hosts.sort();
+    hosts.truncate(ASKED);
+    hosts.into_iter().map(|(_, host)| host).collect()
+}
+
 /// Whether a host may send requests without a grant: its own callers' at home.
 pub fn free(region: &str, callers: &str, serving: &str) -> bool {
     region == callers && region == serving
--- /dev/null
+++ b/crates/steer/tests/needs_and_ceilings.rs
@@ -0,0 +1,118 @@
+//! What a host needs of other regions, whom it asks, and how far its shares may go by the answers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    path::Path,
+    sync::Arc,
+    time::Duration,
+};
+
+use dunlinrock_config::config;
+use dunlinrock_steer::{
+    Ceilings, Goals, Grant, Grantee, Grantor, Shares, Traffic, Traffics, spill,
+};
+
+const HOST: &str = "cluj-0";
+const HOME: &str = "cluj";
+
+fn goals() -> Goals {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/cursuri");
+    let config = config::open_dir(&root).unwrap_or_else(|findings| panic!("{findings}"));
+    Goals::open(&config, &BTreeSet::new())
+}
+
+fn shares(goals: &Goals) -> Shares {
+    let mut shares = Shares::open();
+    shares.hear(&[]);
+    shares.steer(goals, &Ceilings::default(), Duration::ZERO);
+    shares
+}
+
+/// Requests a second of the catalogue's callers in two regions.
+fn traffic(own: f64, other: f64) -> Traffics {
+    let traffic = |rate| Traffic {
+        rate,
+        request_bytes: 800.0,
+        answer_bytes: 24_000.0,
+    };
+    let lanes = BTreeMap::from([
+        (HOME.into(), traffic(own)),
+        ("bucharest".into(), traffic(other)),
+    ]);
+    BTreeMap::from([("catalogue".into(), lanes)])
+}
+
+#[test]
+fn a_host_needs_room_for_all_but_its_own_callers_at_home() {
+    let goals = goals();
+    let needs = spill::needs(&goals, &shares(&goals), &traffic(100.0, 20.0), HOME);
+    let rate = |region: &str| needs[region][0].rate;
+    let asked = |mean: f64| mean + spill::SAFETY * mean.sqrt();
+    // A tenth of its own callers', nine tenths of the other region's; a twentieth of both in Iasi;
+    // and room at home for the other region's callers.
+    assert!((rate("bucharest") - asked(10.0 + 18.0)).abs() < 1e-6);
+    assert!((rate("iasi") - asked(5.0 + 1.0)).abs() < 1e-6);
+    assert!((rate(HOME) - asked(1.0)).abs() < 1e-6);
+}
+
+#[test]
+fn without_traffic_nothing_is_needed_and_nothing_held() {
+    let goals = goals();
+    let shares = shares(&goals);
+    assert!(spill::needs(&goals, &shares, &traffic(0.0, 0.0), HOME).is_empty());
+    let grantee = Grantee::open(&HOST.into(), &HOME.into());
+    let grantor = Grantor::open(&HOST.into(), &HOME.into(), Duration::ZERO);
+    let lent = (&grantee, &grantor);
+    let traffic = traffic(0.0, 0.0);
+    let ceilings = spill::ceilings(&goals, &shares, &traffic, HOME, lent, Duration::ZERO);
+    assert!(ceilings.values().all(BTreeMap::is_empty));
+}
+
+/// What was asked for was granted: shares stay where they are. Half of it was: they come home.
+#[test]
+fn shares_go_as_far_as_grants_carry_them() {
+    let goals = goals();
+    let shares = shares(&goals);
+    let traffic = traffic(100.0, 0.0);
+    let needs = spill::needs(&goals, &shares, &traffic, HOME);
+    let need = &needs["bucharest"][0];
+    let ceiling = |part: f64| {
+        let mut grantee = Grantee::open(&HOST.into(), &HOME.into());
+        let grant = Grant {
+            grantor: "bucharest-0".into(),
+            region: "bucharest".into(),
+            grantee: HOST.into(),
+            service: "catalogue".into(),
+            rate: need.rate * part,
+            request_bytes: need.rate * part * need.request_bytes,
+            answer_bytes: need.rate * part * need.answer_bytes,
+            asked: Duration::ZERO,
+        };
+        grantee.receive(grant, Duration::ZERO);
+        let grantor = Grantor::open(&HOST.into(), &HOME.into(), Duration::ZERO);
+        let lent = (&grantee, &grantor);
+        let ceilings = spill::ceilings(&goals, &shares, &traffic, HOME, lent, Duration::ZERO);
+        ceilings["catalogue"][HOME]["bucharest"]
+    };
+    assert!(ceiling(1.0) >= 0.1, "{}", ceiling(1.0));
+    assert!(ceiling(0.5) < 0.1, "{}", ceiling(0.5));
+    assert_eq!(ceiling(0.0), 0.0);
+}
+
+/// At the planned size each host asks few, and each is asked by about as many.
+#[test]
+fn asks_do_not_grow_with_the_fleet() {
+    let hosts: Vec<Arc<str>> = (0..110).map(|n| format!("host-{n}").into()).collect();
+    let mut asked: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+    for n in 0..2_290 {
+        let chosen = spill::grantors(&format!("other-{n}"), &hosts);
+        assert_eq!(chosen.len(), spill::ASKED);
+        for host in chosen {
+            *asked.entry(host).or_default() += 1;
+        }
+    }
+    // 2,290 hosts that ask eight of 110 each: 167 a host.
+    assert_eq!(asked.len(), hosts.len());
+    assert!(asked.values().all(|n| (110..230).contains(n)), "{asked:?}");
+    assert_eq!(spill::grantors("a", &hosts[..4]).len(), 4);
+}
