--- a/crates/steer/src/shift/lane.rs
+++ b/crates/steer/src/shift/lane.rs
@@ -37,6 +37,8 @@
     home: Arc<str>,
     /// Speed of the way to the targets now, in shares a second; 0 while held.
     pub(super) speed: f64,
+    /// Part of the traffic that is not where the goal wants it, be it held by ceilings or not.
+    pub(super) behind: f64,
     /// Length of the cap's window.
     pub(super) window: Duration,
     /// When the last step was taken.
@@ -53,6 +55,7 @@
             home: home.clone(),
             parts: Vec::new(),
             speed: 0.0,
+            behind: 0.0,
             window: Duration::ZERO,
             stepped: now,
             held: None,
@@ -102,7 +105,7 @@
         }
     }
 
-    /// Part of the traffic that is still to move.
+    /// Part of the traffic that is still to move as far as ceilings allow now.
     pub(super) fn remaining(&self) -> f64 {
         self.parts.iter().map(Part::gain).sum()
     }
@@ -131,6 +134,13 @@
         self.step(remaining, (speed * time.as_secs_f64()).min(free));
         self.parts
             .retain(|part| part.share > 0.0 || part.target > 0.0);
+        let behind = self.distance(&goal.row);
+        self.behind = if behind > LEAST { behind } else { 0.0 };
+    }
+
+    fn distance(&self, goal: &Row) -> f64 {
+        let parts = self.parts.iter().map(|part| (&part.region, part.share));
+        distance(parts, goal)
     }
 
     /// Sets the targets: the goal, but nothing above a ceiling that is not there already.
@@ -195,7 +205,7 @@
 
     /// How much may move before the lane is too far ahead of its slowest peer.
     fn free(&mut self, goal: &Goal, now: Duration) -> f64 {
-        let own = distance(self.parts.iter().map(|p| (&p.region, p.share)), &goal.row);
+        let own = self.distance(&goal.row);
         let of_peer = |row: &Row| distance(row.iter().map(|(r, s)| (r, *s)), &goal.row);
         let slowest = self.peers.iter().map(of_peer).fold(0.0, f64::max);
         let free = own - slowest + LEAD * goal.cap;
--- a/crates/steer/src/shift/mod.rs
+++ b/crates/steer/src/shift/mod.rs
@@ -171,10 +171,10 @@
         rows.collect()
     }
 
-    /// Part of a service's callers in one region that is still to move; none where all is at its
-    /// goal.
+    /// Part of a service's callers in one region that is not where the goal wants it, be it under way
+    /// or held by ceilings; none where all is at its goal.
     pub fn remaining(&self, service: &str, callers: &str) -> f64 {
         let lane = self.lanes.get(service).and_then(|row| row.get(callers));
-        lane.map_or(0.0, Lane::remaining)
+        lane.map_or(0.0, |lane| lane.behind)
     }
 }
--- a/crates/steer/tests/a_shift_stays_under_its_cap.rs
+++ b/crates/steer/tests/a_shift_stays_under_its_cap.rs
@@ -280,6 +280,24 @@
     assert!((share(&host.rows(), "a") - left).abs() < 1e-9);
 }
 
+/// Nothing was lent, so a shift stands still. Hosts that hear of it must not take it for done: one
+/// that starts would start from the goal.
+#[test]
+fn a_shift_that_is_held_is_not_at_its_goal() {
+    let mut host = Shares::open();
+    host.hear(&[]);
+    let none = Ceilings::default();
+    host.steer(&goals(&[("a", 0.9), ("b", 0.1)]), &none, Duration::ZERO);
+    assert_eq!(host.remaining("s", "a"), 0.0);
+    let row = BTreeMap::from([("b".into(), 0.1)]);
+    let held = Ceilings::from([("s".into(), BTreeMap::from([("a".into(), row)]))]);
+    for n in 1..100 {
+        host.steer(&goals(&[("a", 0.2), ("b", 0.8)]), &held, TICK * n);
+    }
+    assert!((share(&host.rows(), "a") - 0.9).abs() < 1e-9);
+    assert!((host.remaining("s", "a") - 0.7).abs() < 1e-9);
+}
+
 /// Region `a` is lost. Its callers are refused until their share has moved, with the time after
 /// which the same request is served. The time must be true: a caller that waits for it is served,
 /// and not much sooner either.
