--- a/crates/admit/src/pool/rules.rs
+++ b/crates/admit/src/pool/rules.rs
@@ -52,7 +52,7 @@
             slow: 3.0,
             eject: Duration::from_secs(5),
             retry_share: 0.1,
-            report_life: Duration::from_secs(2),
+            report_life: Duration::from_secs(1),
             seed: 1,
         }
     }
--- a/crates/admit/src/target/limit.rs
+++ b/crates/admit/src/target/limit.rs
@@ -21,7 +21,7 @@
 
 /// After a report has held slots back and nothing bore it out, the target's reports hold nothing
 /// back for this long. A target that always claims to be full costs half its slots for one part in
-/// six of the time, at a `report_life` of 2 s.
+/// eleven of the time, at a `report_life` of 1 s.
 const DOUBT: Duration = Duration::from_secs(10);
 
 /// How long a refusal by the target caps what it is given.
