--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -75,7 +75,10 @@
         let mut pool = Self {
             targets: Targets::open(targets, now),
             tickets: BTreeMap::new(),
-            queues: [FairQueue::open(rules.seed), FairQueue::open(rules.seed + 1)],
+            queues: [
+                FairQueue::open(rules.seed),
+                FairQueue::open(rules.seed.wrapping_add(1)),
+            ],
             strains: [Strain::default(); 2],
             trials: Trials::default(),
             due: BTreeSet::new(),
@@ -95,7 +98,8 @@
     }
 
     /// Takes new rules and targets. Requests that run or wait stay; a target that is no longer
-    /// listed finishes its runs and gets nothing new; a target that is new starts cold.
+    /// listed finishes its runs and gets nothing new; a target that is new starts cold. A new
+    /// `guess` or `seed` has no effect on an open pool.
     pub fn reconfigure(&mut self, rules: PoolRules, targets: &[TargetSpec], now: Duration) {
         self.budget.set_share(rules.retry_share);
         self.rules = rules;
--- a/crates/admit/src/pool/request.rs
+++ b/crates/admit/src/pool/request.rs
@@ -94,7 +94,7 @@
     /// request that could still be answered.
     pub(super) fn wait(&mut self, patience: Duration, now: Duration) {
         let deadline = self.deadline.saturating_sub(self.estimate.tail);
-        let patience = now + patience;
+        let patience = now.saturating_add(patience);
         self.reason = if deadline <= patience {
             Refusal::Late
         } else {
--- a/crates/admit/src/target/mod.rs
+++ b/crates/admit/src/target/mod.rs
@@ -53,6 +53,19 @@
         t
     }
 
+    /// Takes its configuration, if it still has one. One that comes back to the list may be another
+    /// process, and starts cold.
+    fn configure(&mut self, spec: Option<&TargetSpec>, now: Duration) {
+        let back = !self.listed;
+        self.listed = spec.is_some();
+        let Some(spec) = spec else { return };
+        self.slots = spec.slots;
+        self.drains = spec.leaving;
+        if back {
+            self.limits.ramp(now);
+        }
+    }
+
     pub(crate) fn busy(&self) -> u32 {
         self.running.len() as u32
     }
--- a/crates/admit/src/target/set.rs
+++ b/crates/admit/src/target/set.rs
@@ -59,33 +59,35 @@
     /// Takes another list. New targets start cold; those no longer listed finish what they run.
     pub(crate) fn reconfigure(&mut self, specs: &[TargetSpec], now: Duration) {
         self.stale = true;
-        self.list.iter_mut().for_each(|t| t.listed = false);
+        for t in &mut self.list {
+            let spec = specs.iter().find(|s| s.name == t.name);
+            t.configure(spec, now);
+        }
+        // Only now: a position whose target is still listed must not be given to a new one.
         for spec in specs {
-            if let Some(t) = self.list.iter_mut().find(|t| t.name == spec.name) {
-                t.listed = true;
-                t.slots = spec.slots;
-                t.drains = spec.leaving;
-                continue;
-            }
-            let fresh = Target::open(
-                &TargetSpec {
-                    cold: true,
-                    ..spec.clone()
-                },
-                now,
-            );
-            // A position that nothing refers to any longer is used again: the list stays bounded.
-            match self
-                .list
-                .iter_mut()
-                .find(|t| !t.listed && t.running.is_empty() && !t.held)
-            {
-                Some(t) => *t = fresh,
-                None => self.list.push(fresh),
+            if !self.list.iter().any(|t| t.name == spec.name) {
+                self.add(
+                    &TargetSpec {
+                        cold: true,
+                        ..spec.clone()
+                    },
+                    now,
+                );
             }
         }
     }
 
+    /// Adds a target, at a position that nothing refers to any longer if there is one: the list
+    /// stays bounded.
+    fn add(&mut self, spec: &TargetSpec, now: Duration) {
+        let fresh = Target::open(spec, now);
+        let free = |t: &&mut Target| !t.listed && t.running.is_empty() && !t.held;
+        match self.list.iter_mut().find(free) {
+            Some(t) => *t = fresh,
+            None => self.list.push(fresh),
+        }
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Target> {
         self.list.iter()
     }
--- a/crates/admit/tests/pool.rs
+++ b/crates/admit/tests/pool.rs
@@ -243,3 +243,37 @@
     assert!(state.kinds <= 256, "{} kinds", state.kinds);
     assert!(state.load.queued <= 512);
 }
+
+/// Operators add a target whose name comes first in the list. The targets that were there are idle
+/// at that moment; they must keep all their slots, or the pool would shrink when it was to grow.
+#[test]
+fn a_new_target_does_not_make_the_others_cold() {
+    let mut p = pool(2, 3);
+    let mut more = specs(2, 3);
+    more.insert(
+        0,
+        TargetSpec {
+            name: "a0".into(),
+            ..more[0].clone()
+        },
+    );
+    p.reconfigure(PoolRules::default(), &more, ms(1000));
+    let limit = |name: &str| {
+        let state = p.state(ms(1000));
+        state
+            .targets
+            .iter()
+            .find(|t| &*t.name == name)
+            .map(|t| t.limit)
+    };
+    assert_eq!(["a0", "t0", "t1"].map(limit), [Some(1), Some(3), Some(3)]);
+}
+
+#[test]
+fn a_target_that_comes_back_to_the_list_is_cold() {
+    let mut p = pool(2, 3);
+    p.reconfigure(PoolRules::default(), &specs(1, 3), ms(1000));
+    p.reconfigure(PoolRules::default(), &specs(2, 3), ms(2000));
+    let limits: Vec<u32> = p.state(ms(2000)).targets.iter().map(|t| t.limit).collect();
+    assert_eq!(limits, [3, 1]);
+}
