--- a/crates/admit/src/drive/naive.rs
+++ b/crates/admit/src/drive/naive.rs
@@ -7,28 +7,15 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::{
-    Fault, Figures, Scenario,
-    event::Events,
-    scenario::{DOMAINS, Request},
-    target::Target,
+use crate::{
+    baseline::{random, two_choices},
+    drive::{
+        Fault, Figures, Scenario,
+        event::Events,
+        scenario::{DOMAINS, EVERY, KILLS_AFTER, LAG, RESTART, Request, SENDS},
+        target::Target,
+    },
 };
-use crate::baseline::{random, two_choices};
-
-/// Time between two reports of a target.
-const EVERY: Duration = Duration::from_millis(500);
-
-/// Age of a report when it arrives.
-const LAG: Duration = Duration::from_millis(300);
-
-/// Time in which a killed target's process is back.
-const RESTART: Duration = Duration::from_millis(400);
-
-/// After that a killer's work kills its target.
-const KILLS_AFTER: Duration = Duration::from_millis(5);
-
-/// Sends of a killer by its caller.
-const SENDS: u32 = 10;
 
 enum Event {
     Arrive,
--- /dev/null
+++ b/crates/admit/src/drive/pools/runs.rs
@@ -0,0 +1,138 @@
+//! Runs at the targets and what becomes of them.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::Rng;
+
+use crate::{
+    Ending, Outcome,
+    drive::{
+        pools::{Event, Play, Run},
+        scenario::{KILLS_AFTER, RESTART, Request, SENDS},
+    },
+};
+
+impl Play<'_> {
+    pub(super) fn start(&mut self, ticket: u64, name: &str, now: Duration) {
+        let target = self.names.iter().position(|n| &**n == name).unwrap_or(0);
+        let (request, _) = self.requests[&ticket];
+        self.figures.late_starts += u64::from(now > request.deadline);
+        self.figures.leaving_starts += u64::from(self.leaving.contains_key(&target));
+        self.number += 1;
+        let run = self.number;
+        self.runs.insert(
+            run,
+            Run {
+                ticket,
+                target,
+                since: now,
+            },
+        );
+        let down = now < self.targets[target].down;
+        self.targets[target].running.push(run);
+        let time = match request.kills {
+            _ if down => Duration::from_millis(1),
+            Some(_) => KILLS_AFTER,
+            None => {
+                let factor = self.targets[target].factor(target, self.scenario, now);
+                self.scenario
+                    .time(request.work, &mut self.rng)
+                    .mul_f64(factor)
+            }
+        };
+        self.events.push(now + time, Event::End { run });
+    }
+
+    pub(super) fn abort(&mut self, ticket: u64, name: &str, now: Duration) {
+        let found = self
+            .runs
+            .iter()
+            .find(|(_, r)| r.ticket == ticket && &*self.names[r.target] == name);
+        if let Some(run) = found.map(|(n, _)| *n) {
+            self.ended(run, Outcome::Cancelled, now);
+        }
+    }
+
+    pub(super) fn end(&mut self, run: u64, now: Duration) {
+        let Some(r) = self.runs.get(&run) else { return };
+        let (target, since) = (r.target, r.since);
+        let Some((request, _)) = self.requests.get(&r.ticket).copied() else {
+            return;
+        };
+        if since < self.targets[target].down {
+            self.ended(run, Outcome::Refused, now);
+        } else if request.kills.is_some() {
+            self.figures.deaths += 1;
+            self.targets[target].down = now + RESTART;
+            for lost in self.targets[target].running.clone() {
+                self.ended(lost, Outcome::Died, now);
+            }
+        } else {
+            self.ended(run, Outcome::Ok, now);
+        }
+    }
+
+    pub(super) fn ended(&mut self, run: u64, outcome: Outcome, now: Duration) {
+        let Some(r) = self.runs.remove(&run) else {
+            return;
+        };
+        self.figures.longest_run = self.figures.longest_run.max(now - r.since);
+        let (ticket, target) = (r.ticket, r.target);
+        self.targets[target].running.retain(|x| *x != run);
+        self.drained(target, now);
+        self.figures.shed += u64::from(outcome == Outcome::Refused);
+        let Some((request, pool)) = self.requests.get(&ticket).copied() else {
+            return;
+        };
+        let name = Arc::clone(&self.names[target]);
+        let ending = self.pools[pool].finish(ticket, &name, outcome, now);
+        if let Ending::Final { .. } = ending {
+            self.answer(&request, pool, outcome, now);
+            if outcome == Outcome::Ok {
+                let time = now.saturating_sub(r.since);
+                self.good(&request, pool, time, now);
+            }
+        }
+        self.poll(pool, now);
+    }
+
+    pub(super) fn good(&mut self, request: &Request, pool: usize, time: Duration, now: Duration) {
+        let window = now >= self.scenario.warm && now < self.scenario.length;
+        if window && now + self.hop(request, pool) <= request.deadline {
+            self.figures.good_work += time.as_secs_f64();
+        }
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        request: &Request,
+        pool: usize,
+        outcome: Outcome,
+        now: Duration,
+    ) {
+        if let Some(sends) = request.kills.filter(|s| *s < SENDS) {
+            let again = now + Duration::from_millis(100);
+            let request = Request {
+                kills: Some(sends + 1),
+                arrived: again,
+                deadline: again + Duration::from_secs(2),
+                home: self
+                    .scenario
+                    .site
+                    .domain(self.rng.random_range(0..self.targets.len())),
+                ..*request
+            };
+            self.route(request, again);
+            return;
+        }
+        if !self.counts(request) {
+            return;
+        }
+        match outcome {
+            Outcome::Ok => self
+                .figures
+                .answered(request, now + self.hop(request, pool)),
+            _ => self.figures.failed(request),
+        }
+    }
+}
--- a/crates/admit/src/drive/scenario.rs
+++ b/crates/admit/src/drive/scenario.rs
@@ -48,6 +48,21 @@
 /// Failure domains of a deployment.
 pub(super) const DOMAINS: usize = 6;
 
+/// Time between two reports of a target, and between two summaries of a pool.
+pub(super) const EVERY: Duration = Duration::from_millis(500);
+
+/// Age of a report or a summary when it arrives.
+pub(super) const LAG: Duration = Duration::from_millis(300);
+
+/// Time in which a killed target's process is back.
+pub(super) const RESTART: Duration = Duration::from_millis(400);
+
+/// After that a killer's work kills its target.
+pub(super) const KILLS_AFTER: Duration = Duration::from_millis(5);
+
+/// Sends of a killer by its caller.
+pub(super) const SENDS: u32 = 10;
+
 impl Site {
     /// Failure domain of a target.
     pub(super) fn domain(&self, target: usize) -> usize {
--- a/crates/admit/src/drive/target.rs
+++ b/crates/admit/src/drive/target.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use super::{Fault, Scenario};
-use crate::Report;
+use crate::{
+    Report,
+    drive::{Fault, Scenario},
+};
 
 /// Times as long as usual that a cold target takes at first.
 const COLD: f64 = 3.0;
--- a/crates/admit/src/pool/admit.rs
+++ b/crates/admit/src/pool/admit.rs
@@ -9,12 +9,11 @@
 
 use std::time::Duration;
 
-use super::{
-    Pool,
-    offer::{Offer, Refusal, Verdict},
-    request::{Place, Request},
+use crate::{
+    Grade, Offer, Pool, Refusal, Verdict,
+    pool::request::{Place, Request},
+    work::Class,
 };
-use crate::{Grade, work::Class};
 
 /// Deviations of the sum of the service times ahead that are added to the expected wait. At 1, one
 /// admitted request in six would wait longer than estimated; at 2, one in forty.
--- a/crates/admit/src/pool/due.rs
+++ b/crates/admit/src/pool/due.rs
@@ -2,11 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{
-    Pool,
-    offer::{Action, Refusal},
-};
-use crate::target::Ask;
+use crate::{Action, Pool, Refusal, target::Ask};
 
 impl Pool {
     /// All that is due: starts, refusals, hedges, aborts.
--- a/crates/admit/src/pool/finish.rs
+++ b/crates/admit/src/pool/finish.rs
@@ -2,12 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{
-    Pool,
-    offer::{Action, Ending, Outcome},
-    request::{Place, Run},
+use crate::{
+    Action, Ending, Grade, Outcome, Pool, Victim,
+    pool::request::{Place, Run},
+    target::Finished,
 };
-use crate::{Grade, Victim, target::Finished};
 
 impl Pool {
     /// A run at a target has ended, which frees its slot. Follow it with [`Pool::poll`].
--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -22,14 +22,14 @@
     rules::{PoolRules, TargetSpec},
     state::{Counts, Load, PoolState, TargetState},
 };
-use self::{
-    request::{Place, Request},
-    strain::Strain,
-    trial::Trials,
-};
 use crate::{
     Grade, Quarantine, Word,
     fair::FairQueue,
+    pool::{
+        request::{Place, Request},
+        strain::Strain,
+        trial::Trials,
+    },
     retry::Budget,
     room::{Meter, Room},
     target::Targets,
--- a/crates/admit/src/pool/start.rs
+++ b/crates/admit/src/pool/start.rs
@@ -2,12 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{
-    Pool,
-    offer::{Action, Refusal},
-    request::{Place, Run},
+use crate::{
+    Action, Pool, Refusal,
+    fair::Slot,
+    pool::request::{Place, Run},
+    work::Class,
 };
-use crate::{fair::Slot, work::Class};
 
 /// Requests at the head of a queue that are looked at when the first cannot be placed, because the
 /// only free targets are those that it has tried.
--- a/crates/admit/src/pool/trial.rs
+++ b/crates/admit/src/pool/trial.rs
@@ -6,12 +6,11 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use super::{
-    Pool,
-    offer::{Refusal, Verdict},
-    request::{Place, Request},
+use crate::{
+    Grade, Pool, Refusal, Verdict,
+    pool::request::{Place, Request},
+    target::Targets,
 };
-use crate::{Grade, target::Targets};
 
 /// Suspects that wait for a target of their own. Each waits for the runs of those before it, so
 /// that a longer line would not be served within usual deadlines.
--- a/crates/admit/src/target/mod.rs
+++ b/crates/admit/src/target/mod.rs
@@ -12,8 +12,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use self::{health::Health, limit::Limits};
-use crate::{PoolRules, Report, TargetSpec};
+use crate::{
+    PoolRules, Report, TargetSpec,
+    target::{health::Health, limit::Limits},
+};
 
 /// One target.
 #[derive(Debug)]
--- a/crates/admit/src/target/set.rs
+++ b/crates/admit/src/target/set.rs
@@ -2,8 +2,7 @@
 
 use std::{cmp::Ordering, sync::Arc, time::Duration};
 
-use super::Target;
-use crate::{Outcome, PoolRules, Report, TargetSpec};
+use crate::{Outcome, PoolRules, Report, TargetSpec, target::Target};
 
 /// Ejections are limited to one target in this many. Above that the fault is likely to be shared,
 /// and the rest of the pool could not carry the load.
