--- a/crates/admit/src/target/mod.rs
+++ b/crates/admit/src/target/mod.rs
@@ -12,8 +12,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use self::{health::Health, limit::Limits};
-use crate::{PoolRules, Report, TargetSpec};
+use crate::{
+    PoolRules, Report, TargetSpec,
+    target::{health::Health, limit::Limits},
+};
 
 /// One target.
 #[derive(Debug)]
@@ -53,6 +55,19 @@
         t
     }
 
+    /// Takes its configuration, if it still has one. One that comes back to the list may be another
+    /// process, and starts cold.
+    fn configure(&mut self, spec: Option<&TargetSpec>, now: Duration) {
+        let back = !self.listed;
+        self.listed = spec.is_some();
+        let Some(spec) = spec else { return };
+        self.slots = spec.slots;
+        self.drains = spec.leaving;
+        if back {
+            self.limits.ramp(now);
+        }
+    }
+
     pub(crate) fn busy(&self) -> u32 {
         self.running.len() as u32
     }
