--- a/crates/coord/examples/slopes.rs
+++ b/crates/coord/examples/slopes.rs
@@ -2,6 +2,7 @@
 //!
 //! ```text
 //! cargo run --release -p dunlinrock-coord --example slopes
+//! cargo run --release -p dunlinrock-coord --example slopes -- 24 24    # domains, hosts a domain
 //! ```
 //!
 //! Each row drives that many hosts' state machines for a minute: every host reports changing
@@ -19,7 +20,10 @@
     );
     println!("|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
     let mut kinds = Vec::new();
-    let sizes = [
+    let args: Vec<usize> = std::env::args()
+        .filter_map(|arg| arg.parse().ok())
+        .collect();
+    let mut sizes = vec![
         (3, 1),
         (6, 2),
         (4, 12),
@@ -29,6 +33,9 @@
         (16, 12),
         (48, 4),
     ];
+    if let [domains, hosts] = args[..] {
+        sizes = vec![(domains, hosts)];
+    }
     for (domains, hosts) in sizes {
         let row = slopes::measure(Fleet::open(domains, hosts, 1));
         println!("{row}");
--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -116,8 +116,12 @@
     /// Beat with which the last doubt was refuted; doubts of earlier ones need no answer.
     refuted: u64,
     revision: u64,
+    /// Whether the next heartbeat goes to the whole domain, as the revision is another one.
+    announce: bool,
     table: Table,
     words: Words,
+    /// Hosts that are not gone, by domain; the topology follows from them.
+    domains: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     topology: Topology,
     /// Since when each watched host is waited for.
     watched: BTreeMap<Arc<str>, Duration>,
@@ -137,6 +141,8 @@
     digests: BTreeMap<Arc<str>, (Digest, Duration)>,
     /// Digests heard directly and not passed on yet.
     heard: BTreeMap<Arc<str>, Digest>,
+    /// Lowest revision of each domain as last passed on within this one.
+    lowest_passed: BTreeMap<Arc<str>, u64>,
     digest_stamp: u64,
     /// Since when the words of each host that was heard differ from this host's.
     differs: BTreeMap<Arc<str>, Duration>,
@@ -189,8 +195,10 @@
             beat: 0,
             refuted: 0,
             revision: 0,
+            announce: false,
             table: Table::default(),
             words: Words::default(),
+            domains: BTreeMap::new(),
             topology: Topology::default(),
             watched: BTreeMap::new(),
             direct: BTreeMap::new(),
@@ -209,6 +217,7 @@
             reports: BTreeMap::new(),
             digests: BTreeMap::new(),
             heard: BTreeMap::new(),
+            lowest_passed: BTreeMap::new(),
             digest_stamp: 0,
             differs: BTreeMap::new(),
             last_tick: now,
@@ -300,20 +309,46 @@
         self.words.quarantines(now)
     }
 
-    /// Sets what this host reports to its domain; sent with the next round where it changed.
+    /// Sets what this host reports to its domain; sent with the next round where it changed. The
+    /// revision in it is that of [`Membership::set_revision`].
     pub fn set_facts(&mut self, facts: Facts) {
         if facts != self.facts {
-            self.revision = facts.revision;
             self.facts = facts;
             self.stamp += 1;
         }
     }
 
-    /// Sets the configuration revision in force here.
+    /// Sets the configuration revision in force here; the next heartbeat tells the whole domain.
     pub fn set_revision(&mut self, revision: u64) {
+        self.announce |= self.revision != revision;
         self.revision = revision;
     }
 
+    /// The lowest revision in force on any live host of any domain that is heard, for an operator
+    /// who waits for an apply; `None` while some domain has not been heard of.
+    ///
+    /// It lags behind by up to the time between two rounds of digests, and never runs ahead of a
+    /// host that is known to serve.
+    pub fn lowest(&self) -> Option<u64> {
+        let inside = self.revisions().min().unwrap_or(self.revision);
+        let others = self
+            .domains
+            .keys()
+            .filter(|domain| **domain != self.me.domain);
+        let heard = others.filter(|domain| !self.told_silent.contains(*domain));
+        heard
+            .map(|domain| self.digests.get(domain).map(|(digest, _)| digest.lowest))
+            .try_fold(inside, |least, lowest| Some(least.min(lowest?)))
+    }
+
+    /// Revisions in force on the serving hosts of this domain; 0 for one that has not said.
+    fn revisions(&self) -> impl Iterator<Item = u64> {
+        let serving = |name: &&Arc<str>| self.state_of(name) == HostState::Serving;
+        let near = self.topology.near.iter().filter(serving);
+        near.filter_map(|name| Some(self.table.hosts.get(name)?.revision))
+            .chain([self.revision])
+    }
+
     /// Takes the platform's list.
     pub fn listing(&mut self, now: Duration, listing: &Listing) -> Vec<Action> {
         let mut out = Vec::new();
--- a/crates/coord/src/member/receive.rs
+++ b/crates/coord/src/member/receive.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use dunlinrock_schema::coord::{Beat, Digest, HostState, Message, Report, Rumors, SyncAsk};
+use dunlinrock_schema::coord::{Beat, Digest, Far, HostState, Message, Report, Rumors, SyncAsk};
 
 use super::{Action, Membership};
 
@@ -17,6 +17,7 @@
             Message::Digest(digest) => {
                 self.direct.insert(digest.domain.clone(), now);
                 self.heard.insert(digest.domain.clone(), digest.clone());
+                self.pass_lowest(digest, &mut out);
                 self.digest_came(now, digest, &mut out);
                 self.compare(now, &digest.by, digest.sum, &mut out);
             }
@@ -55,6 +56,8 @@
         if newer {
             let entry = (report.clone(), now);
             self.reports.insert(report.name.clone(), entry);
+            self.table
+                .revision(&report.name, report.incarnation, report.facts.revision);
             self.revision_came(&report.name, report.facts.revision, out);
         }
     }
@@ -71,6 +74,25 @@
         }
     }
 
+    /// Passes a digest on at once where a whole domain has come to another revision: an operator
+    /// waits to hear that an apply is in force everywhere.
+    fn pass_lowest(&mut self, digest: &Digest, out: &mut Vec<Action>) {
+        let last = self.lowest_passed.get(&digest.domain);
+        if last == Some(&digest.lowest) || !self.topology.passed.contains(&digest.domain) {
+            return;
+        }
+        self.lowest_passed
+            .insert(digest.domain.clone(), digest.lowest);
+        let far = Message::Far(Far {
+            name: self.me.name.clone(),
+            digests: vec![digest.clone()],
+        });
+        out.extend(self.topology.near.iter().map(|name| Action::Send {
+            to: name.clone(),
+            message: far.clone(),
+        }));
+    }
+
     fn revision_came(&self, peer: &Arc<str>, revision: u64, out: &mut Vec<Action>) {
         if revision > self.revision {
             out.push(Action::Revision {
--- a/crates/coord/src/member/refresh.rs
+++ b/crates/coord/src/member/refresh.rs
@@ -84,7 +84,12 @@
                 domains.entry(domain).or_default().insert(name.clone());
             }
         }
+        // The list is read every second and seldom brings anything new.
+        if domains == self.domains {
+            return;
+        }
         self.topology = topology(&self.me.name, &self.me.domain, &domains);
+        self.domains = domains;
         let old = std::mem::take(&mut self.watched);
         for name in &self.topology.watched {
             let since = old.get(name).copied().unwrap_or(now);
--- a/crates/coord/src/member/table.rs
+++ b/crates/coord/src/member/table.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    pub(super) fn revision(&mut self, name: &str, incarnation: u64, revision: u64) {
+        let host = self.hosts.get_mut(name);
+        if let Some(host) = host.filter(|host| host.incarnation == incarnation) {
+            host.revision = host.revision.max(revision);
+        }
+    }
+
     /// Takes word of a state. Returns whether it was news.
     pub(super) fn word(&mut self, word: &StateWord, now: Duration) -> bool {
         let host = self
--- a/crates/coord/src/member/tick.rs
+++ b/crates/coord/src/member/tick.rs
@@ -123,7 +123,12 @@
             revision: self.revision,
             sum: self.words.sum(now),
         };
-        send(&self.topology.watchers, &Message::Beat(beat), out);
+        let to = if std::mem::take(&mut self.announce) {
+            &self.topology.near
+        } else {
+            &self.topology.watchers
+        };
+        send(to, &Message::Beat(beat), out);
     }
 
     fn send_reports(&mut self, now: Duration, out: &mut Vec<Action>) {
@@ -184,11 +189,6 @@
     /// This domain as this host sees it.
     fn make_digest(&self, now: Duration) -> Digest {
         let hosts: Vec<_> = self.inside().collect();
-        let revisions = || {
-            let others = hosts.iter().filter_map(|name| self.table.hosts.get(*name));
-            let others = others.map(|host| host.revision).filter(|one| *one > 0);
-            others.chain([self.revision])
-        };
         let pools = || {
             let others = hosts.iter().filter_map(|name| self.reports.get(*name));
             let others = others.flat_map(|(report, _)| &report.facts.pools);
@@ -200,8 +200,8 @@
             by: self.me.name.clone(),
             stamp: self.digest_stamp,
             hosts: hosts.len() as u64,
-            lowest: revisions().min().unwrap_or_default(),
-            highest: revisions().max().unwrap_or_default(),
+            lowest: self.revisions().min().unwrap_or_default(),
+            highest: self.revisions().max().unwrap_or_default(),
             queued: pools().map(|pool| pool.queued).sum(),
             busy: pools().map(|pool| pool.busy).sum(),
             slots: pools().map(|pool| pool.slots).sum(),
--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -270,3 +270,33 @@
         assert!(!node.log.iter().any(|(_, action)| gone(action)), "{name}");
     }
 }
+
+// An operator waits for an apply. The answer that it is in force everywhere must not come while a
+// live host still steers by the old file, and must come soon after the last one has it.
+#[test]
+fn the_lowest_revision_never_runs_ahead_of_a_live_host_and_follows_soon() {
+    let mut fleet = Fleet::open(6, 4, 7);
+    let file = |turn: u32| {
+        let mut config = common::config(8, 2, 300);
+        let service = config.services.get_mut("service-001").unwrap();
+        service.cap.share = 0.1 + f64::from(turn) / 100.0;
+        dunlinrock_coord::pieces::split(&config)
+    };
+    fleet.apply("a", file(0));
+    fleet.run(SETTLE);
+    for turn in 1..6 {
+        fleet.loss = if turn % 2 == 0 { 0.2 } else { 0.0 };
+        fleet.apply(&format!("b{turn}"), file(turn));
+        let revision = fleet.store.revision();
+        let told = fleet.until(MINUTE, |fleet| {
+            let nodes = || fleet.nodes.values();
+            let least = nodes().map(|node| node.follower.revision()).min().unwrap();
+            let ahead = nodes().any(|node| node.member.lowest().is_some_and(|low| low > least));
+            assert!(!ahead, "in force is said too early");
+            nodes().all(|node| node.member.lowest() == Some(revision))
+        });
+        println!("said everywhere after {told:?}");
+        let most = if fleet.loss > 0.0 { 40_000 } else { 3000 };
+        assert!(told.unwrap() <= ms(most), "{told:?}");
+    }
+}
