--- /dev/null
+++ b/crates/node/src/duties/control/state.rs
@@ -0,0 +1,571 @@
+//! State of the control duty: its parts, and what passes between them.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dunlinrock_coord::{
+    follow::{self, Follower, Source},
+    member::{self, HostState, Membership},
+    pieces::Hash,
+    relay, wire as coord_wire,
+};
+use dunlinrock_decide::admit::Word;
+use dunlinrock_schema::{
+    coord::{Facts, Message, PieceGive, RootAsk},
+    peer::SteerAsk,
+    store::Listed,
+};
+use serde_json::{Value, json};
+use tokio::sync::{oneshot, watch};
+
+use super::{
+    following::InForce,
+    input::{Input, Reply},
+    leave::{Leave, Step},
+    peering,
+    publish::Publisher,
+    steering::Steering,
+    tasks::{Caller, Done, Results},
+    words,
+};
+use crate::{
+    duties::{
+        ledger,
+        pools::{self, PoolReport},
+    },
+    metrics::Count,
+    shared::Shared,
+    store::{HostList, Store},
+    view::Member,
+    wire::{self, Client},
+};
+
+/// Largest answer to a control message, in bytes: pieces that were asked for.
+const ANSWER_BYTES: usize = 4 << 20;
+
+/// State of the control duty.
+pub(super) struct Control {
+    shared: Arc<Shared>,
+    caller: Caller,
+    membership: Membership,
+    follower: Follower,
+    plan: relay::Plan,
+    watching: watch::Sender<bool>,
+    in_force: InForce,
+    steering: Steering,
+    publisher: Publisher,
+    members: BTreeMap<Arc<str>, Arc<Member>>,
+    reports: Vec<PoolReport>,
+    /// Requests that kill their targets, with the time until which that holds.
+    words: BTreeMap<u64, (Word, Duration)>,
+    /// Hosts that wait for shares and room until the next tick.
+    waiting: Vec<(SteerAsk, oneshot::Sender<Reply>)>,
+    leave: Option<Leave>,
+}
+
+impl Control {
+    pub(super) fn open(shared: Arc<Shared>, results: Results) -> Control {
+        let now = shared.now();
+        let timeout = Duration::from_millis(shared.settings.store.timeout_ms.get());
+        let store = &shared.settings.store;
+        let caller = Caller {
+            client: Client::open(ANSWER_BYTES),
+            store: Store::open(address(&store.address), &store.prefix, timeout),
+            list: HostList::open(address(&shared.settings.list.address), timeout),
+            metrics: shared.metrics.clone(),
+            results,
+        };
+        let every = Duration::from_millis(shared.settings.list.poll_ms);
+        caller.poll_list(listed(&shared.me, false), every);
+        let (watching, on) = watch::channel(false);
+        caller.watch_root(on);
+        let me = peering::introduce(&shared.me);
+        Control {
+            caller,
+            membership: Membership::open(me, peering::timings(&shared.timing), now),
+            follower: Follower::open(follow::Timings::default()),
+            plan: relay::plan(&shared.me.name, &BTreeMap::new()),
+            watching,
+            in_force: InForce::open(),
+            steering: Steering::open(&shared.me, Arc::clone(&shared.grantee), now),
+            publisher: Publisher::open(),
+            members: BTreeMap::new(),
+            reports: Vec::new(),
+            words: BTreeMap::new(),
+            waiting: Vec::new(),
+            leave: None,
+            shared,
+        }
+    }
+
+    /// Time that the planned stop took, once it is over.
+    pub(super) fn ended(&self) -> Option<Duration> {
+        self.leave.as_ref()?.drain()
+    }
+
+    pub(super) fn input(&mut self, input: Input) {
+        match input {
+            Input::Hear { from, frame, reply } => {
+                // Whoever sent it may have given up waiting.
+                let _ = reply.send(self.hear(from, &frame));
+            }
+            Input::Steer { from, frame, reply } => self.steer_asked(from, &frame, reply),
+            Input::Leave => self.begin_leaving(),
+            Input::Ask(reply) => {
+                let _ = reply.send(self.state());
+            }
+        }
+    }
+
+    pub(super) fn done(&mut self, result: Done) {
+        let now = self.shared.now();
+        match result {
+            Done::Listing(listing) => {
+                let actions = self.membership.listing(now, &listing);
+                self.act(actions);
+            }
+            Done::Root(root) => {
+                let actions = self.follower.root(now, Source::Store, root);
+                self.follow(actions);
+            }
+            Done::Pieces(from, pieces) => {
+                let actions = self.follower.pieces(now, &from, pieces);
+                self.follow(actions);
+            }
+            Done::Failed(from) => {
+                let actions = self.follower.failed(now, &from);
+                self.follow(actions);
+            }
+            Done::Answer(from, frame) => self.answered(&from, &frame),
+            Done::Steer(from, give) => self.steering.given(&from, give, now),
+            Done::Pools(reports) => self.pools(reports),
+            Done::Ledger(report) => {
+                if let Some(leave) = &mut self.leave {
+                    leave.handed |= report.stopped;
+                }
+            }
+            Done::Withdrawn => {
+                if let Some(leave) = &mut self.leave {
+                    leave.end(now);
+                }
+            }
+        }
+    }
+
+    /// One heartbeat.
+    pub(super) fn tick(&mut self) {
+        let now = self.shared.now();
+        self.words.retain(|_, (_, end)| *end > now);
+        let actions = self.membership.tick(now);
+        self.act(actions);
+        let actions = self.follower.tick(now);
+        self.follow(actions);
+        self.caller.ask_pools(&self.shared.pools);
+        self.steer(now);
+        self.serve(now);
+        self.refresh_members();
+        self.publish(now);
+        self.shared.metrics.flush();
+        self.go_on_leaving(now);
+    }
+
+    /// Takes a control message in and answers it where it asks something.
+    fn hear(&mut self, from: IpAddr, frame: &Bytes) -> Reply {
+        let Ok(message) = coord_wire::decode::<Message>(frame) else {
+            return Reply::Unreadable;
+        };
+        if !peering::admits(&self.membership, &message, from) {
+            return Reply::Stranger;
+        }
+        match &message {
+            Message::RootAsk(ask) => {
+                let give = self.follower.give_after(&self.shared.me.name, ask.revision);
+                give.map_or(Reply::Taken, |give| encoded(&Message::RootGive(give)))
+            }
+            Message::PieceAsk(ask) => {
+                let name = Arc::clone(&self.shared.me.name);
+                let pieces = self.follower.held(ask);
+                encoded(&Message::PieceGive(PieceGive { name, pieces }))
+            }
+            _ => {
+                self.take(message);
+                Reply::Taken
+            }
+        }
+    }
+
+    fn answered(&mut self, from: &Arc<str>, frame: &Bytes) {
+        match coord_wire::decode::<Message>(frame) {
+            Ok(message) => self.take(message),
+            Err(e) => log::warn!(from = &**from, error:% = e; "an answer cannot be read"),
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = self.shared.now();
+        match message {
+            Message::RootGive(give) => {
+                let from = Source::Peer(Arc::clone(&give.name));
+                let actions = self.follower.give(now, from, give);
+                self.follow(actions);
+            }
+            Message::PieceGive(give) => {
+                let pieces = give.pieces.into_iter().map(Arc::from).collect();
+                let actions = self.follower.pieces(now, &Source::Peer(give.name), pieces);
+                self.follow(actions);
+            }
+            message => {
+                let actions = self.membership.receive(now, &message);
+                self.act(actions);
+            }
+        }
+    }
+
+    /// Does what the membership asks for.
+    fn act(&mut self, actions: Vec<member::Action>) {
+        let now = self.shared.now();
+        let mut changed = false;
+        for action in actions {
+            match action {
+                member::Action::Send { to, message } => self.send(&to, &message),
+                member::Action::Changed {
+                    name,
+                    incarnation,
+                    state,
+                } => {
+                    changed = true;
+                    log::info!(host = &*name, incarnation = incarnation, state:% = state; "host");
+                    if state == HostState::Gone {
+                        self.shared.ledger.deliver(ledger::Input::Gone(incarnation));
+                    }
+                }
+                member::Action::Silent { domain, silent } => {
+                    changed = true;
+                    log::warn!(domain = &*domain, silent = silent; "domain");
+                }
+                member::Action::Quarantined(quarantine) => {
+                    if let Some(word) = words::read(&quarantine) {
+                        self.hear_words(&[word], now);
+                    }
+                }
+                member::Action::Revision { peer, revision } => {
+                    self.follower.heard(now, &peer, revision);
+                }
+                member::Action::CaughtUp(caught_up) => {
+                    changed = true;
+                    if !caught_up {
+                        log::warn!(
+                            "this host was paused; it takes nothing up before it has caught up"
+                        );
+                        self.steering.restart();
+                    }
+                }
+                member::Action::Superseded { incarnation } => {
+                    log::error!(incarnation = incarnation; "another process has this host's name");
+                    self.begin_leaving();
+                }
+            }
+        }
+        if changed {
+            self.refresh_members();
+            self.replan();
+            self.publish(now);
+        }
+    }
+
+    fn send(&self, to: &Arc<str>, message: &Message) {
+        let host = self.membership.hosts().get(to);
+        let Some(peers) = host.and_then(|host| host.peers.parse::<SocketAddr>().ok()) else {
+            return;
+        };
+        self.caller.send(to, peers, message);
+    }
+
+    /// Does what the follower asks for.
+    fn follow(&mut self, actions: Vec<follow::Action>) {
+        for action in actions {
+            match action {
+                follow::Action::AskRoot {
+                    from: Source::Store,
+                    ..
+                } => self.caller.read_root(),
+                follow::Action::AskRoot {
+                    from: Source::Peer(to),
+                    revision,
+                } => {
+                    let name = Arc::clone(&self.shared.me.name);
+                    self.send(&to, &Message::RootAsk(RootAsk { name, revision }));
+                }
+                follow::Action::AskPieces {
+                    from: Source::Store,
+                    hashes,
+                } => {
+                    self.caller.read_pieces(hashes);
+                }
+                follow::Action::AskPieces {
+                    from: Source::Peer(to),
+                    hashes,
+                } => {
+                    let name = Arc::clone(&self.shared.me.name);
+                    let hashes = hashes.into_iter().map(Hash::to_vec).collect();
+                    let ask = dunlinrock_schema::coord::PieceAsk { name, hashes };
+                    self.send(&to, &Message::PieceAsk(ask));
+                }
+                follow::Action::Switch(switch) => self.switch(&switch),
+            }
+        }
+    }
+
+    /// Puts a newer configuration in force, and passes it on.
+    fn switch(&mut self, switch: &follow::Switch) {
+        let Some(copy) = self.follower.copy() else {
+            return;
+        };
+        let next = match self.in_force.next(switch, copy) {
+            Ok(next) => next,
+            Err(e) => {
+                let revision = switch.entry.revision;
+                log::error!(revision = revision, error:% = e; "a configuration is not usable");
+                return;
+            }
+        };
+        log::info!(
+            revision = next.revision, apply = &*switch.entry.id, by = &*switch.entry.by;
+            "configuration in force"
+        );
+        self.shared.metrics.count(Count::Revisions);
+        self.membership.set_revision(next.revision);
+        self.in_force = next;
+        self.steering.limit(&self.in_force.config);
+        if let Some(give) = self
+            .follower
+            .give_after(&self.shared.me.name, switch.before)
+        {
+            let message = Message::RootGive(give);
+            for child in self.plan.children.clone() {
+                self.send(&child, &message);
+            }
+        }
+        let now = self.shared.now();
+        self.publish(now);
+    }
+
+    /// Works out again whether this host watches the store, and whom it asks and tells.
+    fn replan(&mut self) {
+        let plan = relay::plan(&self.shared.me.name, &self.membership.members());
+        if plan != self.plan {
+            self.plan = plan;
+            self.follower.follow(self.plan.upstreams.clone());
+        }
+        let watch = self.plan.watch && self.leave.is_none();
+        self.watching
+            .send_if_modified(|on| std::mem::replace(on, watch) != watch);
+    }
+
+    fn pools(&mut self, reports: Vec<PoolReport>) {
+        let now = self.shared.now();
+        let words: Vec<Word> = reports
+            .iter()
+            .flat_map(|report| report.words.clone())
+            .collect();
+        self.reports = reports;
+        for word in self.hear_words(&words, now) {
+            let actions = self.membership.say(now, words::write(&word));
+            self.act(actions);
+        }
+    }
+
+    /// Keeps words that say more than what was known, and passes them to the pools; which.
+    fn hear_words(&mut self, words: &[Word], now: Duration) -> Vec<Word> {
+        let mut fresh = Vec::new();
+        for word in words {
+            let known = self
+                .words
+                .get(&word.fingerprint)
+                .filter(|(_, end)| *end > now);
+            if known.is_none_or(|(known, _)| known.grade < word.grade) {
+                self.words
+                    .insert(word.fingerprint, (*word, now + word.life));
+                fresh.push(*word);
+            }
+        }
+        if !fresh.is_empty() {
+            self.shared.pools.deliver(pools::Input::Hear(fresh.clone()));
+        }
+        fresh
+    }
+
+    fn steer(&mut self, now: Duration) {
+        if self.in_force.revision == 0 || !self.membership.caught_up() {
+            return;
+        }
+        let config = Arc::clone(&self.in_force.config);
+        self.steering
+            .measure(&config, &self.shared.meters, &self.reports, now);
+        self.steering.step(&config, &self.members, now);
+        for outgoing in self.steering.asks(&self.members, now) {
+            self.caller.steer(outgoing.to, &outgoing.ask);
+        }
+        let mut grants = self.steering.grants(now);
+        for (ask, reply) in std::mem::take(&mut self.waiting) {
+            let lent = grants.remove(&ask.name).unwrap_or_default();
+            let give = self.steering.give(ask.all, lent);
+            // Whoever asked may have given up waiting.
+            let _ = reply.send(wire::pack(&give).map_or(Reply::Unreadable, Reply::Frame));
+        }
+    }
+
+    /// Holds an ask until the next tick, when the room is divided among all that asked.
+    fn steer_asked(&mut self, from: IpAddr, frame: &Bytes, reply: oneshot::Sender<Reply>) {
+        let Ok(ask) = wire::unpack::<SteerAsk>(frame) else {
+            let _ = reply.send(Reply::Unreadable);
+            return;
+        };
+        let known = self
+            .members
+            .get(&ask.name)
+            .is_some_and(|m| m.peers.ip() == from)
+            || self.membership.hosts().get(&ask.name).is_some_and(|host| {
+                host.peers
+                    .parse::<SocketAddr>()
+                    .is_ok_and(|peers| peers.ip() == from)
+            });
+        if !known {
+            let _ = reply.send(Reply::Stranger);
+            return;
+        }
+        self.steering.asked(&ask, self.shared.now());
+        self.waiting.push((ask, reply));
+    }
+
+    /// Becomes a serving host once it holds all that serving needs.
+    fn serve(&mut self, now: Duration) {
+        let state = match (&self.leave, self.is_ready()) {
+            (Some(_), _) => HostState::Leaving,
+            (None, true) => HostState::Serving,
+            (None, false) => return,
+        };
+        if self.membership.state() != state {
+            let actions = self.membership.set_state(now, state);
+            self.act(actions);
+        }
+        self.membership.set_facts(Facts {
+            revision: self.in_force.revision,
+            pools: Vec::new(),
+            grants: Vec::new(),
+            shares: Vec::new(),
+            leaving: Vec::new(),
+        });
+    }
+
+    fn is_ready(&self) -> bool {
+        self.in_force.revision > 0 && self.steering.shares().ready() && self.membership.caught_up()
+    }
+
+    fn refresh_members(&mut self) {
+        let mut me = self.shared.me.clone();
+        me.leaving = self.leave.is_some();
+        me.epoch = self.shared.epoch.load(Ordering::Relaxed);
+        let epoch_ms = self.shared.timing.epoch_ms;
+        self.members = peering::members(&self.membership, &me, epoch_ms);
+    }
+
+    fn publish(&mut self, now: Duration) {
+        let ready = self.is_ready();
+        self.publisher.publish(
+            &self.shared,
+            super::publish::Parts {
+                in_force: &self.in_force,
+                members: &self.members,
+                steering: &self.steering,
+                reports: &self.reports,
+                words: self.words.values().map(|(word, _)| *word).collect(),
+                ready,
+                caught_up: self.membership.caught_up(),
+                leaving: self.leave.is_some(),
+                now,
+            },
+        );
+    }
+
+    fn begin_leaving(&mut self) {
+        if self.leave.is_some() {
+            return;
+        }
+        log::info!(host = &*self.shared.me.name; "leaving");
+        let now = self.shared.now();
+        self.leave = Some(Leave::open(now));
+        self.caller.announce(listed(&self.shared.me, true));
+        let actions = self.membership.set_state(now, HostState::Leaving);
+        self.act(actions);
+        self.tick();
+    }
+
+    fn go_on_leaving(&mut self, now: Duration) {
+        let busy = self
+            .reports
+            .iter()
+            .any(|report| report.load.busy + report.load.queued > 0);
+        let Some(leave) = &mut self.leave else { return };
+        match leave.step(&self.shared.timing, busy, now) {
+            Step::Wait => {}
+            Step::HandOver(time) => {
+                let others = self
+                    .members
+                    .values()
+                    .filter(|m| m.name != self.shared.me.name);
+                let peers = others.map(|member| member.incarnation).collect();
+                self.shared
+                    .ledger
+                    .deliver(ledger::Input::HandOver { peers, time });
+            }
+            Step::AskLedger => self.caller.ask_ledger(&self.shared.ledger),
+            Step::Withdraw => self.caller.withdraw(Arc::clone(&self.shared.me.name)),
+        }
+    }
+
+    fn state(&self) -> Value {
+        json!({
+            "revision": self.in_force.revision,
+            "caught_up": self.membership.caught_up(),
+            "state": self.membership.state().to_string(),
+            "watches_store": self.plan.watch,
+            "tells": self.plan.children,
+            "lost_regions": self.steering.lost(),
+            "hosts": self.membership.hosts().iter().map(|(name, host)| json!({
+                "name": name,
+                "incarnation": host.incarnation,
+                "domain": host.domain,
+                "state": self.membership.state_of(name).to_string(),
+                "revision": host.revision,
+            })).collect::<Vec<_>>(),
+        })
+    }
+}
+
+fn encoded(message: &Message) -> Reply {
+    Reply::Frame(coord_wire::encode(message))
+}
+
+fn address(text: &str) -> SocketAddr {
+    // Checked when the settings were read.
+    text.parse()
+        .unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn listed(me: &Member, leaving: bool) -> Listed {
+    Listed {
+        name: Arc::clone(&me.name),
+        incarnation: me.incarnation,
+        region: Arc::clone(&me.region),
+        domain: Arc::clone(&me.domain),
+        callers: me.callers.to_string().into(),
+        peers: me.peers.to_string().into(),
+        leaving,
+    }
+}
--- /dev/null
+++ b/crates/node/src/run/dispatch.rs
@@ -0,0 +1,218 @@
+//! Chooses the region and the pool for a request and has it run there.
+
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+
+use dunlinrock_decide::{
+    admit::{Candidate, choose},
+    steer::{Reason, Refusal, Shortage},
+};
+use dunlinrock_schema::api::Run;
+use tokio::time::Instant;
+
+use super::{
+    forward,
+    holder::{Held, hold},
+};
+use crate::{
+    call::Call,
+    duties::pools::PoolId,
+    shared::Shared,
+    view::{PoolRoute, View},
+    wire::{Answer, Client, Kind, Trouble},
+};
+
+/// Pools that a request is offered to at the most. The second helps when the load of the first was
+/// heard too long ago, or its owner just died. More would multiply the offers of a region that is
+/// full, where each of its pools refuses.
+const POOL_TRIES: usize = 2;
+
+/// Hand-overs between hosts at the most: one to the owner, one more where the owner changed since.
+pub const MAX_HOPS: u8 = 2;
+
+/// Bytes of a request's head, for the use of a link.
+const HEAD_BYTES: f64 = 500.0;
+/// Bytes of an answer, for the use of a link, before its size is known.
+const ANSWER_BYTES: f64 = 2_000.0;
+
+/// Pause before a new view is looked for when the owner of a pool has changed under a request.
+const VIEW_PAUSE: Duration = Duration::from_millis(20);
+
+/// Runs `call` in the region that its service's shares give it.
+pub async fn dispatch(shared: &Shared, client: &Client, call: &Call) -> Result<Answer, Trouble> {
+    let view = shared.view.load_full();
+    let region = region(shared, &view, call)?;
+    let mut tried: Vec<Arc<PoolId>> = Vec::new();
+    let mut last = None;
+    while tried.len() < POOL_TRIES {
+        let view = shared.view.load_full();
+        let Some(route) = pool(shared, &view, call, &region, &tried) else {
+            break;
+        };
+        tried.push(Arc::clone(&route.id));
+        match run(shared, client, &route, call).await {
+            Ok(answer) => {
+                count(shared, call, &region, &answer);
+                return Ok(answer);
+            }
+            Err(trouble) if goes_on(&trouble, call) => last = Some(trouble),
+            Err(trouble) => return Err(trouble),
+        }
+    }
+    Err(last.unwrap_or_else(|| {
+        let detail = format!(
+            "no host has targets of {} in {region} to offer",
+            call.service
+        );
+        Trouble::not_run(Kind::Unavailable, detail).retry_after(Duration::from_millis(250))
+    }))
+}
+
+/// Runs `call` at one pool, wherever its owner is.
+pub(crate) async fn run(
+    shared: &Shared,
+    client: &Client,
+    route: &PoolRoute,
+    call: &Call,
+) -> Result<Answer, Trouble> {
+    let Some(owner) = &route.owner else {
+        return Err(unowned(&route.id));
+    };
+    if owner.incarnation != shared.me.incarnation {
+        if call.hops >= MAX_HOPS {
+            return Err(unowned(&route.id));
+        }
+        route.send();
+        return forward::forward(shared, client, route, owner, call).await;
+    }
+    match hold(shared, client, route, call).await {
+        Held::Answer(answer) => Ok(answer),
+        Held::Trouble(trouble) => Err(trouble),
+        Held::NotOwner => {
+            tokio::time::sleep(VIEW_PAUSE).await;
+            Err(unowned(&route.id))
+        }
+    }
+}
+
+fn unowned(pool: &PoolId) -> Trouble {
+    let detail = format!(
+        "the owner of {}'s targets in {} is changing",
+        pool.service, pool.domain
+    );
+    Trouble::not_run(Kind::Unavailable, detail).retry_after(Duration::from_millis(250))
+}
+
+/// Whether another pool may be tried: the request certainly did not run and was not judged by what
+/// it is, or it may run more than once; and there is time.
+fn goes_on(trouble: &Trouble, call: &Call) -> bool {
+    let judged = matches!(trouble.kind, Kind::Quarantined | Kind::DeadlinePassed);
+    let safe = trouble.run == Run::No || (call.repeatable && trouble.kind == Kind::TargetFailed);
+    safe && !judged && Instant::now() < call.deadline
+}
+
+fn region(shared: &Shared, view: &View, call: &Call) -> Result<Arc<str>, Trouble> {
+    if !view.services.contains_key(&call.service) {
+        let detail = format!("no service {} in revision {}", call.service, view.revision);
+        return Err(Trouble::not_run(Kind::UnknownService, detail));
+    }
+    let from = view.region(call.client, &shared.me.region);
+    shared.meters.entered(&call.service, &from);
+    // The same request draws the same region again: a refused one whose each try drew another
+    // would soon be served, and the regions that are left would get more than their shares.
+    let picked = view.shares.pick(&call.service, &from, call.identity);
+    let region = picked
+        .map(Arc::clone)
+        .map_err(|refusal| unservable(call, &from, refusal))?;
+    if region == shared.me.region {
+        return Ok(region);
+    }
+    match borrow(shared, call, &region) {
+        Ok(()) => Ok(region),
+        Err(shortage) => home(shared, view, call, &region, shortage),
+    }
+}
+
+/// Takes room that the region's hosts lent to this one.
+fn borrow(shared: &Shared, call: &Call, region: &str) -> Result<(), Shortage> {
+    let mut grantee = shared
+        .grantee
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let sizes = (call.body.len() as f64 + HEAD_BYTES, ANSWER_BYTES);
+    grantee.take(region, &call.service, sizes, shared.now())
+}
+
+/// Counts an answer, and puts right what was taken of a link before its size was known.
+fn count(shared: &Shared, call: &Call, region: &str, answer: &Answer) {
+    shared
+        .meters
+        .answered(&call.service, call.body.len(), answer.body.len());
+    if region != &*shared.me.region {
+        let mut grantee = shared
+            .grantee
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let more = answer.body.len() as f64 - ANSWER_BYTES;
+        grantee.settle(region, &call.service, more);
+    }
+}
+
+/// The region to turn to when another lends no room: this host's own, which turns away itself what
+/// it cannot take. A share that no grant covers must not go out: many hosts that each exceed their
+/// grants a little overrun the region together.
+fn home(
+    shared: &Shared,
+    view: &View,
+    call: &Call,
+    region: &str,
+    shortage: Shortage,
+) -> Result<Arc<str>, Trouble> {
+    let own = &shared.me.region;
+    let service = view.services.get(&call.service);
+    if service.is_some_and(|service| service.regions.contains_key(own)) {
+        return Ok(Arc::clone(own));
+    }
+    let detail = format!("region {region} lends no room for {} now", call.service);
+    Err(Trouble::not_run(Kind::Overloaded, detail).retry_after(shortage.retry_after))
+}
+
+fn unservable(call: &Call, from: &str, refusal: Refusal) -> Trouble {
+    let why = match refusal.reason {
+        Reason::Starting => "this host has not heard yet where traffic goes",
+        Reason::Nowhere => "no region serves it",
+        Reason::Lost => "it moves to another region no faster than its cap",
+    };
+    let detail = format!("{} for callers of {from}: {why}", call.service);
+    Trouble::not_run(Kind::Unavailable, detail).retry_after(refusal.retry_after)
+}
+
+fn pool(
+    shared: &Shared,
+    view: &View,
+    call: &Call,
+    region: &str,
+    tried: &[Arc<PoolId>],
+) -> Option<Arc<PoolRoute>> {
+    let routes = view.services.get(&call.service)?.regions.get(region)?;
+    let left: Vec<&Arc<PoolRoute>> = routes
+        .iter()
+        .filter(|r| r.owner.is_some() && !tried.contains(&r.id))
+        .collect();
+    let now = shared.now();
+    let candidates: Vec<Candidate> = left.iter().map(|route| candidate(route, now)).collect();
+    let at = choose(&candidates, rand::random())?;
+    left.get(at).map(|route| Arc::clone(route))
+}
+
+fn candidate(route: &PoolRoute, now: Duration) -> Candidate {
+    let heard = route.heard();
+    Candidate {
+        load: heard.load,
+        age: now.saturating_sub(heard.at),
+        delay: route.delay,
+        sent: route.sent(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/run/forward.rs
@@ -0,0 +1,272 @@
+//! Hands a request to the host that owns its pool.
+
+use std::{str::FromStr, sync::Arc, time::Duration};
+
+use anyhow::Context;
+use bytes::Bytes;
+use dunlinrock_coord::once::Attempts;
+use dunlinrock_decide::admit::Load;
+use dunlinrock_schema::{
+    api::Run,
+    peer::{AnswerHead, Field, PoolLoad, RunAnswer, RunEnd, RunHead, TroubleHead},
+};
+use hyper::{
+    HeaderMap, Method, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
+use tokio::time::Instant;
+
+use super::relay::CALL_PATH;
+use crate::{
+    call::Call,
+    duties::pools::PoolId,
+    shared::Shared,
+    view::{Member, PoolRoute},
+    wire::{self, Answer, Client, Failure, Kind, PackError, Trouble},
+};
+
+/// Path on which hosts take requests for the pools they own.
+pub const RUN_PATH: &str = "/peer/v1/run";
+
+/// Hands `call` to the owner of a pool and waits for its answer until the deadline. The answer
+/// brings the pool's load along: fresh where it is used most, and at no cost where it is not.
+pub(super) async fn forward(
+    shared: &Shared,
+    client: &Client,
+    route: &PoolRoute,
+    owner: &Member,
+    call: &Call,
+) -> Result<Answer, Trouble> {
+    let (result, load) = hand(client, owner, RUN_PATH, &route.id.domain, call).await;
+    if let Some(load) = load {
+        route.hear(load, shared.now());
+    }
+    result
+}
+
+/// Passes a keyed request on to the owner of its key.
+pub(super) async fn relay(client: &Client, owner: &Member, call: &Call) -> Result<Answer, Trouble> {
+    let (result, _) = hand(client, owner, CALL_PATH, "", call).await;
+    // That this attempt was not sent says nothing of the earlier ones of the key.
+    result.map_err(|trouble| Trouble {
+        run: not_below(trouble.run, call),
+        ..trouble
+    })
+}
+
+/// What a caller may be told of a key whose owner was not reached.
+fn not_below(run: Run, call: &Call) -> Run {
+    let first = call
+        .attempts
+        .as_deref()
+        .is_some_and(|text| text.parse() == Ok(Attempts::FIRST));
+    if first { run } else { Run::Unknown }
+}
+
+async fn hand(
+    client: &Client,
+    owner: &Member,
+    path: &str,
+    domain: &str,
+    call: &Call,
+) -> (Result<Answer, Trouble>, Option<Load>) {
+    let time = call.deadline.saturating_duration_since(Instant::now());
+    let frame = match wire::join(&head(domain, call, time), &call.body) {
+        Ok(frame) => frame,
+        Err(e) => return (Err(unsent(&e)), None),
+    };
+    let trouble = match client.post(owner.peers, path, frame, time).await {
+        Ok(answer) if answer.status == StatusCode::OK => {
+            return read_answer(&answer.body).unwrap_or_else(|e| (Err(lost(&e)), None));
+        }
+        Ok(answer) => refused(owner, &answer),
+        Err(e) if e.is_unsent() => unsent(&e),
+        Err(e @ Failure::Timeout(_)) => Trouble::unknown(
+            Kind::DeadlinePassed,
+            format!("handed to {}: {e}", owner.name),
+        ),
+        Err(e) => Trouble::unknown(Kind::TargetFailed, format!("handed to {}: {e}", owner.name)),
+    };
+    (Err(trouble), None)
+}
+
+/// A status other than 200 comes before the other host takes the frame in, but for one: it could
+/// not write its answer.
+fn refused(owner: &Member, answer: &Answer) -> Trouble {
+    if answer.status == StatusCode::INTERNAL_SERVER_ERROR {
+        return Trouble::unknown(
+            Kind::TargetFailed,
+            format!("host {} lost the answer", owner.name),
+        );
+    }
+    let detail = format!("host {} answered {}", owner.name, answer.status);
+    Trouble::not_run(Kind::Unavailable, detail).retry_after(Duration::from_millis(100))
+}
+
+fn unsent(error: &dyn std::error::Error) -> Trouble {
+    Trouble::not_run(Kind::Unavailable, error.to_string()).retry_after(Duration::from_millis(100))
+}
+
+fn lost(error: &dyn std::error::Error) -> Trouble {
+    Trouble::unknown(Kind::TargetFailed, error.to_string())
+}
+
+fn head(domain: &str, call: &Call, time: Duration) -> RunHead {
+    RunHead {
+        request: Arc::clone(&call.request),
+        service: Arc::clone(&call.service),
+        domain: domain.into(),
+        method: call.method.as_str().into(),
+        path: Arc::clone(&call.path),
+        fields: write_fields(&call.headers),
+        remaining_us: u64::try_from(time.as_micros()).unwrap_or(u64::MAX),
+        region: Arc::clone(&call.region),
+        client: call.client.to_string().into(),
+        caller: call.caller,
+        topic: call.topic,
+        kind: call.kind,
+        fingerprint: call.fingerprint,
+        identity: call.identity,
+        repeatable: call.repeatable,
+        key: call.key.clone(),
+        attempts: call.attempts.clone(),
+        hops: call.hops.saturating_add(1),
+    }
+}
+
+/// Reads a request that another host handed over.
+pub fn read_call(frame: &Bytes) -> anyhow::Result<(PoolId, Call)> {
+    let (head, body): (RunHead, Bytes) = wire::split(frame)?;
+    let pool = PoolId {
+        service: Arc::clone(&head.service),
+        domain: head.domain,
+    };
+    let call = Call {
+        request: head.request,
+        service: head.service,
+        method: Method::from_str(&head.method).context("the method")?,
+        path: head.path,
+        headers: read_fields(&head.fields)?,
+        body,
+        deadline: Instant::now() + Duration::from_micros(head.remaining_us),
+        region: head.region,
+        client: head.client.parse().context("the caller's address")?,
+        caller: head.caller,
+        topic: head.topic,
+        kind: head.kind,
+        fingerprint: head.fingerprint,
+        identity: head.identity,
+        repeatable: head.repeatable,
+        key: head.key,
+        attempts: head.attempts,
+        hops: head.hops,
+    };
+    Ok((pool, call))
+}
+
+/// Writes what became of a request, for another host or for the ledger.
+pub fn write_answer(
+    result: &Result<Answer, Trouble>,
+    load: Option<Load>,
+) -> Result<Vec<u8>, PackError> {
+    let load = load.as_ref().map(write_load);
+    match result {
+        Ok(answer) => {
+            let fields = write_fields(&answer.headers);
+            let head = AnswerHead {
+                status: answer.status.as_u16(),
+                fields,
+            };
+            wire::join(
+                &RunAnswer {
+                    end: RunEnd::Answer(head),
+                    load,
+                },
+                &answer.body,
+            )
+        }
+        Err(trouble) => {
+            let end = RunEnd::Trouble(write_trouble(trouble));
+            wire::join(&RunAnswer { end, load }, &[])
+        }
+    }
+}
+
+/// Reads what [`write_answer`] wrote.
+pub fn read_answer(frame: &Bytes) -> Result<(Result<Answer, Trouble>, Option<Load>), PackError> {
+    let (head, body): (RunAnswer, Bytes) = wire::split(frame)?;
+    let result = match head.end {
+        RunEnd::Answer(head) => Ok(Answer {
+            status: StatusCode::from_u16(head.status)
+                .map_err(|_| PackError::Frame("its status is none"))?,
+            headers: read_fields(&head.fields).map_err(|_| PackError::Frame("a field is none"))?,
+            body,
+        }),
+        RunEnd::Trouble(trouble) => Err(read_trouble(&trouble)),
+    };
+    Ok((result, head.load.as_ref().map(read_load)))
+}
+
+fn write_load(load: &Load) -> PoolLoad {
+    let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    PoolLoad {
+        queued: load.queued,
+        busy: load.busy,
+        slots: load.slots,
+        wait_us: micros(load.wait),
+        turn_us: micros(load.turn),
+    }
+}
+
+fn read_load(load: &PoolLoad) -> Load {
+    Load {
+        queued: load.queued,
+        busy: load.busy,
+        slots: load.slots,
+        wait: Duration::from_micros(load.wait_us),
+        turn: Duration::from_micros(load.turn_us),
+    }
+}
+
+fn write_trouble(trouble: &Trouble) -> TroubleHead {
+    TroubleHead {
+        kind: trouble.kind.name().into(),
+        run: trouble.run.to_string().into(),
+        detail: Arc::clone(&trouble.detail),
+        retry_after_ms: trouble
+            .retry_after
+            .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
+    }
+}
+
+/// A word that this host does not know is read as the one that claims least.
+fn read_trouble(head: &TroubleHead) -> Trouble {
+    Trouble {
+        kind: Kind::find(&head.kind).unwrap_or(Kind::TargetFailed),
+        run: Run::from_str(&head.run).unwrap_or(Run::Unknown),
+        detail: Arc::clone(&head.detail),
+        retry_after: head.retry_after_ms.map(Duration::from_millis),
+    }
+}
+
+fn write_fields(headers: &HeaderMap) -> Vec<Field> {
+    let fields = headers.iter();
+    fields
+        .map(|(name, value)| Field {
+            name: name.as_str().into(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
+
+fn read_fields(fields: &[Field]) -> anyhow::Result<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::from_str(&field.name).context("a field's name")?;
+        headers.append(
+            name,
+            HeaderValue::from_bytes(&field.value).context("a field's value")?,
+        );
+    }
+    Ok(headers)
+}
