--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -252,6 +252,7 @@
     /// Takes the platform's list.
     pub fn listing(&mut self, now: Duration, listing: &Listing) -> Vec<Action> {
         let mut out = Vec::new();
+        self.notice_pause(now, &mut out);
         let (own, others): (Vec<_>, Vec<_>) = listing
             .hosts
             .iter()
--- a/crates/coord/src/member/receive.rs
+++ b/crates/coord/src/member/receive.rs
@@ -11,6 +11,7 @@
     /// business and are ignored.
     pub fn receive(&mut self, now: Duration, message: &Message) -> Vec<Action> {
         let mut out = Vec::new();
+        self.notice_pause(now, &mut out);
         match message {
             Message::Beat(beat) => self.beat_came(now, beat, &mut out),
             Message::Report(report) => self.report_came(now, report, &mut out),
--- a/crates/coord/src/member/tick.rs
+++ b/crates/coord/src/member/tick.rs
@@ -22,9 +22,7 @@
         if self.superseded.is_some() {
             return out;
         }
-        if now > self.last_tick + self.timings.suspect {
-            self.woke(now, &mut out);
-        }
+        self.notice_pause(now, &mut out);
         self.last_tick = now;
         self.catch_up(now, &mut out);
         self.watch(now, &mut out);
@@ -36,6 +34,16 @@
         out
     }
 
+    /// Looks for a gap in this host's own ticks. Each input does so before all else: after a pause
+    /// what waited in a socket may be read before the next tick, and must not be acted on by a view
+    /// that is as old as the pause.
+    pub(super) fn notice_pause(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.paused(now) {
+            self.last_tick = now;
+            self.woke(now, out);
+        }
+    }
+
     /// This host was paused: the silence was its own, and the world may have gone on without it.
     fn woke(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.watched.values_mut().for_each(|since| *since = now);
--- a/crates/coord/src/member/view.rs
+++ b/crates/coord/src/member/view.rs
@@ -23,6 +23,16 @@
         self.asking.is_none() && self.superseded.is_none()
     }
 
+    /// As [`Membership::caught_up`], for one moment: also `false` right after a pause that no tick
+    /// has noticed yet. Ask it before an act that must not come from a host that was replaced.
+    pub fn caught_up_at(&self, now: Duration) -> bool {
+        self.caught_up() && !self.paused(now)
+    }
+
+    pub(super) fn paused(&self, now: Duration) -> bool {
+        now > self.last_tick + self.timings.suspect
+    }
+
     /// The later incarnation of this host, if there is one.
     pub fn superseded(&self) -> Option<u64> {
         self.superseded
--- a/crates/coord/src/pieces/leaf.rs
+++ b/crates/coord/src/pieces/leaf.rs
@@ -49,15 +49,25 @@
 
 /// Takes a configuration apart. Parts that are empty give no leaf.
 pub fn leaves(config: &Config) -> BTreeMap<Arc<str>, Leaf> {
+    // Names every part: a part that is added to the schema and not stored would be lost silently.
+    let Config {
+        regions,
+        domains,
+        links,
+        drains,
+        blocks,
+        services: _,
+        targets: _,
+    } = config;
     let mut out = BTreeMap::new();
-    table(&mut out, "regions", &config.regions, Leaf::Regions);
-    table(&mut out, "domains", &config.domains, Leaf::Domains);
-    table(&mut out, "drains", &config.drains, Leaf::Drains);
-    for (from, links) in group(&config.links, |link| &link.from) {
+    table(&mut out, "regions", regions, Leaf::Regions);
+    table(&mut out, "domains", domains, Leaf::Domains);
+    table(&mut out, "drains", drains, Leaf::Drains);
+    for (from, links) in group(links, |link| &link.from) {
         table(&mut out, &format!("links/{from}"), &links, Leaf::Links);
     }
     services(&mut out, config);
-    for (name, blocks) in split_blocks(&config.blocks) {
+    for (name, blocks) in split_blocks(blocks) {
         out.insert(name, Leaf::Blocks(blocks));
     }
     out
--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -123,6 +123,29 @@
     assert_eq!(fleet.seen("host-01-01"), only(HostState::Serving));
 }
 
+// After a pause the first thing a host reads may be a message that waited, before any tick. It must
+// neither act in that moment nor take the message for the answer that it has to wait for.
+#[test]
+fn a_message_read_before_the_first_tick_after_a_pause_does_not_hide_the_pause() {
+    let mut fleet = settled(6, 2);
+    let now = fleet.now + MINUTE;
+    let member = &mut fleet.node("host-01-01").member;
+    assert!(member.caught_up_at(now - MINUTE));
+    assert!(!member.caught_up_at(now));
+    let beat = dunlinrock_schema::coord::Beat {
+        name: name(1, 0),
+        incarnation: 1,
+        beat: 1 << 40,
+        state: HostState::Serving,
+        revision: 0,
+        sum: 0,
+    };
+    let message = dunlinrock_schema::coord::Message::Beat(beat);
+    let actions = member.receive(now, &message);
+    assert!(actions.contains(&Action::CaughtUp(false)), "{actions:?}");
+    assert!(!member.caught_up());
+}
+
 // The process was replaced while it was paused. When it wakes, it must not act under the name that
 // another process has by now, however long ago that was said.
 #[test]
--- /dev/null
+++ b/crates/coord/tests/member_chaos.rs
@@ -0,0 +1,126 @@
+//! Random deaths, restarts, pauses, cuts and losses; afterwards all hosts agree again.
+
+mod common;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use common::{
+    config,
+    fleet::{Fleet, name},
+};
+use dunlinrock_coord::pieces;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const DOMAINS: usize = 4;
+const HOSTS: usize = 3;
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+/// Revisions and incarnations that a host has shown, which must not fall.
+type Shown = BTreeMap<(Arc<str>, Arc<str>), u64>;
+
+fn check(fleet: &Fleet, started: &BTreeMap<Arc<str>, u64>, shown: &mut Shown, seed: u64) {
+    for (who, node) in &fleet.nodes {
+        let process: Arc<str> = format!("{who} {}", started[who]).into();
+        for (other, host) in node.member.hosts() {
+            let last = shown.entry((process.clone(), other.clone())).or_default();
+            assert!(host.incarnation >= *last, "seed {seed}: {who} of {other}");
+            *last = host.incarnation;
+        }
+        let key = (process, "revision".into());
+        let last = shown.entry(key).or_default();
+        assert!(node.follower.revision() >= *last, "seed {seed}: {who}");
+        *last = node.follower.revision();
+    }
+}
+
+fn strike(fleet: &mut Fleet, started: &mut BTreeMap<Arc<str>, u64>, rng: &mut StdRng) {
+    let (domain, host) = (rng.random_range(0..DOMAINS), rng.random_range(0..HOSTS));
+    let victim = name(domain, host);
+    match rng.random_range(0..6) {
+        0 if !fleet.node(&victim).dead => fleet.node(&victim).paused = true,
+        1 if fleet.node(&victim).paused => fleet.wake(&victim),
+        2 => fleet.node(&victim).dead = true,
+        3 => restart(fleet, started, domain, host),
+        4 => {
+            let cut: Arc<str> = format!("domain-{domain:02}").into();
+            if !fleet.cut.remove(&cut) {
+                fleet.cut.insert(cut);
+            }
+        }
+        _ => fleet.loss = [0.0, 0.1, 0.4][rng.random_range(0..3)],
+    }
+}
+
+fn restart(
+    fleet: &mut Fleet,
+    started: &mut BTreeMap<Arc<str>, u64>,
+    domain: usize,
+    host: usize,
+) {
+    let incarnation = started.entry(name(domain, host)).or_insert(1);
+    *incarnation += 1;
+    fleet.start(domain, host, *incarnation);
+    fleet.list(domain, host, *incarnation);
+}
+
+/// Heals everything and lets the hosts settle.
+fn heal(fleet: &mut Fleet, started: &mut BTreeMap<Arc<str>, u64>) {
+    fleet.cut.clear();
+    fleet.loss = 0.0;
+    for (domain, host) in (0..DOMAINS).flat_map(|d| (0..HOSTS).map(move |h| (d, h))) {
+        let name = name(domain, host);
+        if fleet.node(&name).dead {
+            restart(fleet, started, domain, host);
+        } else if fleet.node(&name).paused {
+            fleet.wake(&name);
+        }
+    }
+    for _ in 0..40 {
+        fleet.send_listing();
+        fleet.run(ms(1000));
+    }
+}
+
+// A closing with everything going wrong at once: hosts die, are replaced, hang and wake, domains
+// are cut off, messages are lost. While it lasts no view of an incarnation and no revision falls;
+// once it is over all hosts see all others serve, have caught up and hold the newest revision.
+#[test]
+fn after_random_faults_all_hosts_agree_again_and_nothing_fell_meanwhile() {
+    let mut file = config(6, 3, 300);
+    for seed in 0..16 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = Fleet::open(DOMAINS, HOSTS, seed);
+        let mut started: BTreeMap<_, _> = fleet.nodes.keys().map(|name| (name.clone(), 1)).collect();
+        let mut shown = Shown::new();
+        fleet.apply("first", pieces::split(&file));
+        fleet.run(ms(15_000));
+        let end = fleet.now + MINUTE * 3;
+        let mut turn = 0;
+        while fleet.now < end {
+            strike(&mut fleet, &mut started, &mut rng);
+            fleet.run(ms(rng.random_range(1..60) * 50));
+            if rng.random_bool(0.2) {
+                turn += 1;
+                file.services.get_mut("service-001").unwrap().cap.share =
+                    0.1 + f64::from(turn % 80) / 100.0;
+                fleet.apply(&format!("a{turn}"), pieces::split(&file));
+            }
+            fleet.send_listing();
+            check(&fleet, &started, &mut shown, seed);
+        }
+        heal(&mut fleet, &mut started);
+        check(&fleet, &started, &mut shown, seed);
+        let revision = fleet.store.revision();
+        for (who, node) in &fleet.nodes {
+            let serving = node.member.serving().len();
+            assert_eq!(serving, DOMAINS * HOSTS, "seed {seed}: {who}");
+            assert!(node.member.caught_up(), "seed {seed}: {who}");
+            assert_eq!(node.follower.revision(), revision, "seed {seed}: {who}");
+            assert_eq!(node.member.lowest(), Some(revision), "seed {seed}: {who}");
+        }
+    }
+}
