--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -123,9 +123,13 @@
     words: Words,
     /// Hosts that are not gone, by domain; the topology follows from them.
     domains: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    /// Hosts of this domain that are gone and not forgotten.
+    gone: BTreeSet<Arc<str>>,
     topology: Topology,
     /// Since when each watched host is waited for.
     watched: BTreeMap<Arc<str>, Duration>,
+    /// Watched hosts that this host doubts.
+    doubted: BTreeSet<Arc<str>>,
     /// When each domain that speaks to this host was last heard, or first waited for.
     direct: BTreeMap<Arc<str>, Duration>,
     /// Which hosts of this domain do not hear another domain, with the number of their word.
@@ -163,8 +167,17 @@
     told_silent: BTreeSet<Arc<str>>,
 }
 
-/// What hosts said of a domain's silence, each with the number of its word.
-type Voices = BTreeMap<Arc<str>, (u64, bool)>;
+/// What hosts said of a domain's silence.
+type Voices = BTreeMap<Arc<str>, Voice>;
+
+/// What one host last said of a domain's silence; it lapses unless it is said again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Voice {
+    /// Number of its word.
+    beat: u64,
+    silent: bool,
+    said: Duration,
+}
 
 /// When things are next done.
 #[derive(Clone, Copy, Debug, Default)]
@@ -174,6 +187,7 @@
     digest: Duration,
     far: Duration,
     sync: Duration,
+    repeat: Duration,
 }
 
 impl Membership {
@@ -189,6 +203,7 @@
                 digest: part(timings.digest),
                 far: part(timings.far),
                 sync: now,
+                repeat: now,
             },
             me,
             timings,
@@ -200,8 +215,10 @@
             table: Table::default(),
             words: Words::default(),
             domains: BTreeMap::new(),
+            gone: BTreeSet::new(),
             topology: Topology::default(),
             watched: BTreeMap::new(),
+            doubted: BTreeSet::new(),
             direct: BTreeMap::new(),
             silent: BTreeMap::new(),
             facts: Facts {
@@ -245,8 +262,12 @@
 
     /// Sets the configuration revision in force here; the next heartbeat tells the whole domain.
     pub fn set_revision(&mut self, revision: u64) {
-        self.announce |= self.revision != revision;
-        self.revision = revision;
+        if self.revision != revision {
+            self.revision = revision;
+            self.announce = true;
+            // The heartbeat may be lost; the next report names it too.
+            self.stamp += 1;
+        }
     }
 
     /// Takes the platform's list.
@@ -293,7 +314,7 @@
             peers: self.me.peers.clone(),
             have: Vec::new(),
         };
-        self.table.introduce(&me, now);
+        self.table.introduce(&me, &self.me.domain, now);
         if let Some(host) = self.table.hosts.get_mut(&self.me.name) {
             host.said = self.state;
             host.listed = true;
--- a/crates/coord/src/member/receive.rs
+++ b/crates/coord/src/member/receive.rs
@@ -64,10 +64,11 @@
     }
 
     fn digest_came(&mut self, now: Duration, digest: &Digest, out: &mut Vec<Action>) {
-        let newer = self
-            .digests
-            .get(&digest.domain)
-            .is_none_or(|(old, _)| old.by != digest.by || old.stamp < digest.stamp);
+        // A restarted host counts from the beginning.
+        let newer = self.digests.get(&digest.domain).is_none_or(|(old, _)| {
+            let place = |one: &Digest| (one.incarnation, one.stamp);
+            old.by != digest.by || place(old) < place(digest)
+        });
         if newer && digest.domain != self.me.domain {
             let entry = (digest.clone(), now);
             self.digests.insert(digest.domain.clone(), entry);
@@ -141,7 +142,7 @@
         let known = self.table.hosts.get(&ask.name);
         let stale = known.is_some_and(|host| host.incarnation > ask.incarnation);
         if !stale {
-            self.table.introduce(ask, now);
+            self.table.introduce(ask, &self.me.domain, now);
             self.refresh(now, out);
         }
         let have: BTreeSet<u64> = ask.have.iter().copied().collect();
@@ -172,6 +173,7 @@
             beat: host.beat,
             state: HostState::Serving,
             by: name.clone(),
+            turn: 0,
         };
         Some(dunlinrock_schema::coord::Rumor {
             origin: host.domain.clone(),
--- a/crates/coord/src/member/refresh.rs
+++ b/crates/coord/src/member/refresh.rs
@@ -77,19 +77,23 @@
 
     fn refresh_topology(&mut self, now: Duration) {
         let mut domains: BTreeMap<Arc<str>, BTreeSet<Arc<str>>> = BTreeMap::new();
+        let mut gone = BTreeSet::new();
         for (name, (_, state)) in &self.told {
             let host = self.table.hosts.get(name);
             let domain = host.map(|host| host.domain.clone()).unwrap_or_default();
-            if *state != HostState::Gone && !domain.is_empty() {
+            if *state == HostState::Gone && domain == self.me.domain {
+                gone.insert(name.clone());
+            } else if *state != HostState::Gone && !domain.is_empty() {
                 domains.entry(domain).or_default().insert(name.clone());
             }
         }
         // The list is read every second and seldom brings anything new.
-        if domains == self.domains {
+        if domains == self.domains && gone == self.gone {
             return;
         }
-        self.topology = topology(&self.me.name, &self.me.domain, &domains);
+        self.topology = topology(&self.me.name, &self.me.domain, &domains, &gone);
         self.domains = domains;
+        self.gone = gone;
         let old = std::mem::take(&mut self.watched);
         for name in &self.topology.watched {
             let since = old.get(name).copied().unwrap_or(now);
@@ -103,7 +107,7 @@
         let mut silent = BTreeSet::new();
         for (domain, said) in &self.silent {
             let there = |by: &Arc<str>| self.topology.near.contains(by) || *by == self.me.name;
-            let count = said.iter().filter(|(by, (_, silent))| *silent && there(by));
+            let count = said.iter().filter(|(by, voice)| voice.silent && there(by));
             if count.count() >= needed {
                 silent.insert(domain.clone());
             }
--- a/crates/coord/src/member/spread.rs
+++ b/crates/coord/src/member/spread.rs
@@ -31,16 +31,17 @@
             beat: self.beat,
             state: self.state,
             by: self.me.name.clone(),
+            turn: 0,
         };
         self.start(now, Word::State(word), out);
     }
 
-    /// Says that a watched host is silent.
-    pub(super) fn say_doubt(
+    /// Says of a watched host that it is silent, or that it is heard again.
+    pub(super) fn say_other(
         &mut self,
         now: Duration,
         name: &Arc<str>,
-        state: HostState,
+        (state, turn): (HostState, u64),
         out: &mut Vec<Action>,
     ) {
         let Some(host) = self.table.hosts.get(name) else {
@@ -52,6 +53,7 @@
             beat: host.beat,
             state,
             by: self.me.name.clone(),
+            turn,
         };
         self.start(now, Word::State(word), out);
     }
@@ -153,9 +155,10 @@
             Word::Quarantine(word) => out.push(Action::Quarantined(word.clone())),
             Word::Domain(word) => {
                 let said = self.silent.entry(word.domain.clone()).or_default();
-                let last = said.entry(word.by.clone()).or_insert((0, false));
-                if word.beat > last.0 {
-                    *last = (word.beat, word.silent);
+                let voice = said.entry(word.by.clone()).or_default();
+                if word.beat > voice.beat {
+                    (voice.beat, voice.silent) = (word.beat, word.silent);
+                    voice.said = now;
                 }
                 self.refresh_silent(out);
             }
--- a/crates/coord/src/member/table.rs
+++ b/crates/coord/src/member/table.rs
@@ -32,8 +32,13 @@
     pub listed: bool,
     /// What it last said of itself.
     pub said: HostState,
-    /// Hosts that do not hear it, and whether for long.
-    doubts: BTreeMap<Arc<str>, HostState>,
+    /// Hosts that do not hear it, whether for long, and when they last said so.
+    ///
+    /// A doubt lapses unless it is said again. The word that takes it back may be lost while this
+    /// host is cut off, and the host that is doubted may never hear of it.
+    doubts: BTreeMap<Arc<str>, (HostState, Duration)>,
+    /// Whether it stands in this host's domain, and so is heard by some.
+    near: bool,
     /// Time of the last sign of it, or of its first appearance.
     pub(super) heard: Duration,
 }
@@ -47,7 +52,7 @@
         let gone = self
             .doubts
             .values()
-            .filter(|state| **state == HostState::Gone);
+            .filter(|(state, _)| *state == HostState::Gone);
         if self.said == HostState::Gone || gone.count() >= watchers.clamp(1, 2) {
             return HostState::Gone;
         }
@@ -61,11 +66,32 @@
         self.incarnation = incarnation;
         self.beat = 0;
         self.revision = 0;
-        self.said = HostState::Starting;
+        self.said = self.first();
         self.doubts.clear();
         self.heard = now;
     }
 
+    /// The state of a new incarnation. Hosts of other domains are not heard: one that is known
+    /// serves, unless a word says otherwise.
+    fn first(&self) -> HostState {
+        if self.near {
+            HostState::Starting
+        } else {
+            HostState::Serving
+        }
+    }
+
+    /// Learns where it stands.
+    fn place(&mut self, region: &Arc<str>, domain: &Arc<str>, mine: &str) {
+        let unknown = self.domain.is_empty();
+        self.region = region.clone();
+        self.domain = domain.clone();
+        self.near = **domain == *mine;
+        if unknown && self.said == HostState::Starting {
+            self.said = self.first();
+        }
+    }
+
     /// Takes a sign of life; `false` for an old one.
     fn sign(&mut self, incarnation: u64, beat: u64, now: Duration) -> bool {
         if incarnation < self.incarnation || (incarnation == self.incarnation && beat < self.beat) {
@@ -99,7 +125,6 @@
             host.listed = names.contains(name);
         }
         for new in listed {
-            let near = *new.domain == *mine;
             let host = self
                 .hosts
                 .entry(new.name.clone())
@@ -108,16 +133,10 @@
                 continue;
             }
             if new.incarnation > host.incarnation || host.domain.is_empty() {
+                host.place(&new.region, &new.domain, mine);
                 if new.incarnation > host.incarnation {
                     host.fresh(new.incarnation, now);
-                    // Hosts of other domains are not heard; without a word against it, one that
-                    // is listed serves.
-                    if !near {
-                        host.said = HostState::Serving;
-                    }
                 }
-                host.region = new.region.clone();
-                host.domain = new.domain.clone();
                 host.callers = new.callers.clone();
                 host.peers = new.peers.clone();
             }
@@ -128,7 +147,7 @@
         }
     }
 
-    pub(super) fn introduce(&mut self, ask: &SyncAsk, now: Duration) {
+    pub(super) fn introduce(&mut self, ask: &SyncAsk, mine: &str, now: Duration) {
         let host = self
             .hosts
             .entry(ask.name.clone())
@@ -136,11 +155,10 @@
         if ask.incarnation < host.incarnation {
             return;
         }
+        host.place(&ask.region, &ask.domain, mine);
         if ask.incarnation > host.incarnation {
             host.fresh(ask.incarnation, now);
         }
-        host.region = ask.region.clone();
-        host.domain = ask.domain.clone();
         host.callers = ask.callers.clone();
         host.peers = ask.peers.clone();
         host.heard = now;
@@ -151,6 +169,8 @@
             .hosts
             .entry(beat.name.clone())
             .or_insert_with(|| unknown(now));
+        // Heartbeats come from this domain only.
+        host.near = true;
         if host.sign(beat.incarnation, beat.beat, now) {
             host.said = settle(host.said, beat.state);
             host.revision = host.revision.max(beat.revision);
@@ -175,12 +195,30 @@
             if host.sign(word.incarnation, word.beat, now) {
                 host.said = settle(host.said, word.state);
             }
+        } else if !matches!(word.state, HostState::Suspect | HostState::Gone) {
+            // One that watches it hears it again.
+            if host.sign(word.incarnation, word.beat, now) {
+                host.said = settle(host.said, word.state);
+            }
         } else if word.incarnation == host.incarnation && word.beat >= host.beat {
-            host.doubts.insert(word.by.clone(), word.state);
+            host.doubts.insert(word.by.clone(), (word.state, now));
         }
         *host != old
     }
 
+    /// Drops doubts that were not said again; gives the hosts concerned.
+    pub(super) fn lapse(&mut self, now: Duration, after: Duration) -> Vec<Arc<str>> {
+        let mut out = Vec::new();
+        for (name, host) in &mut self.hosts {
+            let count = host.doubts.len();
+            host.doubts.retain(|_, (_, said)| now < *said + after);
+            if host.doubts.len() < count {
+                out.push(name.clone());
+            }
+        }
+        out
+    }
+
     /// Drops hosts that are neither listed nor heard.
     pub(super) fn forget(&mut self, now: Duration, after: Duration, me: &str) {
         self.hosts
@@ -211,6 +249,7 @@
         listed: false,
         said: HostState::Starting,
         doubts: BTreeMap::new(),
+        near: false,
         heard: now,
     }
 }
--- a/crates/coord/src/member/tick.rs
+++ b/crates/coord/src/member/tick.rs
@@ -11,6 +11,8 @@
 const DIGEST_GRANTS: usize = 4;
 /// A report without a change is sent every so many rounds, as the last one may be lost.
 const QUIET_ROUNDS: u32 = 4;
+/// Looks for doubts to lapse within the time in which they do.
+const LAPSES: u32 = 6;
 /// Times the `gone` silence after which a host that nobody answers counts as alone.
 const ALONE: u32 = 3;
 
@@ -72,23 +74,52 @@
         }
     }
 
-    /// Doubts watched hosts that are silent.
+    /// Doubts watched hosts that are silent, and takes it back when they are heard.
     fn watch(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.words.forget(now);
-        let mut doubts = Vec::new();
+        let mut words = Vec::new();
         for (name, since) in &self.watched {
             let Some(host) = self.table.hosts.get(name) else {
                 continue;
             };
             let silence = now.saturating_sub(host.heard.max(*since));
+            // Said again at half the time after which others let it lapse.
+            let turn = silence.as_millis() * 2 / self.timings.word.as_millis().max(1);
             if silence >= self.timings.gone {
-                doubts.push((name.clone(), HostState::Gone));
+                words.push((name.clone(), (HostState::Gone, turn as u64)));
             } else if silence >= self.timings.suspect {
-                doubts.push((name.clone(), HostState::Suspect));
+                words.push((name.clone(), (HostState::Suspect, 0)));
+            } else if self.doubted.contains(name) {
+                words.push((name.clone(), (host.said, 0)));
             }
         }
-        for (name, state) in doubts {
-            self.say_doubt(now, &name, state, out);
+        for (name, word) in words {
+            if matches!(word.0, HostState::Suspect | HostState::Gone) {
+                self.doubted.insert(name.clone());
+            } else {
+                self.doubted.remove(&name);
+            }
+            self.say_other(now, &name, word, out);
+        }
+        self.repeat(now, out);
+    }
+
+    /// Lets old doubts lapse, and says again that this host leaves.
+    fn repeat(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if now < self.due.repeat {
+            return;
+        }
+        self.due.repeat = now + self.timings.word / LAPSES;
+        for name in self.table.lapse(now, self.timings.word) {
+            self.refresh_one(now, &name, out);
+        }
+        let word = self.timings.word;
+        for voices in self.silent.values_mut() {
+            voices.retain(|_, voice| now < voice.said + word);
+        }
+        self.refresh_silent(out);
+        if self.state == HostState::Leaving {
+            self.say_self(now, out);
         }
     }
 
@@ -99,7 +130,8 @@
             let silent = now >= heard + self.timings.gone;
             let me = &self.me.name;
             let said = self.silent.get(domain).and_then(|said| said.get(me));
-            if said.is_some_and(|(_, said)| *said) != silent {
+            let again = said.is_some_and(|voice| now >= voice.said + self.timings.word / 2);
+            if said.is_some_and(|voice| voice.silent) != silent || (silent && again) {
                 self.say_domain(now, domain, silent, out);
             }
         }
@@ -108,7 +140,7 @@
             .silent
             .iter()
             .filter(|(domain, _)| !expected.contains(*domain))
-            .filter(|(_, said)| said.get(&self.me.name).is_some_and(|(_, silent)| *silent))
+            .filter(|(_, said)| said.get(&self.me.name).is_some_and(|voice| voice.silent))
             .map(|(domain, _)| domain.clone())
             .collect();
         for domain in stale {
@@ -206,6 +238,7 @@
             region: self.me.region.clone(),
             domain: self.me.domain.clone(),
             by: self.me.name.clone(),
+            incarnation: self.me.incarnation,
             stamp: self.digest_stamp,
             hosts: hosts.len() as u64,
             lowest: self.revisions().min().unwrap_or_default(),
--- a/crates/coord/src/member/topology.rs
+++ b/crates/coord/src/member/topology.rs
@@ -30,16 +30,18 @@
     pub(super) passed: BTreeSet<Arc<str>>,
 }
 
-/// Works out the part of `me`, given the live hosts by domain.
+/// Works out the part of `me`, given the live hosts by domain and those of its own that are gone.
 pub(super) fn topology(
     me: &Arc<str>,
     mine: &Arc<str>,
     domains: &BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    gone: &BTreeSet<Arc<str>>,
 ) -> Topology {
     let mut inside = domains.get(mine).cloned().unwrap_or_default();
     inside.insert(me.clone());
+    // Those that are gone are watched on: word of them must be said again while they are listed.
     let watched = inside
-        .iter()
+        .union(gone)
         .filter(|name| *name != me && watchers(name, &inside).contains(me))
         .cloned()
         .collect();
