--- a/crates/coord/src/member/spread.rs
+++ b/crates/coord/src/member/spread.rs
@@ -145,20 +145,23 @@
         if !self.words.take(rumor, now, self.timings.word) {
             return false;
         }
+        // A word that comes late lapses with those that came in time.
+        let left = Duration::from_millis(rumor.ttl_ms);
+        let said = now.saturating_sub(self.timings.word.saturating_sub(left));
         match &rumor.word {
             Word::State(word) if word.name == self.me.name => self.word_of_me(now, word, out),
             Word::State(word) => {
-                if self.table.word(word, now) {
+                if self.table.word(word, said, now) {
                     self.refresh_one(now, &word.name, out);
                 }
             }
             Word::Quarantine(word) => out.push(Action::Quarantined(word.clone())),
             Word::Domain(word) => {
-                let said = self.silent.entry(word.domain.clone()).or_default();
-                let voice = said.entry(word.by.clone()).or_default();
+                let voices = self.silent.entry(word.domain.clone()).or_default();
+                let voice = voices.entry(word.by.clone()).or_default();
                 if word.beat > voice.beat {
                     (voice.beat, voice.silent) = (word.beat, word.silent);
-                    voice.said = now;
+                    voice.said = said;
                 }
                 self.refresh_silent(out);
             }
--- a/crates/coord/src/member/table.rs
+++ b/crates/coord/src/member/table.rs
@@ -184,8 +184,8 @@
         }
     }
 
-    /// Takes word of a state. Returns whether it was news.
-    pub(super) fn word(&mut self, word: &StateWord, now: Duration) -> bool {
+    /// Takes word of a state that was said at `said`. Returns whether it was news.
+    pub(super) fn word(&mut self, word: &StateWord, said: Duration, now: Duration) -> bool {
         let host = self
             .hosts
             .entry(word.name.clone())
@@ -201,7 +201,7 @@
                 host.said = settle(host.said, word.state);
             }
         } else if word.incarnation == host.incarnation && word.beat >= host.beat {
-            host.doubts.insert(word.by.clone(), (word.state, now));
+            host.doubts.insert(word.by.clone(), (word.state, said));
         }
         *host != old
     }
--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -323,3 +323,57 @@
         assert!(told.unwrap() <= ms(most), "{told:?}");
     }
 }
+
+// A host was suspect when a region was cut off, and was heard again meanwhile. The word that takes
+// the doubt back never reaches the region, and has ended when it could. The region must not shun a
+// healthy host for good: a doubt that is not said again lapses.
+#[test]
+fn a_doubt_whose_end_was_missed_lapses() {
+    let mut fleet = settled(6, 2);
+    fleet.node("host-02-01").paused = true;
+    fleet.run(ms(2000));
+    assert_eq!(
+        fleet.node("host-00-00").member.state_of("host-02-01"),
+        HostState::Suspect
+    );
+    fleet.cut.insert("domain-00".into());
+    fleet.wake("host-02-01");
+    fleet.run(MINUTE);
+    fleet.cut.clear();
+    fleet.run(ms(5000));
+    assert_eq!(fleet.seen("host-02-01"), only(HostState::Serving));
+}
+
+// A host is dead for long and the list still names it. Its doubts lapse unless they are said again,
+// so those that watch it go on saying so.
+#[test]
+fn a_dead_host_that_stays_on_the_list_stays_gone() {
+    let mut fleet = settled(6, 2);
+    fleet.node("host-02-01").dead = true;
+    fleet.run(ms(5000));
+    for _ in 0..60 {
+        fleet.run(ms(5000));
+        fleet.send_listing();
+        assert_eq!(fleet.seen("host-02-01"), only(HostState::Gone));
+    }
+}
+
+// A restarted host counts its digests from the beginning. If they were taken for old ones, its
+// domain would look for ever as it did before the restart.
+#[test]
+fn digests_of_a_restarted_host_count() {
+    let mut fleet = Fleet::open(3, 1, 7);
+    let file = |share: f64| {
+        let mut config = common::config(2, 2, 10);
+        config.services.get_mut("service-001").unwrap().cap.share = share;
+        dunlinrock_coord::pieces::split(&config)
+    };
+    fleet.apply("a", file(0.1));
+    fleet.run(MINUTE);
+    fleet.start(1, 0, 2);
+    fleet.list(1, 0, 2);
+    fleet.send_listing();
+    fleet.apply("b", file(0.2));
+    fleet.run(SETTLE);
+    assert_eq!(fleet.node("host-00-00").member.lowest(), Some(2));
+}
