--- a/crates/node/src/serve/mod.rs
+++ b/crates/node/src/serve/mod.rs
@@ -4,6 +4,8 @@
 //! batch; nor does it bound connections or the time that a head may take. So connections are
 //! accepted here, and `viz` routes what arrives on them.
 
+mod stall;
+
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::server::conn::http1;
@@ -14,6 +16,8 @@
 };
 use viz::{Responder, Tree};
 
+use self::stall::Stalling;
+
 /// Limits on the connections of one listener.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -25,6 +29,13 @@
     pub header_time: Duration,
 }
 
+/// Time for which the other side may take nothing of an answer before its connection is closed.
+///
+/// Without it a caller that asks for large answers and reads none keeps its connections for good:
+/// a few thousand of them take every connection a host serves, and one keeps a planned stop from
+/// ending. A caller on a link that lost packets takes something every few seconds at the least.
+const STALL_TIME: Duration = Duration::from_secs(10);
+
 /// Pause after a failed accept, in milliseconds. Out of file descriptors, accept fails at once
 /// and again; without the pause the loop takes the whole core just when the host needs it.
 const ACCEPT_PAUSE_MS: u64 = 20;
@@ -82,7 +93,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time)
         .max_buf_size(limits.header_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Stalling::open(stream, STALL_TIME)), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- /dev/null
+++ b/crates/node/src/serve/stall.rs
@@ -0,0 +1,96 @@
+//! A connection whose other side must take something of what is sent, again and again.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep, sleep},
+};
+
+/// A connection that fails once it took no byte to send for a time.
+#[derive(Debug)]
+pub(super) struct Stalling {
+    stream: TcpStream,
+    time: Duration,
+    /// Runs while a byte waits to be sent.
+    timer: Pin<Box<Sleep>>,
+    waits: bool,
+}
+
+impl Stalling {
+    pub(super) fn open(stream: TcpStream, time: Duration) -> Stalling {
+        Stalling {
+            stream,
+            time,
+            timer: Box::pin(sleep(time)),
+            waits: false,
+        }
+    }
+
+    /// Passes on what became of a write; one that has waited for too long has failed.
+    fn check<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        sent: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if sent.is_ready() {
+            self.waits = false;
+            return sent;
+        }
+        if !self.waits {
+            self.waits = true;
+            self.timer.as_mut().reset(Instant::now() + self.time);
+        }
+        ready!(self.timer.as_mut().poll(context));
+        let detail = "the other side takes nothing of the answer";
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, detail)))
+    }
+}
+
+impl AsyncRead for Stalling {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Stalling {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let sent = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check(context, sent)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let sent = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.check(context, sent)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
