--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -155,15 +155,17 @@
 def store_down(drill):
     """The store is down; a host that starts meanwhile learns the configuration from peers."""
     drill.fleet.turn(drill.fleet.store, "down?how=close")
-    with drill.load(9):
-        time.sleep(2)
-        before = get_json(drill.fleet.store, "/fake/counts")
-        [host] = drill.replace([drill.fleet.live()[0]])
-        code, _ = drill.fleet.apply(drill.variant("down", _256=999), "while-down")
-        drill.check(code in (4, 5), f"an apply with the store down ended with code {code}")
-        time.sleep(3)
-        after = get_json(drill.fleet.store, "/fake/counts")
-    drill.fleet.turn(drill.fleet.store, "up")
+    try:
+        with drill.load(9):
+            time.sleep(2)
+            before = get_json(drill.fleet.store, "/fake/counts")
+            [host] = drill.replace([drill.fleet.live()[0]])
+            code, _ = drill.fleet.apply(drill.variant("down", _256=999), "while-down")
+            drill.check(code in (4, 5), f"an apply with the store down ended with code {code}")
+            time.sleep(3)
+            after = get_json(drill.fleet.store, "/fake/counts")
+    finally:
+        drill.fleet.turn(drill.fleet.store, "up")
     ids = [ident for ident, _ in drill.fleet.history()]
     drill.check("while-down" not in ids, "an apply that was told `away` is in force")
     failed = after["failed"] - before["failed"]
@@ -341,6 +343,7 @@
                 step(drill)
             except Broken as broken:
                 drill.check(False, f"{step.__name__}: {broken}")
+                drill.fleet.keep_dumps(step.__name__)
     finally:
         drill.fleet.turn(drill.fleet.store, "up")
         callers.stop()
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -187,6 +187,15 @@
         except Broken as broken:
             raise Broken(f"{broken}: {'; '.join(why[:4])}") from None
 
+    def keep_dumps(self, label):
+        """Writes the state of every live host beside its log."""
+        for host in self.live():
+            try:
+                text = json.dumps(host.dump(), indent=1)
+            except (OSError, http.client.HTTPException, ValueError) as error:
+                text = str(error)
+            (self.dir / f"{label}-{host.name}.json").write_text(text)
+
     def runs(self):
         """Gives how often the work of each key began, over all targets."""
         total = {}
