--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -33,6 +33,7 @@
 //! ```
 
 mod receive;
+mod refresh;
 mod settings;
 mod spread;
 mod table;
@@ -137,16 +138,21 @@
     /// Digests heard directly and not passed on yet.
     heard: BTreeMap<Arc<str>, Digest>,
     digest_stamp: u64,
+    /// Since when the words of each host that was heard differ from this host's.
+    differs: BTreeMap<Arc<str>, Duration>,
     due: Due,
     last_tick: Duration,
     /// Since when other hosts are asked; `None` once one has answered.
     asking: Option<Duration>,
-    /// Counts up with each ask, to ask others in turn.
+    /// Counts up with each ask, to ask others in turn; begins at a place of the host's own, as hosts
+    /// started together would all ask the same one.
     turn: usize,
     listed: bool,
     superseded: Option<u64>,
     /// States as last told to the caller.
     told: BTreeMap<Arc<str>, (u64, HostState)>,
+    /// Hosts of each domain that are not gone, as last told.
+    live: BTreeMap<Arc<str>, usize>,
     told_silent: BTreeSet<Arc<str>>,
 }
 
@@ -204,12 +210,14 @@
             digests: BTreeMap::new(),
             heard: BTreeMap::new(),
             digest_stamp: 0,
+            differs: BTreeMap::new(),
             last_tick: now,
             asking: Some(now),
-            turn: 0,
+            turn: place as usize,
             listed: false,
             superseded: None,
             told: BTreeMap::new(),
+            live: BTreeMap::new(),
             told_silent: BTreeSet::new(),
         };
         member.introduce_me(now);
@@ -356,22 +364,10 @@
         }
     }
 
+    /// How many hosts there are to watch a host; two are enough to decide.
     fn watchers_of(&self, host: &Host) -> usize {
-        let inside = self.told.iter().filter(|(name, (_, state))| {
-            let there = !matches!(state, HostState::Gone);
-            there
-                && self
-                    .table
-                    .hosts
-                    .get(*name)
-                    .is_some_and(|one| one.domain == host.domain)
-        });
-        // Two are enough to decide, so more need not be counted.
-        inside
-            .take(WATCHERS)
-            .count()
-            .saturating_sub(1)
-            .min(WATCHERS)
+        let inside = self.live.get(&host.domain).copied().unwrap_or_default();
+        inside.saturating_sub(1).min(WATCHERS)
     }
 
     /// Notes another process under this host's name.
--- a/crates/coord/src/member/spread.rs
+++ b/crates/coord/src/member/spread.rs
@@ -75,8 +75,13 @@
     }
 
     fn start(&mut self, now: Duration, word: Word, out: &mut Vec<Action>) {
+        let ttl_ms = match &word {
+            Word::Quarantine(word) => word.ttl_ms,
+            _ => self.timings.word.as_millis() as u64,
+        };
         let rumor = Rumor {
             origin: self.me.domain.clone(),
+            ttl_ms,
             word,
         };
         if self.take(now, &rumor, out) {
@@ -141,7 +146,9 @@
         match &rumor.word {
             Word::State(word) if word.name == self.me.name => self.word_of_me(now, word, out),
             Word::State(word) => {
-                self.table.word(word, now);
+                if self.table.word(word, now) {
+                    self.refresh_one(now, &word.name, out);
+                }
             }
             Word::Quarantine(word) => out.push(Action::Quarantined(word.clone())),
             Word::Domain(word) => {
@@ -150,9 +157,9 @@
                 if word.beat > last.0 {
                     *last = (word.beat, word.silent);
                 }
+                self.refresh_silent(out);
             }
         }
-        self.refresh(now, out);
         true
     }
 
