--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -56,6 +56,8 @@
     follower: Follower,
     plan: relay::Plan,
     watching: watch::Sender<bool>,
+    /// What this host announces on the platform's list; nothing once it has ended.
+    announced: watch::Sender<Option<Listed>>,
     in_force: InForce,
     steering: Steering,
     publisher: Publisher,
@@ -74,6 +76,7 @@
         let timeout = Duration::from_millis(shared.settings.store.timeout_ms.get());
         let store = &shared.settings.store;
         let caller = Caller {
+            name: Arc::clone(&shared.me.name),
             client: Client::open(ANSWER_BYTES),
             store: Store::open(address(&store.address), &store.prefix, timeout),
             list: HostList::open(address(&shared.settings.list.address), timeout),
@@ -81,7 +84,8 @@
             results,
         };
         let every = Duration::from_millis(shared.settings.list.poll_ms);
-        caller.poll_list(listed(&shared.me, false), every);
+        let (announced, me) = watch::channel(Some(listed(&shared.me, false)));
+        caller.keep_listed(me, every);
         let (watching, on) = watch::channel(false);
         caller.watch_root(on);
         let me = peering::introduce(&shared.me);
@@ -91,6 +95,7 @@
             follower: Follower::open(follow::Timings::default()),
             plan: relay::plan(&shared.me.name, &BTreeMap::new()),
             watching,
+            announced,
             in_force: InForce::open(),
             steering: Steering::open(&shared.me, Arc::clone(&shared.grantee), now),
             publisher: Publisher::open(),
@@ -500,7 +505,8 @@
         log::info!(host = &*self.shared.me.name; "leaving");
         let now = self.shared.now();
         self.leave = Some(Leave::open(now));
-        self.caller.announce(listed(&self.shared.me, true));
+        self.announced
+            .send_replace(Some(listed(&self.shared.me, true)));
         let actions = self.membership.set_state(now, HostState::Leaving);
         self.act(actions);
         self.tick();
@@ -525,7 +531,9 @@
                     .deliver(ledger::Input::HandOver { peers, time });
             }
             Step::AskLedger => self.caller.ask_ledger(&self.shared.ledger),
-            Step::Withdraw => self.caller.withdraw(Arc::clone(&self.shared.me.name)),
+            Step::Withdraw => {
+                self.announced.send_replace(None);
+            }
         }
     }
 
--- a/crates/node/src/duties/control/tasks.rs
+++ b/crates/node/src/duties/control/tasks.rs
@@ -63,12 +63,18 @@
 const WATCH_TIME: Duration = Duration::from_secs(20);
 /// Pause after a failed store call, so that a store that is down is not called without end.
 const STORE_PAUSE: Duration = Duration::from_millis(500);
+/// Reads of the list between two announcements of this host. With the default of a read a second a
+/// host is announced every 4 s, so that a list that drops silent hosts after some 10 s may miss one
+/// announcement, and a list of 2,400 hosts takes 600 a second.
+const ANNOUNCE_ROUNDS: u32 = 4;
 /// Time a message to another host may take.
 const SEND_TIME: Duration = Duration::from_secs(1);
 
 /// What tasks call with.
 #[derive(Clone)]
 pub(super) struct Caller {
+    /// Name of this host.
+    pub name: Arc<str>,
     pub client: Client,
     pub store: Store,
     pub list: HostList,
@@ -77,21 +83,37 @@
 }
 
 impl Caller {
-    /// Reads the list again and again, and announces this host until that was taken.
-    pub(super) fn poll_list(&self, me: Listed, every: Duration) {
+    /// Reads the list again and again, and announces what `me` holds every few rounds; once that is
+    /// nothing, takes this host off the list and ends.
+    ///
+    /// The platform drops a host that falls silent. One announcement at the start would leave hosts
+    /// that start later without anybody to turn to, and hosts of other domains forgotten here.
+    /// Announcing and withdrawing are one task's, so that no announcement overtakes the withdrawal.
+    pub(super) fn keep_listed(&self, mut me: watch::Receiver<Option<Listed>>, every: Duration) {
         let caller = self.clone();
         tokio::spawn(async move {
-            let mut announced = false;
-            while !caller.results.is_closed() {
-                if !announced {
-                    announced = caller.list.announce(&me).await.is_ok();
+            let mut due = 0;
+            loop {
+                let now = me.borrow_and_update().clone();
+                let Some(listed) = now else { break };
+                if due == 0 && caller.list.announce(&listed).await.is_ok() {
+                    due = ANNOUNCE_ROUNDS;
                 }
+                due = due.saturating_sub(1);
                 match caller.list.read().await {
                     Ok(listing) => caller.bring(Done::Listing(listing)),
                     Err(e) => log::debug!(error:% = e; "the list of hosts was not read"),
                 }
-                tokio::time::sleep(every).await;
+                tokio::select! {
+                    () = tokio::time::sleep(every) => {}
+                    changed = me.changed() => match changed {
+                        Ok(()) => due = 0,
+                        // The duty ended without a planned stop.
+                        Err(_) => return,
+                    },
+                }
             }
+            caller.withdraw().await;
         });
     }
 
@@ -213,25 +235,12 @@
         });
     }
 
-    /// Announces that this host is leaving.
-    pub(super) fn announce(&self, me: Listed) {
-        let list = self.list.clone();
-        tokio::spawn(async move {
-            if let Err(e) = list.announce(&me).await {
-                log::warn!(error:% = e; "the list was not told that this host leaves");
-            }
-        });
-    }
-
     /// Takes the host off the list; one that does not answer lags a little more than usual.
-    pub(super) fn withdraw(&self, name: Arc<str>) {
-        let caller = self.clone();
-        tokio::spawn(async move {
-            if let Err(e) = caller.list.withdraw(&name).await {
-                log::warn!(error:% = e; "the list was not told that this host is gone");
-            }
-            caller.bring(Done::Withdrawn);
-        });
+    async fn withdraw(&self) {
+        if let Err(e) = self.list.withdraw(&self.name).await {
+            log::warn!(error:% = e; "the list was not told that this host is gone");
+        }
+        self.bring(Done::Withdrawn);
     }
 
     /// Asks the pools duty for its state.
--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -308,7 +308,13 @@
 STEPS = [kill, pause, store_down, race, rolling, lost_writes, killer, leaving]
 
 
+def end(number, _frame):
+    """Lets the deployment be stopped on a signal too."""
+    sys.exit(128 + number)
+
+
 def main(names):
+    signal.signal(signal.SIGTERM, end)
     steps = [step for step in STEPS if not names or step.__name__ in names]
     start = time.monotonic()
     drill = Drill()
