--- a/crates/coord/src/member/table.rs
+++ b/crates/coord/src/member/table.rs
@@ -169,7 +169,10 @@
                 host.said = settle(host.said, word.state);
             }
         } else if word.incarnation == host.incarnation && word.beat >= host.beat {
-            host.doubts.insert(word.by.clone(), word.state);
+            // Words come in any order. An older doubt that came after the word that the host is
+            // gone would take that word back, and nobody would say it again.
+            let doubt = host.doubts.entry(word.by.clone()).or_insert(word.state);
+            *doubt = word.state.max(*doubt);
         }
         *host != old
     }
--- /dev/null
+++ b/crates/coord/tests/late_doubt.rs
@@ -0,0 +1,74 @@
+//! Words about a dead host that arrive out of order.
+
+use std::time::Duration;
+
+use dunlinrock_coord::member::{HostState, Me, Membership, Timings};
+use dunlinrock_schema::{
+    coord::{Message, Rumor, Rumors, StateWord, Word},
+    store::{Listed, Listing},
+};
+
+const DOMAIN: &str = "a";
+
+fn listed(name: &str) -> Listed {
+    Listed {
+        name: name.into(),
+        incarnation: 1,
+        region: "r".into(),
+        domain: DOMAIN.into(),
+        callers: "127.0.0.1:1".into(),
+        peers: "127.0.0.1:2".into(),
+        leaving: false,
+    }
+}
+
+fn word(by: &str, state: HostState) -> Rumor {
+    Rumor {
+        origin: DOMAIN.into(),
+        ttl_ms: 20_000,
+        word: Word::State(StateWord {
+            name: "dead".into(),
+            incarnation: 1,
+            beat: 0,
+            state,
+            by: by.into(),
+        }),
+    }
+}
+
+/// What a host that has just started makes of the words that it is given.
+fn heard(words: Vec<Rumor>) -> HostState {
+    let me = Me {
+        name: "late".into(),
+        incarnation: 9,
+        region: "r".into(),
+        domain: DOMAIN.into(),
+        callers: "127.0.0.1:3".into(),
+        peers: "127.0.0.1:4".into(),
+    };
+    let now = Duration::from_secs(1);
+    let mut member = Membership::open(me, Timings::default(), now);
+    let hosts = ["dead", "one", "two"].map(listed).to_vec();
+    member.listing(now, &Listing { hosts });
+    let rumors = Rumors {
+        name: "one".into(),
+        sync: true,
+        rumors: words,
+    };
+    member.receive(now, &Message::Rumors(rumors));
+    member.state_of("dead")
+}
+
+// Callers see: requests handed to a host that is long dead, for as long as its peer is down too.
+// Order: a host of a domain dies; the others doubt it, and then say that it is gone; a new host
+// starts there and asks for the words it missed, which come in no order. The older doubt, taken
+// last, stood in place of the later word, so that the new host counted a dead one among those who
+// must agree, and never took the next host that died for gone.
+#[test]
+fn a_doubt_that_comes_late_does_not_replace_the_word_that_a_host_is_gone() {
+    let (suspect, gone) = (HostState::Suspect, HostState::Gone);
+    let in_order = vec![word("one", suspect), word("one", gone), word("two", gone)];
+    assert_eq!(heard(in_order), gone);
+    let late = vec![word("one", gone), word("two", gone), word("one", suspect)];
+    assert_eq!(heard(late), gone);
+}
