--- a/crates/coord/src/member/table.rs
+++ b/crates/coord/src/member/table.rs
@@ -32,8 +32,8 @@
     pub listed: bool,
     /// What it last said of itself.
     pub said: HostState,
-    /// Hosts that do not hear it, and whether for long.
-    doubts: BTreeMap<Arc<str>, HostState>,
+    /// Hosts that do not hear it, each with the last beat that it heard, and whether for long.
+    doubts: BTreeMap<Arc<str>, (u64, HostState)>,
     /// Time of the last sign of it, or of its first appearance.
     pub(super) heard: Duration,
 }
@@ -47,7 +47,7 @@
         let gone = self
             .doubts
             .values()
-            .filter(|state| **state == HostState::Gone);
+            .filter(|(_, state)| *state == HostState::Gone);
         if self.said == HostState::Gone || gone.count() >= watchers.clamp(1, 2) {
             return HostState::Gone;
         }
@@ -75,8 +75,9 @@
             self.fresh(incarnation, now);
         }
         if beat > self.beat {
-            // A newer beat than any that was missed refutes every doubt.
-            self.doubts.clear();
+            // A newer beat refutes the doubts of those who heard only older ones. Not all doubts:
+            // words come in any order, and an old sign of life may follow the word of its end.
+            self.doubts.retain(|_, (last, _)| *last >= beat);
             self.heard = now;
         }
         self.beat = beat;
@@ -171,8 +172,9 @@
         } else if word.incarnation == host.incarnation && word.beat >= host.beat {
             // Words come in any order. An older doubt that came after the word that the host is
             // gone would take that word back, and nobody would say it again.
-            let doubt = host.doubts.entry(word.by.clone()).or_insert(word.state);
-            *doubt = word.state.max(*doubt);
+            let said = (word.beat, word.state);
+            let doubt = host.doubts.entry(word.by.clone()).or_insert(said);
+            *doubt = said.max(*doubt);
         }
         *host != old
     }
