--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -532,6 +532,10 @@
             }
             Step::AskLedger => self.caller.ask_ledger(&self.shared.ledger),
             Step::Withdraw => {
+                // Its own last word. Those who would have to agree on its silence may not know it
+                // alike: a host that just started in its place knows it from nobody's list.
+                let actions = self.membership.set_state(now, HostState::Gone);
+                self.act(actions);
                 self.announced.send_replace(None);
             }
         }
--- a/crates/node/src/duties/control/tasks.rs
+++ b/crates/node/src/duties/control/tasks.rs
@@ -67,6 +67,9 @@
 /// host is announced every 4 s, so that a list that drops silent hosts after some 10 s may miss one
 /// announcement, and a list of 2,400 hosts takes 600 a second.
 const ANNOUNCE_ROUNDS: u32 = 4;
+/// Time for the last messages of a host that ends to go out: a round trip between regions, and a
+/// new connection before it.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 /// Time a message to another host may take.
 const SEND_TIME: Duration = Duration::from_secs(1);
 
@@ -240,6 +243,8 @@
         if let Err(e) = self.list.withdraw(&self.name).await {
             log::warn!(error:% = e; "the list was not told that this host is gone");
         }
+        // The duty ends with this, and what it is still sending with it.
+        tokio::time::sleep(LAST_WORDS).await;
         self.bring(Done::Withdrawn);
     }
 
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -58,6 +58,32 @@
     assert_eq!(d.runs().get(key.as_str()), Some(&1));
 }
 
+// The operators see: a host that has ended is gone at once, everywhere. Order: it ends as planned;
+// the one other host of its domain, just started in its place, knows it from nobody's list any
+// more and has no say on its silence, and the one that is left may not say alone that it is gone.
+// Without a last word of its own, the host stays a member for as long as it is remembered.
+#[tokio::test]
+async fn a_host_that_has_ended_is_no_member_any_more() {
+    let mut d = Deployment::open("cursuri", Duration::ZERO);
+    for (name, domain) in [("one", "cluj-a"), ("two", "cluj-a"), ("far", "iasi-b")] {
+        let mut settings = d.settings(name, domain);
+        // So that silence alone tells nothing in the time of this test.
+        settings.timing.as_mut().expect("set by the tests").gone_ms = 3_600_000;
+        d.hosts
+            .push(Host::spawn(settings).expect("the host starts"));
+    }
+    d.apply().await;
+    d.settle(1).await;
+    let callers = d.hosts[0].callers();
+    stop(&mut d, callers).await;
+    for host in &d.hosts {
+        let left = host.until(|view| !view.members.contains_key("one"));
+        tokio::time::timeout(common::LONG, left)
+            .await
+            .expect("the host is still a member");
+    }
+}
+
 // The callers see: their answers. Order: a search and a payment are at targets when the host is
 // asked to stop; it takes no new work, waits for both, and ends.
 #[tokio::test]
