--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -347,7 +347,7 @@
             print(f"{step.__name__}: {step.__doc__}", flush=True)
             try:
                 step(drill)
-            except Broken as broken:
+            except (Broken, OSError, ValueError) as broken:
                 drill.check(False, f"{step.__name__}: {broken}")
                 drill.fleet.keep_dumps(step.__name__)
     finally:
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -205,7 +205,15 @@
         return total
 
     def counts(self, name):
-        return get_json(self.targets[name], "/fake/counts")
+        """Gives what a target has done; one that was killed answers when it is back."""
+        found = []
+
+        def read():
+            found.append(get_json(self.targets[name], "/fake/counts"))
+            return True
+
+        wait_for(f"{name} answers", read, 6.0)
+        return found[0]
 
     def turn(self, port, knob):
         status, _, body = http_call(port, "POST", f"/fake/{knob}")
