--- a/crates/coord/src/member/table.rs
+++ b/crates/coord/src/member/table.rs
@@ -32,6 +32,7 @@
     pub listed: bool,
     /// What it last said of itself.
     pub said: HostState,
+<<<<<<< HEAD
     /// Hosts that do not hear it, whether for long, and when they last said so.
     ///
     /// A doubt lapses unless it is said again. The word that takes it back may be lost while this
@@ -39,6 +40,10 @@
     doubts: BTreeMap<Arc<str>, (HostState, Duration)>,
     /// Whether it stands in this host's domain, and so is heard by some.
     near: bool,
+=======
+    /// Hosts that do not hear it, each with the last beat that it heard, and whether for long.
+    doubts: BTreeMap<Arc<str>, (u64, HostState)>,
+>>>>>>> chaos
     /// Time of the last sign of it, or of its first appearance.
     pub(super) heard: Duration,
 }
@@ -52,7 +57,11 @@
         let gone = self
             .doubts
             .values()
+<<<<<<< HEAD
             .filter(|(state, _)| *state == HostState::Gone);
+=======
+            .filter(|(_, state)| *state == HostState::Gone);
+>>>>>>> chaos
         if self.said == HostState::Gone || gone.count() >= watchers.clamp(1, 2) {
             return HostState::Gone;
         }
@@ -101,8 +110,9 @@
             self.fresh(incarnation, now);
         }
         if beat > self.beat {
-            // A newer beat than any that was missed refutes every doubt.
-            self.doubts.clear();
+            // A newer beat refutes the doubts of those who heard only older ones. Not all doubts:
+            // words come in any order, and an old sign of life may follow the word of its end.
+            self.doubts.retain(|_, (last, _)| *last >= beat);
             self.heard = now;
         }
         self.beat = beat;
@@ -201,7 +211,15 @@
                 host.said = settle(host.said, word.state);
             }
         } else if word.incarnation == host.incarnation && word.beat >= host.beat {
+<<<<<<< HEAD
             host.doubts.insert(word.by.clone(), (word.state, said));
+=======
+            // Words come in any order. An older doubt that came after the word that the host is
+            // gone would take that word back, and nobody would say it again.
+            let said = (word.beat, word.state);
+            let doubt = host.doubts.entry(word.by.clone()).or_insert(said);
+            *doubt = said.max(*doubt);
+>>>>>>> chaos
         }
         *host != old
     }
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -187,6 +187,15 @@
         except Broken as broken:
             raise Broken(f"{broken}: {'; '.join(why[:4])}") from None
 
+    def keep_dumps(self, label):
+        """Writes the state of every live host beside its log."""
+        for host in self.live():
+            try:
+                text = json.dumps(host.dump(), indent=1)
+            except (OSError, http.client.HTTPException, ValueError) as error:
+                text = str(error)
+            (self.dir / f"{label}-{host.name}.json").write_text(text)
+
     def runs(self):
         """Gives how often the work of each key began, over all targets."""
         total = {}
@@ -196,7 +205,15 @@
         return total
 
     def counts(self, name):
-        return get_json(self.targets[name], "/fake/counts")
+        """Gives what a target has done; one that was killed answers when it is back."""
+        found = []
+
+        def read():
+            found.append(get_json(self.targets[name], "/fake/counts"))
+            return True
+
+        wait_for(f"{name} answers", read, 6.0)
+        return found[0]
 
     def turn(self, port, knob):
         status, _, body = http_call(port, "POST", f"/fake/{knob}")
