--- a/crates/coord/src/member/table.rs
+++ b/crates/coord/src/member/table.rs
@@ -32,22 +32,26 @@
     pub listed: bool,
     /// What it last said of itself.
     pub said: HostState,
-<<<<<<< HEAD
-    /// Hosts that do not hear it, whether for long, and when they last said so.
+    /// What hosts that do not hear it said last.
     ///
     /// A doubt lapses unless it is said again. The word that takes it back may be lost while this
     /// host is cut off, and the host that is doubted may never hear of it.
-    doubts: BTreeMap<Arc<str>, (HostState, Duration)>,
+    doubts: BTreeMap<Arc<str>, Doubt>,
     /// Whether it stands in this host's domain, and so is heard by some.
     near: bool,
-=======
-    /// Hosts that do not hear it, each with the last beat that it heard, and whether for long.
-    doubts: BTreeMap<Arc<str>, (u64, HostState)>,
->>>>>>> chaos
     /// Time of the last sign of it, or of its first appearance.
     pub(super) heard: Duration,
 }
 
+/// A host's word that it does not hear another.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Doubt {
+    /// Last beat that it heard, and whether for long it has heard none.
+    word: (u64, HostState),
+    /// When it last said so.
+    said: Duration,
+}
+
 impl Host {
     /// Its state, as far as this host knows.
     ///
@@ -57,11 +61,7 @@
         let gone = self
             .doubts
             .values()
-<<<<<<< HEAD
-            .filter(|(state, _)| *state == HostState::Gone);
-=======
-            .filter(|(_, state)| *state == HostState::Gone);
->>>>>>> chaos
+            .filter(|doubt| doubt.word.1 == HostState::Gone);
         if self.said == HostState::Gone || gone.count() >= watchers.clamp(1, 2) {
             return HostState::Gone;
         }
@@ -112,7 +112,7 @@
         if beat > self.beat {
             // A newer beat refutes the doubts of those who heard only older ones. Not all doubts:
             // words come in any order, and an old sign of life may follow the word of its end.
-            self.doubts.retain(|_, (last, _)| *last >= beat);
+            self.doubts.retain(|_, doubt| doubt.word.0 >= beat);
             self.heard = now;
         }
         self.beat = beat;
@@ -211,15 +211,17 @@
                 host.said = settle(host.said, word.state);
             }
         } else if word.incarnation == host.incarnation && word.beat >= host.beat {
-<<<<<<< HEAD
-            host.doubts.insert(word.by.clone(), (word.state, said));
-=======
             // Words come in any order. An older doubt that came after the word that the host is
             // gone would take that word back, and nobody would say it again.
-            let said = (word.beat, word.state);
-            let doubt = host.doubts.entry(word.by.clone()).or_insert(said);
-            *doubt = said.max(*doubt);
->>>>>>> chaos
+            let new = Doubt {
+                word: (word.beat, word.state),
+                said,
+            };
+            let doubt = host.doubts.entry(word.by.clone()).or_insert(new);
+            if new.word >= doubt.word {
+                doubt.word = new.word;
+                doubt.said = new.said.max(doubt.said);
+            }
         }
         *host != old
     }
@@ -229,7 +231,7 @@
         let mut out = Vec::new();
         for (name, host) in &mut self.hosts {
             let count = host.doubts.len();
-            host.doubts.retain(|_, (_, said)| now < *said + after);
+            host.doubts.retain(|_, doubt| now < doubt.said + after);
             if host.doubts.len() < count {
                 out.push(name.clone());
             }
--- a/crates/coord/tests/late_doubt.rs
+++ b/crates/coord/tests/late_doubt.rs
@@ -39,6 +39,7 @@
             beat,
             state,
             by: by.into(),
+            turn: 0,
         }),
     }
 }
