--- a/crates/coord/src/member/spread.rs
+++ b/crates/coord/src/member/spread.rs
@@ -13,6 +13,9 @@
 
 use super::{Action, Membership};
 
+/// Beat of a host that was never heard; the first that it sends is the one after.
+const NEVER: u64 = 0;
+
 impl Membership {
     /// Says to all hosts that a request or target is to be refused or avoided.
     pub fn say(&mut self, now: Duration, word: Quarantine) -> Vec<Action> {
@@ -167,7 +170,11 @@
     fn word_of_me(&mut self, now: Duration, word: &StateWord, out: &mut Vec<Action>) {
         self.other_me(word.incarnation, out);
         let doubted = word.by != self.me.name && word.incarnation == self.me.incarnation;
-        if doubted && word.beat >= self.refuted && self.superseded.is_none() {
+        // A doubt from before the last answer needs no other one, but for that of a host that never
+        // heard this one: hosts that started since have not got the last answer either, and take
+        // the doubt. Left without an answer, it would stay with them for good.
+        let needed = word.beat >= self.refuted || word.beat == NEVER;
+        if doubted && needed && self.superseded.is_none() {
             self.beat = self.beat.max(word.beat);
             self.say_self(now, out);
         }
