--- a/crates/node/src/duties/callers/mod.rs
+++ b/crates/node/src/duties/callers/mod.rs
@@ -29,7 +29,7 @@
             }
         };
         let limits = limits(&shared);
-        let pools = pools::drive(shared.clock, pools);
+        let pools = pools::drive(shared.clock, shared.fence.clone(), pools);
         let tree = Arc::new(Tree::from(router(shared)));
         let (Ok(()), ()) = futures::join!(serve::serve(listener, tree, limits, stop), pools);
     })
--- a/crates/node/src/duties/control/peering.rs
+++ b/crates/node/src/duties/control/peering.rs
@@ -1,7 +1,7 @@
 //! Who is there: the membership, its messages, and the hosts as other duties see them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -66,6 +66,16 @@
     members
 }
 
+/// Regions of which a host is there, be it only starting.
+pub(super) fn present(membership: &Membership) -> BTreeSet<Arc<str>> {
+    let hosts = membership.hosts().iter().filter(|(name, host)| {
+        let state = membership.state_of(name);
+        let there = !matches!(state, HostState::Suspect | HostState::Gone);
+        there && !host.region.is_empty() && !membership.is_silent(&host.domain)
+    });
+    hosts.map(|(_, host)| Arc::clone(&host.region)).collect()
+}
+
 fn read(name: &Arc<str>, host: &Host) -> Option<Member> {
     Some(Member {
         name: Arc::clone(name),
--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -165,9 +165,11 @@
     /// One heartbeat.
     pub(super) fn tick(&mut self) {
         let now = self.shared.now();
-        self.words.retain(|_, (_, end)| *end > now);
+        // What a pause has changed is taken in before the fence opens again.
         let actions = self.membership.tick(now);
         self.act(actions);
+        self.shared.fence.mark(now);
+        self.words.retain(|_, (_, end)| *end > now);
         let actions = self.follower.tick(now);
         self.follow(actions);
         self.caller.ask_pools(&self.shared.pools);
@@ -412,7 +414,8 @@
         let config = Arc::clone(&self.in_force.config);
         self.steering
             .measure(&config, &self.shared.meters, &self.reports, now);
-        self.steering.step(&config, &self.members, now);
+        let present = peering::present(&self.membership);
+        self.steering.step(&config, &self.members, present, now);
         for outgoing in self.steering.asks(&self.members, now) {
             self.caller.steer(outgoing.to, &outgoing.ask);
         }
@@ -491,7 +494,7 @@
                 reports: &self.reports,
                 words: self.words.values().map(|(word, _)| *word).collect(),
                 ready,
-                caught_up: self.membership.caught_up(),
+                caught_up: self.membership.caught_up_at(now),
                 leaving: self.leave.is_some(),
                 now,
             },
--- a/crates/node/src/duties/control/steering.rs
+++ b/crates/node/src/duties/control/steering.rs
@@ -12,7 +12,8 @@
 
 use dunlinrock_coord::rendezvous;
 use dunlinrock_decide::steer::{
-    Ceilings, Goals, Grant, Grantee, Grantor, Links, Need, Own, Peer, Rows, Shares,
+    Goals, Grant, Grantee, Grantor, Links, Need, Own, Peer, Rows, Shares,
+    spill::{self, Traffic, Traffics},
 };
 use dunlinrock_schema::{
     config::Config,
@@ -28,31 +29,16 @@
 /// Hosts whose shares a host goes by. With all of a small deployment; of a large one as many as a
 /// row each second from each fits the budget for control.
 const SAMPLE: usize = 8;
-/// Hosts of a region that are asked for room. One that dies then takes a quarter of the room with
-/// it, for the lifetime of a grant.
-const GRANTORS: usize = 4;
 /// Time between two asks.
 const ASK: Duration = Duration::from_secs(1);
 /// Weight of the last second in rates and sizes.
 const FRESH: f64 = 0.3;
-/// Room asked for beyond what was sent in the last seconds, so that traffic can grow.
-const MARGIN: f64 = 1.5;
-/// Least rate asked for, in requests a second: a lane that was idle must be able to begin.
+/// Least rate of this region's own callers that room is asked for, in requests a second: the first
+/// request after an idle time must find some.
 const LEAST: f64 = 5.0;
-/// Rate below which a ceiling is not worked out: a single request would swing it.
-const SMALL: f64 = 1.0;
 /// Bytes of a request or an answer of which nothing was seen yet.
 const UNSEEN_BYTES: f64 = 2_000.0;
 
-/// Traffic of one service, as measured.
-#[derive(Clone, Debug, Default)]
-struct Traffic {
-    /// Requests a second by region of callers.
-    rates: BTreeMap<Arc<str>, f64>,
-    request: f64,
-    answer: f64,
-}
-
 /// A message to send.
 #[derive(Debug)]
 pub(super) struct Outgoing {
@@ -68,9 +54,9 @@
     grantee: Arc<Mutex<Grantee>>,
     /// Shares of the hosts that this one goes by.
     rows: BTreeMap<Arc<str>, Rows>,
-    traffic: BTreeMap<Arc<str>, Traffic>,
+    traffic: Traffics,
     goals: Goals,
-    /// Regions of which hosts were seen: when all of them fall silent the region is lost.
+    /// Regions of which hosts were seen.
     seen: BTreeSet<Arc<str>>,
     lost: BTreeSet<Arc<str>>,
     next_ask: Duration,
@@ -85,7 +71,7 @@
             grantor: Grantor::open(&me.name, &me.region, now),
             grantee,
             rows: BTreeMap::new(),
-            traffic: BTreeMap::new(),
+            traffic: Traffics::new(),
             goals: Goals::default(),
             seen: BTreeSet::new(),
             lost: BTreeSet::new(),
@@ -117,9 +103,10 @@
         &mut self,
         config: &Config,
         members: &BTreeMap<Arc<str>, Arc<Member>>,
+        present: BTreeSet<Arc<str>>,
         now: Duration,
     ) {
-        self.look(config, members);
+        self.look(config, present);
         let sample = self.sample(members);
         self.rows
             .retain(|name, _| sample.iter().any(|member| member.name == *name));
@@ -130,25 +117,39 @@
             })
             .collect();
         self.shares.hear(&peers);
+        self.follow(members);
         self.goals = Goals::open(config, &self.lost);
-        let ceilings = self.ceilings(config, now);
+        let grantee = self.grantee.lock().unwrap_or_else(PoisonError::into_inner);
+        let lent = (&*grantee, &self.grantor);
+        let region = &self.me.region;
+        let ceilings = spill::ceilings(&self.goals, &self.shares, &self.traffic, region, lent, now);
         self.shares.steer(&self.goals, &ceilings, now);
     }
 
-    /// A region is lost when hosts of it were there and none is heard any more.
-    fn look(&mut self, config: &Config, members: &BTreeMap<Arc<str>, Arc<Member>>) {
-        let heard: BTreeSet<Arc<str>> = members
-            .values()
-            .filter(|member| !member.suspect)
-            .map(|member| Arc::clone(&member.region))
-            .collect();
-        let lost = |region: &&Arc<str>| self.seen.contains(*region) && !heard.contains(*region);
+    /// Takes over what hosts of other regions do with their own callers.
+    fn follow(&mut self, members: &BTreeMap<Arc<str>, Arc<Member>>) {
+        let mut peers: BTreeMap<Arc<str>, Vec<&Rows>> = BTreeMap::new();
+        for (name, rows) in &self.rows {
+            if let Some(member) = members.get(name) {
+                peers
+                    .entry(Arc::clone(&member.region))
+                    .or_default()
+                    .push(rows);
+            }
+        }
+        self.shares.follow(&self.me.region, &peers);
+    }
+
+    /// A region without a host that is there is lost: nobody lends its room, and what its targets
+    /// still do cannot be known from here.
+    fn look(&mut self, config: &Config, present: BTreeSet<Arc<str>>) {
+        let lost = |region: &&Arc<str>| !present.contains(*region);
         let lost: BTreeSet<Arc<str>> = config.regions.keys().filter(lost).cloned().collect();
         if lost != self.lost {
-            log::warn!(regions:? = lost; "regions that are not heard");
+            log::warn!(regions:? = lost; "regions without a host that is heard");
         }
         self.lost = lost;
-        self.seen.extend(heard);
+        self.seen.extend(present);
     }
 
     /// The hosts whose shares this one goes by, the same ones while they are there.
@@ -189,27 +190,28 @@
 
     fn learn(&mut self, config: &Config, sums: &Sums, time: f64) {
         for service in config.services.keys() {
-            let traffic = self
-                .traffic
-                .entry(Arc::clone(service))
-                .or_insert_with(|| Traffic {
-                    request: UNSEEN_BYTES,
-                    answer: UNSEEN_BYTES,
-                    ..Traffic::default()
-                });
+            let sizes = sums.sizes.get(service).filter(|sizes| sizes.count > 0);
+            let lanes = self.traffic.entry(Arc::clone(service)).or_default();
             for callers in config.regions.keys() {
+                let lane = lanes.entry(Arc::clone(callers)).or_insert(Traffic {
+                    rate: 0.0,
+                    request_bytes: UNSEEN_BYTES,
+                    answer_bytes: UNSEEN_BYTES,
+                });
                 let count = sums
                     .entered
                     .get(service)
                     .and_then(|lanes| lanes.get(callers));
-                let rate = *count.unwrap_or(&0) as f64 / time;
-                let known = traffic.rates.entry(Arc::clone(callers)).or_insert(rate);
-                *known += (rate - *known) * FRESH;
-            }
-            if let Some(sizes) = sums.sizes.get(service).filter(|sizes| sizes.count > 0) {
-                let count = sizes.count as f64;
-                traffic.request += (sizes.request as f64 / count - traffic.request) * FRESH;
-                traffic.answer += (sizes.answer as f64 / count - traffic.answer) * FRESH;
+                lane.rate += (*count.unwrap_or(&0) as f64 / time - lane.rate) * FRESH;
+                if *callers == self.me.region {
+                    lane.rate = lane.rate.max(LEAST);
+                }
+                if let Some(sizes) = sizes {
+                    let count = sizes.count as f64;
+                    lane.request_bytes +=
+                        (sizes.request as f64 / count - lane.request_bytes) * FRESH;
+                    lane.answer_bytes += (sizes.answer as f64 / count - lane.answer_bytes) * FRESH;
+                }
             }
         }
     }
@@ -236,41 +238,15 @@
         let home = self
             .traffic
             .get(service)
-            .and_then(|t| t.rates.get(&self.me.region));
+            .and_then(|lanes| lanes.get(&self.me.region));
         Some(Own {
             slots: f64::from(slots.iter().sum::<u32>()),
             busy: work.home.as_secs_f64() / time,
-            rate: home.copied().unwrap_or_default(),
+            rate: home.map_or(0.0, |lane| lane.rate),
             work: mean.unwrap_or(Duration::from_millis(5)),
         })
     }
 
-    /// Largest shares of other regions, by the room that was lent.
-    fn ceilings(&self, config: &Config, now: Duration) -> Ceilings {
-        let grantee = self.grantee.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut ceilings = Ceilings::new();
-        for (service, traffic) in &self.traffic {
-            let total: f64 = traffic.rates.values().sum();
-            if total < SMALL {
-                continue;
-            }
-            let need = traffic.need(service, total);
-            for region in config
-                .regions
-                .keys()
-                .filter(|region| **region != self.me.region)
-            {
-                let most = grantee.rate(region, &need, now) / total;
-                let lanes = ceilings.entry(Arc::clone(service)).or_default();
-                for callers in traffic.rates.keys() {
-                    let row = lanes.entry(Arc::clone(callers)).or_default();
-                    row.insert(Arc::clone(region), most.min(1.0));
-                }
-            }
-        }
-        ceilings
-    }
-
     /// Sets what the region's links and slots leave to lend.
     pub(super) fn limit(&mut self, config: &Config) {
         let region = config.regions.get(&self.me.region);
@@ -308,74 +284,46 @@
             let ask = self.ask(all, Vec::new(), now);
             asks.insert(Arc::clone(&to.name), Outgoing { to, ask });
         }
-        let regions: BTreeSet<Arc<str>> = members
-            .values()
-            .map(|member| Arc::clone(&member.region))
-            .collect();
-        for region in regions.iter().filter(|region| **region != self.me.region) {
-            self.ask_region(region, members, &mut asks, now);
+        let needs = spill::needs(&self.goals, &self.shares, &self.traffic, &self.me.region);
+        for (region, needs) in needs {
+            self.ask_region(&region, &needs, members, &mut asks, now);
         }
         asks.into_values().collect()
     }
 
     fn ask_region(
-        &self,
+        &mut self,
         region: &Arc<str>,
+        needs: &[Need],
         members: &BTreeMap<Arc<str>, Arc<Member>>,
         asks: &mut BTreeMap<Arc<str>, Outgoing>,
         now: Duration,
     ) {
-        let needs = self.needs(region);
-        if needs.is_empty() {
-            return;
-        }
         let there = members
             .values()
             .filter(|member| member.region == *region && !member.leaving && !member.suspect);
         let names: Vec<Arc<str>> = there.map(|member| Arc::clone(&member.name)).collect();
-        let grantors = rendezvous::choose(&format!("{}/{region}", self.me.name), names, GRANTORS);
-        let grantee = self.grantee.lock().unwrap_or_else(PoisonError::into_inner);
-        let part = grantee.ask(&needs, grantors.len(), now);
-        for name in &grantors {
+        let grantors = spill::grantors(&self.me.name, &names);
+        let part = {
+            let grantee = self.grantee.lock().unwrap_or_else(PoisonError::into_inner);
+            grantee.ask(needs, grantors.len(), now)
+        };
+        for name in grantors {
+            // This host lends to itself as to any other, for callers of other regions.
+            if *name == self.me.name {
+                self.grantor.ask(part.clone(), now);
+                continue;
+            }
             let Some(to) = members.get(name) else {
                 continue;
             };
-            let needs: Vec<PeerNeed> = part.needs.iter().map(write_need).collect();
+            let ask = self.ask(false, Vec::new(), now);
             let entry = asks.entry(Arc::clone(name)).or_insert_with(|| Outgoing {
                 to: Arc::clone(to),
-                ask: self.ask(false, Vec::new(), now),
+                ask,
             });
-            entry.ask.needs = needs;
-        }
-    }
-
-    /// What this host wants to send to a region: its part of the goal or of what goes there now.
-    fn needs(&self, region: &Arc<str>) -> Vec<Need> {
-        let rows = self.shares.rows();
-        let mut needs = Vec::new();
-        for (service, traffic) in &self.traffic {
-            let mut rate = 0.0;
-            for (callers, lane) in &traffic.rates {
-                let goal = self.goals.find(service, callers);
-                let wanted = goal
-                    .and_then(|goal| goal.row.get(region))
-                    .copied()
-                    .unwrap_or(0.0);
-                let share = rows.get(service).and_then(|rows| rows.get(callers));
-                let now = share
-                    .and_then(|row| row.get(region))
-                    .copied()
-                    .unwrap_or(0.0);
-                rate += lane * wanted.max(now);
-                if wanted.max(now) > 0.0 {
-                    rate += LEAST / MARGIN / traffic.rates.len() as f64;
-                }
-            }
-            if rate > 0.0 {
-                needs.push(traffic.need(service, rate * MARGIN));
-            }
+            entry.ask.needs = part.needs.iter().map(write_need).collect();
         }
-        needs
     }
 
     fn ask(&self, all: bool, needs: Vec<PeerNeed>, now: Duration) -> SteerAsk {
@@ -406,6 +354,11 @@
     pub(super) fn grants(&mut self, now: Duration) -> BTreeMap<Arc<str>, Vec<Lent>> {
         let mut lent: BTreeMap<Arc<str>, Vec<Lent>> = BTreeMap::new();
         for grant in self.grantor.grant(now) {
+            if grant.grantee == self.me.name {
+                let mut grantee = self.grantee.lock().unwrap_or_else(PoisonError::into_inner);
+                grantee.receive(grant, now);
+                continue;
+            }
             lent.entry(Arc::clone(&grant.grantee))
                 .or_default()
                 .push(write_lent(&grant));
@@ -454,17 +407,6 @@
     }
 }
 
-impl Traffic {
-    fn need(&self, service: &Arc<str>, rate: f64) -> Need {
-        Need {
-            service: Arc::clone(service),
-            rate,
-            request_bytes: self.request,
-            answer_bytes: self.answer,
-        }
-    }
-}
-
 /// All shares of a host that sent only those that move: the others are at their goals.
 fn at_goal(goals: &Goals, moving: Rows) -> Rows {
     let mut rows = Rows::new();
--- a/crates/node/src/duties/pools/mod.rs
+++ b/crates/node/src/duties/pools/mod.rs
@@ -10,14 +10,16 @@
 //! The notes of the path (`docs/notes/threads.md`) have the figures. Other duties reach it through
 //! its ring all the same.
 
+mod fence;
 mod input;
 mod owned;
 mod plan;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use self::owned::Owned;
 pub use self::{
+    fence::Fence,
     input::{Event, Events, Input, PoolReport},
     plan::{PoolId, PoolPlan},
 };
@@ -27,9 +29,13 @@
 /// this is a hundred milliseconds of work, beyond which an offer is better turned away at once.
 pub const RING: usize = 4096;
 
+/// Pause between two inputs while the fence is closed.
+const HOLD_PAUSE: Duration = Duration::from_millis(1);
+
 /// Drives the pools until [`Input::Stop`] comes.
-pub(super) async fn drive(clock: Clock, mut inputs: ring::Receiver<Input>) {
+pub(super) async fn drive(clock: Clock, fence: Fence, mut inputs: ring::Receiver<Input>) {
     let mut pools: BTreeMap<Arc<PoolId>, Owned> = BTreeMap::new();
+    let mut held = Vec::new();
     loop {
         let wake = pools.values().filter_map(Owned::next_wake).min();
         let input = match wake {
@@ -46,11 +52,29 @@
         if matches!(input, Input::Stop) {
             return;
         }
-        apply(&mut pools, input, clock);
+        if fence.is_closed(clock.now()) {
+            hold(&mut held, input);
+            // The next input comes with the control duty's next tick.
+            tokio::time::sleep(HOLD_PAUSE).await;
+            continue;
+        }
+        for input in held.drain(..).chain([input]) {
+            apply(&mut pools, input, clock);
+        }
         pools.retain(|_, owned| !owned.is_done());
     }
 }
 
+/// Puts an input by while the fence is closed. An offer has not run here: its holder looks who owns
+/// the pool now.
+fn hold(held: &mut Vec<Input>, input: Input) {
+    match input {
+        Input::Offer { events, .. } => events.tell(Event::NotOwner),
+        Input::Tick => {}
+        other => held.push(other),
+    }
+}
+
 fn apply(pools: &mut BTreeMap<Arc<PoolId>, Owned>, input: Input, clock: Clock) {
     let now = clock.now();
     match input {
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -24,6 +24,7 @@
     meters::Meters,
     metrics::Metrics,
     ring,
+    run::Trickle,
     shared::Shared,
     view::{Member, View},
 };
@@ -82,6 +83,7 @@
         let limits = ledger::limits(&timing);
         let ledger = ledger::open(me.incarnation, limits, clock, Arc::clone(&view))?;
         let (control, inputs) = ring::open(control::RING);
+        let fence = pools::Fence::open(Duration::from_millis(timing.suspect_ms));
         let grantee = Arc::new(Mutex::new(Grantee::open(&me.name, &me.region)));
         let shared = Arc::new(Shared {
             limits: settings.limits.clone().unwrap_or_default(),
@@ -91,7 +93,9 @@
             clock,
             view,
             grantee,
+            trickle: Trickle::default(),
             meters: Meters::default(),
+            fence,
             published: watch::channel(0).0,
             pools,
             ledger: ledger.sender,
--- a/crates/node/src/run/dispatch.rs
+++ b/crates/node/src/run/dispatch.rs
@@ -7,7 +7,7 @@
 
 use dunlinrock_decide::{
     admit::{Candidate, choose},
-    steer::{Reason, Refusal, Shortage},
+    steer::{Reason, Refusal, Shortage, spill::free},
 };
 use dunlinrock_schema::api::Run;
 use tokio::time::Instant;
@@ -37,13 +37,16 @@
 /// Bytes of an answer, for the use of a link, before its size is known.
 const ANSWER_BYTES: f64 = 2_000.0;
 
+/// Least time at an owner for a hand-over to be worth it.
+const LEAST_TIME: Duration = Duration::from_millis(2);
+
 /// Pause before a new view is looked for when the owner of a pool has changed under a request.
 const VIEW_PAUSE: Duration = Duration::from_millis(20);
 
 /// Runs `call` in the region that its service's shares give it.
 pub async fn dispatch(shared: &Shared, client: &Client, call: &Call) -> Result<Answer, Trouble> {
     let view = shared.view.load_full();
-    let region = region(shared, &view, call)?;
+    let region = region(shared, &view, call).await?;
     let mut tried: Vec<Arc<PoolId>> = Vec::new();
     let mut last = None;
     while tried.len() < POOL_TRIES {
@@ -84,6 +87,14 @@
         if call.hops >= MAX_HOPS {
             return Err(unowned(&route.id));
         }
+        // With less time than the way there and back the owner's `run: no` could not arrive, and
+        // the caller would be told that nobody knows.
+        if call.deadline.saturating_duration_since(Instant::now()) < 2 * route.delay + LEAST_TIME {
+            return Err(Trouble::not_run(
+                Kind::Overloaded,
+                "no time is left to hand it over",
+            ));
+        }
         route.send();
         return forward::forward(shared, client, route, owner, call).await;
     }
@@ -113,7 +124,7 @@
     safe && !judged && Instant::now() < call.deadline
 }
 
-fn region(shared: &Shared, view: &View, call: &Call) -> Result<Arc<str>, Trouble> {
+async fn region(shared: &Shared, view: &View, call: &Call) -> Result<Arc<str>, Trouble> {
     if !view.services.contains_key(&call.service) {
         let detail = format!("no service {} in revision {}", call.service, view.revision);
         return Err(Trouble::not_run(Kind::UnknownService, detail));
@@ -126,12 +137,38 @@
     let region = picked
         .map(Arc::clone)
         .map_err(|refusal| unservable(call, &from, refusal))?;
-    if region == shared.me.region {
+    if free(&shared.me.region, &from, &region) {
         return Ok(region);
     }
-    match borrow(shared, call, &region) {
-        Ok(()) => Ok(region),
-        Err(shortage) => home(shared, view, call, &region, shortage),
+    room(shared, view, call, &region).await?;
+    Ok(region)
+}
+
+/// Takes room that the region's hosts lent, waiting for it as long as a request may wait at all.
+///
+/// A share that no grant covers must not go out, nor to another region instead: many hosts that
+/// each exceed their grants a little overrun a region together, and what is sent home instead moves
+/// traffic outside the cap.
+async fn room(shared: &Shared, view: &View, call: &Call, region: &str) -> Result<(), Trouble> {
+    let patience = view
+        .service(&call.service)
+        .map_or(0, |rules| rules.queue_ms);
+    let end = call
+        .deadline
+        .min(Instant::now() + Duration::from_millis(patience));
+    loop {
+        let Err(shortage) = borrow(shared, call, region) else {
+            return Ok(());
+        };
+        if shared.trickle.take(view.members.len(), shared.now()) {
+            return Ok(());
+        }
+        if Instant::now() + shortage.retry_after >= end {
+            let detail = format!("region {region} lends no room for {} now", call.service);
+            let trouble = Trouble::not_run(Kind::Overloaded, detail);
+            return Err(trouble.retry_after(shortage.retry_after));
+        }
+        tokio::time::sleep(shortage.retry_after).await;
     }
 }
 
@@ -150,7 +187,8 @@
     shared
         .meters
         .answered(&call.service, call.body.len(), answer.body.len());
-    if region != &*shared.me.region {
+    let from = shared.view.load().region(call.client, &shared.me.region);
+    if !free(&shared.me.region, &from, region) {
         let mut grantee = shared
             .grantee
             .lock()
@@ -160,25 +198,6 @@
     }
 }
 
-/// The region to turn to when another lends no room: this host's own, which turns away itself what
-/// it cannot take. A share that no grant covers must not go out: many hosts that each exceed their
-/// grants a little overrun the region together.
-fn home(
-    shared: &Shared,
-    view: &View,
-    call: &Call,
-    region: &str,
-    shortage: Shortage,
-) -> Result<Arc<str>, Trouble> {
-    let own = &shared.me.region;
-    let service = view.services.get(&call.service);
-    if service.is_some_and(|service| service.regions.contains_key(own)) {
-        return Ok(Arc::clone(own));
-    }
-    let detail = format!("region {region} lends no room for {} now", call.service);
-    Err(Trouble::not_run(Kind::Overloaded, detail).retry_after(shortage.retry_after))
-}
-
 fn unservable(call: &Call, from: &str, refusal: Refusal) -> Trouble {
     let why = match refusal.reason {
         Reason::Starting => "this host has not heard yet where traffic goes",
--- a/crates/node/src/run/mod.rs
+++ b/crates/node/src/run/mod.rs
@@ -6,6 +6,7 @@
 mod keyed;
 mod relay;
 mod target;
+mod trickle;
 
 pub(crate) use self::dispatch::run;
 pub use self::{
@@ -14,4 +15,5 @@
     holder::{Held, hold},
     keyed::run_keyed,
     relay::{CALL_PATH, relay},
+    trickle::Trickle,
 };
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,10 +15,14 @@
 
 use crate::{
     clock::Clock,
-    duties::{control, ledger, pools},
+    duties::{
+        control, ledger,
+        pools::{self, Fence},
+    },
     meters::Meters,
     metrics::Metrics,
     ring,
+    run::Trickle,
     view::{Member, View},
 };
 
@@ -39,10 +43,14 @@
     pub view: Arc<ArcSwap<View>>,
     /// What other regions' hosts lent to this one.
     pub grantee: Arc<Mutex<Grantee>>,
+    /// The few requests that go without a grant.
+    pub trickle: Trickle,
     /// What is measured of the traffic.
     pub meters: Meters,
     /// Number of the newest view, for those who wait for one.
     pub published: watch::Sender<u64>,
+    /// Keeps a host that was paused from starting what it held.
+    pub fence: Fence,
     /// To the pools duty.
     pub pools: ring::Sender<pools::Input>,
     /// To the ledger duty.
