--- a/crates/node/src/wire/names.rs
+++ b/crates/node/src/wire/names.rs
@@ -4,7 +4,7 @@
 pub const TIMEOUT: &str = "dunlinrock-timeout-ms";
 /// Key of a request that may not be repeated: the binding's prefix, a dot, a nonce.
 pub const KEY: &str = "idempotency-key";
-/// Earlier attempts of the key: `<count>` or `<count>;witness` where one went to the witness.
+/// Earlier attempts of the key, at either host: `owner=N, witness=N`.
 pub const ATTEMPTS: &str = "dunlinrock-attempts";
 /// Name of the caller, for fair shares.
 pub const CALLER: &str = "dunlinrock-caller";
