--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -1,6 +1,6 @@
 //! Counters and timers of a host, sent as StatsD over UDP.
 //!
-//! A count is an atomic that the control duty sends once a second: look-ups come by the ten
+//! A count is an atomic that the control duty sends at each heartbeat: look-ups come by the ten
 //! thousand, and a datagram for each would cost more than the look-up.
 
 mod count;
