--- a/crates/node/src/duties/pools/input.rs
+++ b/crates/node/src/duties/pools/input.rs
@@ -101,7 +101,7 @@
     pub load: Load,
     /// All of it.
     pub state: PoolState,
-    /// New words about requests that kill their targets.
+    /// Words about requests that kill their targets, all that hold.
     pub words: Vec<Word>,
     /// Whether it is only kept until its last run ends.
     pub released: bool,
--- a/crates/node/src/duties/pools/owned.rs
+++ b/crates/node/src/duties/pools/owned.rs
@@ -158,7 +158,9 @@
             id: Arc::clone(id),
             load: self.pool.load(now),
             state: self.pool.state(now),
-            words: self.pool.words(),
+            // All that hold, whoever asks: the control duty tells what is new to it, and a dump must
+            // not take a word away before other hosts have heard of it.
+            words: self.pool.all_words(now),
             released: self.released,
         }
     }
