--- a/crates/coord/tests/late_doubt.rs
+++ b/crates/coord/tests/late_doubt.rs
@@ -123,6 +123,7 @@
         beat: 0,
         state: HostState::Suspect,
         by: "one".into(),
+        turn: 0,
     });
     let rumor = Rumor {
         origin: DOMAIN.into(),
