--- a/crates/node/src/run/dispatch.rs
+++ b/crates/node/src/run/dispatch.rs
@@ -106,10 +106,13 @@
 }
 
 /// Whether another pool may be tried: the request certainly did not run and was not judged by what
-/// it is, or it may run more than once; and there is time.
+/// it is, or the host that had it is lost and it may run more than once; and there is time.
+///
+/// Not where a target failed: its pool has tried another one, as far as that was wise. A request
+/// that kills its targets would go on to kill as many in the next pool, which has not heard of it.
 fn goes_on(trouble: &Trouble, call: &Call) -> bool {
     let judged = matches!(trouble.kind, Kind::Quarantined | Kind::DeadlinePassed);
-    let safe = trouble.run == Run::No || (call.repeatable && trouble.kind == Kind::TargetFailed);
+    let safe = trouble.run == Run::No || (call.repeatable && trouble.kind == Kind::Unavailable);
     safe && !judged && Instant::now() < call.deadline
 }
 
--- a/crates/node/src/run/forward.rs
+++ b/crates/node/src/run/forward.rs
@@ -85,7 +85,7 @@
             Kind::DeadlinePassed,
             format!("handed to {}: {e}", owner.name),
         ),
-        Err(e) => Trouble::unknown(Kind::TargetFailed, format!("handed to {}: {e}", owner.name)),
+        Err(e) => Trouble::unknown(Kind::Unavailable, format!("handed to {}: {e}", owner.name)),
     };
     (Err(trouble), None)
 }
--- a/crates/node/tests/killing_request.rs
+++ b/crates/node/tests/killing_request.rs
@@ -18,6 +18,18 @@
     reports.iter().map(|report| report.words.len()).sum()
 }
 
+// Other callers see: their answers. Order: the request kills a target, runs alone on another of the
+// same pool and kills that one too; the pool refuses it from then on. Offered to a second pool,
+// which has not heard of it yet, it would kill two more there, all that a small region has.
+#[tokio::test]
+async fn one_send_of_a_killing_request_kills_two_targets_at_the_most() {
+    let mut d = Deployment::open("cursuri", Duration::ZERO);
+    d.start().await;
+    d.get(d.hosts[0].callers(), KILL).await;
+    let killed: u64 = d.targets.iter().map(|target| target.counts().killed).sum();
+    assert!((1..=2).contains(&killed), "{killed} targets died");
+}
+
 // The callers see: the request refused by every host, 403. Order: it kills two targets; the pool's
 // owner tells its control duty when that asks, and the duty tells the other hosts. Somebody takes
 // dumps meanwhile, which ask the pools the same. Words given to the first who asks went to the
