--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -31,6 +31,7 @@
     let time = store::time(&args.store)?;
     let intent = intent(args);
     eprintln!("apply {}", intent.id);
+    let id = Arc::clone(&intent.id);
     block_on(async {
         let ended = operate::apply(&open, &config, intent, time).await;
         let verdict = ended.map_err(|doubt| {
@@ -42,9 +43,11 @@
             Failure::of(exit, &doubt)
         })?;
         let revision = revision(&verdict)?;
+        // A revision that was there already has another apply's id.
+        let id = matches!(verdict, Verdict::InForce { .. }).then_some(id);
         out::line(format_args!("{verdict}"))?;
         match args.list {
-            Some(list) if args.wait => follow(list, revision, time).await,
+            Some(list) if args.wait => follow(list, revision, id.as_deref(), time).await,
             _ => Ok(()),
         }
     })?
@@ -74,10 +77,15 @@
 }
 
 /// Waits until every listed host follows a revision.
-async fn follow(list: std::net::SocketAddr, revision: u64, time: Duration) -> Result<(), Failure> {
+async fn follow(
+    list: std::net::SocketAddr,
+    revision: u64,
+    id: Option<&str>,
+    time: Duration,
+) -> Result<(), Failure> {
     let start = tokio::time::Instant::now();
     loop {
-        let behind = hosts::behind(list, revision).await?;
+        let behind = hosts::behind(list, revision, id).await?;
         if behind.is_empty() {
             out::line(format_args!(
                 "every listed host follows it after {:.1} s",
--- a/crates/cli/src/commands/dump.rs
+++ b/crates/cli/src/commands/dump.rs
@@ -36,11 +36,41 @@
     Ok(())
 }
 
-/// Reads the revision that a host follows.
-pub(crate) async fn revision(at: SocketAddr) -> Option<u64> {
+/// What a host follows.
+pub(crate) struct Followed {
+    /// Its revision.
+    pub(crate) revision: u64,
+    /// Revisions and ids of the last applies, newest first.
+    applies: Vec<(u64, String)>,
+}
+
+impl Followed {
+    /// Whether the host follows this apply, or one after it.
+    ///
+    /// A store that lost what it held counts revisions from 1 again, and hosts keep the later one
+    /// that they have seen; the revision alone would look as if they followed. An apply that is
+    /// older than those listed is taken for followed.
+    pub(crate) fn holds(&self, revision: u64, id: Option<&str>) -> bool {
+        let listed = self.applies.iter().find(|(at, _)| *at == revision);
+        let other = listed.is_some_and(|(_, listed)| id.is_some_and(|id| listed != id));
+        self.revision >= revision && !other
+    }
+}
+
+/// Reads what a host follows.
+pub(crate) async fn followed(at: SocketAddr) -> Option<Followed> {
     let answer = get(at, "/peer/v1/dump").await.ok()?;
     let value: Value = serde_json::from_slice(&answer.body).ok()?;
-    value.get("revision")?.as_u64()
+    let revision = value.get("revision")?.as_u64()?;
+    let listed = value.pointer("/control/applies").and_then(Value::as_array);
+    let applies = listed.into_iter().flatten().filter_map(|entry| {
+        let id = entry.get("id")?.as_str()?;
+        Some((entry.get("revision")?.as_u64()?, id.to_owned()))
+    });
+    Some(Followed {
+        revision,
+        applies: applies.collect(),
+    })
 }
 
 /// Reads a path of a host.
--- a/crates/cli/src/commands/hosts.rs
+++ b/crates/cli/src/commands/hosts.rs
@@ -35,15 +35,19 @@
 }
 
 /// Names the listed hosts that do not follow a revision yet; those that leave do not count.
-pub(crate) async fn behind(list: SocketAddr, revision: u64) -> Result<Vec<String>, Failure> {
+pub(crate) async fn behind(
+    list: SocketAddr,
+    revision: u64,
+    id: Option<&str>,
+) -> Result<Vec<String>, Failure> {
     let mut behind = Vec::new();
     for host in listing(list).await?.hosts.iter().filter(|h| !h.leaving) {
         let at = host.peers.parse::<SocketAddr>().ok();
         let held = match at {
-            Some(at) => dump::revision(at).await,
+            Some(at) => dump::followed(at).await,
             None => None,
         };
-        if held.is_none_or(|held| held < revision) {
+        if held.is_none_or(|held| !held.holds(revision, id)) {
             behind.push(host.name.to_string());
         }
     }
--- a/crates/node/src/duties/callers/call.rs
+++ b/crates/node/src/duties/callers/call.rs
@@ -15,19 +15,19 @@
 use crate::{
     call::{Bounds, Call, answer_fields, read_body, target_fields, timeout_field},
     metrics::Count,
-    run::{dispatch, relay, run_keyed},
+    run::{Links, dispatch, relay, run_keyed},
     shared::Shared,
-    wire::{self, Answer, Client, Kind, Trouble},
+    wire::{self, Answer, Kind, Trouble},
 };
 
 /// Path before the service's name.
 const PREFIX: &str = "/v1/call/";
 
-pub(super) async fn answer(shared: &Arc<Shared>, client: &Client, request: Request) -> Response {
+pub(super) async fn answer(shared: &Arc<Shared>, links: &Links, request: Request) -> Response {
     shared.metrics.count(Count::Calls);
     let since = Instant::now();
     let id: Arc<str> = format!("{:x}-{:x}", shared.me.incarnation, shared.ticket()).into();
-    let result = run(shared, client, request, &id).await;
+    let result = run(shared, links, request, &id).await;
     shared.metrics.time("call.time", since.elapsed());
     match result {
         Ok(answer) => {
@@ -65,7 +65,7 @@
 
 async fn run(
     shared: &Arc<Shared>,
-    client: &Client,
+    links: &Links,
     request: Request,
     id: &Arc<str>,
 ) -> Result<Answer, Trouble> {
@@ -98,14 +98,14 @@
         deadline: arrival + time,
     })?;
     if call.repeatable {
-        return dispatch(shared, client, &call).await;
+        return dispatch(shared, links, &call).await;
     }
     let key = key(&call)?;
     let me = shared.me.incarnation;
     if key.owner.incarnation == me || key.witness.incarnation == me {
-        run_keyed(shared, client, &call, key).await
+        run_keyed(shared, links, &call, key).await
     } else {
-        relay(shared, client, &call, &key).await
+        relay(shared, links, &call, &key).await
     }
 }
 
--- a/crates/node/src/duties/callers/mod.rs
+++ b/crates/node/src/duties/callers/mod.rs
@@ -10,7 +10,7 @@
 use viz::{Body, Request, Response, Router, StatusCode, Tree};
 
 use super::{pools, spawn};
-use crate::{ring, serve, shared::Shared, wire::Client};
+use crate::{ring, run::Links, serve, shared::Shared};
 
 /// Spawns the duty on a bound listener. It ends when `stop` has turned true, the last answer is out,
 /// and the pools were told to stop.
@@ -46,8 +46,7 @@
 }
 
 fn router(shared: Arc<Shared>) -> Router {
-    let answer_bytes = usize::try_from(shared.limits.answer_bytes.get());
-    let client = Client::open(answer_bytes.unwrap_or(usize::MAX));
+    let links = Links::open(&shared);
     let (look, ready) = (Arc::clone(&shared), Arc::clone(&shared));
     Router::new()
         .get("/v1/hosts/:service", move |request: Request| {
@@ -59,8 +58,8 @@
             async move { Ok(readiness(&shared)) }
         })
         .any("/v1/call/*", move |request: Request| {
-            let (shared, client) = (Arc::clone(&shared), client.clone());
-            async move { Ok(call::answer(&shared, &client, request).await) }
+            let (shared, links) = (Arc::clone(&shared), links.clone());
+            async move { Ok(call::answer(&shared, &links, request).await) }
         })
 }
 
--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -77,7 +77,7 @@
         let store = &shared.settings.store;
         let caller = Caller {
             name: Arc::clone(&shared.me.name),
-            client: Client::open(ANSWER_BYTES),
+            client: Client::open_from(Some(shared.me.peers.ip()), ANSWER_BYTES),
             store: Store::open(address(&store.address), &store.prefix, timeout),
             list: HostList::open(address(&shared.settings.list.address), timeout),
             metrics: shared.metrics.clone(),
@@ -544,9 +544,21 @@
         }
     }
 
+    /// Revisions and ids of the applies that the root held here lists, newest first.
+    fn applies(&self) -> Vec<Value> {
+        let root = self.follower.copy().map(|copy| &copy.root);
+        let entries = root
+            .into_iter()
+            .flat_map(|root| std::iter::once(&root.now).chain(&root.recent));
+        entries
+            .map(|entry| json!({ "revision": entry.revision, "id": entry.id }))
+            .collect()
+    }
+
     fn state(&self) -> Value {
         json!({
             "revision": self.in_force.revision,
+            "applies": self.applies(),
             "caught_up": self.membership.caught_up(),
             "state": self.membership.state().to_string(),
             "watches_store": self.plan.watch,
--- a/crates/node/src/duties/ledger/mod.rs
+++ b/crates/node/src/duties/ledger/mod.rs
@@ -10,6 +10,7 @@
 use std::{
     collections::BTreeMap,
     io,
+    net::IpAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -27,7 +28,12 @@
     post::{LEDGER_PATH, read_message},
 };
 use super::spawn;
-use crate::{clock::Clock, ring, view::View, wire::Client};
+use crate::{
+    clock::Clock,
+    ring,
+    view::{Member, View},
+    wire::Client,
+};
 
 /// Inputs that may wait for the duty; see the pools duty, whose load it shares.
 pub const RING: usize = 4096;
@@ -57,11 +63,17 @@
 }
 
 /// Spawns the duty for this incarnation.
-pub fn open(me: u64, limits: Limits, clock: Clock, view: Arc<ArcSwap<View>>) -> io::Result<Handle> {
+pub fn open(
+    me: &Member,
+    limits: Limits,
+    clock: Clock,
+    view: Arc<ArcSwap<View>>,
+) -> io::Result<Handle> {
     let (sender, receiver) = ring::open(RING);
     let epoch = Arc::new(AtomicU64::new(0));
     let duty = Duty {
-        ledger: Ledger::open(me, limits, clock.now()),
+        ledger: Ledger::open(me.incarnation, limits, clock.now()),
+        local: me.peers.ip(),
         holders: BTreeMap::new(),
         view,
         clock,
@@ -82,11 +94,13 @@
     view: Arc<ArcSwap<View>>,
     clock: Clock,
     epoch: Arc<AtomicU64>,
+    /// Address that messages go out from.
+    local: IpAddr,
 }
 
 impl Duty {
     async fn drive(mut self, mut inputs: ring::Receiver<Input>) {
-        let client = Client::open(ANSWER_BYTES);
+        let client = Client::open_from(Some(self.local), ANSWER_BYTES);
         loop {
             let now = self.clock.now();
             self.epoch.store(self.ledger.epoch(now), Ordering::Relaxed);
--- a/crates/node/src/duties/peers/handlers.rs
+++ b/crates/node/src/duties/peers/handlers.rs
@@ -18,9 +18,9 @@
     dump,
     duties::{control, ledger, pools::PoolId},
     metrics::Count,
-    run::{self, read_call, run_keyed, write_answer},
+    run::{self, Links, read_call, run_keyed, write_answer},
     shared::Shared,
-    wire::{Answer, Client, Kind, Trouble},
+    wire::{Answer, Kind, Trouble},
 };
 
 /// Room for the head of a request that is handed over, in bytes beyond its body.
@@ -33,7 +33,7 @@
 const CONTROL_TIME: Duration = Duration::from_secs(2);
 
 /// Runs a request at a pool that its sender takes for this host's.
-pub(super) async fn run(shared: &Arc<Shared>, client: &Client, request: Request) -> Response {
+pub(super) async fn run(shared: &Arc<Shared>, links: &Links, request: Request) -> Response {
     let (pool, call) = match take_call(shared, request).await {
         Ok(taken) => taken,
         Err(response) => return response,
@@ -41,7 +41,7 @@
     shared.metrics.count(Count::Runs);
     let view = shared.view.load_full();
     let result = match view.pools.get(&pool) {
-        Some(route) if view.ready => run::run(shared, client, route, &call).await,
+        Some(route) if view.ready => run::run(shared, links, route, &call).await,
         Some(_) => Err(Trouble::not_run(Kind::NotReady, "the host is catching up")),
         None => {
             let detail = format!("no targets of {} in {} here", pool.service, pool.domain);
@@ -55,7 +55,7 @@
 }
 
 /// Takes in a keyed request that a third host passes on.
-pub(super) async fn call(shared: &Arc<Shared>, client: &Client, request: Request) -> Response {
+pub(super) async fn call(shared: &Arc<Shared>, links: &Links, request: Request) -> Response {
     let (_, call) = match take_call(shared, request).await {
         Ok(taken) => taken,
         Err(response) => return response,
@@ -63,7 +63,7 @@
     let key = call.key.as_deref().map(str::parse::<Key>);
     let result = match key {
         Some(Ok(key)) if key.owner.incarnation == shared.me.incarnation => {
-            run_keyed(shared, client, &call, key).await
+            run_keyed(shared, links, &call, key).await
         }
         _ => Err(Trouble::unknown(
             Kind::KeyRefused,
--- a/crates/node/src/duties/peers/mod.rs
+++ b/crates/node/src/duties/peers/mod.rs
@@ -13,10 +13,9 @@
     spawn,
 };
 use crate::{
-    run::{CALL_PATH, RUN_PATH},
+    run::{CALL_PATH, Links, RUN_PATH},
     serve,
     shared::Shared,
-    wire::Client,
 };
 
 /// Path of the dump.
@@ -54,20 +53,19 @@
 }
 
 fn router(shared: Arc<Shared>) -> Router {
-    let answer_bytes = usize::try_from(shared.limits.answer_bytes.get());
-    let client = Client::open(answer_bytes.unwrap_or(usize::MAX));
+    let links = Links::open(&shared);
     let (run, call) = (Arc::clone(&shared), Arc::clone(&shared));
     let (ledger, control) = (Arc::clone(&shared), Arc::clone(&shared));
     let steer = Arc::clone(&shared);
-    let relayed = client.clone();
+    let relayed = links.clone();
     Router::new()
         .post(RUN_PATH, move |request: Request| {
-            let (shared, client) = (Arc::clone(&run), client.clone());
-            async move { Ok(handlers::run(&shared, &client, request).await) }
+            let (shared, links) = (Arc::clone(&run), links.clone());
+            async move { Ok(handlers::run(&shared, &links, request).await) }
         })
         .post(CALL_PATH, move |request: Request| {
-            let (shared, client) = (Arc::clone(&call), relayed.clone());
-            async move { Ok(handlers::call(&shared, &client, request).await) }
+            let (shared, links) = (Arc::clone(&call), relayed.clone());
+            async move { Ok(handlers::call(&shared, &links, request).await) }
         })
         .post(LEDGER_PATH, move |request: Request| {
             let shared = Arc::clone(&ledger);
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -81,7 +81,7 @@
         let (pools, pool_inputs) = ring::open(pools::RING);
         let timing = settings.timing.clone().unwrap_or_default();
         let limits = ledger::limits(&timing);
-        let ledger = ledger::open(me.incarnation, limits, clock, Arc::clone(&view))?;
+        let ledger = ledger::open(&me, limits, clock, Arc::clone(&view))?;
         let (control, inputs) = ring::open(control::RING);
         let fence = pools::Fence::open(Duration::from_millis(timing.suspect_ms));
         let grantee = Arc::new(Mutex::new(Grantee::open(&me.name, &me.region)));
--- a/crates/node/src/run/dispatch.rs
+++ b/crates/node/src/run/dispatch.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::{
-    forward,
+    Links, forward,
     holder::{Held, hold},
 };
 use crate::{
@@ -21,7 +21,7 @@
     duties::pools::PoolId,
     shared::Shared,
     view::{PoolRoute, View},
-    wire::{Answer, Client, Kind, Trouble},
+    wire::{Answer, Kind, Trouble},
 };
 
 /// Pools that a request is offered to at the most. The second helps when the load of the first was
@@ -44,7 +44,7 @@
 const VIEW_PAUSE: Duration = Duration::from_millis(20);
 
 /// Runs `call` in the region that its service's shares give it.
-pub async fn dispatch(shared: &Shared, client: &Client, call: &Call) -> Result<Answer, Trouble> {
+pub async fn dispatch(shared: &Shared, links: &Links, call: &Call) -> Result<Answer, Trouble> {
     let view = shared.view.load_full();
     let region = region(shared, &view, call).await?;
     let mut tried: Vec<Arc<PoolId>> = Vec::new();
@@ -55,7 +55,7 @@
             break;
         };
         tried.push(Arc::clone(&route.id));
-        match run(shared, client, &route, call).await {
+        match run(shared, links, &route, call).await {
             Ok(answer) => {
                 count(shared, call, &region, &answer);
                 return Ok(answer);
@@ -76,7 +76,7 @@
 /// Runs `call` at one pool, wherever its owner is.
 pub(crate) async fn run(
     shared: &Shared,
-    client: &Client,
+    links: &Links,
     route: &PoolRoute,
     call: &Call,
 ) -> Result<Answer, Trouble> {
@@ -96,9 +96,9 @@
             ));
         }
         route.send();
-        return forward::forward(shared, client, route, owner, call).await;
+        return forward::forward(shared, links, route, owner, call).await;
     }
-    match hold(shared, client, route, call).await {
+    match hold(shared, links, route, call).await {
         Held::Answer(answer) => Ok(answer),
         Held::Trouble(trouble) => Err(trouble),
         Held::NotOwner => {
--- a/crates/node/src/run/forward.rs
+++ b/crates/node/src/run/forward.rs
@@ -16,13 +16,13 @@
 };
 use tokio::time::Instant;
 
-use super::relay::CALL_PATH;
+use super::{Links, relay::CALL_PATH};
 use crate::{
     call::Call,
     duties::pools::PoolId,
     shared::Shared,
     view::{Member, PoolRoute},
-    wire::{self, Answer, Client, Failure, Kind, PackError, Trouble},
+    wire::{self, Answer, Failure, Kind, PackError, Trouble},
 };
 
 /// Path on which hosts take requests for the pools they own.
@@ -32,12 +32,12 @@
 /// brings the pool's load along: fresh where it is used most, and at no cost where it is not.
 pub(super) async fn forward(
     shared: &Shared,
-    client: &Client,
+    links: &Links,
     route: &PoolRoute,
     owner: &Member,
     call: &Call,
 ) -> Result<Answer, Trouble> {
-    let (result, load) = hand(client, owner, RUN_PATH, &route.id.domain, call).await;
+    let (result, load) = hand(links, owner, RUN_PATH, &route.id.domain, call).await;
     if let Some(load) = load {
         route.hear(load, shared.now());
     }
@@ -45,8 +45,8 @@
 }
 
 /// Passes a keyed request on to the owner of its key.
-pub(super) async fn relay(client: &Client, owner: &Member, call: &Call) -> Result<Answer, Trouble> {
-    let (result, _) = hand(client, owner, CALL_PATH, "", call).await;
+pub(super) async fn relay(links: &Links, owner: &Member, call: &Call) -> Result<Answer, Trouble> {
+    let (result, _) = hand(links, owner, CALL_PATH, "", call).await;
     // That this attempt was not sent says nothing of the earlier ones of the key.
     result.map_err(|trouble| Trouble {
         run: not_below(trouble.run, call),
@@ -64,7 +64,7 @@
 }
 
 async fn hand(
-    client: &Client,
+    links: &Links,
     owner: &Member,
     path: &str,
     domain: &str,
@@ -75,7 +75,7 @@
         Ok(frame) => frame,
         Err(e) => return (Err(unsent(&e)), None),
     };
-    let trouble = match client.post(owner.peers, path, frame, time).await {
+    let trouble = match links.hosts.post(owner.peers, path, frame, time).await {
         Ok(answer) if answer.status == StatusCode::OK => {
             return read_answer(&answer.body).unwrap_or_else(|e| (Err(lost(&e)), None));
         }
--- a/crates/node/src/run/holder.rs
+++ b/crates/node/src/run/holder.rs
@@ -6,14 +6,17 @@
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use tokio::time::{Instant, sleep_until};
 
-use super::target::{self, Ran};
+use super::{
+    Links,
+    target::{self, Ran},
+};
 use crate::{
     call::Call,
     duties::pools::{Event, Events, Input, PoolId},
     ring::Full,
     shared::Shared,
     view::PoolRoute,
-    wire::{Answer, Client, Kind, Trouble},
+    wire::{Answer, Kind, Trouble},
 };
 
 /// Retry hint for a host whose own rings are full: they empty in milliseconds.
@@ -65,7 +68,7 @@
 ///
 /// Dropping the future cancels the request: in the queue it has not run, at a target its connection
 /// is closed, which the target takes as cancellation.
-pub async fn hold(shared: &Shared, client: &Client, route: &PoolRoute, call: &Call) -> Held {
+pub async fn hold(shared: &Shared, links: &Links, route: &PoolRoute, call: &Call) -> Held {
     let (events, mut ear) = Events::open();
     let number = shared.ticket();
     let offer = offer(shared, call, number);
@@ -110,7 +113,7 @@
                 Some(Event::Start(name)) => {
                     started = true;
                     running.push(Arc::clone(&name));
-                    runs.push(start(client, route, call, name));
+                    runs.push(start(links, route, call, name));
                 }
                 Some(Event::Abort(name)) => running.retain(|other| *other != name),
                 Some(Event::Ended(Ending::Final { ran })) => {
@@ -142,7 +145,7 @@
 }
 
 fn start<'a>(
-    client: &'a Client,
+    links: &'a Links,
     route: &PoolRoute,
     call: &'a Call,
     name: Arc<str>,
@@ -151,7 +154,7 @@
     let since = Instant::now();
     async move {
         let mut ran = match address {
-            Some(address) => target::send(client, call, address).await,
+            Some(address) => target::send(&links.targets, call, address).await,
             // The pool duty is ahead of this request's view by one configuration.
             None => Ran {
                 outcome: Outcome::Refused,
--- a/crates/node/src/run/keyed.rs
+++ b/crates/node/src/run/keyed.rs
@@ -7,13 +7,13 @@
 use dunlinrock_schema::api::Run;
 use tokio::time::sleep_until;
 
-use super::{dispatch::dispatch, forward};
+use super::{Links, dispatch::dispatch, forward};
 use crate::{
     call::Call,
     duties::ledger::{Event, Events, Input},
     ring::Full,
     shared::Shared,
-    wire::{Answer, Client, Kind, Trouble},
+    wire::{Answer, Kind, Trouble},
 };
 
 /// Retry hint for a host whose ledger ring is full: it empties in milliseconds.
@@ -42,7 +42,7 @@
 /// since a retry with the same key will ask for its answer.
 pub async fn run_keyed(
     shared: &Arc<Shared>,
-    client: &Client,
+    links: &Links,
     call: &Call,
     key: Key,
 ) -> Result<Answer, Trouble> {
@@ -71,7 +71,7 @@
             () = sleep_until(call.deadline) => return Err(late()),
         };
         match event {
-            Some(Event::Run) => spawn_run(shared, client, call, &key),
+            Some(Event::Run) => spawn_run(shared, links, call, &key),
             Some(Event::Answer(frame)) => {
                 ticket.open = false;
                 let frame = Bytes::copy_from_slice(&frame);
@@ -94,11 +94,11 @@
     }
 }
 
-fn spawn_run(shared: &Arc<Shared>, client: &Client, call: &Call, key: &Key) {
-    let (shared, client) = (Arc::clone(shared), client.clone());
+fn spawn_run(shared: &Arc<Shared>, links: &Links, call: &Call, key: &Key) {
+    let (shared, links) = (Arc::clone(shared), links.clone());
     let (call, key) = (call.clone(), key.clone());
     tokio::spawn(async move {
-        let outcome = match dispatch(&shared, &client, &call).await {
+        let outcome = match dispatch(&shared, &links, &call).await {
             Err(trouble) if trouble.run == Run::No => {
                 log::info!(request = &*call.request, detail = &*trouble.detail; "not run");
                 Outcome::NotRun {
--- a/crates/node/src/run/mod.rs
+++ b/crates/node/src/run/mod.rs
@@ -4,6 +4,7 @@
 mod forward;
 mod holder;
 mod keyed;
+mod links;
 mod relay;
 mod target;
 mod trickle;
@@ -14,6 +15,7 @@
     forward::{RUN_PATH, read_answer, read_call, write_answer},
     holder::{Held, hold},
     keyed::run_keyed,
+    links::Links,
     relay::{CALL_PATH, relay},
     trickle::Trickle,
 };
--- a/crates/node/src/run/relay.rs
+++ b/crates/node/src/run/relay.rs
@@ -2,11 +2,11 @@
 
 use dunlinrock_coord::once::Key;
 
-use super::forward;
+use super::{Links, forward};
 use crate::{
     call::Call,
     shared::Shared,
-    wire::{Answer, Client, Kind, Trouble},
+    wire::{Answer, Kind, Trouble},
 };
 
 /// Path on which hosts take keyed requests that a third host passes on.
@@ -19,7 +19,7 @@
 /// without the caller's knowledge would make that `no` a false one.
 pub async fn relay(
     shared: &Shared,
-    client: &Client,
+    links: &Links,
     call: &Call,
     key: &Key,
 ) -> Result<Answer, Trouble> {
@@ -34,5 +34,5 @@
             "the key names other hosts",
         ));
     }
-    forward::relay(client, owner, call).await
+    forward::relay(links, owner, call).await
 }
--- a/crates/node/src/wire/client.rs
+++ b/crates/node/src/wire/client.rs
@@ -1,6 +1,9 @@
 //! A pooled HTTP client that returns whole answers or a typed failure.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -84,7 +87,17 @@
 impl Client {
     /// Opens a client that takes answers up to `answer_bytes`.
     pub fn open(answer_bytes: usize) -> Client {
+        Client::open_from(None, answer_bytes)
+    }
+
+    /// Opens a client whose connections come from `local`.
+    ///
+    /// Hosts know one another by address. On a machine with several, the system would choose
+    /// another than the one that the host announced, and every other host would take it for a
+    /// stranger.
+    pub fn open_from(local: Option<IpAddr>, answer_bytes: usize) -> Client {
         let mut connector = HttpConnector::new();
+        connector.set_local_address(local);
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIME));
         let inner = legacy::Client::builder(TokioExecutor::new())
