--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -42,7 +42,7 @@
     shared::Shared,
     store::{HostList, Store},
     view::Member,
-    wire::{self, Client},
+    wire::Client,
 };
 
 /// Largest answer to a control message, in bytes: pieces that were asked for.
@@ -424,13 +424,13 @@
             let lent = grants.remove(&ask.name).unwrap_or_default();
             let give = self.steering.give(ask.all, lent);
             // Whoever asked may have given up waiting.
-            let _ = reply.send(wire::pack(&give).map_or(Reply::Unreadable, Reply::Frame));
+            let _ = reply.send(Reply::Frame(coord_wire::encode(&give)));
         }
     }
 
     /// Holds an ask until the next tick, when the room is divided among all that asked.
     fn steer_asked(&mut self, from: IpAddr, frame: &Bytes, reply: oneshot::Sender<Reply>) {
-        let Ok(ask) = wire::unpack::<SteerAsk>(frame) else {
+        let Ok(ask) = coord_wire::decode::<SteerAsk>(frame) else {
             let _ = reply.send(Reply::Unreadable);
             return;
         };
--- a/crates/node/src/duties/control/steering.rs
+++ b/crates/node/src/duties/control/steering.rs
@@ -29,13 +29,16 @@
 /// Hosts whose shares a host goes by. With all of a small deployment; of a large one as many as a
 /// row each second from each fits the budget for control.
 const SAMPLE: usize = 8;
-/// Time between two asks.
-const ASK: Duration = Duration::from_secs(1);
+/// Time between two asks: two fit the life of a grant, so that one may be lost.
+const ASK: Duration = Duration::from_millis(1400);
+/// Rounds of asks of which one asks for shares while nothing moves here. They are asked for in case
+/// a peer is behind; a peer that moves asks this host.
+const CALM_ROUNDS: u32 = 6;
 /// Weight of the last second in rates and sizes.
 const FRESH: f64 = 0.3;
-/// Least rate of this region's own callers that room is asked for, in requests a second: the first
-/// request after an idle time must find some.
-const LEAST: f64 = 5.0;
+/// Rate below which a lane counts as idle, in requests a second. Room is not asked for; the next
+/// request passes by the allowance for few.
+const IDLE: f64 = 0.05;
 /// Bytes of a request or an answer of which nothing was seen yet.
 const UNSEEN_BYTES: f64 = 2_000.0;
 
@@ -60,6 +63,8 @@
     seen: BTreeSet<Arc<str>>,
     lost: BTreeSet<Arc<str>>,
     next_ask: Duration,
+    /// Rounds of asks so far.
+    round: u32,
     measured: Duration,
 }
 
@@ -76,6 +81,7 @@
             seen: BTreeSet::new(),
             lost: BTreeSet::new(),
             next_ask: now,
+            round: 0,
             measured: now,
         }
     }
@@ -203,8 +209,8 @@
                     .get(service)
                     .and_then(|lanes| lanes.get(callers));
                 lane.rate += (*count.unwrap_or(&0) as f64 / time - lane.rate) * FRESH;
-                if *callers == self.me.region {
-                    lane.rate = lane.rate.max(LEAST);
+                if lane.rate < IDLE {
+                    lane.rate = 0.0;
                 }
                 if let Some(sizes) = sizes {
                     let count = sizes.count as f64;
@@ -278,9 +284,14 @@
             return Vec::new();
         }
         self.next_ask = now + ASK;
+        self.round = self.round.wrapping_add(1);
+        let calm = self.is_calm() && !self.round.is_multiple_of(CALM_ROUNDS);
         let mut asks: BTreeMap<Arc<str>, Outgoing> = BTreeMap::new();
         for to in self.sample(members) {
             let all = !self.rows.contains_key(&to.name);
+            if calm && !all {
+                continue;
+            }
             let ask = self.ask(all, Vec::new(), now);
             asks.insert(Arc::clone(&to.name), Outgoing { to, ask });
         }
@@ -291,6 +302,13 @@
         asks.into_values().collect()
     }
 
+    /// Whether every share is at its goal.
+    fn is_calm(&self) -> bool {
+        let lanes = self.goals.lanes.iter();
+        let mut lanes = lanes.flat_map(|(service, lanes)| lanes.keys().map(move |c| (service, c)));
+        lanes.all(|(service, callers)| self.shares.remaining(service, callers) <= 0.0)
+    }
+
     fn ask_region(
         &mut self,
         region: &Arc<str>,
--- a/crates/node/src/duties/control/tasks.rs
+++ b/crates/node/src/duties/control/tasks.rs
@@ -28,7 +28,7 @@
     ring,
     store::{HostList, ROOT_KEY, Store, Versioned, perform},
     view::Member,
-    wire::{self, Client},
+    wire::Client,
 };
 
 /// What a task brings back.
@@ -220,7 +220,7 @@
 
     /// Asks another host for its shares and for room.
     pub(super) fn steer(&self, to: Arc<Member>, ask: &SteerAsk) {
-        let Ok(frame) = wire::pack(ask) else { return };
+        let frame = coord_wire::encode(ask);
         self.metrics.add(Count::SteerOut, frame.len() as u64);
         let caller = self.clone();
         tokio::spawn(async move {
@@ -231,7 +231,7 @@
             let Ok(answer) = sent else { return };
             caller.metrics.add(Count::SteerIn, answer.body.len() as u64);
             if answer.status == StatusCode::OK
-                && let Ok(give) = wire::unpack(&answer.body)
+                && let Ok(give) = coord_wire::decode(&answer.body)
             {
                 caller.bring(Done::Steer(to, give));
             }
