--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -272,6 +272,7 @@
             )
         after = deaths()
         drill.check(after == before, f"{after - before} deaths after the word was out")
+        fleet.keep_dumps("killer")
         other = http_call(fleet.live()[0].callers, "GET", "/v1/call/records/grades/7")[0]
         drill.check(other == 200, f"another request was answered {other}")
         print(f"  {sent} sends, {before - start} deaths; refused by {len(fleet.live())} hosts")
