--- a/crates/node/src/run/target.rs
+++ b/crates/node/src/run/target.rs
@@ -15,6 +15,10 @@
 /// Time in which a target that broke off must take a connection to count as alive.
 const PROBE_TIME: Duration = Duration::from_millis(200);
 
+/// Time for which a new connection must stay open. A process takes some milliseconds to end; nobody
+/// waits for this but the one request whose connection broke.
+const STAY_TIME: Duration = Duration::from_millis(50);
+
 /// How a run ended.
 #[derive(Debug)]
 pub(super) struct Ran {
@@ -55,11 +59,18 @@
 ///
 /// A kept connection that a live target closes just as a request goes out looks the same as a
 /// crash. Taken for one, it would put an innocent request under suspicion; a target that crashed
-/// does not take a new connection, so one attempt to connect tells the two apart.
+/// does not take a new connection, so one attempt to connect tells the two apart. While a process
+/// ends, its listener may outlive its connections for a moment and take the attempt: then the new
+/// connection breaks too, and one that stays for [`STAY_TIME`] is a live target's.
 async fn broken_off(address: SocketAddr) -> Outcome {
-    match tokio::time::timeout(PROBE_TIME, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Outcome::Failed,
-        _ => Outcome::Died,
+    let connected = tokio::time::timeout(PROBE_TIME, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connected else {
+        return Outcome::Died;
+    };
+    let mut byte = [0];
+    match tokio::time::timeout(STAY_TIME, stream.peek(&mut byte)).await {
+        Ok(Ok(0) | Err(_)) => Outcome::Died,
+        Ok(Ok(_)) | Err(_) => Outcome::Failed,
     }
 }
 
--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -263,6 +263,7 @@
             sent += 1
         drill.check(deaths() - start >= 2, f"{sent} sends, and not two deaths")
         time.sleep(SPREAD_TIME)
+        fleet.keep_dumps("killer-before")
         before = deaths()
         for host in fleet.live():
             status, _, body = send(host)
