--- a/crates/node/src/duties/control/steering.rs
+++ b/crates/node/src/duties/control/steering.rs
@@ -1,8 +1,8 @@
 //! Shares of traffic and grants of headroom, exchanged with other hosts.
 //!
-//! Once a second a host asks a few others for their shares, so that it neither starts from the goal
-//! where traffic flows already nor runs ahead of the slowest, and asks some hosts of each region
-//! that it sends work to for room. Both go in one message and come back in one.
+//! Every second or two a host asks a few others for their shares, so that it neither starts from the
+//! goal where traffic flows already nor runs ahead of the slowest, and asks some hosts of each
+//! region that it sends work to for room. Both go in one message and come back in one.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
