--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod pieces;
 pub mod rendezvous;
+pub mod root;
 pub mod wire;
 
 pub use dunlinrock_once as once;
--- /dev/null
+++ b/crates/coord/src/root/apply.rs
@@ -0,0 +1,457 @@
+//! An operator's apply: writes the pieces, moves the root, and finds out what came of it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use dunlinrock_schema::coord::{Entry, Past, Root};
+
+use super::{
+    intent::{Fault, Intent, Pace},
+    record::{self, next, rolls},
+    store::{Answer, Ask, Asked, Stored, Version},
+    trace::{Trace, after},
+    verdict::Verdict,
+};
+use crate::{
+    pieces::{Diff, Hash, Pieces, Split, TreeError, diff},
+    wire,
+};
+
+/// The root that the apply is based on, and what has been done on that ground.
+#[derive(Clone, Debug, PartialEq)]
+struct Base {
+    root: Option<Root>,
+    /// Version that the move expects.
+    version: Option<Version>,
+    /// What to write on that ground, once it is known.
+    plan: Option<Plan>,
+    /// Fault of a check: no piece is written again.
+    trusted: bool,
+}
+
+/// Writes that are left to do, and the move after them.
+#[derive(Clone, Debug, PartialEq)]
+struct Plan {
+    /// Pieces to write since this version of the root was read. A sweep may have removed what was
+    /// written before, so nothing is carried over from an older version.
+    writes: Pieces,
+    /// The new root.
+    root: Arc<[u8]>,
+}
+
+impl Base {
+    fn revision(&self) -> u64 {
+        self.root.as_ref().map_or(0, |root| root.now.revision)
+    }
+
+    fn tree(&self) -> Option<Hash> {
+        Hash::read(&self.root.as_ref()?.now.tree)
+    }
+}
+
+/// An apply on its way.
+///
+/// Its move of the root names the version that it read, so it takes effect on that ground or not
+/// at all, also when it arrives late or twice. After a lost answer the root is read again. While
+/// the version is the same the same move is tried again; when it is another, the entry one
+/// revision after the base is this apply's, or it never will be.
+#[derive(Clone, Debug)]
+pub struct Apply {
+    intent: Intent,
+    split: Split,
+    pace: Pace,
+    fault: Fault,
+    base: Option<Base>,
+    /// Root as last read; `None` while a read is due. `Some` with no value: there is no root.
+    seen: Option<Option<(Root, Version)>>,
+    /// Pieces of the base and of what is in force, read so far.
+    have: Pieces,
+    /// Pieces that the store does not have.
+    gone: Vec<Hash>,
+    pending: BTreeMap<u64, Ask>,
+    /// Number of the next operation.
+    number: u64,
+    failures: u32,
+    /// Whether a move was sent on the present base.
+    moved: bool,
+    /// No operation is begun before this time.
+    wait: Duration,
+    verdict: Option<Verdict>,
+}
+
+impl Apply {
+    /// Begins an apply of a split configuration; [`Apply::poll`] gives the first operations.
+    pub fn open(intent: Intent, split: Split, pace: Pace) -> Self {
+        Self {
+            intent,
+            split,
+            pace,
+            fault: Fault::None,
+            base: None,
+            seen: None,
+            have: Pieces::new(),
+            gone: Vec::new(),
+            pending: BTreeMap::new(),
+            number: 0,
+            failures: 0,
+            moved: false,
+            wait: Duration::ZERO,
+            verdict: None,
+        }
+    }
+
+    /// Switches a fault on.
+    #[doc(hidden)]
+    pub fn break_with(mut self, fault: Fault) -> Self {
+        self.fault = fault;
+        self
+    }
+
+    /// What it was told at its start.
+    pub fn intent(&self) -> &Intent {
+        &self.intent
+    }
+
+    /// The end, once it is certain.
+    pub fn verdict(&self) -> Option<&Verdict> {
+        self.verdict.as_ref()
+    }
+
+    /// When to call [`Apply::poll`] next, unless an answer comes first.
+    pub fn wake(&self) -> Duration {
+        self.wait
+    }
+
+    /// Whether a move was sent whose outcome is not known yet. An operator who gives up now must be
+    /// told that the apply may take effect, with its id to look for.
+    pub fn in_doubt(&self) -> bool {
+        self.verdict.is_none() && self.moved
+    }
+
+    /// Operations to begin now.
+    pub fn poll(&mut self, now: Duration) -> Vec<Asked> {
+        if self.verdict.is_some() || now < self.wait {
+            return Vec::new();
+        }
+        let room = self.pace.window.saturating_sub(self.pending.len());
+        let mut out = Vec::new();
+        for ask in self.due() {
+            if out.len() == room || self.pending.values().any(|other| *other == ask) {
+                continue;
+            }
+            self.number += 1;
+            self.pending.insert(self.number, ask.clone());
+            out.push(Asked {
+                number: self.number,
+                ask,
+            });
+        }
+        out
+    }
+
+    /// Takes the answer to an operation, then gives the operations to begin now.
+    pub fn answer(&mut self, number: u64, answer: Answer, now: Duration) -> Vec<Asked> {
+        if let Some(ask) = self.pending.remove(&number) {
+            self.take(ask, answer, now);
+        }
+        self.poll(now)
+    }
+
+    fn take(&mut self, ask: Ask, answer: Answer, now: Duration) {
+        if answer == Answer::Failed {
+            self.failed(&ask, now);
+            return;
+        }
+        self.failures = 0;
+        self.wait = Duration::ZERO;
+        match (ask, answer) {
+            (Ask::Root, Answer::Root(stored)) => self.read(stored),
+            (Ask::Piece(hash), Answer::Piece(bytes)) => match bytes {
+                Some(bytes) if Hash::of(&bytes) == hash => {
+                    self.have.insert(hash, bytes);
+                }
+                _ => self.gone.push(hash),
+            },
+            (Ask::Write { hash, .. }, Answer::Done) => {
+                if let Some(plan) = self.base.as_mut().and_then(|base| base.plan.as_mut()) {
+                    plan.writes.remove(&hash);
+                }
+            }
+            (Ask::Move { .. }, Answer::Done) => self.in_force(Vec::new()),
+            // A conflict, or an answer that does not belong to the operation: look again.
+            _ => self.seen = None,
+        }
+    }
+
+    fn failed(&mut self, ask: &Ask, now: Duration) {
+        let moved = matches!(ask, Ask::Move { .. });
+        match self.fault {
+            Fault::LostIsFailed if moved => {
+                let base = self.base.as_ref().map_or(0, Base::revision);
+                self.verdict = Some(Verdict::Overtaken {
+                    base,
+                    by: Vec::new(),
+                    changed: None,
+                });
+            }
+            Fault::LostIsDone if moved => self.in_force(Vec::new()),
+            _ => {}
+        }
+        let doubled = self.pace.retry * 2_u32.pow(self.failures.min(16));
+        self.wait = now + doubled.min(self.pace.longest);
+        self.failures += 1;
+        if moved {
+            self.seen = None;
+        }
+    }
+
+    fn in_force(&mut self, later: Vec<Entry>) {
+        let base = self.base.as_ref().map_or(0, Base::revision);
+        self.verdict = Some(Verdict::InForce {
+            revision: base + 1,
+            later,
+        });
+    }
+
+    fn read(&mut self, stored: Option<Stored>) {
+        let Some(stored) = stored else {
+            self.seen = Some(None);
+            return;
+        };
+        match record::read(&stored.bytes) {
+            Some(root) => self.seen = Some(Some((root, stored.version))),
+            None => self.broken("it does not read as a root"),
+        }
+    }
+
+    fn broken(&mut self, finding: &str) {
+        self.verdict = Some(Verdict::Broken {
+            finding: finding.into(),
+        });
+    }
+
+    /// All operations that what is known calls for.
+    fn due(&mut self) -> Vec<Ask> {
+        let Some(seen) = self.seen.clone() else {
+            return vec![Ask::Root];
+        };
+        let version = seen.as_ref().map(|(_, version)| *version);
+        let root = seen.map(|(root, _)| root);
+        let Some(base) = &self.base else {
+            return self.begin(root, version);
+        };
+        if base.version == version {
+            return self.advance();
+        }
+        let revision = root.as_ref().map_or(0, |root| root.now.revision);
+        match root {
+            Some(root) if revision > base.revision() && self.fault != Fault::Rebase => {
+                self.settle(&root, base.revision())
+            }
+            None => {
+                self.broken("it was there and is gone");
+                Vec::new()
+            }
+            Some(_) if revision < base.revision() => {
+                self.broken("its revision has fallen");
+                Vec::new()
+            }
+            // A sweep: the same revision under a new version.
+            root => self.rebase(root, version),
+        }
+    }
+
+    /// The first read: is this the ground that the operator saw?
+    fn begin(&mut self, root: Option<Root>, version: Option<Version>) -> Vec<Ask> {
+        let revision = root.as_ref().map_or(0, |root| root.now.revision);
+        if let Some(root) = &root {
+            let mut listed = std::iter::once(&root.now).chain(&root.recent);
+            if let Some(entry) = listed.find(|entry| entry.id == self.intent.id) {
+                // An earlier process of this apply got through and did not hear of it.
+                let made = entry.revision;
+                return self.found(root, made);
+            }
+        }
+        let expected = self.intent.base.unwrap_or(revision);
+        if expected > revision {
+            self.broken("it is older than the revision that was planned on");
+            return Vec::new();
+        }
+        match root {
+            Some(root) if expected < revision => self.settle(&root, expected),
+            root => self.rebase(root, version),
+        }
+    }
+
+    fn found(&mut self, root: &Root, revision: u64) -> Vec<Ask> {
+        let listed = std::iter::once(&root.now).chain(&root.recent);
+        let later = listed.filter(|entry| entry.revision > revision);
+        self.verdict = Some(Verdict::InForce {
+            revision,
+            later: later.cloned().collect(),
+        });
+        Vec::new()
+    }
+
+    fn rebase(&mut self, root: Option<Root>, version: Option<Version>) -> Vec<Ask> {
+        let trusted = self.fault == Fault::TrustWritten && self.base.is_some();
+        // A move that named an older version cannot take effect any more.
+        self.moved = false;
+        self.base = Some(Base {
+            root,
+            version,
+            plan: None,
+            trusted,
+        });
+        self.advance()
+    }
+
+    /// The root is as it was: compare, write, move.
+    fn advance(&mut self) -> Vec<Ask> {
+        let Some(mut base) = self.base.take() else {
+            return Vec::new();
+        };
+        let mut reads = Vec::new();
+        if base.plan.is_none() {
+            match self.plan(&base) {
+                Ok(plan) => base.plan = plan,
+                Err(missing) => reads = missing.into_iter().map(Ask::Piece).collect(),
+            }
+        }
+        let asks = match &base.plan {
+            Some(plan) if plan.writes.is_empty() => {
+                self.moved = true;
+                vec![Ask::Move {
+                    expect: base.version,
+                    bytes: plan.root.clone(),
+                }]
+            }
+            // Those under way are among the first, so this many give a full window.
+            Some(plan) => writes(&plan.writes, self.pace.window * 2),
+            None => reads,
+        };
+        self.base = Some(base);
+        asks
+    }
+
+    /// Works out the writes, or names the pieces that must be read first. Gives nothing where there
+    /// is nothing to change.
+    fn plan(&mut self, base: &Base) -> Result<Option<Plan>, BTreeSet<Hash>> {
+        let fresh = match self.compare(base.tree(), self.split.tree) {
+            Ok(diff) if diff.changed.is_empty() && base.root.is_some() => {
+                let revision = base.revision();
+                self.verdict = Some(Verdict::Same { revision });
+                return Ok(None);
+            }
+            Ok(diff) => diff.fresh,
+            Err(TreeError::Missing(missing)) if !self.any_gone(&missing) => return Err(missing),
+            // The tree in force lacks pieces. All of ours are written; this apply mends it.
+            Err(_) => self.split.pieces.keys().copied().collect(),
+        };
+        let past = self.past(base)?;
+        let next = next(base.root.as_ref(), past.as_ref(), self.entry());
+        let mut writes = Pieces::new();
+        if !base.trusted {
+            let held = |hash: &Hash| Some((*hash, self.split.pieces.get(hash)?.clone()));
+            writes.extend(fresh.iter().filter_map(held));
+            writes.extend(next.past.map(|bytes| (Hash::of(&bytes), bytes)));
+        }
+        let root = record::bytes(&next.root);
+        Ok(Some(Plan { writes, root }))
+    }
+
+    fn entry(&self) -> Entry {
+        Entry {
+            revision: 0,
+            id: self.intent.id.clone(),
+            by: self.intent.by.clone(),
+            at_ms: self.intent.at_ms,
+            tree: self.split.tree.to_vec(),
+        }
+    }
+
+    /// The past piece that the next root needs: none, its content, or its hash to be read.
+    fn past(&self, base: &Base) -> Result<Option<Past>, BTreeSet<Hash>> {
+        let Some(root) = base.root.as_ref().filter(|root| rolls(root)) else {
+            return Ok(None);
+        };
+        let Some(hash) = Hash::read(&root.past) else {
+            return Ok(None);
+        };
+        match self.have.get(&hash) {
+            Some(bytes) => Ok(wire::decode(bytes).ok()),
+            None if self.gone.contains(&hash) => Ok(None),
+            None => Err(BTreeSet::from([hash])),
+        }
+    }
+
+    fn any_gone(&self, hashes: &BTreeSet<Hash>) -> bool {
+        hashes.iter().any(|hash| self.gone.contains(hash))
+    }
+
+    fn compare(&self, old: Option<Hash>, new: Hash) -> Result<Diff, TreeError> {
+        let get = |hash: &Hash| self.have.get(hash).or(self.split.pieces.get(hash)).cloned();
+        diff(old, new, &get)
+    }
+
+    /// The root moved on from `base`: was it this apply?
+    fn settle(&mut self, root: &Root, base: u64) -> Vec<Ask> {
+        let (mut by, ground) = match after(root, base, &self.have, &self.gone) {
+            Trace::Whole { later, ground } => (later, ground),
+            Trace::Needs(hash) => return vec![Ask::Piece(hash)],
+            Trace::Ended => {
+                let revision = root.now.revision;
+                self.verdict = Some(Verdict::Forgotten { base, revision });
+                return Vec::new();
+            }
+        };
+        if by.last().is_some_and(|entry| entry.id == self.intent.id) {
+            by.pop();
+            let revision = base + 1;
+            self.verdict = Some(Verdict::InForce {
+                revision,
+                later: by,
+            });
+            return Vec::new();
+        }
+        let tree = ground.and_then(|entry| Hash::read(&entry.tree));
+        self.explain(root, base, tree, by)
+    }
+
+    /// Names what the others changed, then ends.
+    fn explain(
+        &mut self,
+        root: &Root,
+        base: u64,
+        ground: Option<Hash>,
+        by: Vec<Entry>,
+    ) -> Vec<Ask> {
+        let known = self.base.as_ref();
+        let known = known.filter(|known| known.revision() == base);
+        let old = known.and_then(Base::tree).or(ground);
+        let changed = match (old, Hash::read(&root.now.tree)) {
+            (None, _) if base > 0 => None,
+            (_, None) => None,
+            (old, Some(new)) => match self.compare(old, new) {
+                Ok(diff) => Some(diff.changed.into_keys().collect()),
+                Err(TreeError::Missing(missing)) if !self.any_gone(&missing) => {
+                    return missing.into_iter().map(Ask::Piece).collect();
+                }
+                Err(_) => None,
+            },
+        };
+        self.verdict = Some(Verdict::Overtaken { base, by, changed });
+        Vec::new()
+    }
+}
+
+fn writes(pieces: &Pieces, most: usize) -> Vec<Ask> {
+    let write = |(hash, bytes): (&Hash, &Arc<[u8]>)| Ask::Write {
+        hash: *hash,
+        bytes: bytes.clone(),
+    };
+    pieces.iter().take(most).map(write).collect()
+}
--- /dev/null
+++ b/crates/coord/src/root/trace.rs
@@ -0,0 +1,58 @@
+//! Finds the apply that made a revision, in the root or in the pieces that go on from it.
+
+use dunlinrock_schema::coord::{Entry, Past, Root};
+
+use crate::{
+    pieces::{Hash, Pieces},
+    wire,
+};
+
+/// How far the applies after a revision are known.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trace {
+    /// All of them.
+    Whole {
+        /// Newest first; the last one made the revision after the one asked for.
+        later: Vec<Entry>,
+        /// The entry of the revision asked for, where it is still listed.
+        ground: Option<Entry>,
+    },
+    /// This piece is needed to go on.
+    Needs(Hash),
+    /// The list no longer reaches so far back.
+    Ended,
+}
+
+/// Lists the applies after `revision`. A piece that is known to be gone is in `gone`.
+///
+/// Each revision has one entry and no two revisions share one, so the entry of `revision + 1` says
+/// for certain whether an apply based on `revision` took effect.
+pub fn after(root: &Root, revision: u64, pieces: &Pieces, gone: &[Hash]) -> Trace {
+    let mut later: Vec<Entry> = std::iter::once(&root.now)
+        .chain(&root.recent)
+        .take_while(|entry| entry.revision >= revision)
+        .cloned()
+        .collect();
+    let mut next = root.past.clone();
+    while let Some(oldest) = later.last().map(|entry| entry.revision) {
+        if oldest == revision || oldest == 1 {
+            break;
+        }
+        let past = match Hash::read(&next).map(|hash| (hash, pieces.get(&hash))) {
+            Some((_, Some(bytes))) => wire::decode::<Past>(bytes).ok(),
+            Some((hash, None)) if !gone.contains(&hash) => return Trace::Needs(hash),
+            _ => None,
+        };
+        match past.filter(|past| !past.entries.is_empty()) {
+            Some(past) => {
+                let older = past.entries.into_iter();
+                later.extend(older.take_while(|entry| entry.revision >= revision));
+                next = past.before;
+            }
+            None if oldest == revision + 1 => break,
+            None => return Trace::Ended,
+        }
+    }
+    let ground = later.pop_if(|entry| entry.revision == revision);
+    Trace::Whole { later, ground }
+}
--- /dev/null
+++ b/crates/coord/src/root/verdict.rs
@@ -0,0 +1,86 @@
+//! What an operator is told.
+
+use std::{collections::BTreeSet, fmt, sync::Arc};
+
+use dunlinrock_schema::coord::Entry;
+
+/// The end of an apply. Each is certain when it is given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The apply took effect.
+    InForce {
+        /// The revision that it made.
+        revision: u64,
+        /// Applies that followed it since, newest first.
+        later: Vec<Entry>,
+    },
+    /// The configuration in force is this one already; nothing was written.
+    Same {
+        /// Revision in force.
+        revision: u64,
+    },
+    /// Others came first; the apply did not take effect and never will.
+    Overtaken {
+        /// Revision that the apply was based on.
+        base: u64,
+        /// Applies since then, newest first.
+        by: Vec<Entry>,
+        /// Names of the parts that they changed; `None` where pieces of the base are gone.
+        changed: Option<BTreeSet<Arc<str>>>,
+    },
+    /// The list of applies no longer reaches back to this one. It may have taken effect.
+    Forgotten {
+        /// Revision that the apply was based on.
+        base: u64,
+        /// Revision in force.
+        revision: u64,
+    },
+    /// The store holds an older root than it did, or none that can be read.
+    Broken {
+        /// What was found.
+        finding: Arc<str>,
+    },
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::InForce { revision, later } if later.is_empty() => {
+                write!(f, "in force as revision {revision}")
+            }
+            Self::InForce { revision, later } => write!(
+                f,
+                "took effect as revision {revision}; since then: {}",
+                listed(later)
+            ),
+            Self::Same { revision } => {
+                write!(f, "no change: revision {revision} is this configuration")
+            }
+            Self::Overtaken { base, by, changed } => {
+                write!(f, "not applied: revision {base} was overtaken by ")?;
+                write!(f, "{}; ", listed(by))?;
+                match changed {
+                    Some(names) => write!(f, "they changed {}", text(names))?,
+                    None => write!(f, "what they changed is no longer kept")?,
+                }
+                write!(f, "; look at the plan again and apply")
+            }
+            Self::Forgotten { base, revision } => write!(
+                f,
+                "unknown: based on revision {base}, and the list of applies does not reach back \
+                 so far from revision {revision}; compare what is in force with `plan`"
+            ),
+            Self::Broken { finding } => write!(f, "the store's root is not usable: {finding}"),
+        }
+    }
+}
+
+fn listed(entries: &[Entry]) -> String {
+    let one = |entry: &Entry| format!("revision {} ({} by {})", entry.revision, entry.id, entry.by);
+    entries.iter().map(one).collect::<Vec<_>>().join(", ")
+}
+
+fn text(names: &BTreeSet<Arc<str>>) -> String {
+    let names: Vec<&str> = names.iter().map(|name| &**name).collect();
+    names.join(", ")
+}
