--- a/crates/coord/src/root/apply.rs
+++ b/crates/coord/src/root/apply.rs
@@ -399,8 +399,8 @@
 
     /// The root moved on from `base`: was it this apply?
     fn settle(&mut self, root: &Root, base: u64) -> Vec<Ask> {
-        let mut by = match after(root, base, &self.have, &self.gone) {
-            Trace::Whole(entries) => entries,
+        let (mut by, ground) = match after(root, base, &self.have, &self.gone) {
+            Trace::Whole { later, ground } => (later, ground),
             Trace::Needs(hash) => return vec![Ask::Piece(hash)],
             Trace::Ended => {
                 let revision = root.now.revision;
@@ -417,16 +417,21 @@
             });
             return Vec::new();
         }
-        self.explain(root, base, by)
+        let tree = ground.and_then(|entry| Hash::read(&entry.tree));
+        self.explain(root, base, tree, by)
     }
 
     /// Names what the others changed, then ends.
-    fn explain(&mut self, root: &Root, base: u64, by: Vec<Entry>) -> Vec<Ask> {
-        let known = self.base.as_ref().filter(|known| known.revision() == base);
-        let old = match known {
-            Some(known) => known.tree(),
-            None => record::find(root, base).and_then(|entry| Hash::read(&entry.tree)),
-        };
+    fn explain(
+        &mut self,
+        root: &Root,
+        base: u64,
+        ground: Option<Hash>,
+        by: Vec<Entry>,
+    ) -> Vec<Ask> {
+        let known = self.base.as_ref();
+        let known = known.filter(|known| known.revision() == base);
+        let old = known.and_then(Base::tree).or(ground);
         let changed = match (old, Hash::read(&root.now.tree)) {
             (None, _) if base > 0 => None,
             (_, None) => None,
--- a/crates/coord/src/root/trace.rs
+++ b/crates/coord/src/root/trace.rs
@@ -10,8 +10,13 @@
 /// How far the applies after a revision are known.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Trace {
-    /// All of them, newest first; the last one made the revision after the one asked for.
-    Whole(Vec<Entry>),
+    /// All of them.
+    Whole {
+        /// Newest first; the last one made the revision after the one asked for.
+        later: Vec<Entry>,
+        /// The entry of the revision asked for, where it is still listed.
+        ground: Option<Entry>,
+    },
     /// This piece is needed to go on.
     Needs(Hash),
     /// The list no longer reaches so far back.
@@ -23,30 +28,31 @@
 /// Each revision has one entry and no two revisions share one, so the entry of `revision + 1` says
 /// for certain whether an apply based on `revision` took effect.
 pub fn after(root: &Root, revision: u64, pieces: &Pieces, gone: &[Hash]) -> Trace {
-    let mut out: Vec<Entry> = std::iter::once(&root.now)
+    let mut later: Vec<Entry> = std::iter::once(&root.now)
         .chain(&root.recent)
-        .take_while(|entry| entry.revision > revision)
+        .take_while(|entry| entry.revision >= revision)
         .cloned()
         .collect();
     let mut next = root.past.clone();
-    while out
-        .last()
-        .is_some_and(|entry| entry.revision > revision + 1)
-    {
-        let Some(hash) = Hash::read(&next) else {
-            return Trace::Ended;
+    while let Some(oldest) = later.last().map(|entry| entry.revision) {
+        if oldest == revision || oldest == 1 {
+            break;
+        }
+        let past = match Hash::read(&next).map(|hash| (hash, pieces.get(&hash))) {
+            Some((_, Some(bytes))) => wire::decode::<Past>(bytes).ok(),
+            Some((hash, None)) if !gone.contains(&hash) => return Trace::Needs(hash),
+            _ => None,
         };
-        let past = match pieces.get(&hash) {
-            Some(bytes) => wire::decode::<Past>(bytes).ok(),
-            None if gone.contains(&hash) => None,
-            None => return Trace::Needs(hash),
-        };
-        let Some(past) = past.filter(|past| !past.entries.is_empty()) else {
-            return Trace::Ended;
-        };
-        let older = past.entries.into_iter();
-        out.extend(older.take_while(|entry| entry.revision > revision));
-        next = past.before;
+        match past.filter(|past| !past.entries.is_empty()) {
+            Some(past) => {
+                let older = past.entries.into_iter();
+                later.extend(older.take_while(|entry| entry.revision >= revision));
+                next = past.before;
+            }
+            None if oldest == revision + 1 => break,
+            None => return Trace::Ended,
+        }
     }
-    Trace::Whole(out)
+    let ground = later.pop_if(|entry| entry.revision == revision);
+    Trace::Whole { later, ground }
 }
