--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -39,6 +39,7 @@
 mod table;
 mod tick;
 mod topology;
+mod view;
 mod words;
 
 use std::{
@@ -233,82 +234,6 @@
         member
     }
 
-    /// The host itself.
-    pub fn me(&self) -> &Me {
-        &self.me
-    }
-
-    /// The host's own state.
-    pub fn state(&self) -> HostState {
-        self.state
-    }
-
-    /// Whether this host may take work up: another host has answered since its start or its last
-    /// pause (or there is none), and no later incarnation of it is known.
-    pub fn caught_up(&self) -> bool {
-        self.asking.is_none() && self.superseded.is_none()
-    }
-
-    /// The later incarnation of this host, if there is one.
-    pub fn superseded(&self) -> Option<u64> {
-        self.superseded
-    }
-
-    /// All known hosts by name, this one included.
-    pub fn hosts(&self) -> &BTreeMap<Arc<str>, Host> {
-        &self.table.hosts
-    }
-
-    /// State of a host; gone for one that is not known.
-    pub fn state_of(&self, name: &str) -> HostState {
-        match self.table.hosts.get(name) {
-            Some(_) if *name == *self.me.name => self.state,
-            Some(host) => host.state(self.watchers_of(host)),
-            None => HostState::Gone,
-        }
-    }
-
-    /// Hosts that are there and stay, with their failure domains: for [`relay`](crate::relay).
-    pub fn members(&self) -> BTreeMap<Arc<str>, Arc<str>> {
-        self.with_state(|state| !matches!(state, HostState::Leaving | HostState::Gone))
-    }
-
-    /// Hosts that serve, in domains that are heard, with their failure domains.
-    pub fn serving(&self) -> BTreeMap<Arc<str>, Arc<str>> {
-        let mut out = self.with_state(|state| state == HostState::Serving);
-        out.retain(|_, domain| !self.told_silent.contains(domain));
-        out
-    }
-
-    fn with_state(&self, fits: impl Fn(HostState) -> bool) -> BTreeMap<Arc<str>, Arc<str>> {
-        self.table
-            .hosts
-            .iter()
-            .filter(|(name, host)| !host.domain.is_empty() && fits(self.state_of(name)))
-            .map(|(name, host)| (name.clone(), host.domain.clone()))
-            .collect()
-    }
-
-    /// Whether nothing is heard from a failure domain.
-    pub fn is_silent(&self, domain: &str) -> bool {
-        self.told_silent.contains(domain)
-    }
-
-    /// What a host of this domain last reported, and when that came.
-    pub fn report(&self, name: &str) -> Option<(&Report, Duration)> {
-        self.reports.get(name).map(|(report, at)| (report, *at))
-    }
-
-    /// The last digest of another domain, and when it came.
-    pub fn digest(&self, domain: &str) -> Option<(&Digest, Duration)> {
-        self.digests.get(domain).map(|(digest, at)| (digest, *at))
-    }
-
-    /// Requests and targets in quarantine, with the time they have left.
-    pub fn quarantines(&self, now: Duration) -> Vec<Quarantine> {
-        self.words.quarantines(now)
-    }
-
     /// Sets what this host reports to its domain; sent with the next round where it changed. The
     /// revision in it is that of [`Membership::set_revision`].
     pub fn set_facts(&mut self, facts: Facts) {
@@ -324,31 +249,6 @@
         self.revision = revision;
     }
 
-    /// The lowest revision in force on any live host of any domain that is heard, for an operator
-    /// who waits for an apply; `None` while some domain has not been heard of.
-    ///
-    /// It lags behind by up to the time between two rounds of digests, and never runs ahead of a
-    /// host that is known to serve.
-    pub fn lowest(&self) -> Option<u64> {
-        let inside = self.revisions().min().unwrap_or(self.revision);
-        let others = self
-            .domains
-            .keys()
-            .filter(|domain| **domain != self.me.domain);
-        let heard = others.filter(|domain| !self.told_silent.contains(*domain));
-        heard
-            .map(|domain| self.digests.get(domain).map(|(digest, _)| digest.lowest))
-            .try_fold(inside, |least, lowest| Some(least.min(lowest?)))
-    }
-
-    /// Revisions in force on the serving hosts of this domain; 0 for one that has not said.
-    fn revisions(&self) -> impl Iterator<Item = u64> {
-        let serving = |name: &&Arc<str>| self.state_of(name) == HostState::Serving;
-        let near = self.topology.near.iter().filter(serving);
-        near.filter_map(|name| Some(self.table.hosts.get(name)?.revision))
-            .chain([self.revision])
-    }
-
     /// Takes the platform's list.
     pub fn listing(&mut self, now: Duration, listing: &Listing) -> Vec<Action> {
         let mut out = Vec::new();
--- a/crates/coord/src/root/apply.rs
+++ b/crates/coord/src/root/apply.rs
@@ -12,7 +12,6 @@
     intent::{Fault, Intent, Pace},
     record::{self, next, rolls},
     store::{Answer, Ask, Asked, Stored, Version},
-    trace::{Trace, after},
     verdict::Verdict,
 };
 use crate::{
@@ -22,7 +21,7 @@
 
 /// The root that the apply is based on, and what has been done on that ground.
 #[derive(Clone, Debug, PartialEq)]
-struct Base {
+pub(super) struct Base {
     root: Option<Root>,
     /// Version that the move expects.
     version: Option<Version>,
@@ -43,11 +42,11 @@
 }
 
 impl Base {
-    fn revision(&self) -> u64 {
+    pub(super) fn revision(&self) -> u64 {
         self.root.as_ref().map_or(0, |root| root.now.revision)
     }
 
-    fn tree(&self) -> Option<Hash> {
+    pub(super) fn tree(&self) -> Option<Hash> {
         Hash::read(&self.root.as_ref()?.now.tree)
     }
 }
@@ -60,17 +59,17 @@
 /// revision after the base is this apply's, or it never will be.
 #[derive(Clone, Debug)]
 pub struct Apply {
-    intent: Intent,
+    pub(super) intent: Intent,
     split: Split,
     pace: Pace,
     fault: Fault,
-    base: Option<Base>,
+    pub(super) base: Option<Base>,
     /// Root as last read; `None` while a read is due. `Some` with no value: there is no root.
     seen: Option<Option<(Root, Version)>>,
     /// Pieces of the base and of what is in force, read so far.
-    have: Pieces,
+    pub(super) have: Pieces,
     /// Pieces that the store does not have.
-    gone: Vec<Hash>,
+    pub(super) gone: Vec<Hash>,
     pending: BTreeMap<u64, Ask>,
     /// Number of the next operation.
     number: u64,
@@ -79,7 +78,7 @@
     moved: bool,
     /// No operation is begun before this time.
     wait: Duration,
-    verdict: Option<Verdict>,
+    pub(super) verdict: Option<Verdict>,
 }
 
 impl Apply {
@@ -388,64 +387,14 @@
         }
     }
 
-    fn any_gone(&self, hashes: &BTreeSet<Hash>) -> bool {
+    pub(super) fn any_gone(&self, hashes: &BTreeSet<Hash>) -> bool {
         hashes.iter().any(|hash| self.gone.contains(hash))
     }
 
-    fn compare(&self, old: Option<Hash>, new: Hash) -> Result<Diff, TreeError> {
+    pub(super) fn compare(&self, old: Option<Hash>, new: Hash) -> Result<Diff, TreeError> {
         let get = |hash: &Hash| self.have.get(hash).or(self.split.pieces.get(hash)).cloned();
         diff(old, new, &get)
     }
-
-    /// The root moved on from `base`: was it this apply?
-    fn settle(&mut self, root: &Root, base: u64) -> Vec<Ask> {
-        let (mut by, ground) = match after(root, base, &self.have, &self.gone) {
-            Trace::Whole { later, ground } => (later, ground),
-            Trace::Needs(hash) => return vec![Ask::Piece(hash)],
-            Trace::Ended => {
-                let revision = root.now.revision;
-                self.verdict = Some(Verdict::Forgotten { base, revision });
-                return Vec::new();
-            }
-        };
-        if by.last().is_some_and(|entry| entry.id == self.intent.id) {
-            by.pop();
-            let revision = base + 1;
-            self.verdict = Some(Verdict::InForce {
-                revision,
-                later: by,
-            });
-            return Vec::new();
-        }
-        let tree = ground.and_then(|entry| Hash::read(&entry.tree));
-        self.explain(root, base, tree, by)
-    }
-
-    /// Names what the others changed, then ends.
-    fn explain(
-        &mut self,
-        root: &Root,
-        base: u64,
-        ground: Option<Hash>,
-        by: Vec<Entry>,
-    ) -> Vec<Ask> {
-        let known = self.base.as_ref();
-        let known = known.filter(|known| known.revision() == base);
-        let old = known.and_then(Base::tree).or(ground);
-        let changed = match (old, Hash::read(&root.now.tree)) {
-            (None, _) if base > 0 => None,
-            (_, None) => None,
-            (old, Some(new)) => match self.compare(old, new) {
-                Ok(diff) => Some(diff.changed.into_keys().collect()),
-                Err(TreeError::Missing(missing)) if !self.any_gone(&missing) => {
-                    return missing.into_iter().map(Ask::Piece).collect();
-                }
-                Err(_) => None,
-            },
-        };
-        self.verdict = Some(Verdict::Overtaken { base, by, changed });
-        Vec::new()
-    }
 }
 
 fn writes(pieces: &Pieces, most: usize) -> Vec<Ask> {
--- a/crates/coord/src/root/mod.rs
+++ b/crates/coord/src/root/mod.rs
@@ -33,6 +33,7 @@
 mod apply;
 mod intent;
 mod record;
+mod settle;
 mod store;
 mod sweep;
 mod trace;
