--- /dev/null
+++ b/crates/admit/src/direct/mod.rs
@@ -0,0 +1,17 @@
+//! Decisions of a host that sends straight to targets whose slots nobody owns.
+//!
+//! Each of them keeps a bound that holds for all hosts together. A host keeps its part of it alone,
+//! so that no request waits for a message between hosts: a part is smaller than what a shared
+//! counter could allow, and never adds up to more.
+
+mod budget;
+mod cold;
+mod forecast;
+mod set_aside;
+
+pub use self::{
+    budget::{BudgetRules, SharedBudget},
+    cold::{ColdRate, ColdRules},
+    forecast::Forecast,
+    set_aside::{Evidence, SetAside},
+};
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -56,6 +56,7 @@
 
 pub mod baseline;
 mod choose;
+pub mod direct;
 pub mod drive;
 mod fair;
 mod pool;
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -1,5 +1,6 @@
 //! The command line. Each flag is defined in one place, with its short and long help.
 
+mod edge;
 mod fake;
 mod load;
 mod operate;
@@ -7,6 +8,7 @@
 
 use bpaf::{Bpaf, OptionParser};
 
+pub use edge::Edge;
 pub use fake::{Fake, FakeServe, FakeTargets};
 pub use load::{Demo, Load, Plot};
 pub use operate::{Apply, Check, Dump, History, Hosts, HostsFrom, Plan, Show, Store};
@@ -41,6 +43,12 @@
     /// finishes what it runs, and ends. A second signal ends it at once.
     #[bpaf(command)]
     Serve(#[bpaf(external(serve::serve))] Serve),
+    /// Run one entry host on the users' platform
+    ///
+    /// Sends straight to the targets that the platform's store announces. SIGTERM or SIGINT begins
+    /// a planned stop, SIGHUP reads the settings again.
+    #[bpaf(command)]
+    Edge(#[bpaf(external(edge::edge))] Edge),
     /// Check a directory of configuration files
     #[bpaf(command)]
     Check(#[bpaf(external(operate::check))] Check),
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod dump;
+mod edge;
 mod fake;
 mod history;
 mod hosts;
@@ -16,6 +17,7 @@
 pub(crate) use apply::apply;
 pub(crate) use check::{check, read, sizes};
 pub(crate) use dump::dump;
+pub(crate) use edge::edge;
 pub(crate) use fake::fake;
 pub(crate) use history::history;
 pub(crate) use hosts::hosts;
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs/mod.rs
@@ -1,5 +1,7 @@
 //! Log records to the console.
 
+mod lines;
+
 use anyhow::Context;
 use dunlinrock_schema::settings::{LogSettings, LogSettingsFormat, LogSettingsLevel};
 use log::{
@@ -37,6 +39,17 @@
     Ok(())
 }
 
+/// Sends records as structured lines to the standard output, without ever waiting for its reader.
+pub(crate) fn open_lines() -> anyhow::Result<()> {
+    let lines = Box::new(lines::Lines::spawn()?);
+    let config = Config::builder()
+        .appender(Appender::builder().build(CONSOLE, lines))
+        .build(Root::builder().appender(CONSOLE).build(LevelFilter::Info))
+        .context("the log's configuration")?;
+    log4rs::init_config(config).context("starting the log")?;
+    Ok(())
+}
+
 fn level(level: LogSettingsLevel) -> LevelFilter {
     match level {
         LogSettingsLevel::Error => LevelFilter::Error,
--- /dev/null
+++ b/crates/edge/src/control/announce.rs
@@ -0,0 +1,76 @@
+//! Keeps this host announced under a lease, for as long as it takes callers.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    host::{Phase, Shared},
+    model::{FeedError, HostEntry, Ticket},
+};
+
+/// Time that the announcement outlives its last renewal: a host that dies is named by look-ups for
+/// this long at most.
+const LEASE: Duration = Duration::from_secs(4);
+
+/// Time between renewals; two may fail before the lease ends.
+const RENEWAL: Duration = Duration::from_millis(1300);
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Announces this host, renews, and withdraws it when it is asked to stop.
+pub(super) async fn announce(shared: Arc<Shared>) {
+    let mut phase = shared.phase.subscribe();
+    let mut ticket = None;
+    loop {
+        tokio::select! {
+            () = keep(&shared, &mut ticket) => {}
+            // The sender is in `shared`.
+            _ = phase.wait_for(|phase| *phase > Phase::Serving) => break,
+        }
+    }
+    if let Some(ticket) = ticket
+        && let Err(e) = (shared.feed.withdraw)(ticket).await
+    {
+        log::warn!(target: "store", event = "withdraw_failed", error:% = e; "others learn by the lease's end");
+    }
+}
+
+/// One call, and the pause after it.
+async fn keep(shared: &Shared, ticket: &mut Option<Ticket>) {
+    let result = match *ticket {
+        None => announced(shared).await.map(|t| *ticket = Some(t)),
+        Some(held) => (shared.feed.renew)(held).await,
+    };
+    match result {
+        Ok(()) => tokio::time::sleep(RENEWAL).await,
+        Err(FeedError::Ended) => {
+            log::warn!(target: "store", event = "lease_ended"; "announced anew");
+            *ticket = None;
+        }
+        Err(e) => {
+            log::debug!(target: "store", error:% = e; "the announcement failed");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn announced(shared: &Shared) -> Result<Ticket, FeedError> {
+    let distance = distance(shared).await?;
+    let me = Arc::new(shared.introduce(distance));
+    (shared.feed.announce)((me, LEASE)).await
+}
+
+/// Measures the way to the store in steps of [`HostEntry::STEP`], by renewing a lease that is not
+/// there, once to open a connection and once on it.
+async fn distance(shared: &Shared) -> Result<u32, FeedError> {
+    let mut time = Duration::ZERO;
+    for _ in 0..2 {
+        let start = shared.now();
+        match (shared.feed.renew)(Ticket(0)).await {
+            Ok(()) | Err(FeedError::Ended) => time = shared.now() - start,
+            Err(e) => return Err(e),
+        }
+    }
+    let steps = time.as_millis() / HostEntry::STEP.as_millis();
+    Ok(u32::try_from(steps).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/edge/src/control/changes.rs
@@ -0,0 +1,149 @@
+//! Changes that a host passes on to those that follow it, and its dump.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use dunlinrock_node::wire::{Client, Failure};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use viz::{IntoResponse, Request, RequestExt, Response, Router};
+
+use crate::{host::Shared, model::Item};
+
+/// Path on which changes are asked for.
+const PATH: &str = "/peer/v1/changes";
+
+/// Path of the dump.
+const DUMP: &str = "/peer/v1/dump";
+
+/// Largest answer, in bytes: all items of a large deployment.
+pub(super) const ANSWER_BYTES: usize = 16 << 20;
+
+/// How long an answer is held back while nothing changes. Each answer also says that the host lives
+/// and how fresh its word is.
+const HOLD: Duration = Duration::from_millis(600);
+
+/// Time an asking host waits beyond that: a round trip between regions and a busy processor.
+const SLACK: Duration = Duration::from_millis(500);
+
+/// What a follower knows.
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct Asked {
+    /// The process whose numbers these are; 0 for none.
+    pub(super) process: u64,
+    /// Last change that is known.
+    pub(super) number: u64,
+}
+
+/// What changed since.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct Told {
+    /// Process that answers; its numbers mean nothing to another.
+    pub(super) process: u64,
+    /// Last change that is contained.
+    pub(super) number: u64,
+    /// Time since the store confirmed this.
+    pub(super) age: Duration,
+    /// Items that changed.
+    pub(super) items: Vec<Item>,
+}
+
+/// Why a host's answer is of no use.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum AskError {
+    #[error(transparent)]
+    Call(#[from] Failure),
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("unreadable: {0}")]
+    Unreadable(#[from] rmp_serde::decode::Error),
+    #[error("cannot be encoded: {0}")]
+    Unsent(#[from] rmp_serde::encode::Error),
+}
+
+/// Asks a host for changes.
+pub(super) async fn ask(
+    client: &Client,
+    address: SocketAddr,
+    asked: &Asked,
+) -> Result<Told, AskError> {
+    let body = rmp_serde::to_vec_named(asked)?;
+    let answer = client.post(address, PATH, body, HOLD + SLACK).await?;
+    if answer.status != StatusCode::OK {
+        return Err(AskError::Status(answer.status));
+    }
+    Ok(rmp_serde::from_slice(&answer.body)?)
+}
+
+/// Serves other hosts.
+pub(super) fn router(shared: &Arc<Shared>) -> Router {
+    let process = rand::random::<u64>().max(1);
+    let (changes, dump) = (Arc::clone(shared), Arc::clone(shared));
+    Router::new()
+        .post(PATH, move |request: Request| {
+            let shared = Arc::clone(&changes);
+            async move { Ok(answer(&shared, process, request).await) }
+        })
+        .get(DUMP, move |_: Request| {
+            let shared = Arc::clone(&dump);
+            async move { Ok(state(&shared)) }
+        })
+}
+
+async fn answer(shared: &Shared, process: u64, mut request: Request) -> Response {
+    let body = match request.bytes().await {
+        Ok(body) => body,
+        Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
+    };
+    let asked: Asked = match rmp_serde::from_slice(&body) {
+        Ok(asked) => asked,
+        Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
+    };
+    let told = tell(shared, process, asked).await;
+    match rmp_serde::to_vec_named(&told) {
+        Ok(bytes) => bytes.into_response(),
+        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
+    }
+}
+
+async fn tell(shared: &Shared, process: u64, asked: Asked) -> Told {
+    let follows = asked.process == process;
+    if follows {
+        let mut changed = shared.changed.subscribe();
+        let newer = changed.wait_for(|number| *number > asked.number);
+        // An answer without changes is as good: it says that there are none.
+        let _ = tokio::time::timeout(HOLD, newer).await;
+    }
+    let (world, now) = (shared.world(), shared.now());
+    let items = follows.then(|| world.since(asked.number, now)).flatten();
+    Told {
+        process,
+        number: world.last(),
+        age: shared.age(),
+        items: items.unwrap_or_else(|| world.all(now)),
+    }
+}
+
+fn state(shared: &Shared) -> Response {
+    let view = shared.view.load();
+    let targets = view.services.iter().map(|(name, list)| {
+        let list = list
+            .iter()
+            .map(|k| json!({"id": k.target.id, "address": k.target.address, "region": k.region}));
+        (name.to_string(), list.collect())
+    });
+    let targets: serde_json::Map<String, serde_json::Value> = targets.collect();
+    let text = json!({
+        "name": shared.settings.name,
+        "ready": shared.is_ready(),
+        "version": view.config.as_ref().map(|c| c.version),
+        "change": view.number,
+        "age_ms": u64::try_from(shared.age().as_millis()).unwrap_or(u64::MAX),
+        "evacuated": view.evacuated,
+        "hosts": view.hosts.keys().collect::<Vec<_>>(),
+        "targets": targets,
+    });
+    text.to_string().into_response()
+}
--- /dev/null
+++ b/crates/edge/src/control/follow.rs
@@ -0,0 +1,220 @@
+//! Keeps what this host believes up to date: from a reader, or from the store itself.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use dunlinrock_node::wire::Client;
+
+use super::{
+    changes::{ANSWER_BYTES, Asked, Told, ask},
+    readers::readers,
+};
+use crate::{
+    host::Shared,
+    model::{FeedError, HostEntry, Item},
+};
+
+/// Longest wait for changes at the store. Targets send a heartbeat every second or two, so that an
+/// answer without any change is rare and a silent connection is noticed soon.
+const WAIT: Duration = Duration::from_millis(1200);
+
+/// Pause of a reader between two calls to the store. Changes of half a second come in one answer,
+/// which costs one call instead of ten.
+const READER_PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause of a host that reads for itself while no reader answers.
+const LONE_PAUSE: Duration = Duration::from_millis(700);
+
+/// Pause after a failed call, doubled with each up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed calls: a store that is back is noticed within it.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Age above which a reader's word is not enough, and the store is asked. It leaves a target's
+/// drain time, 2.5 s or more, room for the way through two hosts.
+const STALE: Duration = Duration::from_millis(1500);
+
+/// How long a target or host whose entry vanished while the store was away is still believed in:
+/// entries that lapsed meanwhile are back within two seconds of the store's return.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// State of the follower.
+struct Follower {
+    shared: Arc<Shared>,
+    client: Client,
+    /// Revision of the store that is contained in what is believed, if it was read.
+    at: Option<u64>,
+    /// Process and number up to which each reader's changes are known.
+    known: std::collections::BTreeMap<SocketAddr, (u64, u64)>,
+    /// Whether the store answered the last call.
+    reached: bool,
+    pause: Duration,
+    /// Until when vanished entries are kept.
+    keep: Duration,
+    /// Entries that vanished and are kept.
+    vanished: Vec<Item>,
+}
+
+/// Follows for as long as the host lives.
+pub(super) async fn follow(shared: Arc<Shared>) {
+    let peers = shared.settings.listen.peers;
+    let mut follower = Follower {
+        client: Client::open_from(Some(peers.ip()), ANSWER_BYTES),
+        shared,
+        at: None,
+        known: std::collections::BTreeMap::new(),
+        reached: true,
+        pause: FIRST_PAUSE,
+        keep: Duration::ZERO,
+        vanished: Vec::new(),
+    };
+    loop {
+        follower.step().await;
+    }
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        self.settle();
+        let me = Arc::clone(&self.shared.settings.name);
+        let readers = readers(&self.shared.view.load().hosts);
+        let is_reader = readers.iter().any(|r| r.name == me);
+        // A reader that the store does not serve follows the other one, and goes on trying.
+        if !is_reader || !self.reached {
+            let followed = self.ask_any(&readers).await;
+            if followed && !is_reader {
+                // From here on the store's own history is not followed.
+                self.at = None;
+                return;
+            }
+        }
+        let result = match self.at {
+            None => self.read().await,
+            Some(at) => self.wait(at).await,
+        };
+        match result {
+            Ok(()) => {
+                let pause = if is_reader { READER_PAUSE } else { LONE_PAUSE };
+                tokio::time::sleep(pause).await;
+            }
+            Err(e) => self.failed(&e).await,
+        }
+    }
+
+    /// Asks hosts in turn until one has fresh word.
+    async fn ask_any(&mut self, hosts: &[Arc<HostEntry>]) -> bool {
+        for host in hosts {
+            if self.ask_host(host.peers).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn read(&mut self) -> Result<(), FeedError> {
+        let snapshot = (self.shared.feed.read)(()).await?;
+        self.back();
+        self.at = Some(snapshot.at);
+        if self.shared.now() < self.keep {
+            // What is not named may only have lapsed; it is compared again when the time is over.
+            self.shared.take(snapshot.items);
+            self.at = None;
+            tokio::time::sleep(READER_PAUSE).await;
+        } else {
+            self.shared.replace(snapshot.at, snapshot.items);
+        }
+        self.shared.confirm(Duration::ZERO);
+        Ok(())
+    }
+
+    async fn wait(&mut self, at: u64) -> Result<(), FeedError> {
+        let batch = (self.shared.feed.wait)((at, WAIT)).await?;
+        self.back();
+        self.at = Some(batch.at);
+        let (items, vanished) = self.sift(batch.items);
+        self.shared.take(items);
+        self.vanished.extend(vanished);
+        self.shared.confirm(Duration::ZERO);
+        Ok(())
+    }
+
+    /// Parts entries that vanished just after the store's return from what is taken at once.
+    fn sift(&self, items: Vec<Item>) -> (Vec<Item>, Vec<Item>) {
+        if self.shared.now() >= self.keep {
+            return (items, Vec::new());
+        }
+        items.into_iter().partition(|item| item.entry.is_some())
+    }
+
+    /// Entries that vanished and did not return in time are gone.
+    fn settle(&mut self) {
+        if self.shared.now() >= self.keep && !self.vanished.is_empty() {
+            let vanished = std::mem::take(&mut self.vanished);
+            // An entry that is back has a later revision, which keeps it.
+            self.shared.take(vanished);
+        }
+    }
+
+    async fn failed(&mut self, error: &FeedError) {
+        match error {
+            FeedError::Dropped => {
+                log::info!(target: "store", event = "history_dropped"; "read anew");
+                self.at = None;
+            }
+            _ => {
+                if std::mem::replace(&mut self.reached, false) {
+                    log::warn!(target: "store", event = "lost", error:% = error; "the store is lost");
+                }
+                for seed in self.shared.settings.seeds.clone() {
+                    if self.shared.view.load().config.is_none() && self.ask_host(seed).await {
+                        break;
+                    }
+                }
+                tokio::time::sleep(self.pause).await;
+                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+
+    /// The store answered.
+    fn back(&mut self) {
+        self.pause = FIRST_PAUSE;
+        if !std::mem::replace(&mut self.reached, true) {
+            self.keep = self.shared.now() + RETURN_TIME;
+            log::info!(target: "store", event = "regained", age_ms = millis(self.shared.age()); "the store is back");
+        }
+    }
+
+    /// Asks another host for changes; tells whether its word is fresh enough to follow it.
+    async fn ask_host(&mut self, address: SocketAddr) -> bool {
+        if address == self.shared.settings.listen.peers {
+            return false;
+        }
+        let known = self.known.get(&address).copied().unwrap_or_default();
+        let asked = Asked {
+            process: known.0,
+            number: known.1,
+        };
+        let told = match ask(&self.client, address, &asked).await {
+            Ok(told) => told,
+            Err(e) => {
+                log::debug!(target: "peers", host:% = address, error:% = e; "a reader does not answer");
+                return false;
+            }
+        };
+        let Told {
+            process,
+            number,
+            age,
+            items,
+        } = told;
+        self.known.insert(address, (process, number));
+        self.shared.take(items);
+        self.shared.confirm(age);
+        age < STALE
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/edge/src/control/mod.rs
@@ -0,0 +1,86 @@
+//! The control duty: follows the store, announces this host, serves other hosts and look-ups.
+
+mod announce;
+mod changes;
+mod follow;
+mod readers;
+
+use std::{net::TcpListener, sync::Arc, thread::JoinHandle, time::Duration};
+
+use dunlinrock_node::serve::{Limits, serve};
+use tokio::{runtime::Builder, sync::watch};
+use viz::{Router, Tree};
+
+pub use self::readers::{READERS, readers};
+use crate::{
+    host::{Phase, Shared},
+    lookup, meters,
+};
+
+/// Connections served at once on each of these addresses: callers ask a look-up every few seconds
+/// and keep no connection for it.
+const CONNECTIONS: usize = 512;
+
+/// Largest head, in bytes.
+const HEADER_BYTES: usize = 16 << 10;
+
+/// Time a head may take.
+const HEADER_TIME: Duration = Duration::from_secs(10);
+
+/// Bound listeners of the duty.
+#[derive(Debug)]
+pub struct Listeners {
+    /// Look-ups.
+    pub lookup: TcpListener,
+    /// Other hosts.
+    pub peers: TcpListener,
+    /// Readiness.
+    pub ready: Option<TcpListener>,
+    /// Metrics.
+    pub metrics: Option<TcpListener>,
+}
+
+/// Spawns the duty; it ends in the phase [`Phase::Ended`].
+pub fn spawn(shared: Arc<Shared>, listeners: Listeners) -> anyhow::Result<JoinHandle<()>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let thread = std::thread::Builder::new().name("control".to_owned());
+    Ok(thread.spawn(move || runtime.block_on(run(shared, listeners)))?)
+}
+
+async fn run(shared: Arc<Shared>, listeners: Listeners) {
+    let (stop, stopped) = watch::channel(false);
+    let open = |listener: TcpListener, router: Router| {
+        tokio::spawn(listen(listener, router, stopped.clone()));
+    };
+    open(listeners.lookup, lookup::router(&shared));
+    open(listeners.peers, changes::router(&shared));
+    if let Some(listener) = listeners.ready {
+        open(listener, lookup::readiness(&shared));
+    }
+    if let Some(listener) = listeners.metrics {
+        open(listener, meters::router(&shared));
+    }
+    tokio::spawn(follow::follow(Arc::clone(&shared)));
+    let announcer = tokio::spawn(announce::announce(Arc::clone(&shared)));
+    let mut phase = shared.phase.subscribe();
+    // The sender is in `shared`, which this duty holds.
+    let _ = phase.wait_for(|phase| *phase == Phase::Ended).await;
+    announcer.abort();
+    stop.send_replace(true);
+}
+
+async fn listen(listener: TcpListener, router: Router, stop: watch::Receiver<bool>) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => {
+            log::error!(target: "host", error:% = e; "a listener cannot be used");
+            return;
+        }
+    };
+    let limits = Limits {
+        connections: CONNECTIONS,
+        header_bytes: HEADER_BYTES,
+        header_time: HEADER_TIME,
+    };
+    let Ok(()) = serve(listener, Arc::new(Tree::from(router)), limits, stop).await;
+}
--- /dev/null
+++ b/crates/edge/src/front/mod.rs
@@ -0,0 +1,191 @@
+//! The callers' duty: accepts connections and runs requests at targets.
+
+mod lanes;
+mod link;
+mod place;
+mod request;
+mod say;
+mod wire;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use dunlinrock_decide::admit::direct::{Forecast, SharedBudget};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpStream, runtime::Builder, task::LocalSet, time::Instant};
+
+use self::{lanes::Lanes, say::Say, wire::Wire};
+use crate::{
+    host::{Phase, Shared},
+    model::Limits,
+};
+
+/// Limits on callers before a configuration is known.
+const LIMITS: Limits = Limits {
+    head: 16 << 10,
+    body: 1 << 20,
+    idle: Duration::from_secs(15),
+};
+
+/// Smallest buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8 << 10;
+
+/// Connections of callers served at once: below a host's 4,100 descriptors, with room for those to
+/// targets.
+const CONNECTIONS: u32 = 3000;
+
+/// Pause after a failed accept: out of descriptors it fails at once and again.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long after the request to stop callers are served as before. Look-ups that name this host
+/// have mostly expired by then; earlier, callers would come straight back.
+const FAREWELL: Duration = Duration::from_millis(1000);
+
+/// Part of the grace after which no new request is taken. What was taken has the other half to end.
+const TAKE_PART: f64 = 0.5;
+
+/// Part of the grace after which the process ends whatever still runs.
+const END_PART: f64 = 0.95;
+
+/// Pause between two looks whether the last request has ended.
+const END_PAUSE: Duration = Duration::from_millis(20);
+
+/// State of the duty; one thread uses it.
+#[derive(Debug)]
+struct Front {
+    shared: Arc<Shared>,
+    lanes: Lanes,
+    budgets: RefCell<BTreeMap<Arc<str>, SharedBudget>>,
+    forecasts: RefCell<BTreeMap<Arc<str>, Forecast>>,
+    say: Say,
+    /// Requests being served.
+    running: Cell<u32>,
+    /// Open connections.
+    open: Cell<u32>,
+    /// When the host was asked to stop.
+    leaving: Cell<Option<Instant>>,
+}
+
+/// Spawns the duty; it ends once a planned stop is over.
+pub(crate) fn spawn(shared: Arc<Shared>, listener: TcpListener) -> anyhow::Result<JoinHandle<()>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let thread = std::thread::Builder::new().name("callers".to_owned());
+    let run = move || LocalSet::new().block_on(&runtime, run(shared, listener));
+    Ok(thread.spawn(run)?)
+}
+
+async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => {
+            log::error!(target: "host", error:% = e; "the callers' listener cannot be used");
+            return;
+        }
+    };
+    let front = Rc::new(Front {
+        shared,
+        lanes: Lanes::default(),
+        budgets: RefCell::default(),
+        forecasts: RefCell::default(),
+        say: Say::open(),
+        running: Cell::new(0),
+        open: Cell::new(0),
+        leaving: Cell::new(None),
+    });
+    let mut phase = front.shared.phase.subscribe();
+    tokio::select! {
+        () = accept(&front, &listener) => {}
+        // The sender is in `shared`.
+        _ = phase.wait_for(|phase| *phase > Phase::Serving) => {}
+    }
+    front.leaving.set(Some(Instant::now()));
+    tokio::select! {
+        () = accept(&front, &listener) => {}
+        () = ended(&front) => {}
+    }
+}
+
+/// Waits until a planned stop is over: no new request is taken and the last one has ended, or the
+/// grace has.
+async fn ended(front: &Front) {
+    let grace = front.shared.settings.grace;
+    tokio::time::sleep(grace.mul_f64(TAKE_PART)).await;
+    let end = Instant::now() + grace.mul_f64(END_PART - TAKE_PART);
+    while front.running.get() > 0 && Instant::now() < end {
+        tokio::time::sleep(END_PAUSE).await;
+    }
+    // Answers that are ready are still being written.
+    tokio::time::sleep(END_PAUSE * 2).await;
+}
+
+impl Front {
+    /// Whether new requests are turned away, as the host ends soon.
+    fn is_closing(&self) -> bool {
+        let take = self.shared.settings.grace.mul_f64(TAKE_PART);
+        self.leaving
+            .get()
+            .is_some_and(|since| since.elapsed() >= take)
+    }
+
+    /// Whether connections end with the next answer.
+    fn says_farewell(&self) -> bool {
+        self.leaving
+            .get()
+            .is_some_and(|since| since.elapsed() >= FAREWELL)
+    }
+}
+
+async fn accept(front: &Rc<Front>, listener: &tokio::net::TcpListener) {
+    loop {
+        if front.open.get() >= CONNECTIONS {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(Rc::clone(front), stream));
+            }
+            Err(e) => {
+                log::warn!(target: "host", error:% = e; "accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(front: Rc<Front>, stream: TcpStream) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!(target: "host", error:% = e; "a caller's connection cannot be set up");
+        return;
+    }
+    front.open.set(front.open.get() + 1);
+    let limits = front
+        .shared
+        .view
+        .load()
+        .config
+        .as_ref()
+        .map_or(LIMITS, |c| c.limits.clone());
+    let wire = Wire::open(stream);
+    let service = service_fn(|request| request::serve(&front, &wire, request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts the time between two requests as part of the second head.
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.head.max(LEAST_BUFFER))
+        .pipeline_flush(true)
+        .serve_connection(TokioIo::new(wire.clone()), service)
+        .await;
+    front.open.set(front.open.get() - 1);
+    if let Err(e) = served {
+        log::debug!(target: "host", error:% = e; "a caller's connection ended early");
+    }
+}
--- /dev/null
+++ b/crates/edge/src/front/place.rs
@@ -0,0 +1,140 @@
+//! Picks the target of one attempt, from what the host believes and has seen.
+
+use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+
+use dunlinrock_decide::{
+    admit::direct::ColdRules,
+    steer::{
+        affinity::{self, Candidate, Choice},
+        hash::{mix, text, unit},
+    },
+};
+
+use super::{Front, lanes::Lane};
+use crate::{
+    model::{Config, Route},
+    world::{Known, View},
+};
+
+/// Why no target can take a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoPlace {
+    /// None is known in the regions that may run it.
+    Nobody,
+    /// All that are left are cold and have had their share.
+    Cold,
+}
+
+/// A picked target and what decided.
+#[derive(Debug)]
+pub(super) struct Place {
+    pub(super) lane: Rc<Lane>,
+    pub(super) rank: usize,
+    pub(super) busy: u32,
+}
+
+/// Identifies an object on a route: a run on one route does not warm another.
+pub(super) fn object(route: &Route, name: Option<&str>) -> u64 {
+    match name {
+        Some(name) => mix(text(name) ^ mix(text(&route.prefix))),
+        None => rand::random(),
+    }
+}
+
+/// The part of a route that an object belongs to. Objects keep their part while weights stay, and
+/// a change of weights moves only the difference.
+pub(super) fn part(route: &Route, object: u64) -> Option<&Arc<str>> {
+    let total: f64 = route.parts.iter().map(|p| p.weight).sum();
+    let mut point = unit(mix(object)) * total;
+    for part in &route.parts {
+        point -= part.weight;
+        if point < 0.0 {
+            return Some(&part.service);
+        }
+    }
+    route.parts.last().map(|p| &p.service)
+}
+
+impl Front {
+    /// Picks a target of a service for an object; targets in `tried` are left out.
+    pub(super) fn place(
+        &self,
+        view: &View,
+        route: &Route,
+        service: &Arc<str>,
+        object: u64,
+        tried: &BTreeSet<Arc<str>>,
+    ) -> Result<Place, NoPlace> {
+        let now = self.shared.now();
+        let all = view.services.get(service).map_or(&[][..], Vec::as_slice);
+        let known: Vec<_> = all.iter().filter(|k| allows(route, k, tried)).collect();
+        let lanes: Vec<_> = known.iter().map(|k| self.lanes.get(&k.target)).collect();
+        let mut candidates: Vec<_> = known
+            .iter()
+            .zip(&lanes)
+            .map(|(known, lane)| self.candidate(known, lane, now))
+            .collect();
+        let mut held: Vec<usize> = Vec::new();
+        while let Some(Choice { index, rank }) = pick(object, &candidates, &held) {
+            let cold = known[index].cold > now;
+            if cold && !self.admits_cold(view, service, &lanes[index], now) {
+                held.push(index);
+                candidates[index].sound = false;
+                continue;
+            }
+            let busy = candidates[index].busy;
+            lanes[index].aside.borrow_mut().start(now);
+            return Ok(Place {
+                lane: Rc::clone(&lanes[index]),
+                rank,
+                busy,
+            });
+        }
+        Err(if held.is_empty() {
+            NoPlace::Nobody
+        } else {
+            NoPlace::Cold
+        })
+    }
+
+    fn candidate(&self, known: &Known, lane: &Lane, now: Duration) -> Candidate {
+        Candidate {
+            seed: lane.seed,
+            slots: known.target.slots,
+            near: known.region == self.shared.settings.region,
+            busy: lane.busy(now),
+            sound: lane.aside.borrow().is_usable(now),
+        }
+    }
+
+    fn admits_cold(&self, view: &View, service: &Arc<str>, lane: &Lane, now: Duration) -> bool {
+        let rate = view
+            .config
+            .as_ref()
+            .and_then(|c| c.services.get(service))
+            .map(|s| s.rate);
+        let rules = ColdRules {
+            rate: rate.unwrap_or_default(),
+            ..self.shared.settings.cold
+        };
+        lane.cold.borrow_mut().admit(&rules, view.sharers(), now)
+    }
+}
+
+/// Chooses among the candidates that are not held back.
+fn pick(object: u64, candidates: &[Candidate], held: &[usize]) -> Option<Choice> {
+    let choice = affinity::choose(object, candidates, &affinity::Rules::default())?;
+    // With no sound one left the choice may fall on one that is held back.
+    (!held.contains(&choice.index)).then_some(choice)
+}
+
+fn allows(route: &Route, known: &Known, tried: &BTreeSet<Arc<str>>) -> bool {
+    let home = route.homes.is_empty() || route.homes.contains(&known.region);
+    home && !tried.contains(&known.target.id)
+}
+
+/// The route of a request.
+pub(super) fn route<'a>(config: &'a Config, host: &str, path: &str) -> Option<&'a Arc<Route>> {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    config.route(name, path)
+}
--- /dev/null
+++ b/crates/edge/src/front/request.rs
@@ -0,0 +1,442 @@
+//! One request of a caller, from its head to its answer.
+
+use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dunlinrock_decide::admit::direct::Evidence;
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
+};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::{
+    Front, LIMITS,
+    lanes::Lane,
+    link::{Broken, Link, Whole, pass_on, strip},
+    place::{self, NoPlace, Place},
+    wire::Wire,
+};
+use crate::{model::Route, world::View};
+
+/// When a caller is told to come back after a refusal for want of room, at least: a target's slot
+/// frees within this time.
+const LEAST_RETRY: Duration = Duration::from_millis(100);
+
+/// And at most: longer, and callers with short deadlines would not come back at all.
+const MOST_RETRY: Duration = Duration::from_secs(1);
+
+/// When a caller is told to come back while this host cannot serve and another may.
+const OTHER_HOST: Duration = Duration::from_millis(50);
+
+/// Least time that must be left for another run to be of use.
+const LEAST_RUN: Duration = Duration::from_millis(50);
+
+/// The caller closed its connection.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+#[error("the caller has left")]
+pub(super) struct Gone;
+
+/// What is sent to targets.
+#[derive(Debug)]
+struct Work {
+    id: Arc<str>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    /// When the caller stops waiting, or the route's timeout is over.
+    end: Instant,
+}
+
+/// How a request ended, for logs and metrics.
+#[derive(Debug)]
+pub(super) struct End {
+    pub(super) outcome: &'static str,
+    pub(super) cause: String,
+    pub(super) response: Response<Full<Bytes>>,
+}
+
+/// How one attempt ended.
+enum Tried {
+    Answered(Whole),
+    /// It did not run and never will.
+    Unrun(String),
+    /// Nothing was sent.
+    Unsent(String),
+    /// It may have run.
+    Lost(String),
+    /// Its time is over.
+    Late,
+}
+
+/// Counts a request while it is served.
+struct Running<'a>(&'a Front);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+/// Serves one request; an error closes the connection.
+pub(super) async fn serve(
+    front: &Rc<Front>,
+    wire: &Wire,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Gone> {
+    front.running.set(front.running.get() + 1);
+    let _running = Running(front);
+    let start = front.shared.now();
+    let id = front.id_of(request.headers());
+    let answered = tokio::select! {
+        end = front.answer(request) => Ok(end),
+        () = wire.gone() => Err(Gone),
+    };
+    let time = front.shared.now() - start;
+    match answered {
+        Ok(end) => {
+            front.told(&id, &end, time);
+            let mut response = end.response;
+            if front.says_farewell() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok(response)
+        }
+        Err(gone) => {
+            front.left(&id, time);
+            Err(gone)
+        }
+    }
+}
+
+impl Front {
+    fn id_of(&self, headers: &HeaderMap) -> Arc<str> {
+        let id = headers
+            .get(&self.shared.dialect.id)
+            .and_then(|v| v.to_str().ok());
+        id.unwrap_or("-").into()
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> End {
+        let view = self.shared.view.load_full();
+        self.lanes.prune(&view);
+        let Some(config) = &view.config else {
+            return refuse("no configuration is known yet", OTHER_HOST);
+        };
+        if self.is_closing() {
+            return refuse("this host is about to end", Duration::ZERO);
+        }
+        let host = request
+            .headers()
+            .get(header::HOST)
+            .and_then(|v| v.to_str().ok());
+        let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+        let Some(route) = place::route(config, host, request.uri().path()) else {
+            return plain(
+                StatusCode::NOT_FOUND,
+                "no route",
+                format!("{host}{}", request.uri().path()),
+            );
+        };
+        let (head, body) = request.into_parts();
+        let most = view.config.as_ref().map_or(LIMITS.body, |c| c.limits.body);
+        let body = match Limited::new(body, most).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(e) if e.is::<LengthLimitError>() => {
+                return plain(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "body too large",
+                    e.to_string(),
+                );
+            }
+            Err(e) => return plain(StatusCode::BAD_REQUEST, "body unreadable", e.to_string()),
+        };
+        let work = self.work(head, body, route);
+        self.run(&view, route, &work).await
+    }
+
+    fn work(&self, head: Parts, body: Bytes, route: &Route) -> Work {
+        let left = head.headers.get(&self.shared.dialect.left);
+        let left = left.and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
+        let left = left.map_or(route.timeout, Duration::from_millis);
+        let id = self.id_of(&head.headers);
+        let mut headers = head.headers;
+        strip(&mut headers);
+        headers.remove(header::EXPECT);
+        Work {
+            id,
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+            end: Instant::now() + left.min(route.timeout),
+        }
+    }
+
+    /// Sends a request to targets until one answers, or it must be given up.
+    async fn run(&self, view: &Arc<View>, route: &Arc<Route>, work: &Work) -> End {
+        let object = place::object(route, (self.shared.dialect.object)(&work.headers));
+        let Some(service) = place::part(route, object) else {
+            return refuse("the route has no service", MOST_RETRY);
+        };
+        self.first(service);
+        let mut tried = BTreeSet::new();
+        let mut arrived = 0;
+        loop {
+            // What is believed may have changed since the last attempt.
+            let view = if tried.is_empty() {
+                Arc::clone(view)
+            } else {
+                self.shared.view.load_full()
+            };
+            let place = match self.place(&view, route, service, object, &tried) {
+                Ok(place) => place,
+                Err(NoPlace::Nobody) => return refuse("no target is left", MOST_RETRY),
+                Err(NoPlace::Cold) => return refuse("all targets are cold", MOST_RETRY),
+            };
+            if let Some(end) = self.hopeless(route, &place, work) {
+                return end;
+            }
+            if arrived > 0 && !self.second(service, view.sharers()) {
+                place.lane.aside.borrow_mut().withdraw();
+                return refuse("the retry budget is spent", LEAST_RETRY);
+            }
+            let result = self.attempt(route, &place, work).await;
+            tried.insert(Arc::clone(&place.lane.target.id));
+            let cause = match result {
+                Tried::Answered(whole) => return answered(whole),
+                Tried::Late => return late(),
+                Tried::Unsent(cause) => cause,
+                Tried::Unrun(cause) => {
+                    arrived += 1;
+                    cause
+                }
+                Tried::Lost(cause) if !route.repeatable => return lost(cause),
+                Tried::Lost(cause) => {
+                    arrived += 1;
+                    if arrived >= route.attempts || !has_time(work) {
+                        return lost(cause);
+                    }
+                    cause
+                }
+            };
+            self.repeats(&work.id, &cause, arrived);
+            if arrived >= route.attempts || !has_time(work) {
+                return refuse(&format!("given up: {cause}"), LEAST_RETRY);
+            }
+        }
+    }
+
+    /// Refuses at once what could not even start in time.
+    fn hopeless(&self, route: &Route, place: &Place, work: &Work) -> Option<End> {
+        let left = work.end.saturating_duration_since(Instant::now());
+        let slots = place.lane.target.slots;
+        let forecast = self.forecast(&route.name);
+        if forecast.may_start(place.busy, slots, left) {
+            return None;
+        }
+        place.lane.aside.borrow_mut().withdraw();
+        let wait = forecast.wait(place.busy, slots);
+        let cause = format!(
+            "{} has {} for {slots} slots",
+            place.lane.target.id, place.busy
+        );
+        Some(refuse(&cause, wait.clamp(LEAST_RETRY, MOST_RETRY)))
+    }
+
+    /// Sends a request to one target.
+    async fn attempt(&self, route: &Route, place: &Place, work: &Work) -> Tried {
+        let lane = &place.lane;
+        let _visit = lane.enter();
+        self.sends(
+            &work.id,
+            route,
+            place,
+            work.end.saturating_duration_since(Instant::now()),
+        );
+        let start = Instant::now();
+        let exchanged = tokio::time::timeout_at(work.end, self.exchange(lane, work)).await;
+        let time = start.elapsed();
+        let (tried, evidence) = match exchanged {
+            Err(_) => (Tried::Late, None),
+            Ok(Err(Broken::Unsent(cause))) => (Tried::Unsent(cause), Some(Evidence::Down)),
+            Ok(Err(Broken::Sent(cause))) => (Tried::Lost(cause), Some(Evidence::Bad)),
+            Ok(Ok(whole)) => self.judge(lane, work, whole),
+        };
+        if matches!(tried, Tried::Answered(_)) {
+            self.note_time(&route.name, time, place);
+        }
+        self.learn(lane, evidence);
+        tried
+    }
+
+    /// Exchanges on a kept connection, or on a new one.
+    async fn exchange(&self, lane: &Lane, work: &Work) -> Result<Whole, Broken> {
+        loop {
+            let kept = lane.take();
+            let mut link = match kept {
+                Some(link) => link,
+                None => Link::open(lane.target.address).await?,
+            };
+            let was_used = link.is_used();
+            match link.exchange(self.request(lane, work)).await {
+                Ok((whole, reusable)) => {
+                    if reusable && self.is_own(work, &whole) {
+                        lane.keep(link);
+                    }
+                    return Ok(whole);
+                }
+                // The target closed a kept connection before anything was sent.
+                Err(Broken::Unsent(_)) if was_used => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    fn request(&self, lane: &Lane, work: &Work) -> Request<Full<Bytes>> {
+        let dialect = &self.shared.dialect;
+        let mut request = Request::new(Full::new(work.body.clone()));
+        *request.method_mut() = work.method.clone();
+        *request.uri_mut() = work.uri.clone();
+        *request.headers_mut() = work.headers.clone();
+        let left = work
+            .end
+            .saturating_duration_since(Instant::now())
+            .as_millis();
+        let headers = request.headers_mut();
+        if let Ok(left) = HeaderValue::try_from(left.to_string()) {
+            headers.insert(&dialect.left, left);
+        }
+        if let Ok(id) = HeaderValue::try_from(&*lane.target.id) {
+            headers.insert(&dialect.expect, id);
+        }
+        request
+    }
+
+    /// Whether an answer belongs to a request. A target may answer twice, and the second answer
+    /// comes where that of the next request is expected.
+    fn is_own(&self, work: &Work, whole: &Whole) -> bool {
+        let echoed = whole.headers.get(&self.shared.dialect.id);
+        echoed.is_some_and(|id| id.as_bytes() == work.id.as_bytes())
+    }
+
+    /// Tells what an answer is worth, and what it says about the target.
+    fn judge(&self, lane: &Lane, work: &Work, whole: Whole) -> (Tried, Option<Evidence>) {
+        let dialect = &self.shared.dialect;
+        let load = (dialect.load)(&whole.headers);
+        if let Some(load) = load {
+            lane.report(load, self.shared.now());
+        }
+        let status = whole.status;
+        if whole.headers.contains_key(&dialect.unrun) || status == StatusCode::MISDIRECTED_REQUEST {
+            let full = load.is_some_and(|l| l.running + l.waiting >= lane.target.slots);
+            let evidence = match (status, full) {
+                (StatusCode::MISDIRECTED_REQUEST, _) => Evidence::Down,
+                // A target with all slots taken sheds rightly.
+                (_, true) => return (Tried::Unrun(format!("{status}, full")), None),
+                _ => Evidence::Bad,
+            };
+            return (Tried::Unrun(format!("{status}, not run")), Some(evidence));
+        }
+        if !self.is_own(work, &whole) {
+            return (
+                Tried::Lost("an answer to another request".into()),
+                Some(Evidence::Bad),
+            );
+        }
+        let stamped = whole.headers.contains_key(&dialect.stamp);
+        let encoded = whole.headers.contains_key(header::CONTENT_ENCODING);
+        if encoded || (status.is_success() && !stamped) {
+            return (
+                Tried::Lost("not the target's own answer".into()),
+                Some(Evidence::Bad),
+            );
+        }
+        // These would tell the caller that nothing ran, which the target has not said.
+        let promises = [408, 429, 503].contains(&status.as_u16());
+        if promises {
+            return (
+                Tried::Lost(format!("{status} of a run")),
+                Some(Evidence::Bad),
+            );
+        }
+        let evidence = match status.is_server_error() {
+            true => Evidence::Bad,
+            false => Evidence::Good,
+        };
+        (Tried::Answered(whole), Some(evidence))
+    }
+
+    fn learn(&self, lane: &Lane, evidence: Option<Evidence>) {
+        let mut aside = lane.aside.borrow_mut();
+        let Some(evidence) = evidence else {
+            aside.withdraw();
+            return;
+        };
+        if aside.end(evidence, self.shared.now()) {
+            drop(aside);
+            if evidence == Evidence::Down {
+                lane.close();
+            }
+            self.set_aside(lane, evidence);
+        }
+    }
+}
+
+fn has_time(work: &Work) -> bool {
+    work.end.saturating_duration_since(Instant::now()) > LEAST_RUN
+}
+
+fn answered(whole: Whole) -> End {
+    let outcome = match whole.status {
+        status if status.is_success() => "answered",
+        _ => "failed_at_target",
+    };
+    let cause = whole.status.as_u16().to_string();
+    End {
+        outcome,
+        cause,
+        response: pass_on(whole),
+    }
+}
+
+/// An answer of this host's own.
+fn plain(status: StatusCode, outcome: &'static str, cause: String) -> End {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{outcome}\n"))));
+    *response.status_mut() = status;
+    End {
+        outcome,
+        cause,
+        response,
+    }
+}
+
+/// The request has not run and never will; the caller may come back.
+fn refuse(cause: &str, retry: Duration) -> End {
+    let mut end = plain(StatusCode::SERVICE_UNAVAILABLE, "refused", cause.to_owned());
+    let seconds = format!("{:.2}", retry.as_secs_f64());
+    if let Ok(value) = HeaderValue::try_from(seconds) {
+        end.response
+            .headers_mut()
+            .insert(header::RETRY_AFTER, value);
+    }
+    end
+}
+
+/// Nobody knows whether the request ran.
+fn lost(cause: String) -> End {
+    plain(StatusCode::BAD_GATEWAY, "lost", cause)
+}
+
+/// The request was sent and its time is over.
+fn late() -> End {
+    plain(
+        StatusCode::GATEWAY_TIMEOUT,
+        "late",
+        "no answer in time".to_owned(),
+    )
+}
--- /dev/null
+++ b/crates/edge/src/host/mod.rs
@@ -0,0 +1,113 @@
+//! One edge host, running.
+
+mod shared;
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread::JoinHandle,
+};
+
+use anyhow::Context;
+use socket2::{Domain, Protocol, Socket, Type};
+
+pub use self::shared::{Phase, Shared};
+use crate::{
+    control, front,
+    model::{Dialect, Feed},
+    settings::Settings,
+};
+
+/// Connections that may wait to be accepted: a burst of callers opens some hundred at once, and one
+/// that finds the queue full is only tried again after a second.
+const BACKLOG: i32 = 1024;
+
+/// A running host.
+#[derive(Debug)]
+pub struct Host {
+    shared: Arc<Shared>,
+    control: JoinHandle<()>,
+    front: JoinHandle<()>,
+}
+
+impl Host {
+    /// Binds the host's addresses and spawns its duties.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound or a thread does not start.
+    pub fn spawn(settings: Settings, feed: Feed, dialect: Dialect) -> anyhow::Result<Host> {
+        let listeners = control::Listeners {
+            lookup: bind("lookup", settings.listen.lookup)?,
+            peers: bind("peers", settings.listen.peers)?,
+            ready: settings
+                .listen
+                .ready
+                .map(|a| bind("ready", a))
+                .transpose()?,
+            metrics: settings
+                .listen
+                .metrics
+                .map(|a| bind("metrics", a))
+                .transpose()?,
+        };
+        let callers = bind("callers", settings.listen.callers)?;
+        let shared = Shared::open(settings, feed, dialect);
+        let front = front::spawn(Arc::clone(&shared), callers)?;
+        let control = control::spawn(Arc::clone(&shared), listeners)?;
+        let (name, domain) = (&*shared.settings.name, &*shared.settings.domain);
+        log::info!(target: "host", event = "start", host = name, domain = domain, callers:% = shared.settings.listen.callers; "host started");
+        Ok(Host {
+            shared,
+            control,
+            front,
+        })
+    }
+
+    /// What the duties share, for programs that embed the host.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Begins a planned stop.
+    pub fn leave(&self) {
+        log::info!(target: "host", event = "stop", host = &*self.shared.settings.name; "planned stop begins");
+        self.shared.enter(Phase::Leaving);
+    }
+
+    /// Waits for the end of a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// When a duty has died.
+    pub fn wait(self) -> anyhow::Result<()> {
+        self.front
+            .join()
+            .map_err(|_| anyhow::anyhow!("the callers' duty died"))?;
+        self.shared.enter(Phase::Ended);
+        self.control
+            .join()
+            .map_err(|_| anyhow::anyhow!("the control duty died"))?;
+        log::info!(target: "host", event = "stopped", host = &*self.shared.settings.name; "host stopped");
+        Ok(())
+    }
+}
+
+fn bind(duty: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let open = || -> std::io::Result<TcpListener> {
+        let socket = Socket::new(
+            Domain::for_address(address),
+            Type::STREAM,
+            Some(Protocol::TCP),
+        )?;
+        // A host that starts again must not wait for its old connections to be forgotten.
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.into())
+    };
+    open().with_context(|| {
+        format!("cannot listen for {duty} on {address}; is another process using the port?")
+    })
+}
--- /dev/null
+++ b/crates/edge/src/host/shared.rs
@@ -0,0 +1,168 @@
+//! What the duties of a host share.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use dunlinrock_node::clock::Clock;
+use tokio::sync::watch;
+
+use crate::{
+    meters::Meters,
+    model::{Dialect, Feed, HostEntry, Item},
+    settings::Settings,
+    world::{View, World},
+};
+
+/// How far the host is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It was asked to stop.
+    Leaving,
+    /// Callers are no longer served.
+    Ended,
+}
+
+/// What the duties share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Checked settings.
+    pub settings: Settings,
+    /// The platform's store.
+    pub feed: Feed,
+    /// The platform's names.
+    pub dialect: Dialect,
+    /// Time since the start.
+    pub clock: Clock,
+    /// What requests are served by.
+    pub view: ArcSwap<View>,
+    /// Number of the last change.
+    pub changed: watch::Sender<u64>,
+    /// Phase of the host.
+    pub phase: watch::Sender<Phase>,
+    /// Counters and histograms.
+    pub meters: Meters,
+    world: Mutex<World>,
+    /// Until when targets of domains that were evacuated are taken for cold.
+    warmed: Mutex<BTreeMap<Arc<str>, Duration>>,
+    /// When the store last confirmed what this host believes, in milliseconds; 0 for never.
+    fresh: AtomicU64,
+}
+
+impl Shared {
+    pub(super) fn open(settings: Settings, feed: Feed, dialect: Dialect) -> Arc<Shared> {
+        Arc::new(Shared {
+            settings,
+            feed,
+            dialect,
+            clock: Clock::open(),
+            view: ArcSwap::from_pointee(View::default()),
+            changed: watch::channel(0).0,
+            phase: watch::channel(Phase::Serving).0,
+            meters: Meters::open(),
+            world: Mutex::new(World::open()),
+            warmed: Mutex::default(),
+            fresh: AtomicU64::new(0),
+        })
+    }
+
+    /// What is believed.
+    pub fn world(&self) -> MutexGuard<'_, World> {
+        self.world.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Whether callers should come here.
+    pub fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Serving && self.view.load().config.is_some()
+    }
+
+    /// Goes on to a later phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|held| {
+            let later = phase > *held;
+            *held = (*held).max(phase);
+            later
+        });
+    }
+
+    /// Takes items in and publishes what they change.
+    pub fn take(&self, items: Vec<Item>) {
+        let now = self.now();
+        let mut world = self.world();
+        let mut changed = false;
+        for item in items {
+            changed |= world.apply(item, now);
+        }
+        if changed {
+            self.publish(&world, now);
+        }
+    }
+
+    /// Takes a whole reading in.
+    pub fn replace(&self, at: u64, items: Vec<Item>) {
+        let now = self.now();
+        let mut world = self.world();
+        if world.replace(at, items, now) {
+            self.publish(&world, now);
+        }
+    }
+
+    /// The store has just confirmed what is believed, or did so some time ago.
+    pub fn confirm(&self, age: Duration) {
+        let at = self.now().saturating_sub(age);
+        let at = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+        self.fresh.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Time since the store confirmed what is believed.
+    pub fn age(&self) -> Duration {
+        let fresh = Duration::from_millis(self.fresh.load(Ordering::Relaxed));
+        self.now().saturating_sub(fresh)
+    }
+
+    /// This host, as others should know it.
+    pub fn introduce(&self, distance: u32) -> HostEntry {
+        HostEntry {
+            name: Arc::clone(&self.settings.name),
+            domain: Arc::clone(&self.settings.domain),
+            callers: self.settings.listen.callers,
+            peers: self.settings.listen.peers,
+            distance,
+        }
+    }
+
+    fn publish(&self, world: &World, now: Duration) {
+        let before = self.view.load_full();
+        let mut warmed = self.warmed.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut view = View::open(world, &self.settings.domains, &warmed);
+        let back: Vec<_> = before
+            .evacuated
+            .difference(&view.evacuated)
+            .cloned()
+            .collect();
+        if !back.is_empty() {
+            // Targets that got nothing for a while are cold, and say so with their next heartbeat;
+            // their objects would all return before that.
+            let services = view.config.iter().flat_map(|c| c.services.values());
+            let cold = services.map(|s| s.cold).max().unwrap_or_default();
+            warmed.extend(back.into_iter().map(|domain| (domain, now + cold)));
+            view = View::open(world, &self.settings.domains, &warmed);
+        }
+        crate::trace::believed(&before, &view);
+        self.view.store(Arc::new(view));
+        self.changed.send_replace(world.last());
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lookup/mod.rs
@@ -0,0 +1,87 @@
+//! Answers callers that ask which hosts to use, and whoever asks whether this host is ready.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{HeaderValue, StatusCode, header};
+use viz::{IntoResponse, Request, Response, Router};
+
+use crate::{host::Shared, model::LookupAsk};
+
+/// Hosts named in one answer.
+const MOST: usize = 64;
+
+/// How long callers may keep an answer. A host that stops or dies is used for this long after it is
+/// known; shorter, and callers would ask more often than they send requests.
+const TTL: Duration = Duration::from_secs(2);
+
+/// Serves look-ups.
+pub(crate) fn router(shared: &Arc<Shared>) -> Router {
+    let (path, shared) = (shared.dialect.lookup, Arc::clone(shared));
+    Router::new().get(path, move |request: Request| {
+        let shared = Arc::clone(&shared);
+        async move { Ok(answer(&shared, &request)) }
+    })
+}
+
+/// Serves readiness.
+pub(crate) fn readiness(shared: &Arc<Shared>) -> Router {
+    let (path, shared) = (shared.dialect.ready, Arc::clone(shared));
+    Router::new().get(path, move |_: Request| {
+        let ready = shared.is_ready();
+        async move {
+            Ok(if ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            .into_response())
+        }
+    })
+}
+
+fn answer(shared: &Shared, request: &Request) -> Response {
+    let Some(ask) = (shared.dialect.ask)(request.uri()) else {
+        return (
+            StatusCode::BAD_REQUEST,
+            "the region and the failure domain are missing",
+        )
+            .into_response();
+    };
+    let hosts = choose(shared, &ask);
+    if hosts.is_empty() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let ttl = TTL.min(shared.settings.ttl);
+    let (body, kind) = (shared.dialect.answer)(&hosts, ttl);
+    let mut response = body.into_response();
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+/// The hosts of the caller's region, else all: requests for one object then come through the same
+/// few hosts, and do not cross a link between regions twice.
+fn choose(shared: &Shared, ask: &LookupAsk) -> Vec<SocketAddr> {
+    let view = shared.view.load();
+    let mut hosts: Vec<_> = view.hosts.values().cloned().collect();
+    let me = &shared.settings.name;
+    // Before its announcement is back from the store a host knows at least of itself.
+    if shared.is_ready() && !hosts.iter().any(|h| h.name == *me) {
+        hosts.push(Arc::new(shared.introduce(0)));
+    }
+    // After its announcement is withdrawn the store's word may be a moment behind.
+    if !shared.is_ready() {
+        hosts.retain(|h| h.name != *me);
+    }
+    let region_of = |domain: &Arc<str>| shared.settings.domains.get(domain);
+    let near: Vec<_> = hosts
+        .iter()
+        .filter(|h| region_of(&h.domain) == Some(&ask.region))
+        .map(|h| h.callers)
+        .collect();
+    let all = hosts.iter().map(|h| h.callers);
+    let mut addresses = if near.is_empty() { all.collect() } else { near };
+    addresses.truncate(MOST);
+    addresses
+}
--- /dev/null
+++ b/crates/edge/src/meters/mod.rs
@@ -0,0 +1,61 @@
+//! Counters and latency histograms, served as text.
+//!
+//! Calls go through `cadence`; the sink here keeps them in memory, since the platform reads metrics
+//! instead of receiving them.
+
+mod table;
+
+use std::{sync::Arc, time::Duration};
+
+use cadence::{CountedExt, StatsdClient, Timed};
+use viz::{IntoResponse, Request, Router};
+
+use self::table::Table;
+use crate::host::Shared;
+
+/// Path on which metrics are served.
+pub const PATH: &str = "/metrics";
+
+/// Counters and histograms of one host; shared by its duties.
+#[derive(Debug)]
+pub struct Meters {
+    client: StatsdClient,
+    table: Table,
+}
+
+impl Meters {
+    /// Opens meters that have counted nothing.
+    pub fn open() -> Meters {
+        let table = Table::default();
+        let client = StatsdClient::from_sink("dunlinrock", table.clone());
+        Meters { client, table }
+    }
+
+    /// Counts one.
+    pub fn count(&self, name: &str) {
+        if let Err(e) = self.client.incr(name) {
+            log::debug!(target: "metrics", error:% = e; "a count is lost");
+        }
+    }
+
+    /// Notes a time.
+    pub fn time(&self, name: &str, time: Duration) {
+        if let Err(e) = self.client.time(name, time) {
+            log::debug!(target: "metrics", error:% = e; "a time is lost");
+        }
+    }
+
+    /// All of them as text, a line each.
+    pub fn text(&self) -> String {
+        self.table.text()
+    }
+}
+
+/// Serves the metrics.
+pub(crate) fn router(shared: &Arc<Shared>) -> Router {
+    let shared = Arc::clone(shared);
+    Router::new().get(PATH, move |_: Request| {
+        let text = shared.meters.text();
+        async move { Ok(text.into_response()) }
+    })
+}
--- /dev/null
+++ b/crates/edge/src/model/entry.rs
@@ -0,0 +1,74 @@
+//! What the store holds, item by item.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use super::Config;
+
+/// An item as of a revision. A later revision of the same key replaces it, an earlier one never.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Item {
+    /// Key, unique among all items.
+    pub key: Arc<str>,
+    /// Store's revision of the last change.
+    pub rev: u64,
+    /// Content; `None` once it is gone.
+    pub entry: Option<Entry>,
+}
+
+/// Content of an item.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Entry {
+    /// The configuration in force.
+    Config(Arc<Config>),
+    /// Targets of this failure domain get nothing.
+    Evacuated(Arc<str>),
+    /// A target.
+    Target(Arc<Target>),
+    /// An entry host.
+    Host(Arc<HostEntry>),
+}
+
+/// A target as it announces itself.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Target {
+    /// Names one start of the target's process.
+    pub id: Arc<str>,
+    /// Service that it runs.
+    pub service: Arc<str>,
+    /// Where it is served.
+    pub address: SocketAddr,
+    /// Failure domain it stands in.
+    pub domain: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// How much longer it stays cold, from when this was said.
+    pub cold: Duration,
+}
+
+/// An entry host as it announces itself.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct HostEntry {
+    /// Name, unique in the deployment.
+    pub name: Arc<str>,
+    /// Failure domain it stands in.
+    pub domain: Arc<str>,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where other hosts are served.
+    pub peers: SocketAddr,
+    /// How far the store is: time of a call in steps of [`HostEntry::STEP`].
+    pub distance: u32,
+}
+
+impl HostEntry {
+    /// Step of `distance`: below the time between regions, above the swing of calls within one.
+    pub const STEP: Duration = Duration::from_millis(10);
+}
--- /dev/null
+++ b/crates/edge/src/settings/mod.rs
@@ -0,0 +1,165 @@
+//! Settings of an edge host: read, checked, all mistakes reported together.
+
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use anyhow::{Context, bail};
+use dunlinrock_decide::admit::direct::{BudgetRules, ColdRules};
+use dunlinrock_schema::edge::{EdgeBounds, EdgeSettings};
+
+/// Addresses on which a host is served.
+#[derive(Clone, Debug)]
+pub struct Listen {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Look-ups.
+    pub lookup: SocketAddr,
+    /// Readiness.
+    pub ready: Option<SocketAddr>,
+    /// Other hosts, and dumps.
+    pub peers: SocketAddr,
+    /// Metrics as text.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this host.
+    pub name: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Region of each failure domain.
+    pub domains: BTreeMap<Arc<str>, Arc<str>>,
+    /// Its addresses.
+    pub listen: Listen,
+    /// The store's address.
+    pub store: SocketAddr,
+    /// Hosts that are asked for changes while the store is away.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between the request to stop and the end of the process.
+    pub grace: Duration,
+    /// Longest time for which a look-up may be kept.
+    pub ttl: Duration,
+    /// Bound on second runs, over all hosts.
+    pub budget: BudgetRules,
+    /// Bound on requests to cold targets, over all hosts; the rate comes with the configuration.
+    pub cold: ColdRules,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Every mistake of the file, with its key and the mend.
+pub fn open(path: &Path) -> anyhow::Result<Settings> {
+    let text = fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
+    parse(&text).with_context(|| format!("settings file {}", path.display()))
+}
+
+/// Checks the text of a settings file.
+///
+/// # Errors
+///
+/// As [`open`].
+pub fn parse(text: &str) -> anyhow::Result<Settings> {
+    let raw: EdgeSettings = toml::from_str(text)?;
+    let mut check = Check::default();
+    let listen = Listen {
+        callers: check.address("listen.callers", &raw.listen.callers),
+        lookup: check.address("listen.lookup", &raw.listen.lookup),
+        ready: raw.listen.ready.map(|a| check.address("listen.ready", &a)),
+        peers: check.address("listen.peers", &raw.listen.peers),
+        metrics: raw
+            .listen
+            .metrics
+            .map(|a| check.address("listen.metrics", &a)),
+    };
+    let store = check.address("store.address", &raw.store.address);
+    let seeds = raw.seeds.iter();
+    let seeds = seeds.map(|a| check.address("seeds", a)).collect();
+    let bounds = raw.bounds.unwrap_or_default();
+    let settings = Settings {
+        grace: check.time("bounds.grace", bounds.grace.as_deref(), "6s"),
+        ttl: check.time("bounds.lookup_ttl", bounds.lookup_ttl.as_deref(), "5s"),
+        budget: budget(&bounds, &mut check),
+        cold: ColdRules {
+            rate: 0.0,
+            factor: check.number("bounds.cold_factor", bounds.cold_factor, 1.5),
+            slack: check.number("bounds.cold_slack", bounds.cold_slack, 2.0),
+        },
+        name: raw.name,
+        region: raw.region,
+        domain: raw.domain,
+        domains: raw.domains,
+        listen,
+        store,
+        seeds,
+    };
+    if !settings.domains.contains_key(&settings.domain) {
+        check.found("domain", &settings.domain, "name one of `domains`");
+    }
+    check.end()?;
+    Ok(settings)
+}
+
+fn budget(bounds: &EdgeBounds, check: &mut Check) -> BudgetRules {
+    BudgetRules {
+        ratio: check.number("bounds.retry_ratio", bounds.retry_ratio, 0.2),
+        slack: check.number("bounds.retry_slack", bounds.retry_slack, 10.0),
+        window: check.time("bounds.retry_window", bounds.retry_window.as_deref(), "10s"),
+    }
+}
+
+/// Findings of one file.
+#[derive(Debug, Default)]
+struct Check {
+    findings: Vec<String>,
+}
+
+impl Check {
+    fn found(&mut self, key: &str, value: &str, mend: &str) {
+        self.findings.push(format!("{key}: `{value}`: {mend}"));
+    }
+
+    fn address(&mut self, key: &str, text: &str) -> SocketAddr {
+        text.parse().unwrap_or_else(|_| {
+            self.found(key, text, "give IP:PORT, as in 127.0.0.1:17101");
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        })
+    }
+
+    fn time(&mut self, key: &str, text: Option<&str>, otherwise: &str) -> Duration {
+        let text = text.unwrap_or(otherwise);
+        time(text).unwrap_or_else(|| {
+            self.found(key, text, "give a number and `ms` or `s`, as in 1500ms");
+            Duration::ZERO
+        })
+    }
+
+    fn number(&mut self, key: &str, value: Option<f64>, otherwise: f64) -> f64 {
+        let value = value.unwrap_or(otherwise);
+        if !(value.is_finite() && value >= 0.0) {
+            self.found(key, &value.to_string(), "give a number of 0 or more");
+        }
+        value
+    }
+
+    fn end(self) -> anyhow::Result<()> {
+        if self.findings.is_empty() {
+            return Ok(());
+        }
+        bail!("{}", self.findings.join("\n"))
+    }
+}
+
+/// Parses a time: a number, then `ms` or `s`.
+pub fn time(text: &str) -> Option<Duration> {
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 0.001),
+        None => (text.strip_suffix('s')?, 1.0),
+    };
+    let seconds = number.trim().parse::<f64>().ok()? * unit;
+    Duration::try_from_secs_f64(seconds).ok()
+}
--- /dev/null
+++ b/crates/edge/src/trace/mod.rs
@@ -0,0 +1,59 @@
+//! Structured log lines, bounded in number.
+//!
+//! Each line has `event` and the inputs that decided. Lines about requests have a budget a second
+//! for each kind; what goes beyond it is counted and told, so that a reader knows that lines are
+//! missing. Lines about failures have a budget of their own, which successes cannot use up.
+
+mod budget;
+
+use std::{collections::BTreeSet, sync::Arc};
+
+pub use self::budget::{Lines, Told};
+use crate::world::View;
+
+/// Names in one line; a failure domain holds a few dozen targets.
+const NAMES: usize = 40;
+
+/// Tells how a new view differs from the one before.
+pub fn believed(before: &View, after: &View) {
+    let version = |view: &View| view.config.as_ref().map(|c| c.version);
+    if version(before) != version(after) {
+        log::info!(
+            target: "belief", event = "config", from:? = version(before), to:? = version(after),
+            change = after.number; "another configuration is in force"
+        );
+    }
+    tell(
+        "evacuated",
+        &before.evacuated,
+        &after.evacuated,
+        after.number,
+    );
+    tell("hosts", &names(before), &names(after), after.number);
+    tell("targets", &targets(before), &targets(after), after.number);
+}
+
+fn names(view: &View) -> BTreeSet<Arc<str>> {
+    view.hosts.keys().cloned().collect()
+}
+
+/// Targets that may get work.
+fn targets(view: &View) -> BTreeSet<Arc<str>> {
+    let all = view.services.values().flatten();
+    all.map(|known| Arc::clone(&known.target.id)).collect()
+}
+
+fn tell(event: &str, before: &BTreeSet<Arc<str>>, after: &BTreeSet<Arc<str>>, change: u64) {
+    let list = |a: &BTreeSet<Arc<str>>, b: &BTreeSet<Arc<str>>| {
+        let names: Vec<_> = a.difference(b).take(NAMES).map(|n| &**n).collect();
+        names.join(",")
+    };
+    let (added, removed) = (list(after, before), list(before, after));
+    if added.is_empty() && removed.is_empty() {
+        return;
+    }
+    log::info!(
+        target: "belief", event = event, added = &*added, removed = &*removed,
+        count = after.len(), change = change; "changed"
+    );
+}
--- /dev/null
+++ b/crates/edge/src/world/view.rs
@@ -0,0 +1,85 @@
+//! What requests are served by: one immutable picture, replaced whole.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::World;
+use crate::model::{Config, Entry, HostEntry, Target};
+
+/// A target that may get work.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// What it announced.
+    pub target: Arc<Target>,
+    /// Region it stands in.
+    pub region: Arc<str>,
+    /// Until when it is cold.
+    pub cold: Duration,
+}
+
+/// What a host believes, as of one change.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Number of the last change in it.
+    pub number: u64,
+    /// The configuration in force.
+    pub config: Option<Arc<Config>>,
+    /// Targets that may get work, by service; in the order of their ids.
+    pub services: BTreeMap<Arc<str>, Vec<Known>>,
+    /// Failure domains whose targets get nothing.
+    pub evacuated: BTreeSet<Arc<str>>,
+    /// Entry hosts by name.
+    pub hosts: BTreeMap<Arc<str>, Arc<HostEntry>>,
+}
+
+impl View {
+    /// Makes the view of a world. `domains` gives the region of each failure domain; `warmed` until
+    /// when the targets of a domain that was evacuated are taken for cold.
+    pub fn open(
+        world: &World,
+        domains: &BTreeMap<Arc<str>, Arc<str>>,
+        warmed: &BTreeMap<Arc<str>, Duration>,
+    ) -> View {
+        let mut view = View {
+            number: world.last,
+            config: world.config.clone(),
+            ..View::default()
+        };
+        for held in world.held.values() {
+            match &held.item.entry {
+                Some(Entry::Evacuated(domain)) => {
+                    view.evacuated.insert(Arc::clone(domain));
+                }
+                Some(Entry::Host(host)) => {
+                    view.hosts.insert(Arc::clone(&host.name), Arc::clone(host));
+                }
+                _ => {}
+            }
+        }
+        for held in world.held.values() {
+            let Some(Entry::Target(target)) = &held.item.entry else {
+                continue;
+            };
+            if target.leaving || view.evacuated.contains(&target.domain) {
+                continue;
+            }
+            let since = warmed.get(&target.domain).copied().unwrap_or_default();
+            let known = Known {
+                target: Arc::clone(target),
+                region: domains.get(&target.domain).cloned().unwrap_or_default(),
+                cold: since.max(held.heard + target.cold),
+            };
+            let service = view.services.entry(Arc::clone(&target.service));
+            service.or_default().push(known);
+        }
+        view
+    }
+
+    /// Number of entry hosts that share bounds; this host counts also while it is not listed.
+    pub fn sharers(&self) -> usize {
+        self.hosts.len().max(1)
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -12,4 +12,4 @@
 
 mod generated;
 
-pub use generated::{api, config, coord, once, peer, settings, store};
+pub use generated::{api, config, coord, edge, once, peer, settings, store};
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -49,6 +49,7 @@
 //! * [`divide`]: rules that divide several scarce resources.
 //! * [`naive`]: the baseline that the decisions are measured against.
 
+pub mod affinity;
 pub mod blocks;
 pub mod divide;
 pub mod grants;
