--- a/crates/admit/src/direct/forecast.rs
+++ b/crates/admit/src/direct/forecast.rs
@@ -9,6 +9,13 @@
 /// busy route.
 const WEIGHT: f64 = 1.0 / 16.0;
 
+/// Requests for each slot of a target while nothing is known of a route's runs.
+const UNKNOWN_ROOM: u32 = 2;
+
+/// Requests for each slot at most, however short the runs: a target's own queue is a few times its
+/// slots, and what it turns away has cost a second send.
+const MOST_ROOM: u32 = 3;
+
 /// Usual time of a route's runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Forecast {
@@ -38,8 +45,14 @@
         usual.mul_f64(f64::from(ahead) / f64::from(slots.max(1)))
     }
 
-    /// Whether a request may still start before its time is up.
-    pub fn may_start(&self, busy: u32, slots: u32, left: Duration) -> bool {
-        self.wait(busy, slots) < left
+    /// Requests that a target with `slots` may have, for one more to be answered within `time`;
+    /// never less than its slots.
+    pub fn room(&self, slots: u32, time: Duration) -> u32 {
+        let Some(usual) = self.usual.filter(|usual| !usual.is_zero()) else {
+            return slots * UNKNOWN_ROOM;
+        };
+        let runs = time.as_secs_f64() / usual.as_secs_f64();
+        let most = f64::from(slots) * runs.clamp(1.0, f64::from(MOST_ROOM));
+        most as u32
     }
 }
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod place;
 mod request;
 mod say;
+mod usage;
 mod wire;
 
 use std::{
@@ -19,10 +20,10 @@
 
 use dunlinrock_decide::admit::direct::{Forecast, SharedBudget};
 use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, runtime::Builder, task::LocalSet, time::Instant};
 
-use self::{lanes::Lanes, say::Say, wire::Wire};
+use self::{lanes::Lanes, say::Say, usage::Usage, wire::Wire};
 use crate::{
     host::{Phase, Shared},
     model::Limits,
@@ -55,6 +56,18 @@
 /// Part of the grace after which the process ends whatever still runs.
 const END_PART: f64 = 0.95;
 
+/// How long a connection is read after its last answer. Callers close it when they see the end of
+/// the other direction, a round trip later; a request that arrives here is not answered any more,
+/// so the time must stay below what a caller may lose unnoticed.
+const LINGER: Duration = Duration::from_millis(120);
+
+/// How much longer than callers may leave a connection idle it is kept, so that it is never this
+/// side which closes first.
+const IDLE_SLACK: Duration = Duration::from_secs(2);
+
+/// Pause between two looks whether a connection is idle.
+const IDLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Pause between two looks whether the last request has ended.
 const END_PAUSE: Duration = Duration::from_millis(20);
 
@@ -175,15 +188,25 @@
         .as_ref()
         .map_or(LIMITS, |c| c.limits.clone());
     let wire = Wire::open(stream);
-    let service = service_fn(|request| request::serve(&front, &wire, request));
+    let usage = Usage::open();
+    let service = service_fn(|request| {
+        let used = usage.start();
+        let served = request::serve(&front, &wire, request);
+        async move {
+            let _used = used;
+            served.await
+        }
+    });
+    // The library's own time for a head counts the pause between two requests as part of the second
+    // head, and closes without a word; so idle connections are ended here.
     let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // The library counts the time between two requests as part of the second head.
-        .header_read_timeout(limits.idle)
         .max_buf_size(limits.head.max(LEAST_BUFFER))
-        .pipeline_flush(true)
-        .serve_connection(TokioIo::new(wire.clone()), service)
-        .await;
+        .serve_connection(TokioIo::new(wire.clone()), service);
+    let served = tokio::select! {
+        served = served => served,
+        () = usage.idle_for(limits.idle + IDLE_SLACK) => Ok(()),
+    };
+    wire.linger(LINGER).await;
     front.open.set(front.open.get() - 1);
     if let Err(e) = served {
         log::debug!(target: "host", error:% = e; "a caller's connection ended early");
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -30,6 +30,10 @@
 /// When a caller is told to come back while this host cannot serve and another may.
 const OTHER_HOST: Duration = Duration::from_millis(50);
 
+/// How late an answer may be expected and still be worth a slot, in objectives of its route. While
+/// there is more to do than slots, a late answer makes the next one late as well.
+const PATIENCE: f64 = 1.25;
+
 /// Least time that must be left for another run to be of use.
 const LEAST_RUN: Duration = Duration::from_millis(50);
 
@@ -231,12 +235,13 @@
         }
     }
 
-    /// Refuses at once what could not even start in time.
+    /// Refuses at once what could not be answered before its caller leaves. Run all the same, it
+    /// would take a slot from one that can.
     fn hopeless(&self, route: &Route, place: &Place, work: &Work) -> Option<End> {
         let left = work.end.saturating_duration_since(Instant::now());
         let slots = place.lane.target.slots;
         let forecast = self.forecast(&route.name);
-        if forecast.may_start(place.busy, slots, left) {
+        if place.busy < forecast.room(slots, left.min(route.objective.mul_f64(PATIENCE))) {
             return None;
         }
         place.lane.aside.borrow_mut().withdraw();
--- a/crates/edge/src/front/wire.rs
+++ b/crates/edge/src/front/wire.rs
@@ -11,6 +11,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::{Buf, BytesMut};
@@ -53,6 +54,28 @@
     }
 }
 
+impl Wire {
+    /// Tells the caller that nothing more comes, then reads and drops what still arrives, until it
+    /// closes its direction too or a time is over. To be called once the last answer is written.
+    ///
+    /// Closed with unread bytes, a connection is reset, and the reset overtakes the answer: a caller
+    /// that had already sent its next request would get nothing for the one that ran.
+    pub(super) async fn linger(&self, time: Duration) {
+        let drained = std::future::poll_fn(|cx| {
+            // A connection that cannot be shut down is broken, which the next read tells.
+            let _ = Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx);
+            let mut inner = self.0.borrow_mut();
+            while !inner.over {
+                inner.ahead.clear();
+                ready!(inner.poll_fill(cx));
+            }
+            Poll::Ready(())
+        });
+        // A caller that does not close in time has had its answer for long.
+        let _ = tokio::time::timeout(time, drained).await;
+    }
+}
+
 impl Inner {
     fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while !self.over {
--- a/crates/steer/src/affinity/mod.rs
+++ b/crates/steer/src/affinity/mod.rs
@@ -13,7 +13,7 @@
 //! ```
 //! use dunlinrock_steer::affinity::{Candidate, Choice, Rules, choose};
 //!
-//! let target = |seed, busy| Candidate { seed, slots: 2, near: true, busy, sound: true };
+//! let target = |seed, busy| Candidate { seed, slots: 2, near: true, busy, room: 4, sound: true };
 //! let Some(Choice { index, .. }) = choose(7, &[target(1, 0), target(2, 0)], &Rules::default())
 //! else { panic!() };
 //! // The object stays where it is while its target has a free slot.
@@ -37,6 +37,8 @@
     pub near: bool,
     /// Requests that it runs or queues, as far as this host knows.
     pub busy: u32,
+    /// Requests that it may have, running and queued, for one more to be answered in good time.
+    pub room: u32,
     /// Whether it answers; one that does not is used only where no sound one is left.
     pub sound: bool,
 }
@@ -46,12 +48,8 @@
 pub struct Rules {
     /// Weight of a near target's slot against a far one's.
     pub near: f64,
-    /// Requests that may wait at an object's own target, as a share of its slots, before its next
-    /// choice is asked. A warm run takes a third of a cold one, so waiting for two warm runs still
-    /// costs less than going elsewhere.
-    pub queue: f64,
-    /// How many choices of an object are tried before the least busy target is taken: few, so that
-    /// an object's overflow is warm there too.
+    /// How many choices of an object are tried: few, so that what its own target cannot take is
+    /// warm at the next.
     pub choices: usize,
 }
 
@@ -59,7 +57,6 @@
     fn default() -> Rules {
         Rules {
             near: 3.0,
-            queue: 1.0,
             choices: 3,
         }
     }
@@ -76,8 +73,10 @@
 
 /// Chooses a target for an object. `None` where there is no candidate.
 ///
-/// The first of the object's choices with a free slot or a short queue takes it; where all of them
-/// are behind, the candidate with the shortest queue for its slots.
+/// The object's own target takes it while it has room; then the next of its choices that has a free
+/// slot. Where all are behind it stays at its own target, for the caller to refuse if that is too
+/// far behind: sent to any target that is less behind, it would run three times as long there, and
+/// the whole service would go on without an object at home after the burst that began it is over.
 pub fn choose(object: u64, candidates: &[Candidate], rules: &Rules) -> Option<Choice> {
     let mut ranked: Vec<(f64, usize)> = candidates
         .iter()
@@ -88,20 +87,23 @@
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     let own = ranked.iter().take(rules.choices).enumerate();
     for (rank, (_, index)) in own {
-        if has_room(&candidates[*index], rank, rules) {
+        let candidate = &candidates[*index];
+        let room = if rank == 0 {
+            candidate.room
+        } else {
+            candidate.slots
+        };
+        if candidate.busy < room {
             return Some(Choice {
                 index: *index,
                 rank,
             });
         }
     }
-    let sound = ranked.iter().enumerate();
-    let least =
-        sound.min_by(|a, b| behind(&candidates[a.1.1]).total_cmp(&behind(&candidates[b.1.1])));
-    if let Some((rank, (_, index))) = least {
+    if let Some((_, index)) = ranked.first() {
         return Some(Choice {
             index: *index,
-            rank,
+            rank: 0,
         });
     }
     // Nobody answers: any of them may be back by now.
@@ -114,14 +116,3 @@
     let near = if candidate.near { rules.near } else { 1.0 };
     f64::from(candidate.slots.max(1)) * near
 }
-
-/// Whether an object's choice takes one more: its own target may queue, the others need a slot.
-fn has_room(candidate: &Candidate, rank: usize, rules: &Rules) -> bool {
-    let queue = if rank == 0 { rules.queue } else { 0.0 };
-    f64::from(candidate.busy) < f64::from(candidate.slots) * (1.0 + queue)
-}
-
-/// Requests for each slot of a target.
-fn behind(candidate: &Candidate) -> f64 {
-    f64::from(candidate.busy) / f64::from(candidate.slots.max(1))
-}
