--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -54,7 +54,7 @@
 const TAKE_PART: f64 = 0.5;
 
 /// Part of the grace after which the process ends whatever still runs.
-const END_PART: f64 = 0.95;
+const END_PART: f64 = 0.9;
 
 /// How long a connection is read after its last answer. Callers close it when they see the end of
 /// the other direction, a round trip later; a request that arrives here is not answered any more,
