--- a/crates/admit/src/direct/cold.rs
+++ b/crates/admit/src/direct/cold.rs
@@ -6,8 +6,9 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-/// Any span of this length is bounded.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Any span of this length is bounded; the tenth above a second is for requests that are held up on
+/// their way and arrive together with the next.
+const WINDOW: Duration = Duration::from_millis(1100);
 
 /// What a cold target bears from all hosts together.
 #[derive(Clone, Copy, Debug)]
@@ -20,6 +21,40 @@
     pub slack: f64,
 }
 
+/// Part of the bound that is spent: hosts that have just joined are known to others a little later,
+/// and until then the parts of all add up to more.
+const SPENT: f64 = 0.8;
+
+impl ColdRules {
+    /// Requests a second that one host may send to a target.
+    ///
+    /// Where the bound has a request or more for each host, each gets the same. Where it has fewer,
+    /// one each goes to as many hosts as it has requests, chosen by hash, so that all hosts name the
+    /// same ones. A longer time between two requests of every host would not do: the first ones of
+    /// all hosts could still come in the same second, which is when the target is coldest.
+    pub fn part(&self, me: u64, hosts: &[u64], target: u64) -> u32 {
+        let most = ((self.rate * self.factor + self.slack) * SPENT).max(1.0) as usize;
+        let each = most / hosts.len().max(1);
+        if each > 0 {
+            return u32::try_from(each).unwrap_or(u32::MAX);
+        }
+        let mine = mix(me, target);
+        let before = hosts
+            .iter()
+            .filter(|host| mix(**host, target) < mine)
+            .count();
+        u32::from(before < most)
+    }
+}
+
+/// Spreads a pair of hashes over all 64 bits (the finisher of `SplitMix64`).
+fn mix(a: u64, b: u64) -> u64 {
+    let mut n = (a ^ b.rotate_left(32)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    n ^ (n >> 31)
+}
+
 /// Requests that one host sent to one cold target.
 #[derive(Clone, Debug, Default)]
 pub struct ColdRate {
@@ -32,19 +67,12 @@
         ColdRate::default()
     }
 
-    /// Takes one request if this host's part of the bound has room.
-    ///
-    /// With more hosts than requests in a second a part is below one request, so the window of this
-    /// host grows until one fits.
-    pub fn admit(&mut self, rules: &ColdRules, hosts: usize, now: Duration) -> bool {
-        let hosts = hosts.max(1) as f64;
-        let most = (rules.rate * rules.factor + rules.slack).max(f64::MIN_POSITIVE);
-        let part = (most / hosts).floor().max(1.0);
-        let window = WINDOW.mul_f64((part * hosts / most).max(1.0));
-        while self.sent.front().is_some_and(|at| *at + window <= now) {
+    /// Takes one request if this host's part has room in the last second.
+    pub fn admit(&mut self, part: u32, now: Duration) -> bool {
+        while self.sent.front().is_some_and(|at| *at + WINDOW <= now) {
             self.sent.pop_front();
         }
-        if self.sent.len() as f64 >= part {
+        if self.sent.len() >= part as usize {
             return false;
         }
         self.sent.push_back(now);
--- a/crates/edge/src/front/link.rs
+++ b/crates/edge/src/front/link.rs
@@ -23,7 +23,7 @@
 
 /// Part of the target's own idle time that is used: the rest covers a request on its way when the
 /// target closes.
-const IDLE_PART: f64 = 0.7;
+const IDLE_PART: f64 = 0.85;
 
 /// How far an exchange came when it failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' duty: accepts connections and runs requests at targets.
 
+mod ahead;
 mod lanes;
 mod link;
 mod place;
@@ -18,12 +19,20 @@
     time::Duration,
 };
 
-use dunlinrock_decide::admit::direct::{Forecast, SharedBudget};
-use hyper::{server::conn::http1, service::service_fn};
+use dunlinrock_decide::{
+    admit::direct::{Forecast, SharedBudget},
+    steer::hash,
+};
+use http::Request;
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, runtime::Builder, task::LocalSet, time::Instant};
 
-use self::{lanes::Lanes, say::Say, usage::Usage, wire::Wire};
+use self::{ahead::Ahead, lanes::Lanes, request::Conn, say::Say, usage::Usage, wire::Wire};
 use crate::{
     host::{Phase, Shared},
     model::Limits,
@@ -75,6 +84,8 @@
 #[derive(Debug)]
 struct Front {
     shared: Arc<Shared>,
+    /// Hash of this host's name.
+    seed: u64,
     lanes: Lanes,
     budgets: RefCell<BTreeMap<Arc<str>, SharedBudget>>,
     forecasts: RefCell<BTreeMap<Arc<str>, Forecast>>,
@@ -104,6 +115,7 @@
         }
     };
     let front = Rc::new(Front {
+        seed: hash::text(&shared.settings.name),
         shared,
         lanes: Lanes::default(),
         budgets: RefCell::default(),
@@ -187,13 +199,19 @@
         .config
         .as_ref()
         .map_or(LIMITS, |c| c.limits.clone());
-    let wire = Wire::open(stream);
+    let conn = Conn {
+        wire: Wire::open(stream),
+        ahead: Ahead::default(),
+    };
+    let wire = conn.wire.clone();
     let usage = Usage::open();
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let used = usage.start();
-        let served = request::serve(&front, &wire, request);
+        // At once, before the library reads on: behind a request without a body the next one begins.
+        let hold = request.body().is_end_stream().then(|| wire.hold());
+        let served = request::serve(&front, &conn, request);
         async move {
-            let _used = used;
+            let _guards = (used, hold);
             served.await
         }
     });
--- a/crates/edge/src/front/place.rs
+++ b/crates/edge/src/front/place.rs
@@ -119,7 +119,8 @@
             rate: rate.unwrap_or_default(),
             ..self.shared.settings.cold
         };
-        lane.cold.borrow_mut().admit(&rules, view.sharers(), now)
+        let part = rules.part(self.seed, &view.seeds, lane.seed);
+        lane.cold.borrow_mut().admit(part, now)
     }
 }
 
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -12,7 +12,8 @@
 use tokio::time::Instant;
 
 use super::{
-    Front, LIMITS,
+    Front,
+    ahead::Ahead,
     lanes::Lane,
     link::{Broken, Link, Whole, pass_on, strip},
     place::{self, NoPlace, Place},
@@ -85,26 +86,40 @@
     }
 }
 
+/// A caller's connection.
+#[derive(Debug)]
+pub(super) struct Conn {
+    pub(super) wire: Wire,
+    pub(super) ahead: Ahead,
+}
+
 /// Serves one request; an error closes the connection.
 pub(super) async fn serve(
     front: &Rc<Front>,
-    wire: &Wire,
+    conn: &Conn,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Gone> {
     front.running.set(front.running.get() + 1);
     let _running = Running(front);
     let start = front.shared.now();
     let id = front.id_of(request.headers());
+    let (head, body) = request.into_parts();
+    let answer = async {
+        match conn.ahead.take(&id, &head).await {
+            Some(end) => end,
+            None => front.answer(head, Some(body)).await,
+        }
+    };
     let answered = tokio::select! {
-        end = front.answer(request) => Ok(end),
-        () = wire.gone() => Err(Gone),
+        end = answer => Ok(end),
+        gone = conn.ahead.watch(front, &conn.wire) => Err(gone),
     };
     let time = front.shared.now() - start;
     match answered {
         Ok(end) => {
             front.told(&id, &end, time);
             let mut response = end.response;
-            if front.says_farewell() {
+            if front.says_farewell() && conn.ahead.is_empty() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -118,14 +133,14 @@
 }
 
 impl Front {
-    fn id_of(&self, headers: &HeaderMap) -> Arc<str> {
+    pub(super) fn id_of(&self, headers: &HeaderMap) -> Arc<str> {
         let id = headers
             .get(&self.shared.dialect.id)
             .and_then(|v| v.to_str().ok());
         id.unwrap_or("-").into()
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> End {
+    pub(super) async fn answer(&self, head: Parts, body: Option<Incoming>) -> End {
         let view = self.shared.view.load_full();
         self.lanes.prune(&view);
         let Some(config) = &view.config else {
@@ -134,30 +149,18 @@
         if self.is_closing() {
             return refuse("this host is about to end", Duration::ZERO);
         }
-        let host = request
-            .headers()
-            .get(header::HOST)
-            .and_then(|v| v.to_str().ok());
-        let host = host.or_else(|| request.uri().host()).unwrap_or_default();
-        let Some(route) = place::route(config, host, request.uri().path()) else {
+        let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+        let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+        let Some(route) = place::route(config, host, head.uri.path()) else {
             return plain(
                 StatusCode::NOT_FOUND,
-                "no route",
-                format!("{host}{}", request.uri().path()),
+                "no_route",
+                format!("{host}{}", head.uri.path()),
             );
         };
-        let (head, body) = request.into_parts();
-        let most = view.config.as_ref().map_or(LIMITS.body, |c| c.limits.body);
-        let body = match Limited::new(body, most).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(e) if e.is::<LengthLimitError>() => {
-                return plain(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body too large",
-                    e.to_string(),
-                );
-            }
-            Err(e) => return plain(StatusCode::BAD_REQUEST, "body unreadable", e.to_string()),
+        let body = match whole_body(body, config.limits.body).await {
+            Ok(body) => body,
+            Err(end) => return end,
         };
         let work = self.work(head, body, route);
         self.run(&view, route, &work).await
@@ -392,6 +395,26 @@
     }
 }
 
+/// Reads a body of at most `most` bytes.
+async fn whole_body(body: Option<Incoming>, most: usize) -> Result<Bytes, End> {
+    let Some(body) = body else {
+        return Ok(Bytes::new());
+    };
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(plain(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+            e.to_string(),
+        )),
+        Err(e) => Err(plain(
+            StatusCode::BAD_REQUEST,
+            "body_unreadable",
+            e.to_string(),
+        )),
+    }
+}
+
 fn has_time(work: &Work) -> bool {
     work.end.saturating_duration_since(Instant::now()) > LEAST_RUN
 }
--- a/crates/edge/src/front/wire.rs
+++ b/crates/edge/src/front/wire.rs
@@ -1,4 +1,5 @@
-//! A caller's connection that notices at once when the caller leaves.
+//! A caller's connection that notices at once when the caller leaves, and lets further requests be
+//! seen before their turn.
 //!
 //! A caller that sends further requests before the first is answered leaves bytes unread, and behind
 //! unread bytes the HTTP library does not see the end of the connection: targets would go on working
@@ -10,7 +11,7 @@
     io,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll, ready},
+    task::{Context, Poll, Waker, ready},
     time::Duration,
 };
 
@@ -24,6 +25,9 @@
 /// pipelined requests are a few hundred bytes each.
 const AHEAD: usize = 32 << 10;
 
+/// Ends a head.
+const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+
 /// One read.
 const CHUNK: usize = 4 << 10;
 
@@ -34,7 +38,15 @@
 #[derive(Debug)]
 struct Inner {
     stream: TcpStream,
+    /// Bytes that were read and not yet given to the HTTP library.
     ahead: BytesMut,
+    /// Bytes of `ahead` that were looked at as further requests.
+    seen: usize,
+    /// The last bytes given to the library: the end of a head may be split between two reads.
+    last: [u8; 3],
+    /// Whether the library gets nothing for now, and whom to wake when it does again.
+    held: bool,
+    waiting: Option<Waker>,
     /// Whether the other side has closed its direction, or the connection is broken.
     over: bool,
 }
@@ -44,13 +56,49 @@
         Wire(Rc::new(RefCell::new(Inner {
             stream,
             ahead: BytesMut::new(),
+            seen: 0,
+            last: [0; 3],
+            held: false,
+            waiting: None,
             over: false,
         })))
     }
 
-    /// Waits until the caller has closed the connection. To be polled by the task that serves it.
-    pub(super) async fn gone(&self) {
-        std::future::poll_fn(|cx| self.0.borrow_mut().poll_gone(cx)).await;
+    /// Waits until more bytes were read ahead; `false` once the caller has closed the connection.
+    /// To be polled by the task that serves it.
+    pub(super) async fn more(&self) -> bool {
+        let before = self.0.borrow().ahead.len();
+        std::future::poll_fn(|cx| self.0.borrow_mut().poll_more(cx, before)).await
+    }
+
+    /// Gives the HTTP library nothing until the guard is dropped. What is read ahead meanwhile
+    /// begins where the next request does.
+    pub(super) fn hold(&self) -> Hold {
+        self.0.borrow_mut().held = true;
+        Hold(self.clone())
+    }
+
+    /// Looks at the bytes read ahead that were not looked at before. `look` tells how many of them
+    /// it used.
+    pub(super) fn look(&self, look: impl FnOnce(&[u8]) -> usize) -> bool {
+        let inner = &mut *self.0.borrow_mut();
+        let used = look(&inner.ahead[inner.seen..]);
+        inner.seen += used;
+        used > 0
+    }
+}
+
+/// Holds a connection's further bytes back from the HTTP library.
+#[derive(Debug)]
+pub(super) struct Hold(Wire);
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let mut inner = self.0.0.borrow_mut();
+        inner.held = false;
+        if let Some(waker) = inner.waiting.take() {
+            waker.wake();
+        }
     }
 }
 
@@ -67,6 +115,7 @@
             let mut inner = self.0.borrow_mut();
             while !inner.over {
                 inner.ahead.clear();
+                inner.seen = 0;
                 ready!(inner.poll_fill(cx));
             }
             Poll::Ready(())
@@ -77,14 +126,38 @@
 }
 
 impl Inner {
-    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    fn poll_more(&mut self, cx: &mut Context<'_>, before: usize) -> Poll<bool> {
         while !self.over {
+            if self.ahead.len() > before {
+                return Poll::Ready(true);
+            }
             if self.ahead.len() >= AHEAD {
                 return Poll::Pending;
             }
             ready!(self.poll_fill(cx));
         }
-        Poll::Ready(())
+        Poll::Ready(false)
+    }
+
+    /// Length of what the library gets next: to the end of a head, if one ends here. With a head it
+    /// never gets the beginning of the next request, so that what stays here begins with that.
+    fn next_len(&self) -> usize {
+        let mut window = self.last;
+        for (n, byte) in self.ahead.iter().enumerate() {
+            if [window[0], window[1], window[2], *byte] == *HEAD_END {
+                return n + 1;
+            }
+            window = [window[1], window[2], *byte];
+        }
+        self.ahead.len()
+    }
+
+    fn give(&mut self, n: usize) {
+        for byte in &self.ahead[n.saturating_sub(self.last.len())..n] {
+            self.last = [self.last[1], self.last[2], *byte];
+        }
+        self.ahead.advance(n);
+        self.seen = self.seen.saturating_sub(n);
     }
 
     /// Reads once into the buffer; an error counts as the end.
@@ -105,12 +178,16 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let inner = &mut *self.0.borrow_mut();
+        if inner.held {
+            inner.waiting = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
         if inner.ahead.is_empty() && !inner.over {
             ready!(inner.poll_fill(cx));
         }
-        let n = buf.remaining().min(inner.ahead.len());
+        let n = buf.remaining().min(inner.next_len());
         buf.put_slice(&inner.ahead[..n]);
-        inner.ahead.advance(n);
+        inner.give(n);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/edge/src/world/view.rs
+++ b/crates/edge/src/world/view.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use dunlinrock_decide::steer::hash;
+
 use super::World;
 use crate::model::{Config, Entry, HostEntry, Target};
 
@@ -31,6 +33,8 @@
     pub services: BTreeMap<Arc<str>, Vec<Known>>,
     /// Failure domains whose targets get nothing.
     pub evacuated: BTreeSet<Arc<str>>,
+    /// Hashes of the entry hosts' names, for choices that all hosts make alike.
+    pub seeds: Vec<u64>,
     /// Entry hosts by name.
     pub hosts: BTreeMap<Arc<str>, Arc<HostEntry>>,
 }
@@ -59,6 +63,7 @@
                 _ => {}
             }
         }
+        view.seeds = view.hosts.keys().map(|name| hash::text(name)).collect();
         for held in world.held.values() {
             let Some(Entry::Target(target)) = &held.item.entry else {
                 continue;
