--- /dev/null
+++ b/crates/admit/tests/direct.rs
@@ -0,0 +1,174 @@
+//! Bounds that every host keeps by itself, and that hold for all hosts together.
+
+use std::time::Duration;
+
+use dunlinrock_admit::direct::{
+    BudgetRules, ColdRate, ColdRules, Evidence, Forecast, SetAside, SharedBudget,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+const BUDGET: BudgetRules = BudgetRules {
+    ratio: 0.2,
+    slack: 50.0,
+    window: Duration::from_secs(10),
+};
+
+/// Load: saturation; all targets fail, and every request would be sent again. Nine hosts ask for a
+/// second run of each request. In no window of ten seconds are there more than the bound for all of
+/// them together.
+#[test]
+fn second_runs_of_all_hosts_stay_within_the_bound_in_every_window() {
+    const HOSTS: usize = 9;
+    let mut budgets = vec![SharedBudget::open(); HOSTS];
+    let (mut first, mut second) = (Vec::new(), Vec::new());
+    let mut rng = SmallRng::seed_from_u64(1);
+    for n in 0..30_000 {
+        let now = ms(n * 2);
+        let budget = &mut budgets[rng.random_range(0..HOSTS)];
+        budget.first(&BUDGET, now);
+        first.push(now);
+        if budget.second(&BUDGET, HOSTS, now) {
+            second.push(now);
+        }
+    }
+    assert!(
+        second.len() > 1000,
+        "the budget is of use: {}",
+        second.len()
+    );
+    for start in (0..60_000).step_by(250).map(ms) {
+        let within = |list: &[Duration]| {
+            list.iter()
+                .filter(|at| **at >= start && **at < start + BUDGET.window)
+                .count() as f64
+        };
+        // The rate is steady, so that the window before has as many.
+        let bound = within(&first).max(5000.0) * BUDGET.ratio + BUDGET.slack;
+        assert!(
+            within(&second) <= bound,
+            "{start:?}: {} of {bound}",
+            within(&second)
+        );
+    }
+}
+
+/// Load: a quiet service. Its first failure may still be repeated.
+#[test]
+fn a_quiet_service_may_repeat_a_few() {
+    let mut budget = SharedBudget::open();
+    budget.first(&BUDGET, ms(0));
+    assert!(budget.second(&BUDGET, 9, ms(1)));
+    let granted = (0..20)
+        .filter(|n| budget.second(&BUDGET, 9, ms(2 + n)))
+        .count();
+    assert!(granted < 5, "a part of the slack only: {granted}");
+}
+
+/// Load: a failure domain comes back with all its objects. 64 hosts want to send to one cold target
+/// in the same instant and go on wanting. In no second does it get more than it tolerates: a bound
+/// on the time between two requests of one host would let all first ones through at once.
+#[test]
+fn a_cold_target_gets_no_more_than_it_tolerates_from_all_hosts() {
+    let rules = ColdRules {
+        rate: 2.1,
+        factor: 1.5,
+        slack: 8.0,
+    };
+    let most = (rules.rate * rules.factor + rules.slack) as usize;
+    for count in [1, 3, 9, 12, 64, 300_u64] {
+        let hosts: Vec<u64> = (0..count).map(|n| n * 7919).collect();
+        for target in 0..50 {
+            let mut sent = Vec::new();
+            for host in &hosts {
+                let part = rules.part(*host, &hosts, target);
+                let mut rate = ColdRate::open();
+                sent.extend(
+                    (0..3000)
+                        .step_by(10)
+                        .map(ms)
+                        .filter(|at| rate.admit(part, *at)),
+                );
+            }
+            sent.sort();
+            assert!(!sent.is_empty(), "{count} hosts: some may send");
+            let busiest = sent.iter().map(|at| {
+                sent.iter()
+                    .filter(|other| *other >= at && **other < *at + ms(1000))
+                    .count()
+            });
+            assert!(busiest.max().unwrap() <= most, "{count} hosts");
+        }
+    }
+}
+
+/// A target is down: after the first refused connection nothing goes there; later single requests
+/// try it, less and less often; once one succeeds it is sound again.
+#[test]
+fn a_target_that_is_down_is_tried_by_single_requests() {
+    let mut aside = SetAside::open();
+    assert!(aside.end(Evidence::Down, ms(0)));
+    assert!(!aside.is_usable(ms(499)));
+    assert!(aside.is_usable(ms(500)));
+    aside.start(ms(500));
+    assert!(!aside.is_usable(ms(501)), "one at a time");
+    aside.end(Evidence::Down, ms(510));
+    assert!(!aside.is_usable(ms(1500)), "the pause has doubled");
+    aside.start(ms(1510));
+    aside.end(Evidence::Good, ms(1600));
+    assert!(aside.is_usable(ms(1600)) && !aside.is_set());
+}
+
+/// A target fails half of its requests and its health check is good. It is set aside after a few
+/// failures; one failure among many good answers changes nothing.
+#[test]
+fn a_target_that_fails_often_is_set_aside_and_one_that_fails_once_is_not() {
+    let mut often = SetAside::open();
+    let outcomes = [Evidence::Bad, Evidence::Good].into_iter().cycle().take(20);
+    assert!(
+        outcomes
+            .enumerate()
+            .any(|(n, e)| often.end(e, ms(n as u64)))
+    );
+    let mut once = SetAside::open();
+    once.end(Evidence::Bad, ms(0));
+    assert!(once.is_usable(ms(0)));
+}
+
+#[test]
+fn a_trial_that_was_withdrawn_leaves_the_target_to_the_next() {
+    let mut aside = SetAside::open();
+    aside.end(Evidence::Down, ms(0));
+    aside.start(ms(500));
+    aside.withdraw();
+    assert!(aside.is_usable(ms(501)));
+}
+
+/// Load: a queue. The time in the queue is not taken for work: with it the expected time would grow
+/// with the queue, and a target would be thought to have no room long after its queue is gone.
+#[test]
+fn the_time_in_a_queue_is_not_taken_for_work() {
+    let mut forecast = Forecast::open();
+    for _ in 0..50 {
+        // 4 slots, 12 requests there: two more waves of 100 ms each go before.
+        forecast.note(ms(325), 12, 4);
+    }
+    assert!(forecast.wait(4, 4) < ms(40), "{:?}", forecast.wait(4, 4));
+    assert_eq!(forecast.wait(3, 4), Duration::ZERO);
+}
+
+#[test]
+fn a_target_has_room_for_what_it_answers_in_time() {
+    let mut forecast = Forecast::open();
+    forecast.note(ms(250), 0, 4);
+    assert_eq!(forecast.room(4, ms(600)), 9, "2.4 runs of 4 slots");
+    assert_eq!(forecast.room(4, ms(100)), 4, "its slots at the least");
+    assert_eq!(
+        forecast.room(4, ms(60_000)),
+        12,
+        "no more than its queue takes"
+    );
+}
--- a/crates/edge/src/host/mod.rs
+++ b/crates/edge/src/host/mod.rs
@@ -36,22 +36,23 @@
     /// # Errors
     ///
     /// When an address cannot be bound or a thread does not start.
-    pub fn spawn(settings: Settings, feed: Feed, dialect: Dialect) -> anyhow::Result<Host> {
+    pub fn spawn(mut settings: Settings, feed: Feed, dialect: Dialect) -> anyhow::Result<Host> {
+        let listen = &mut settings.listen;
+        let callers = bind("callers", &mut listen.callers)?;
         let listeners = control::Listeners {
-            lookup: bind("lookup", settings.listen.lookup)?,
-            peers: bind("peers", settings.listen.peers)?,
-            ready: settings
-                .listen
+            lookup: bind("lookup", &mut listen.lookup)?,
+            peers: bind("peers", &mut listen.peers)?,
+            ready: listen
                 .ready
+                .as_mut()
                 .map(|a| bind("ready", a))
                 .transpose()?,
-            metrics: settings
-                .listen
+            metrics: listen
                 .metrics
+                .as_mut()
                 .map(|a| bind("metrics", a))
                 .transpose()?,
         };
-        let callers = bind("callers", settings.listen.callers)?;
         let shared = Shared::open(settings, feed, dialect);
         let front = front::spawn(Arc::clone(&shared), callers)?;
         let control = control::spawn(Arc::clone(&shared), listeners)?;
@@ -93,7 +94,9 @@
     }
 }
 
-fn bind(duty: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
+/// Binds an address; port 0 becomes the one that was taken.
+fn bind(duty: &str, held: &mut SocketAddr) -> anyhow::Result<TcpListener> {
+    let address = *held;
     let open = || -> std::io::Result<TcpListener> {
         let socket = Socket::new(
             Domain::for_address(address),
@@ -107,7 +110,9 @@
         socket.set_nonblocking(true)?;
         Ok(socket.into())
     };
-    open().with_context(|| {
+    let listener = open().with_context(|| {
         format!("cannot listen for {duty} on {address}; is another process using the port?")
-    })
+    })?;
+    *held = listener.local_addr().context("the listener")?;
+    Ok(listener)
 }
--- /dev/null
+++ b/crates/edge/tests/answers.rs
@@ -0,0 +1,240 @@
+//! What callers get: their own whole answer, or an error that says truly whether the request ran.
+
+mod support;
+
+use std::sync::mpsc::channel;
+
+use support::{Deployment, Script, Stand, config, request, times};
+
+#[test]
+fn an_answer_passes_unchanged_with_the_targets_signature() {
+    let stand = Stand::sound("hello");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let answer = deployment.call("GET", "/read/a", "r1");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(
+        answer.contains("stamp: s") && answer.ends_with("\r\n\r\nhello"),
+        "{answer}"
+    );
+    let head = &stand.heads()[0];
+    assert_eq!(head.get("only"), Some("t0"), "any other target refuses it");
+    let left: u64 = head.get("left").unwrap().parse().unwrap();
+    assert!(left <= 20_000, "no more time than the caller gave: {left}");
+}
+
+#[test]
+fn a_request_without_a_route_is_not_found() {
+    let stand = Stand::sound("hello");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    assert!(
+        deployment
+            .call("GET", "/other/a", "r1")
+            .starts_with("HTTP/1.1 404")
+    );
+    assert_eq!(stand.count(), 0);
+}
+
+/// The caller sends an order once; the target takes it and its connection breaks. The order may
+/// have run. The caller must not be told that it has not, since it would send it again, and no
+/// other target may get it.
+#[test]
+fn a_lost_answer_of_a_request_that_runs_once_is_not_sent_again() {
+    let broken = Stand::open(|_| Script::Close(String::new()));
+    let other = Stand::open(|_| Script::Close(String::new()));
+    let deployment = Deployment::open(config(1), &[&broken, &other]);
+    let answer = deployment.call("POST", "/once/a", "r1");
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(broken.count() + other.count(), 1);
+}
+
+/// The same fault under a request that may run again: the second target answers it, and the caller
+/// sees nothing of the first.
+#[test]
+fn a_lost_answer_of_a_repeatable_request_is_got_elsewhere() {
+    let rules = |head: &support::Head| match head.number {
+        0 => Script::Close(String::new()),
+        _ => Script::Write(head.answer("second")),
+    };
+    let (a, b) = (Stand::open(rules), Stand::open(rules));
+    let deployment = Deployment::open(config(1), &[&a, &b]);
+    // Each target breaks its first request: the first call fails at both, the next gets an answer.
+    deployment.call("GET", "/read/a", "r1");
+    let answer = deployment.call("GET", "/read/a", "r2");
+    assert!(answer.ends_with("second"), "{answer}");
+}
+
+/// A target writes half of its body and its connection breaks. The caller must not take the half
+/// for the whole: it gets an error instead.
+#[test]
+fn an_answer_that_breaks_off_is_not_passed_on() {
+    let cut = "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 100\r\n\r\nhalf";
+    let stand = Stand::open(move |_| Script::Close(cut.to_owned()));
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let answer = deployment.call("POST", "/once/a", "r1");
+    assert!(
+        answer.starts_with("HTTP/1.1 502") && !answer.contains("half"),
+        "{answer}"
+    );
+}
+
+/// A target answers the first request twice. The second answer lies where that of the next request
+/// is expected, and must not reach its caller.
+#[test]
+fn a_second_answer_on_a_kept_connection_reaches_nobody() {
+    let stand = Stand::open(|head| match head.number {
+        0 => Script::Write(head.answer("first") + &head.answer("again")),
+        _ => Script::Write(head.answer("own")),
+    });
+    let deployment = Deployment::open(config(1), &[&stand]);
+    assert!(deployment.call("GET", "/read/a", "r1").ends_with("first"));
+    let answer = deployment.call("GET", "/read/a", "r2");
+    assert!(!answer.contains("again"), "{answer}");
+}
+
+/// A target that is full says that it has not run the request. Another one runs it; the caller sees
+/// one answer, also of a request that may run once only.
+#[test]
+fn what_a_target_has_not_run_goes_to_another() {
+    let unrun = |head: &support::Head| {
+        let full = "Unrun: 1\r\nRunning: 4\r\n";
+        Script::Write(head.answer_with("503 Service Unavailable", full, ""))
+    };
+    let full = Stand::open(unrun);
+    let sound = Stand::sound("run");
+    let deployment = Deployment::open(config(1), &[&full, &sound]);
+    for n in 0..8 {
+        let answer = deployment.call("POST", "/once/a", &format!("r{n}"));
+        assert!(answer.ends_with("run"), "{answer}");
+    }
+}
+
+/// Every target says that it has not run the request: the caller is told so, and when to come back.
+#[test]
+fn what_nobody_has_run_is_refused_with_a_time_to_come_back() {
+    let unrun =
+        |head: &support::Head| Script::Write(head.answer_with("503 Busy", "Unrun: 1\r\n", ""));
+    let (a, b) = (Stand::open(unrun), Stand::open(unrun));
+    let deployment = Deployment::open(config(1), &[&a, &b]);
+    let answer = deployment.call("POST", "/once/a", "r1");
+    assert!(
+        answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after: "),
+        "{answer}"
+    );
+}
+
+/// A target answers 503 and does not say that it has not run the request. Passed on, that status
+/// would promise the caller that nothing ran; the caller gets one that promises nothing.
+#[test]
+fn a_busy_status_without_a_word_on_the_run_promises_nothing() {
+    let stand = Stand::open(|head| {
+        Script::Write(head.answer_with("503 Service Unavailable", "Stamp: s\r\n", ""))
+    });
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let answer = deployment.call("POST", "/once/a", "r1");
+    assert!(
+        answer.starts_with("HTTP/1.1 502") && !answer.contains("stamp"),
+        "{answer}"
+    );
+}
+
+/// The caller sends two requests at once and asks that the connection end with the first answer.
+/// The first answer must arrive whole although the second request lies unread behind it: a close
+/// with unread bytes would reset the connection, and the reset overtakes the answer.
+#[test]
+fn an_answer_arrives_whole_though_further_requests_wait_at_the_close() {
+    let stand = Stand::sound("first");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let more = "Content-Length: 4\r\nConnection: close\r\n";
+    let both =
+        request("POST", "/once/a", "r1", more) + "body" + &request("POST", "/once/b", "r2", "");
+    let answer = support::read_all(&mut deployment.send(&both));
+    assert!(answer.ends_with("first"), "{answer}");
+    assert_eq!(times(&answer, "HTTP/1.1 200"), 1, "{answer}");
+    assert_eq!(stand.count(), 1, "what was not read must not run");
+}
+
+/// The caller sends two searches at once. The target answers the first only once it has both: run
+/// one after the other, neither would ever be answered. The answers come in the requests' order.
+#[test]
+fn further_requests_run_before_their_turn_and_are_answered_in_order() {
+    let (tell, told) = channel();
+    let told = std::sync::Mutex::new(Some(told));
+    let stand = Stand::open(move |head| match head.id() {
+        "r1" => Script::Wait(told.lock().unwrap().take().expect("sent once")),
+        _ => Script::Write(head.answer("second")),
+    });
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let both = request("GET", "/read/a", "r1", "")
+        + &request("GET", "/read/b", "r2", "Connection: close\r\n");
+    // A request that names the end of the connection waits for its turn; one without does not.
+    let both = both.replace("Connection: close\r\n", "");
+    let last = request("GET", "/read/c", "r3", "Connection: close\r\n");
+    let mut stream = deployment.send(&(both + &last));
+    let (one, two) = (stand.next(), stand.next());
+    let first = if one.id() == "r1" { one } else { two };
+    tell.send(first.answer("first")).unwrap();
+    let answer = support::read_all(&mut stream);
+    let (a, b) = (
+        answer.find("first").unwrap(),
+        answer.find("second").unwrap(),
+    );
+    assert!(a < b, "{answer}");
+    assert_eq!(times(&answer, "HTTP/1.1 200"), 3, "{answer}");
+}
+
+/// An order behind a search must not run before its turn: if the connection ends with the search's
+/// answer, the caller takes the order for unread and sends it again.
+#[test]
+fn a_request_that_runs_once_waits_for_its_turn() {
+    let (tell, told) = channel();
+    let told = std::sync::Mutex::new(Some(told));
+    let stand = Stand::open(move |head| match head.id() {
+        "r1" => Script::Wait(told.lock().unwrap().take().expect("sent once")),
+        _ => Script::Write(head.answer("later")),
+    });
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let both = request("GET", "/read/a", "r1", "")
+        + &request("GET", "/once/b", "r2", "Connection: close\r\n");
+    let mut stream = deployment.send(&both);
+    let first = stand.next();
+    assert_eq!((first.id(), stand.count()), ("r1", 1));
+    tell.send(first.answer("first")).unwrap();
+    assert!(support::read_all(&mut stream).ends_with("later"));
+}
+
+/// The body of an order looks like a search. It is a body: nothing in it may run.
+#[test]
+fn a_body_that_looks_like_a_request_does_not_run() {
+    let (tell, told) = channel();
+    let told = std::sync::Mutex::new(Some(told));
+    let stand = Stand::open(move |head| match head.id() {
+        "r1" => Script::Wait(told.lock().unwrap().take().expect("sent once")),
+        _ => Script::Write(head.answer("other")),
+    });
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let body = request("GET", "/read/inside", "inside", "");
+    let more = format!("Content-Length: {}\r\nConnection: close\r\n", body.len());
+    let mut stream = deployment.send(
+        &(request("GET", "/read/a", "r1", "") + &request("POST", "/once/b", "r2", &more) + &body),
+    );
+    let first = stand.next();
+    tell.send(first.answer("first")).unwrap();
+    support::read_all(&mut stream);
+    assert!(stand.heads().iter().all(|head| head.id() != "inside"));
+}
+
+/// A caller leaves while its search runs and further requests of its own lie unread behind it. The
+/// target must see its connection end, or it works on for nobody.
+#[test]
+fn a_caller_that_leaves_ends_its_run_also_with_requests_unread() {
+    let (tell, ended) = channel();
+    let tell = std::sync::Mutex::new(tell);
+    let stand = Stand::open(move |_| Script::UntilClosed(tell.lock().unwrap().clone()));
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let both = request("GET", "/read/a", "r1", "")
+        + &request("POST", "/once/b", "r2", "Content-Length: 0\r\n");
+    let stream = deployment.send(&both);
+    stand.next();
+    drop(stream);
+    ended.recv().expect("the run ends");
+}
--- /dev/null
+++ b/crates/edge/tests/beliefs.rs
@@ -0,0 +1,203 @@
+//! What a host believes of targets and configurations, and what it does while the store is away.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use dunlinrock_edge::{
+    control::readers,
+    host::Host,
+    model::{Entry, Item, Target},
+    world::{View, World},
+};
+use support::{Board, Deployment, Stand, config, dialect, host_entry, settings, target};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn item(key: &str, rev: u64, entry: Option<Entry>) -> Item {
+    Item {
+        key: key.into(),
+        rev,
+        entry,
+    }
+}
+
+fn leaving(id: &str, leaving: bool) -> Entry {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Entry::Target(Arc::new(Target {
+        leaving,
+        ..target(id, address)
+    }))
+}
+
+fn ids(world: &World) -> Vec<String> {
+    let settings = settings();
+    let view = View::open(world, &settings.domains, &Default::default());
+    view.services
+        .values()
+        .flatten()
+        .map(|k| k.target.id.to_string())
+        .collect()
+}
+
+/// A host changes its source, and the new one is behind: it still lists a target that the host knows
+/// to leave, and an older configuration. Neither may come back.
+#[test]
+fn an_older_word_never_replaces_a_newer_one() {
+    let mut world = World::open();
+    world.apply(item("t1", 5, Some(leaving("t1", true))), NOW);
+    world.apply(item("t2", 6, None), NOW);
+    world.apply(
+        item("config", 7, Some(Entry::Config(Arc::new(config(9))))),
+        NOW,
+    );
+    world.apply(item("t1", 4, Some(leaving("t1", false))), NOW);
+    world.apply(item("t2", 3, Some(leaving("t2", false))), NOW);
+    world.apply(
+        item("config", 2, Some(Entry::Config(Arc::new(config(8))))),
+        NOW,
+    );
+    assert!(ids(&world).is_empty());
+    assert_eq!(world.config().unwrap().version, 9);
+}
+
+#[test]
+fn a_reading_removes_what_it_does_not_name_unless_that_is_newer() {
+    let mut world = World::open();
+    world.apply(item("old", 5, Some(leaving("old", false))), NOW);
+    world.apply(item("new", 20, Some(leaving("new", false))), NOW);
+    world.replace(
+        10,
+        vec![item("named", 8, Some(leaving("named", false)))],
+        NOW,
+    );
+    assert_eq!(ids(&world), ["named", "new"]);
+}
+
+/// Targets repeat themselves with every heartbeat. A repetition must not count as a change: every
+/// host that follows this one would be told of it.
+#[test]
+fn a_heartbeat_that_says_nothing_new_is_no_change() {
+    let mut world = World::open();
+    assert!(world.apply(item("t1", 1, Some(leaving("t1", false))), NOW));
+    let number = world.last();
+    assert!(!world.apply(item("t1", 2, Some(leaving("t1", false))), NOW));
+    assert_eq!(world.last(), number);
+    assert!(world.apply(item("t1", 3, Some(leaving("t1", true))), NOW));
+}
+
+/// A target says that it is cold for three seconds more. A host that hears of it a second later, from
+/// another host, must not take it for cold a second longer than it is.
+#[test]
+fn a_cold_time_passed_on_is_shorter_by_the_time_that_passed() {
+    let cold = Duration::from_secs(3);
+    let address = "127.0.0.1:1".parse().unwrap();
+    let entry = Entry::Target(Arc::new(Target {
+        cold,
+        ..target("t1", address)
+    }));
+    let mut world = World::open();
+    world.apply(item("t1", 1, Some(entry)), NOW);
+    let passed = world.since(0, NOW + Duration::from_secs(1)).unwrap();
+    let Some(Entry::Target(target)) = &passed[0].entry else {
+        panic!("a target")
+    };
+    assert_eq!(target.cold, Duration::from_secs(2));
+}
+
+#[test]
+fn changes_are_told_once_and_from_the_journal_only() {
+    let mut world = World::open();
+    for n in 0..10 {
+        world.apply(
+            item(&format!("t{n}"), n + 1, Some(leaving("t", false))),
+            NOW,
+        );
+    }
+    assert_eq!(world.since(7, NOW).unwrap().len(), 3);
+    assert_eq!(world.since(10, NOW).unwrap().len(), 0);
+    assert!(world.since(11, NOW).is_none(), "another process's number");
+}
+
+#[test]
+fn the_hosts_nearest_to_the_store_read_it() {
+    let hosts = [("a", 4), ("b", 0), ("c", 4), ("d", 0), ("e", 0)];
+    let hosts = hosts.map(|(name, far)| (name.into(), Arc::new(host_entry(name, far))));
+    let names: Vec<_> = readers(&hosts.into())
+        .iter()
+        .map(|h| h.name.to_string())
+        .collect();
+    assert_eq!(names, ["b", "d"]);
+}
+
+/// A host that knows no configuration yet must not say that a route does not exist.
+#[test]
+fn without_a_configuration_requests_are_refused_and_the_host_is_not_ready() {
+    let host = Host::spawn(settings(), Board::open().feed(), dialect()).unwrap();
+    let deployment = Deployment {
+        board: Board::open(),
+        host,
+    };
+    assert!(!deployment.host.shared().is_ready());
+    let answer = deployment.call("GET", "/read/a", "r1");
+    assert!(
+        answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after"),
+        "{answer}"
+    );
+}
+
+/// A target leaves: once the host has heard of it, no request goes there.
+#[test]
+fn a_leaving_target_gets_nothing_more() {
+    let (old, new) = (Stand::sound("old"), Stand::sound("new"));
+    let deployment = Deployment::open(config(1), &[&old, &new]);
+    let gone = Target {
+        leaving: true,
+        ..target("t0", old.address())
+    };
+    deployment.board.put("t0", Entry::Target(Arc::new(gone)));
+    deployment.until_ready();
+    for n in 0..20 {
+        let path = format!("/read/{n}");
+        assert!(deployment.call("GET", &path, "r").ends_with("new"));
+    }
+}
+
+/// The store goes away and with it everything the host could ask. It serves on with what it knows.
+#[test]
+fn a_host_serves_on_while_the_store_is_away() {
+    let stand = Stand::sound("still");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    deployment.board.set_down(true);
+    deployment.board.put("other", leaving("other", true));
+    assert!(deployment.call("GET", "/read/a", "r1").ends_with("still"));
+}
+
+/// Evacuated targets get nothing; their domain taken back, they are cold and get a few requests a
+/// second at most, whatever they say themselves.
+#[test]
+fn an_evacuated_domain_gets_nothing_and_comes_back_cold() {
+    let mut world = World::open();
+    world.apply(item("t1", 1, Some(leaving("t1", false))), NOW);
+    world.apply(
+        item("e", 2, Some(Entry::Evacuated(support::DOMAIN.into()))),
+        NOW,
+    );
+    assert!(ids(&world).is_empty());
+    let stand = Stand::sound("back");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    deployment
+        .board
+        .put("e", Entry::Evacuated(support::DOMAIN.into()));
+    deployment.until_ready();
+    assert!(
+        deployment
+            .call("GET", "/read/a", "r1")
+            .starts_with("HTTP/1.1 503")
+    );
+    deployment.board.remove("e");
+    deployment.until_ready();
+    let view = deployment.host.shared().view.load();
+    let known = &view.services["cart"][0];
+    assert!(known.cold > deployment.host.shared().now());
+}
--- /dev/null
+++ b/crates/edge/tests/lookups.rs
@@ -0,0 +1,95 @@
+//! Look-ups, readiness, metrics and dumps.
+
+mod support;
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+};
+
+use dunlinrock_edge::{
+    model::{Entry, HostEntry},
+    settings,
+};
+use support::{Deployment, Stand, config, host_entry, read_all};
+
+fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("the host listens");
+    let text = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    stream.write_all(text.as_bytes()).expect("the host reads");
+    read_all(&mut stream)
+}
+
+#[test]
+fn callers_are_sent_to_the_hosts_of_their_region() {
+    let stand = Stand::sound("x");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let far = HostEntry {
+        domain: "south-1".into(),
+        callers: "127.0.0.3:3".parse().unwrap(),
+        ..host_entry("far", 1)
+    };
+    deployment.board.put("far", Entry::Host(Arc::new(far)));
+    deployment.until_ready();
+    let listen = deployment.host.shared().settings.listen.clone();
+    let south = get(listen.lookup, "/hosts?region=south");
+    assert!(south.ends_with("127.0.0.3:3"), "{south}");
+    let north = get(listen.lookup, "/hosts?region=north");
+    assert!(north.ends_with(&listen.callers.to_string()), "{north}");
+    let unknown = get(listen.lookup, "/hosts?region=east");
+    assert!(
+        unknown.contains("127.0.0.3:3"),
+        "all, where a region has none: {unknown}"
+    );
+    assert!(get(listen.lookup, "/hosts").starts_with("HTTP/1.1 400"));
+}
+
+/// A host that is asked to stop is not ready from that moment, and look-ups no longer name it.
+#[test]
+fn a_host_that_stops_is_neither_ready_nor_named() {
+    let stand = Stand::sound("x");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let listen = deployment.host.shared().settings.listen.clone();
+    let ready = listen.ready.unwrap();
+    assert!(get(ready, "/ready").starts_with("HTTP/1.1 200"));
+    deployment.host.leave();
+    assert!(get(ready, "/ready").starts_with("HTTP/1.1 503"));
+    assert!(get(listen.lookup, "/hosts?region=north").starts_with("HTTP/1.1 503"));
+}
+
+#[test]
+fn metrics_and_the_dump_are_served_as_text() {
+    let stand = Stand::sound("x");
+    let deployment = Deployment::open(config(7), &[&stand]);
+    deployment.call("GET", "/read/a", "r1");
+    let listen = deployment.host.shared().settings.listen.clone();
+    let metrics = get(listen.metrics.unwrap(), "/metrics");
+    assert!(metrics.contains("dunlinrock.answered 1\n"), "{metrics}");
+    assert!(metrics.contains("dunlinrock.time.p50 "), "{metrics}");
+    let dump = get(listen.peers, "/peer/v1/dump");
+    assert!(dump.contains(r#""version":7"#), "{dump}");
+}
+
+#[test]
+fn all_mistakes_of_a_settings_file_are_reported_together() {
+    let text = r#"
+        name = "h1"
+        region = "north"
+        domain = "nowhere"
+        domains = {}
+        listen = { callers = "x", lookup = "127.0.0.1:1", peers = "127.0.0.1:2" }
+        store = { address = "127.0.0.1" }
+        bounds = { grace = "6 minutes", retry_ratio = -1.0 }
+    "#;
+    let error = settings::parse(text).unwrap_err().to_string();
+    for key in [
+        "listen.callers",
+        "store.address",
+        "bounds.grace",
+        "bounds.retry_ratio",
+        "domain:",
+    ] {
+        assert!(error.contains(key), "{key} is missing in: {error}");
+    }
+}
--- /dev/null
+++ b/crates/edge/tests/support/mod.rs
@@ -0,0 +1,232 @@
+//! One edge host between scripted targets, a feed in memory, and a plain caller.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of it"
+)]
+
+mod board;
+mod stand;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dunlinrock_edge::{
+    host::Host,
+    model::{
+        Config, Dialect, Entry, HostEntry, Limits, LookupAsk, Part, Reported, Route, Service,
+        Target,
+    },
+    settings::{self, Settings},
+};
+use http::{HeaderMap, HeaderName, Uri};
+
+pub use self::{
+    board::Board,
+    stand::{Head, Script, Stand},
+};
+
+/// Region and failure domain of everything, where a test does not say otherwise.
+pub const DOMAIN: &str = "north-1";
+
+/// A host, what it is told, and the targets behind it.
+pub struct Deployment {
+    pub board: Board,
+    pub host: Host,
+}
+
+impl Deployment {
+    /// Starts a host on a configuration and targets.
+    pub fn open(config: Config, stands: &[&Stand]) -> Deployment {
+        let board = Board::open();
+        board.put("config", Entry::Config(Arc::new(config)));
+        for (n, stand) in stands.iter().enumerate() {
+            let id = format!("t{n}");
+            board.put(&id, Entry::Target(Arc::new(target(&id, stand.address()))));
+        }
+        let host = Host::spawn(settings(), board.feed(), dialect()).expect("the host starts");
+        let deployment = Deployment { board, host };
+        deployment.until_ready();
+        deployment
+    }
+
+    /// Waits until the host has taken in what the board holds.
+    pub fn until_ready(&self) {
+        let at = self.board.at();
+        self.board.until_read(at);
+        while !self.host.shared().is_ready() {
+            std::thread::yield_now();
+        }
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        self.host.shared().settings.listen.callers
+    }
+
+    /// Sends text on a new connection.
+    pub fn send(&self, text: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.callers()).expect("the host listens");
+        stream.write_all(text.as_bytes()).expect("the host reads");
+        stream
+    }
+
+    /// Sends one request and reads until the host closes.
+    pub fn call(&self, method: &str, path: &str, id: &str) -> String {
+        read_all(&mut self.send(&request(method, path, id, "Connection: close\r\n")))
+    }
+}
+
+/// A request as callers send it.
+pub fn request(method: &str, path: &str, id: &str, more: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nId: {id}\r\nLeft: 20000\r\n{more}\r\n"
+    )
+}
+
+/// Reads to the end of a connection; what arrived before an error counts.
+pub fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4096];
+    while let Ok(n) = stream.read(&mut chunk) {
+        if n == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&chunk[..n]);
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Times a text occurs in another.
+pub fn times(text: &str, part: &str) -> usize {
+    text.matches(part).count()
+}
+
+pub fn target(id: &str, address: SocketAddr) -> Target {
+    Target {
+        id: id.into(),
+        service: "cart".into(),
+        address,
+        domain: DOMAIN.into(),
+        slots: 4,
+        leaving: false,
+        cold: Duration::ZERO,
+    }
+}
+
+pub fn host_entry(name: &str, distance: u32) -> HostEntry {
+    HostEntry {
+        name: name.into(),
+        domain: DOMAIN.into(),
+        callers: "127.0.0.1:1".parse().unwrap(),
+        peers: "127.0.0.1:2".parse().unwrap(),
+        distance,
+    }
+}
+
+/// Requests under `/read/` may run again, those under `/once/` may not.
+pub fn config(version: u64) -> Config {
+    let route = |name: &str, prefix: &str, repeatable| {
+        Arc::new(Route {
+            name: name.into(),
+            host: "shop.example".into(),
+            prefix: prefix.into(),
+            repeatable,
+            timeout: Duration::from_secs(20),
+            objective: Duration::from_secs(10),
+            priority: 1,
+            attempts: 3,
+            parts: vec![Part {
+                service: "cart".into(),
+                weight: 1.0,
+            }],
+            homes: BTreeSet::new(),
+        })
+    };
+    let cart = Service {
+        health: "/health".into(),
+        cold: Duration::from_secs(3),
+        rate: 2.0,
+    };
+    Config {
+        version,
+        routes: vec![
+            route("read", "/read/", true),
+            route("once", "/once/", false),
+        ],
+        services: BTreeMap::from([("cart".into(), cart)]),
+        limits: Limits {
+            head: 16 << 10,
+            body: 1 << 16,
+            idle: Duration::from_secs(15),
+        },
+    }
+}
+
+pub fn settings() -> Settings {
+    let text = r#"
+        name = "h1"
+        region = "north"
+        domain = "north-1"
+        [domains]
+        north-1 = "north"
+        south-1 = "south"
+        [listen]
+        callers = "127.0.0.1:0"
+        lookup = "127.0.0.1:0"
+        ready = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        metrics = "127.0.0.1:0"
+        [store]
+        address = "127.0.0.1:9"
+    "#;
+    settings::parse(text).expect("the settings are sound")
+}
+
+/// A small dialect of the tests' own.
+pub fn dialect() -> Dialect {
+    Dialect {
+        id: HeaderName::from_static("id"),
+        left: HeaderName::from_static("left"),
+        expect: HeaderName::from_static("only"),
+        unrun: HeaderName::from_static("unrun"),
+        stamp: HeaderName::from_static("stamp"),
+        object,
+        load,
+        ready: "/ready",
+        lookup: "/hosts",
+        ask,
+        answer,
+    }
+}
+
+fn object(headers: &HeaderMap) -> Option<&str> {
+    headers.get("object")?.to_str().ok()
+}
+
+fn load(headers: &HeaderMap) -> Option<Reported> {
+    let running = headers.get("running")?.to_str().ok()?.parse().ok()?;
+    Some(Reported {
+        running,
+        waiting: 0,
+    })
+}
+
+fn ask(uri: &Uri) -> Option<LookupAsk> {
+    let region = uri.query()?.strip_prefix("region=")?;
+    Some(LookupAsk {
+        region: region.into(),
+        domain: "-".into(),
+    })
+}
+
+fn answer(hosts: &[SocketAddr], _: Duration) -> (Bytes, &'static str) {
+    let hosts: Vec<_> = hosts.iter().map(ToString::to_string).collect();
+    (Bytes::from(hosts.join(" ")), "text/plain")
+}
