--- a/crates/edge/src/front/ahead.rs
+++ b/crates/edge/src/front/ahead.rs
@@ -125,10 +125,9 @@
     /// Whether a request may run before its turn: only one that may run again, since its caller
     /// sends it anew if the connection ends before it is answered.
     fn may_begin(&self, head: &Parts) -> bool {
-        let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
         let view = self.shared.view.load();
-        let route = view.config.as_ref().zip(host);
-        let route = route.and_then(|(c, host)| place::route(c, host, head.uri.path()));
+        let config = view.config.as_ref();
+        let route = config.and_then(|c| place::route(c, &head.headers, &head.uri));
         route.is_some_and(|route| route.repeatable)
     }
 }
--- a/crates/edge/src/front/link.rs
+++ b/crates/edge/src/front/link.rs
@@ -30,6 +30,8 @@
 pub(super) enum Broken {
     /// Certainly nothing was sent.
     Unsent(String),
+    /// Nothing was sent, as the request is to go elsewhere by now.
+    Moved,
     /// Something may have been sent, and no whole answer came back.
     Sent(String),
 }
--- a/crates/edge/src/front/place.rs
+++ b/crates/edge/src/front/place.rs
@@ -10,6 +10,8 @@
     },
 };
 
+use http::{HeaderMap, Uri, header};
+
 use super::{Front, lanes::Lane};
 use crate::{
     model::{Config, Route},
@@ -31,6 +33,8 @@
     pub(super) lane: Rc<Lane>,
     pub(super) rank: usize,
     pub(super) busy: u32,
+    /// Number of the view that it was picked by.
+    pub(super) number: u64,
 }
 
 /// Identifies an object on a route: a run on one route does not warm another.
@@ -84,10 +88,12 @@
             }
             let busy = candidates[index].busy;
             lanes[index].aside.borrow_mut().start(now);
+            let lane = Rc::clone(&lanes[index]);
             return Ok(Place {
-                lane: Rc::clone(&lanes[index]),
+                lane,
                 rank,
                 busy,
+                number: view.number,
             });
         }
         Err(if held.is_empty() {
@@ -137,7 +143,13 @@
 }
 
 /// The route of a request.
-pub(super) fn route<'a>(config: &'a Config, host: &str, path: &str) -> Option<&'a Arc<Route>> {
+pub(super) fn route<'a>(
+    config: &'a Config,
+    headers: &HeaderMap,
+    uri: &Uri,
+) -> Option<&'a Arc<Route>> {
+    let host = headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = host.or_else(|| uri.host()).unwrap_or_default();
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    config.route(name, path)
+    config.route(name, uri.path())
 }
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its head to its answer.
 
-use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dunlinrock_decide::admit::direct::Evidence;
@@ -64,6 +64,30 @@
     pub(super) response: Response<Full<Bytes>>,
 }
 
+/// What the attempts of a request have led to.
+#[derive(Debug, Default)]
+struct Course {
+    /// Targets that are not asked again.
+    tried: BTreeSet<Arc<str>>,
+    /// Attempts that reached a target.
+    arrived: u32,
+    /// Whether one of them may have run the request.
+    ran: bool,
+    /// Whether the request is counted among those that the retry budget follows.
+    counted: bool,
+}
+
+impl Course {
+    /// Gives up. Only a request that certainly has not run is refused with the promise that it
+    /// never will.
+    fn give_up(&self, cause: &str, retry: Duration) -> End {
+        match self.ran {
+            true => lost(cause.to_owned()),
+            false => refuse(cause, retry),
+        }
+    }
+}
+
 /// How one attempt ended.
 enum Tried {
     Answered(Whole),
@@ -73,8 +97,10 @@
     Unsent(String),
     /// It may have run.
     Lost(String),
-    /// Its time is over.
+    /// Its time is over, and it may have run.
     Late,
+    /// Nothing was sent, as it is to go elsewhere by now.
+    Moved,
 }
 
 /// Counts a request while it is served.
@@ -149,21 +175,15 @@
         if self.is_closing() {
             return refuse("this host is about to end", Duration::ZERO);
         }
-        let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
-        let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-        let Some(route) = place::route(config, host, head.uri.path()) else {
-            return plain(
-                StatusCode::NOT_FOUND,
-                "no_route",
-                format!("{host}{}", head.uri.path()),
-            );
+        let Some(route) = place::route(config, &head.headers, &head.uri) else {
+            return no_route(&head.uri);
         };
         let body = match whole_body(body, config.limits.body).await {
             Ok(body) => body,
             Err(end) => return end,
         };
         let work = self.work(head, body, route);
-        self.run(&view, route, &work).await
+        self.run(&work).await
     }
 
     fn work(&self, head: Parts, body: Bytes, route: &Route) -> Work {
@@ -185,75 +205,99 @@
     }
 
     /// Sends a request to targets until one answers, or it must be given up.
-    async fn run(&self, view: &Arc<View>, route: &Arc<Route>, work: &Work) -> End {
-        let object = place::object(route, (self.shared.dialect.object)(&work.headers));
-        let Some(service) = place::part(route, object) else {
-            return refuse("the route has no service", MOST_RETRY);
-        };
-        self.first(service);
-        let mut tried = BTreeSet::new();
-        let mut arrived = 0;
+    async fn run(&self, work: &Work) -> End {
+        let mut course = Course::default();
         loop {
-            // What is believed may have changed since the last attempt.
-            let view = if tried.is_empty() {
-                Arc::clone(view)
-            } else {
-                self.shared.view.load_full()
-            };
-            let place = match self.place(&view, route, service, object, &tried) {
-                Ok(place) => place,
-                Err(NoPlace::Nobody) => return refuse("no target is left", MOST_RETRY),
-                Err(NoPlace::Cold) => return refuse("all targets are cold", MOST_RETRY),
+            // What is believed may have changed since the last attempt, the route too.
+            let view = self.shared.view.load_full();
+            let config = view.config.as_ref();
+            let Some(route) = config.and_then(|c| place::route(c, &work.headers, &work.uri)) else {
+                return no_route(&work.uri);
             };
-            if let Some(end) = self.hopeless(route, &place, work) {
+            if let Some(end) = self.step(&view, route, work, &mut course).await {
                 return end;
             }
-            if arrived > 0 && !self.second(service, view.sharers()) {
-                place.lane.aside.borrow_mut().withdraw();
-                return refuse("the retry budget is spent", LEAST_RETRY);
+        }
+    }
+
+    /// One attempt; `None` where another may follow.
+    async fn step(
+        &self,
+        view: &View,
+        route: &Arc<Route>,
+        work: &Work,
+        course: &mut Course,
+    ) -> Option<End> {
+        let object = place::object(route, (self.shared.dialect.object)(&work.headers));
+        let Some(service) = place::part(route, object) else {
+            return Some(course.give_up("the route has no service", MOST_RETRY));
+        };
+        if !std::mem::replace(&mut course.counted, true) {
+            self.first(service);
+        }
+        let place = match self.place(view, route, service, object, &course.tried) {
+            Ok(place) => place,
+            Err(NoPlace::Nobody) => return Some(course.give_up("no target is left", MOST_RETRY)),
+            Err(NoPlace::Cold) => return Some(course.give_up("all targets are cold", MOST_RETRY)),
+        };
+        if let Some((cause, retry)) = self.hopeless(route, &place, work) {
+            place.lane.aside.borrow_mut().withdraw();
+            return Some(course.give_up(&cause, retry));
+        }
+        if course.arrived > 0 && !self.second(service, view.sharers()) {
+            place.lane.aside.borrow_mut().withdraw();
+            return Some(course.give_up("the retry budget is spent", LEAST_RETRY));
+        }
+        let tried = self.attempt(route, &place, work).await;
+        self.settle(route, &place, work, course, tried)
+    }
+
+    /// What follows from an attempt.
+    fn settle(
+        &self,
+        route: &Route,
+        place: &Place,
+        work: &Work,
+        course: &mut Course,
+        tried: Tried,
+    ) -> Option<End> {
+        let cause = match tried {
+            Tried::Answered(whole) => return Some(answered(whole)),
+            Tried::Late => return Some(late()),
+            Tried::Moved => return None,
+            Tried::Unsent(cause) => cause,
+            Tried::Unrun(cause) => {
+                course.arrived += 1;
+                cause
             }
-            let result = self.attempt(route, &place, work).await;
-            tried.insert(Arc::clone(&place.lane.target.id));
-            let cause = match result {
-                Tried::Answered(whole) => return answered(whole),
-                Tried::Late => return late(),
-                Tried::Unsent(cause) => cause,
-                Tried::Unrun(cause) => {
-                    arrived += 1;
-                    cause
-                }
-                Tried::Lost(cause) if !route.repeatable => return lost(cause),
-                Tried::Lost(cause) => {
-                    arrived += 1;
-                    if arrived >= route.attempts || !has_time(work) {
-                        return lost(cause);
-                    }
-                    cause
-                }
-            };
-            self.repeats(&work.id, &cause, arrived);
-            if arrived >= route.attempts || !has_time(work) {
-                return refuse(&format!("given up: {cause}"), LEAST_RETRY);
+            Tried::Lost(cause) => {
+                course.arrived += 1;
+                course.ran = true;
+                cause
             }
-        }
+        };
+        course.tried.insert(Arc::clone(&place.lane.target.id));
+        self.repeats(&work.id, &cause, course.arrived);
+        let ended = course.arrived >= route.attempts || !has_time(work);
+        let once = course.ran && !route.repeatable;
+        (ended || once).then(|| course.give_up(&cause, LEAST_RETRY))
     }
 
     /// Refuses at once what could not be answered before its caller leaves. Run all the same, it
     /// would take a slot from one that can.
-    fn hopeless(&self, route: &Route, place: &Place, work: &Work) -> Option<End> {
+    fn hopeless(&self, route: &Route, place: &Place, work: &Work) -> Option<(String, Duration)> {
         let left = work.end.saturating_duration_since(Instant::now());
         let slots = place.lane.target.slots;
         let forecast = self.forecast(&route.name);
         if place.busy < forecast.room(slots, left.min(route.objective.mul_f64(PATIENCE))) {
             return None;
         }
-        place.lane.aside.borrow_mut().withdraw();
         let wait = forecast.wait(place.busy, slots);
         let cause = format!(
             "{} has {} for {slots} slots",
             place.lane.target.id, place.busy
         );
-        Some(refuse(&cause, wait.clamp(LEAST_RETRY, MOST_RETRY)))
+        Some((cause, wait.clamp(LEAST_RETRY, MOST_RETRY)))
     }
 
     /// Sends a request to one target.
@@ -266,31 +310,47 @@
             place,
             work.end.saturating_duration_since(Instant::now()),
         );
-        let start = Instant::now();
-        let exchanged = tokio::time::timeout_at(work.end, self.exchange(lane, work)).await;
-        let time = start.elapsed();
+        let (start, sent) = (Instant::now(), Cell::new(false));
+        let exchange = self.exchange(route, place, work, &sent);
+        let exchanged = tokio::time::timeout_at(work.end, exchange).await;
         let (tried, evidence) = match exchanged {
-            Err(_) => (Tried::Late, None),
+            Err(_) if sent.get() => (Tried::Late, None),
+            Err(_) => (
+                Tried::Unsent("no connection in time".to_owned()),
+                Some(Evidence::Down),
+            ),
+            Ok(Err(Broken::Moved)) => (Tried::Moved, None),
             Ok(Err(Broken::Unsent(cause))) => (Tried::Unsent(cause), Some(Evidence::Down)),
             Ok(Err(Broken::Sent(cause))) => (Tried::Lost(cause), Some(Evidence::Bad)),
             Ok(Ok(whole)) => self.judge(lane, work, whole),
         };
         if matches!(tried, Tried::Answered(_)) {
-            self.note_time(&route.name, time, place);
+            self.note_time(&route.name, start.elapsed(), place);
         }
         self.learn(lane, evidence);
         tried
     }
 
     /// Exchanges on a kept connection, or on a new one.
-    async fn exchange(&self, lane: &Lane, work: &Work) -> Result<Whole, Broken> {
+    async fn exchange(
+        &self,
+        route: &Route,
+        place: &Place,
+        work: &Work,
+        sent: &Cell<bool>,
+    ) -> Result<Whole, Broken> {
+        let lane = &place.lane;
         loop {
             let kept = lane.take();
             let mut link = match kept {
                 Some(link) => link,
                 None => Link::open(lane.target.address).await?,
             };
+            if !self.still_allows(route, place, work) {
+                return Err(Broken::Moved);
+            }
             let was_used = link.is_used();
+            sent.set(true);
             match link.exchange(self.request(lane, work)).await {
                 Ok((whole, reusable)) => {
                     if reusable && self.is_own(work, &whole) {
@@ -299,12 +359,30 @@
                     return Ok(whole);
                 }
                 // The target closed a kept connection before anything was sent.
-                Err(Broken::Unsent(_)) if was_used => {}
+                Err(Broken::Unsent(_)) if was_used => sent.set(false),
                 Err(e) => return Err(e),
             }
         }
     }
 
+    /// Whether what is believed now still sends the request where it is about to go.
+    ///
+    /// Opening a connection between regions takes some hundred milliseconds. A host that was cut off
+    /// and has just learned of a newer configuration would send a request by the old one, also out
+    /// of the regions that may run it; a target that began to leave would get one more.
+    fn still_allows(&self, route: &Route, place: &Place, work: &Work) -> bool {
+        let view = self.shared.view.load();
+        if view.number == place.number {
+            return true;
+        }
+        let config = view.config.as_ref();
+        let now = config.and_then(|c| place::route(c, &work.headers, &work.uri));
+        let target = &place.lane.target;
+        let listed = view.services.get(&target.service);
+        let listed = listed.is_some_and(|list| list.iter().any(|k| k.target.id == target.id));
+        listed && now.is_some_and(|now| **now == *route)
+    }
+
     fn request(&self, lane: &Lane, work: &Work) -> Request<Full<Bytes>> {
         let dialect = &self.shared.dialect;
         let mut request = Request::new(Full::new(work.body.clone()));
@@ -415,6 +493,10 @@
     }
 }
 
+fn no_route(uri: &Uri) -> End {
+    plain(StatusCode::NOT_FOUND, "no_route", uri.to_string())
+}
+
 fn has_time(work: &Work) -> bool {
     work.end.saturating_duration_since(Instant::now()) > LEAST_RUN
 }
