--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -1,6 +1,7 @@
 //! The command line. Each flag is defined in one place, with its short and long help.
 
 mod edge;
+mod explain;
 mod fake;
 mod load;
 mod operate;
@@ -9,6 +10,7 @@
 use bpaf::{Bpaf, OptionParser};
 
 pub use edge::Edge;
+pub use explain::Explain;
 pub use fake::{Fake, FakeServe, FakeTargets};
 pub use load::{Demo, Load, Plot};
 pub use operate::{Apply, Check, Dump, History, Hosts, HostsFrom, Plan, Show, Store};
@@ -70,6 +72,13 @@
     /// Show the whole state of a host as JSON
     #[bpaf(command)]
     Dump(#[bpaf(external(operate::dump))] Dump),
+    /// Show one request's way through the logs of hosts
+    ///
+    /// Reads the structured lines of any number of hosts, prints those about the request in order
+    /// of time with what decided, and says how many lines are missing. Lines that are cut or that
+    /// something else wrote are counted and passed over.
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::explain))] Explain),
     /// Put load on running hosts and report what callers get
     #[bpaf(command)]
     Load(#[bpaf(external(load::load))] Load),
--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,138 @@
+//! `explain`: one request's way through the logs of several hosts.
+
+use std::{
+    fs::File,
+    io::{self, BufRead, BufReader},
+    path::Path,
+};
+
+use anyhow::Context;
+use serde_json::{Map, Value};
+
+use crate::{
+    args::Explain,
+    exit::{Exit, Failure},
+    out,
+};
+
+/// Fields that every line has, or that are shown apart.
+const APART: [&str; 7] = ["time", "level", "of", "event", "id", "text", "source"];
+
+/// A line about the request.
+struct Line {
+    time: f64,
+    source: String,
+    fields: Map<String, Value>,
+}
+
+/// Prints the lines about a request in order of time, and what is missing.
+pub(crate) fn explain(args: &Explain) -> Result<(), Failure> {
+    let mut found = Found::default();
+    for path in &args.files {
+        read(path, &args.id, &mut found)?;
+    }
+    if found.lines.is_empty() {
+        let text = format!(
+            "no line names request {}; {} lines were read",
+            args.id, found.read
+        );
+        return Err(Failure::open(Exit::Failed, text));
+    }
+    found.lines.sort_by(|a, b| a.time.total_cmp(&b.time));
+    let start = found.lines[0].time;
+    for line in &found.lines {
+        out::line(show(line, start))?;
+    }
+    if found.cut > 0 {
+        out::line(format!("{} lines could not be read", found.cut))?;
+    }
+    if found.dropped > 0 {
+        let text = "lines were left out by the hosts; some may be this request's";
+        out::line(format!("{} {text}", found.dropped))?;
+    }
+    Ok(())
+}
+
+/// What the files hold.
+#[derive(Default)]
+struct Found {
+    lines: Vec<Line>,
+    read: u64,
+    /// Lines that are no log lines, such as ones that were cut.
+    cut: u64,
+    /// Lines that hosts say they left out.
+    dropped: u64,
+}
+
+fn read(path: &Path, id: &str, found: &mut Found) -> anyhow::Result<()> {
+    let name = path.display().to_string();
+    let reader: Box<dyn BufRead> = match name.as_str() {
+        "-" => Box::new(BufReader::new(io::stdin())),
+        _ => Box::new(BufReader::new(
+            File::open(path).with_context(|| format!("reading {name}"))?,
+        )),
+    };
+    for bytes in reader.split(b'\n') {
+        let bytes = bytes.with_context(|| format!("reading {name}"))?;
+        let text = String::from_utf8_lossy(&bytes);
+        if !text.trim().is_empty() {
+            found.take(&text, &name, id);
+        }
+    }
+    Ok(())
+}
+
+impl Found {
+    fn take(&mut self, text: &str, name: &str, id: &str) {
+        self.read += 1;
+        // A collector may have put the host's name or a time in front.
+        let (before, json) = text.split_at(text.find('{').unwrap_or(text.len()));
+        let Ok(Value::Object(fields)) = serde_json::from_str(json.trim()) else {
+            self.cut += 1;
+            return;
+        };
+        if fields.get("event").and_then(Value::as_str) == Some("dropped") {
+            self.dropped += fields
+                .get("lines")
+                .and_then(Value::as_u64)
+                .unwrap_or_default();
+        }
+        if fields.get("id").and_then(Value::as_str) != Some(id) {
+            return;
+        }
+        let time = fields
+            .get("time")
+            .and_then(Value::as_f64)
+            .unwrap_or_default();
+        let source = before.split_whitespace().last().unwrap_or(name).to_owned();
+        self.lines.push(Line {
+            time,
+            source,
+            fields,
+        });
+    }
+}
+
+fn show(line: &Line, start: f64) -> String {
+    let after = (line.time - start) * 1000.0;
+    let event = line
+        .fields
+        .get("event")
+        .and_then(Value::as_str)
+        .unwrap_or("-");
+    let inputs = line
+        .fields
+        .iter()
+        .filter(|(name, _)| !APART.contains(&name.as_str()));
+    let inputs: Vec<_> = inputs
+        .map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        })
+        .collect();
+    format!(
+        "{after:>8.0} ms  {}  {event:<15} {}",
+        line.source,
+        inputs.join(" ")
+    )
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -51,6 +51,7 @@
     match command {
         Command::Serve(args) => commands::serve(&args),
         Command::Edge(args) => commands::edge(&args),
+        Command::Explain(args) => commands::explain(&args),
         Command::Check(args) => commands::check(&args),
         Command::Plan(args) => commands::plan(&args),
         Command::Apply(args) => commands::apply(&args),
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,84 @@
+//! `explain`: from a request's id to its cause, through the logs of several hosts.
+
+mod support;
+
+use std::{fs, path::PathBuf};
+
+use support::program::run;
+
+/// A log with these lines.
+fn log(dir: &tempfile::TempDir, name: &str, lines: &[&str]) -> String {
+    let path: PathBuf = dir.path().join(name);
+    fs::write(&path, lines.join("\n")).unwrap();
+    path.display().to_string()
+}
+
+/// A caller was refused at one host and came back through another, which sent the request. Their
+/// logs are read together, one of them cut in mid-line.
+#[test]
+fn a_request_is_followed_through_the_logs_of_several_hosts_in_order_of_time() {
+    let dir = tempfile::tempdir().unwrap();
+    let a = log(
+        &dir,
+        "a.log",
+        &[
+            r#"{"time":10.5,"event":"answered","id":"r1","cause":"200","status":200}"#,
+            r#"{"time":10.1,"event":"sent","id":"r1","to":"t7","busy":3}"#,
+            r#"{"time":10.1,"event":"sent","id":"r2","to":"t8"}"#,
+            r#"{"time":10.2,"event":"dropped","lines":4}"#,
+            r#"{"time":10.3,"event":"answe"#,
+        ],
+    );
+    let b = log(
+        &dir,
+        "b.log",
+        &[r#"host-b {"time":10.0,"event":"refused","id":"r1","cause":"t7 has 12 for 4 slots"}"#],
+    );
+    let out = run(&["explain", "r1", &a, &b]);
+    assert_eq!(out.code, 0, "{}", out.err);
+    let lines: Vec<&str> = out.out.lines().collect();
+    assert!(lines[0].contains("0 ms  host-b  refused"), "{}", out.out);
+    assert!(
+        lines[0].contains("cause=t7 has 12 for 4 slots"),
+        "{}",
+        out.out
+    );
+    assert!(
+        lines[1].contains("100 ms") && lines[1].contains("to=t7"),
+        "{}",
+        out.out
+    );
+    assert!(lines[2].contains("answered"), "{}", out.out);
+    assert!(
+        lines[3].starts_with("1 lines could not be read"),
+        "{}",
+        out.out
+    );
+    assert!(lines[4].starts_with("4 lines were left out"), "{}", out.out);
+    assert!(
+        !out.out.contains("t8"),
+        "another request's line: {}",
+        out.out
+    );
+}
+
+#[test]
+fn a_request_that_no_line_names_is_said_so() {
+    let dir = tempfile::tempdir().unwrap();
+    let a = log(&dir, "a.log", &[r#"{"time":1.0,"event":"sent","id":"r2"}"#]);
+    let out = run(&["explain", "r1", &a]);
+    assert_eq!(out.code, 1);
+    assert!(
+        out.err
+            .contains("no line names request r1; 1 lines were read"),
+        "{}",
+        out.err
+    );
+}
+
+#[test]
+fn a_missing_log_is_named() {
+    let out = run(&["explain", "r1", "/nowhere/a.log"]);
+    assert_ne!(out.code, 0);
+    assert!(out.err.contains("/nowhere/a.log"), "{}", out.err);
+}
--- a/crates/edge/src/front/ahead.rs
+++ b/crates/edge/src/front/ahead.rs
@@ -59,7 +59,10 @@
     /// The end of a request, if it was begun ahead.
     pub(super) async fn take(&self, id: &str, head: &Parts) -> Option<End> {
         let mut begun = self.begun.borrow_mut().remove(id)?;
-        let target = head.uri.path_and_query().map(|t| t.as_str());
+        let target = head
+            .uri
+            .path_and_query()
+            .map(http::uri::PathAndQuery::as_str);
         if begun.method != head.method || target != Some(&begun.target) {
             return None;
         }
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -61,6 +61,8 @@
 pub(super) struct End {
     pub(super) outcome: &'static str,
     pub(super) cause: String,
+    /// Targets that were tried, in the order of their ids.
+    pub(super) tried: String,
     pub(super) response: Response<Full<Bytes>>,
 }
 
@@ -215,7 +217,11 @@
                 return no_route(&work.uri);
             };
             if let Some(end) = self.step(&view, route, work, &mut course).await {
-                return end;
+                let tried: Vec<_> = course.tried.iter().map(|id| &**id).collect();
+                return End {
+                    tried: tried.join(","),
+                    ..end
+                };
             }
         }
     }
@@ -263,7 +269,10 @@
     ) -> Option<End> {
         let cause = match tried {
             Tried::Answered(whole) => return Some(answered(whole)),
-            Tried::Late => return Some(late()),
+            Tried::Late => {
+                course.tried.insert(Arc::clone(&place.lane.target.id));
+                return Some(late());
+            }
             Tried::Moved => return None,
             Tried::Unsent(cause) => cause,
             Tried::Unrun(cause) => {
@@ -510,6 +519,7 @@
     End {
         outcome,
         cause,
+        tried: String::new(),
         response: pass_on(whole),
     }
 }
@@ -521,6 +531,7 @@
     End {
         outcome,
         cause,
+        tried: String::new(),
         response,
     }
 }
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -87,6 +87,7 @@
         if self.may_say(end.outcome != "answered") {
             log::info!(
                 target: "request", event = end.outcome, id = &**id, cause = &*end.cause,
+                tried = &*end.tried,
                 status = end.response.status().as_u16(), time_ms = millis(time),
                 belief_age_ms = millis(self.shared.age()); "ended"
             );
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(
     dead_code,
     unreachable_pub,
+    unused_imports,
     reason = "each test file uses a part of it"
 )]
 
