--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -6,6 +6,7 @@
 mod load;
 mod operate;
 mod serve;
+mod soak;
 
 use bpaf::{Bpaf, OptionParser};
 
@@ -15,6 +16,7 @@
 pub use load::{Demo, Load, Plot};
 pub use operate::{Apply, Check, Dump, History, Hosts, HostsFrom, Plan, Show, Store};
 pub use serve::Serve;
+pub use soak::Soak;
 
 use crate::exit::Exit;
 
@@ -91,6 +93,12 @@
     /// 1 where a promise was broken.
     #[bpaf(command)]
     Demo(#[bpaf(external(load::demo))] Demo),
+    /// Play random faults on hosts of their own processes and check the promises
+    ///
+    /// Starts hosts and stand-ins on loopback addresses, injects faults that follow from the seed,
+    /// and checks what callers and targets see. Its exit code is 1 where a promise was broken.
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::soak))] Soak),
     /// Run stand-ins for the platform
     #[bpaf(command)]
     Fake(#[bpaf(external(fake::fake))] Fake),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -25,6 +25,7 @@
 mod logs;
 mod out;
 mod rt;
+mod soak;
 mod stand;
 
 use std::process::ExitCode;
@@ -62,6 +63,7 @@
         Command::Load(args) => commands::load(&args),
         Command::Plot(args) => commands::plot(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Soak(args) => soak::run(&args),
         Command::Fake(args) => commands::fake(&args),
         Command::Man | Command::Help => unreachable!("answered by the parser"),
     }
--- /dev/null
+++ b/crates/cli/src/soak/callers.rs
@@ -0,0 +1,256 @@
+//! Callers of a soak: they keep their connections, and check what they get.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dunlinrock_platform::standin::Ledger;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::net::TcpStream;
+
+/// Callers at the same time.
+const CALLERS: u64 = 12;
+
+/// Pause between two requests of a caller.
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// Time that a caller grants, in milliseconds, as it says in its requests.
+const DEADLINE_MS: u64 = 3000;
+
+/// How long a caller waits beyond that before it closes the connection. It is no bound on the
+/// answer: a caller that leaves judges nothing.
+const WAIT: Duration = Duration::from_millis(DEADLINE_MS + 2000);
+
+/// How many connections of callers a host's faults may have cut.
+#[derive(Debug, Default)]
+pub(super) struct Calm {
+    /// Faults that are at work on the host or its connections.
+    pub(super) active: AtomicU32,
+    /// Faults that began.
+    pub(super) begun: AtomicU32,
+}
+
+impl Calm {
+    /// Number that stays the same while no fault begins, if none is at work.
+    fn mark(&self) -> Option<u32> {
+        let begun = self.begun.load(Ordering::SeqCst);
+        (self.active.load(Ordering::SeqCst) == 0).then_some(begun)
+    }
+}
+
+/// What callers saw.
+#[derive(Debug, Default)]
+pub(super) struct Seen {
+    pub(super) answered: AtomicU32,
+    pub(super) failed: AtomicU32,
+    /// Requests that were told that they have not run.
+    pub(super) refused: Mutex<BTreeSet<String>>,
+    /// Requests that may run once.
+    pub(super) once: Mutex<BTreeSet<String>>,
+    pub(super) breaks: Mutex<Vec<String>>,
+}
+
+impl Seen {
+    pub(super) fn broke(&self, text: String) {
+        lock(&self.breaks).push(text);
+    }
+}
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Callers that run until they are stopped.
+#[derive(Debug)]
+pub(super) struct Callers {
+    pub(super) seen: Arc<Seen>,
+    pub(super) calm: Arc<Vec<Calm>>,
+    stop: Arc<AtomicBool>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+/// One caller.
+struct Caller {
+    name: u64,
+    hosts: Vec<SocketAddr>,
+    ledger: Ledger,
+    seen: Arc<Seen>,
+    calm: Arc<Vec<Calm>>,
+    rng: StdRng,
+    /// The kept connection and the host behind it.
+    link: Option<(usize, SendRequest<Full<Bytes>>)>,
+}
+
+impl Callers {
+    pub(super) fn spawn(hosts: &[SocketAddr], ledger: &Ledger, seed: u64) -> Callers {
+        let seen = Arc::new(Seen::default());
+        let calm: Arc<Vec<Calm>> = Arc::new(hosts.iter().map(|_| Calm::default()).collect());
+        let stop = Arc::new(AtomicBool::new(false));
+        let spawn = |name| {
+            let mut caller = Caller {
+                name,
+                hosts: hosts.to_vec(),
+                ledger: ledger.clone(),
+                seen: Arc::clone(&seen),
+                calm: Arc::clone(&calm),
+                rng: StdRng::seed_from_u64(seed ^ name),
+                link: None,
+            };
+            let stop = Arc::clone(&stop);
+            tokio::spawn(async move {
+                let mut number = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    number += 1;
+                    caller.call(number).await;
+                    tokio::time::sleep(PAUSE).await;
+                }
+            })
+        };
+        let tasks = (0..CALLERS).map(spawn).collect();
+        Callers {
+            seen,
+            calm,
+            stop,
+            tasks,
+        }
+    }
+
+    /// Lets every caller end its request, and stops.
+    pub(super) async fn stop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for task in self.tasks.drain(..) {
+            if let Err(e) = task.await {
+                self.seen.broke(format!("a caller died: {e}"));
+            }
+        }
+    }
+}
+
+impl Caller {
+    /// Sends one request and checks what comes back.
+    async fn call(&mut self, number: u64) {
+        let (id, object) = (
+            format!("c{}-{number}", self.name),
+            self.rng.random_range(0..24),
+        );
+        let is_once = self.rng.random_range(0..3) == 0;
+        let path = format!("/{}/{object}", if is_once { "once" } else { "read" });
+        if is_once {
+            lock(&self.seen.once).insert(id.clone());
+        }
+        let Some((host, mut sender)) = self.connect().await else {
+            return;
+        };
+        let before = self.calm[host].mark();
+        let sent = sender.send_request(request(&id, &path, is_once, object));
+        let answer = async {
+            let response = sent.await?;
+            let (head, body) = response.into_parts();
+            Ok::<_, hyper::Error>((head, body.collect().await?.to_bytes()))
+        };
+        match tokio::time::timeout(WAIT, answer).await {
+            Ok(Ok((head, body))) => {
+                self.link = Some((host, sender));
+                self.judge(&id, &path, head.status, &head.headers, &body);
+            }
+            Ok(Err(e)) => self.cut(&id, host, before, &e),
+            // The caller leaves; what it would have got is not judged.
+            Err(_) => self.count(false),
+        }
+    }
+
+    /// The kept connection, or a new one to any host.
+    async fn connect(&mut self) -> Option<(usize, SendRequest<Full<Bytes>>)> {
+        if let Some((host, mut sender)) = self.link.take()
+            && sender.ready().await.is_ok()
+        {
+            return Some((host, sender));
+        }
+        let host = self.rng.random_range(0..self.hosts.len());
+        let stream = TcpStream::connect(self.hosts[host]).await.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                log::debug!(error:% = e; "a caller's connection ended");
+            }
+        });
+        Some((host, sender))
+    }
+
+    fn judge(
+        &self,
+        id: &str,
+        path: &str,
+        status: StatusCode,
+        headers: &http::HeaderMap,
+        body: &[u8],
+    ) {
+        self.count(status.is_success());
+        if status.is_success() {
+            let own = body == format!("{id} {path}").as_bytes();
+            if !own || !headers.contains_key("server-stamp") {
+                let text = String::from_utf8_lossy(body);
+                self.seen
+                    .broke(format!("{id} got another's answer, or a part: {text}"));
+            }
+        } else if [408, 421, 429, 503].contains(&status.as_u16()) {
+            lock(&self.seen.refused).insert(id.to_owned());
+        } else if status.is_client_error() {
+            self.seen
+                .broke(format!("{id}, a proper request, got {status}"));
+        }
+    }
+
+    /// The connection ended without an answer. From a host that nothing was done to, that must not
+    /// happen to a request that a target ran.
+    fn cut(&self, id: &str, host: usize, before: Option<u32>, error: &hyper::Error) {
+        self.count(false);
+        let calm = before.is_some() && self.calm[host].mark() == before;
+        if calm && self.ledger.runs(id) > 0 {
+            self.seen
+                .broke(format!("{id} ran and got no answer from h{host}: {error}"));
+        }
+    }
+
+    fn count(&self, is_good: bool) {
+        let count = if is_good {
+            &self.seen.answered
+        } else {
+            &self.seen.failed
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn request(id: &str, path: &str, is_once: bool, object: u32) -> Request<Full<Bytes>> {
+    let body = if is_once { "an order" } else { "" };
+    let mut request = Request::new(Full::from(body));
+    *request.method_mut() = if is_once {
+        http::Method::POST
+    } else {
+        http::Method::GET
+    };
+    // The path is made here, of a word and a number.
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    let cookie = format!("Affinity-Key={object}");
+    let fields = [("host", "soak"), ("request-id", id), ("cookie", &cookie)];
+    for (name, value) in fields {
+        if let Ok(value) = value.parse() {
+            headers.insert(name, value);
+        }
+    }
+    headers.insert("deadline-ms", DEADLINE_MS.into());
+    request
+}
--- /dev/null
+++ b/crates/cli/src/soak/fleet.rs
@@ -0,0 +1,292 @@
+//! The deployment of a soak: hosts as processes, stand-ins, and the proxies between them.
+
+use std::{
+    fs::File,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use anyhow::Context;
+use dunlinrock_platform::standin::{Ledger, Store, Target, TargetRules};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+
+use super::{plan::TARGETS, proxy::Proxy};
+
+/// Failure domains; hosts and targets stand in them in turn.
+pub(super) const DOMAINS: [&str; 3] = ["north-1", "south-1", "west-1"];
+
+/// Time of a run.
+const WORK: Duration = Duration::from_millis(20);
+
+/// Requests that a target runs at once.
+const SLOTS: u32 = 8;
+
+/// Last number of the first host's address. Each host has an address of its own, so that its ports
+/// stay the same over restarts; the numbers before follow from this process's id, so that soaks may
+/// run beside each other.
+const FIRST_IP: u8 = 20;
+
+/// Ports of callers, look-ups, readiness, other hosts and metrics: below those that the system gives
+/// to outgoing connections, one of which could otherwise hold a port while its host is down.
+const PORTS: [u16; 5] = [17101, 17102, 17103, 17104, 17105];
+
+/// A host's process and the proxies around it.
+#[derive(Debug)]
+pub(super) struct HostProcess {
+    pub(super) name: String,
+    pub(super) callers: Proxy,
+    pub(super) store: Proxy,
+    ip: IpAddr,
+    child: Option<Child>,
+    dir: PathBuf,
+    /// Starts so far.
+    pub(super) starts: u32,
+}
+
+/// A target, the proxy before it, and what it announces.
+#[derive(Debug)]
+pub(super) struct TargetSeat {
+    pub(super) target: Target,
+    pub(super) proxy: Proxy,
+    pub(super) starts: u32,
+}
+
+/// A running deployment. Dropped, its processes are killed.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    pub(super) store: Store,
+    pub(super) ledger: Ledger,
+    pub(super) hosts: Vec<HostProcess>,
+    pub(super) targets: Vec<TargetSeat>,
+    pub(super) version: u64,
+}
+
+impl Fleet {
+    /// Starts stand-ins and hosts.
+    pub(super) async fn spawn(dir: &Path, hosts: usize) -> anyhow::Result<Fleet> {
+        let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let store = Store::bind(SocketAddr::new(local, 0)).context("the store")?;
+        let mut fleet = Fleet {
+            store,
+            ledger: Ledger::default(),
+            hosts: Vec::new(),
+            targets: Vec::new(),
+            version: 0,
+        };
+        for n in 0..TARGETS {
+            fleet.seat(n).await?;
+        }
+        fleet.configure();
+        for n in 0..hosts {
+            let host = HostProcess::open(n, dir, fleet.store.address()).await?;
+            fleet.hosts.push(host);
+            fleet.hosts[n].start()?;
+        }
+        Ok(fleet)
+    }
+
+    async fn seat(&mut self, n: usize) -> anyhow::Result<()> {
+        let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let rules = rules(n, 1);
+        let target = Target::bind(SocketAddr::new(local, 0), rules, self.ledger.clone());
+        let target = target.context("a target")?;
+        let proxy = Proxy::bind(local, target.address()).await?;
+        self.targets.push(TargetSeat {
+            target,
+            proxy,
+            starts: 1,
+        });
+        self.announce(n, "ready");
+        Ok(())
+    }
+
+    /// Writes a target's entry.
+    pub(super) fn announce(&self, n: usize, state: &str) {
+        let seat = &self.targets[n];
+        let entry = json!({
+            "addr": seat.proxy.address,
+            "info": {
+                "service": "work", "version": "v1", "zone": DOMAINS[n % DOMAINS.len()],
+                "slots": SLOTS,
+            },
+            "status": {"state": state, "seq": seat.starts, "coldLeft": "0ms"},
+        });
+        self.store
+            .put(&format!("servers/{}", seat.target.rules().id), &entry);
+    }
+
+    /// Ends a target's start and begins another, at the same address.
+    pub(super) fn renew(&mut self, n: usize) {
+        let old = self.targets[n].target.rules().id;
+        self.store.remove(&format!("servers/{old}"));
+        let seat = &mut self.targets[n];
+        seat.starts += 1;
+        let next = rules(n, seat.starts);
+        seat.target.set(|rules| *rules = next);
+        self.announce(n, "ready");
+    }
+
+    /// Puts a newer configuration in force.
+    pub(super) fn configure(&mut self) {
+        self.version += 3;
+        let route = |prefix: &str, kind: &str| {
+            json!({
+                "name": prefix, "host": "soak", "prefix": prefix, "kind": kind,
+                "timeout": format!("{}ms", 2000 + self.version), "latencyTarget": "1s",
+                "priority": 1, "maxAttempts": 3, "service": "work", "homeRegions": [],
+            })
+        };
+        let config = json!({
+            "version": format!("r{}", self.version),
+            "routes": [route("/read/", "safe"), route("/once/", "unsafe")],
+            "services": [{"name": "work", "healthPath": "/health", "coldStart": "0s", "coldPerS": 1000}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeout": "15s"},
+        });
+        self.store.put("op/config", &config);
+    }
+}
+
+fn rules(n: usize, start: u32) -> TargetRules {
+    TargetRules {
+        id: format!("t{n}-{start}"),
+        slots: SLOTS,
+        work: WORK,
+        is_down: false,
+        loses: false,
+        sheds: false,
+    }
+}
+
+/// How a target behaves when nothing is wrong with it.
+pub(super) fn sound(rules: &mut TargetRules) {
+    rules.work = WORK;
+    rules.is_down = false;
+    rules.loses = false;
+    rules.sheds = false;
+}
+
+impl HostProcess {
+    async fn open(n: usize, dir: &Path, store: SocketAddr) -> anyhow::Result<HostProcess> {
+        let last = FIRST_IP + u8::try_from(n).context("at most 200 hosts")?;
+        let [.., high, low] = std::process::id().to_be_bytes();
+        // 127.0.x.x is left to what else runs on the machine.
+        let ip = IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, last));
+        let to = SocketAddr::new(ip, PORTS[0]);
+        Ok(HostProcess {
+            name: format!("h{n}"),
+            callers: Proxy::bind(IpAddr::V4(Ipv4Addr::LOCALHOST), to).await?,
+            store: Proxy::bind(IpAddr::V4(Ipv4Addr::LOCALHOST), store).await?,
+            ip,
+            child: None,
+            dir: dir.to_owned(),
+            starts: 0,
+        })
+    }
+
+    /// Starts the process; its log goes on in a file of its own for each start.
+    pub(super) fn start(&mut self) -> anyhow::Result<()> {
+        self.starts += 1;
+        let settings = self.dir.join(format!("{}.toml", self.name));
+        std::fs::write(&settings, self.settings()).context("a host's settings")?;
+        let log = self.dir.join(format!("{}-{}.log", self.name, self.starts));
+        let out = File::create(&log).with_context(|| format!("making {}", log.display()))?;
+        let program = std::env::current_exe().context("this program's path")?;
+        let child = Command::new(program)
+            .arg("edge")
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stderr(out.try_clone().context("a host's log")?)
+            .stdout(out)
+            .spawn()
+            .context("starting a host")?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    fn settings(&self) -> String {
+        let number = self.name[1..].parse::<usize>().unwrap_or_default();
+        let domain = DOMAINS[number % DOMAINS.len()];
+        let region = domain.split('-').next().unwrap_or_default();
+        let listen = ["callers", "lookup", "ready", "peers", "metrics"];
+        let listen = listen.iter().zip(PORTS);
+        let listen: Vec<_> = listen
+            .map(|(name, port)| format!("{name} = \"{}:{port}\"", self.ip))
+            .collect();
+        let domains = DOMAINS.map(|d| format!("{d} = \"{}\"", d.split('-').next().unwrap_or("")));
+        format!(
+            "name = \"{}\"\nregion = \"{region}\"\ndomain = \"{domain}\"\n[domains]\n{}\n\
+             [listen]\n{}\n[store]\naddress = \"{}\"\n[bounds]\ngrace = \"6s\"\nretry_slack = 1000\n",
+            self.name,
+            domains.join("\n"),
+            listen.join("\n"),
+            self.store.address,
+        )
+    }
+
+    /// Starts the process again, if it has ended.
+    pub(super) fn revive(&mut self) -> anyhow::Result<()> {
+        match self.child {
+            Some(_) => Ok(()),
+            None => self.start(),
+        }
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(super) fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let id = i32::try_from(child.id()).context("a process id")?;
+        kill(Pid::from_raw(id), signal).with_context(|| format!("signalling {}", self.name))
+    }
+
+    /// The exit code, once the process has ended.
+    pub(super) fn ended(&mut self) -> anyhow::Result<Option<Option<i32>>> {
+        let Some(child) = &mut self.child else {
+            return Ok(None);
+        };
+        let status = child.try_wait().context("a host's end")?;
+        if status.is_some() {
+            self.child = None;
+        }
+        Ok(status.map(|status| status.code()))
+    }
+
+    /// Process id, while it runs.
+    pub(super) fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Where its dump is read.
+    pub(super) fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PORTS[3])
+    }
+
+    /// What it believes, as it says itself; `None` while it does not answer.
+    pub(super) async fn dump(&self) -> Option<Value> {
+        let client = dunlinrock_node::wire::Client::open(1 << 20);
+        let uri = format!("http://{}/peer/v1/dump", self.peers());
+        let request = http::Request::get(uri)
+            .body(http_body_util::Full::default())
+            .ok()?;
+        let answer = client.call(request, Duration::from_secs(1)).await.ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // It is being replaced or the soak is over; one that has ended is past killing.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/soak/mod.rs
@@ -0,0 +1,94 @@
+//! A randomized soak: real hosts as processes, faults from outside them, promises checked while they
+//! serve.
+//!
+//! The stand-ins of the platform's store and targets run in this process. Each host is a process of
+//! its own behind loopback proxies, one towards its callers and one towards the store; each target
+//! is behind one too. A plan follows from its seed alone. What is checked is what callers and
+//! targets see, and never how long something took: a busy machine changes no verdict.
+
+mod callers;
+mod faults;
+mod fleet;
+mod judge;
+mod plan;
+mod proxy;
+
+use std::path::{Path, PathBuf};
+
+use anyhow::Context;
+
+use self::{fleet::Fleet, judge::Verdict, plan::Plan};
+use crate::{
+    args::Soak,
+    exit::{Exit, Failure},
+    out,
+    rt::block_on,
+};
+
+/// Plays the plans and tells which of them broke a promise.
+pub(crate) fn run(args: &Soak) -> Result<(), Failure> {
+    let mut broken = 0;
+    for seed in args.seed..args.seed + args.plans {
+        let plan = Plan::open(seed, args.hosts, args.faults);
+        let verdict = play(&plan, args.keep.as_deref())?;
+        out::line(format!("seed {seed}: {verdict}"))?;
+        if verdict.breaks.is_empty() {
+            continue;
+        }
+        broken += 1;
+        if args.shrink {
+            let least = shrink(plan, args.keep.as_deref())?;
+            out::line(format!(
+                "fewest faults that still break a promise:\n{least}"
+            ))?;
+        }
+    }
+    match broken {
+        0 => Ok(()),
+        n => Err(Failure::open(
+            Exit::Failed,
+            format!("{n} of {} plans broke a promise", args.plans),
+        )),
+    }
+}
+
+/// Plays one plan; the logs stay where a promise broke.
+fn play(plan: &Plan, keep: Option<&Path>) -> anyhow::Result<Verdict> {
+    let dir = folder(plan.seed, keep)?;
+    let verdict = block_on(async {
+        let fleet = Fleet::spawn(&dir, plan.hosts).await?;
+        judge::watch(fleet, plan).await
+    })??;
+    if verdict.breaks.is_empty() {
+        std::fs::remove_dir_all(&dir).with_context(|| format!("removing {}", dir.display()))?;
+    } else {
+        let text = format!("{plan}\n{verdict}\n");
+        let path = dir.join("plan.txt");
+        std::fs::write(&path, text).with_context(|| format!("writing {}", path.display()))?;
+    }
+    Ok(verdict)
+}
+
+/// Takes faults out of a plan one by one, for as long as it breaks a promise without them.
+fn shrink(mut plan: Plan, keep: Option<&Path>) -> anyhow::Result<Plan> {
+    let mut at = 0;
+    while at < plan.steps.len() {
+        let mut fewer = plan.clone();
+        fewer.steps.remove(at);
+        if play(&fewer, keep)?.breaks.is_empty() {
+            at += 1;
+        } else {
+            plan = fewer;
+        }
+    }
+    Ok(plan)
+}
+
+fn folder(seed: u64, keep: Option<&Path>) -> anyhow::Result<PathBuf> {
+    let name = format!("soak-{}-{seed}", std::process::id());
+    let dir = keep
+        .map_or_else(std::env::temp_dir, Path::to_path_buf)
+        .join(name);
+    std::fs::create_dir_all(&dir).with_context(|| format!("making {}", dir.display()))?;
+    Ok(dir)
+}
--- /dev/null
+++ b/crates/cli/src/soak/proxy.rs
@@ -0,0 +1,128 @@
+//! A loopback proxy whose connections can be delayed, reset, muted or refused.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::Context;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+
+/// What is done to connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Mode {
+    /// Nothing.
+    Pass,
+    /// Bytes are late.
+    Slow,
+    /// Open and new connections are reset.
+    Reset,
+    /// Bytes towards the caller vanish.
+    Mute,
+}
+
+/// Delay of bytes in [`Mode::Slow`].
+const DELAY: Duration = Duration::from_millis(150);
+
+/// Bytes moved at once.
+const CHUNK: usize = 16 << 10;
+
+/// A running proxy.
+#[derive(Debug)]
+pub(super) struct Proxy {
+    pub(super) address: SocketAddr,
+    mode: watch::Sender<Mode>,
+}
+
+impl Proxy {
+    /// Binds a free port on `ip` and leads its connections to `to`.
+    pub(super) async fn bind(ip: std::net::IpAddr, to: SocketAddr) -> anyhow::Result<Proxy> {
+        let listener = TcpListener::bind(SocketAddr::new(ip, 0))
+            .await
+            .context("a proxy's port")?;
+        let address = listener.local_addr().context("a proxy's port")?;
+        let (mode, modes) = watch::channel(Mode::Pass);
+        tokio::spawn(accept(listener, modes, to));
+        Ok(Proxy { address, mode })
+    }
+
+    /// Changes what is done to connections.
+    pub(super) fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+async fn accept(listener: TcpListener, modes: watch::Receiver<Mode>, to: SocketAddr) {
+    // The listener fails only with the process out of descriptors, which ends the soak as broken.
+    while let Ok((near, _)) = listener.accept().await {
+        tokio::spawn(serve(near, to, modes.clone()));
+    }
+}
+
+async fn serve(near: TcpStream, to: SocketAddr, mut modes: watch::Receiver<Mode>) {
+    if *modes.borrow() == Mode::Reset {
+        reset(&near);
+        return;
+    }
+    let Ok(far) = TcpStream::connect(to).await else {
+        reset(&near);
+        return;
+    };
+    // Small messages back and forth: held together they would wait for each other.
+    if near
+        .set_nodelay(true)
+        .and_then(|()| far.set_nodelay(true))
+        .is_err()
+    {
+        return;
+    }
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let (up, down) = (modes.clone(), modes.clone());
+    let both = async {
+        tokio::join!(
+            pump(near_read, far_write, up, false),
+            pump(far_read, near_write, down, true)
+        );
+    };
+    tokio::select! {
+        () = both => {}
+        _ = modes.wait_for(|mode| *mode == Mode::Reset) => {}
+    }
+}
+
+/// Moves bytes one way until one side ends.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    modes: watch::Receiver<Mode>,
+    is_answer: bool,
+) {
+    let mut chunk = vec![0; CHUNK];
+    // An error ends the connection like an orderly end; the other side sees it either way.
+    while let Ok(n) = from.read(&mut chunk).await
+        && n > 0
+    {
+        let mode = *modes.borrow();
+        match mode {
+            Mode::Slow => tokio::time::sleep(DELAY).await,
+            Mode::Mute if is_answer => continue,
+            Mode::Pass | Mode::Reset | Mode::Mute => {}
+        }
+        if to.write_all(&chunk[..n]).await.is_err() {
+            return;
+        }
+    }
+    let _ = to.shutdown().await;
+}
+
+/// Closes with a reset instead of an orderly end.
+fn reset(stream: &TcpStream) {
+    if let Err(e) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!(error:% = e; "a connection ends in order, not by a reset");
+    }
+}
