--- a/crates/config/examples/pages.rs
+++ b/crates/config/examples/pages.rs
@@ -25,6 +25,17 @@
 than `epoch_ms`; names are ASCII letters, digits, `-` and `_`, at most 64.
 ";
 
+/// What stands above the tables of docs/EDGE.md.
+const EDGE: &str = "\
+# Settings of an edge host
+
+A host that sends straight to the targets of the users' platform reads one TOML file at its start:
+`dunlinrock edge --settings FILE`. Every mistake in it is reported in one go, each with its key and
+the fix. On the platform the file is made from `deploy/edge.toml`. A hangup signal has the file
+checked again; a changed one takes effect with the next start. This page is written from
+`schema/edge.json` by `cargo run -p dunlinrock-config --example pages`.
+";
+
 /// What stands above the tables of docs/CONFIG.md.
 const CONFIG: &str = "\
 # Configuration
@@ -58,6 +69,7 @@
     fs::create_dir_all(&docs)?;
     for (name, head, schema) in [
         ("SETTINGS.md", SETTINGS, schema::SETTINGS),
+        ("EDGE.md", EDGE, schema::EDGE),
         ("CONFIG.md", CONFIG, schema::CONFIG),
     ] {
         let path = docs.join(name);
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -19,7 +19,7 @@
     place::{self, NoPlace, Place},
     wire::Wire,
 };
-use crate::{model::Route, world::View};
+use crate::{model::Route, trace::Outcome, world::View};
 
 /// When a caller is told to come back after a refusal for want of room, at least: a target's slot
 /// frees within this time.
@@ -59,7 +59,7 @@
 /// How a request ended, for logs and metrics.
 #[derive(Debug)]
 pub(super) struct End {
-    pub(super) outcome: &'static str,
+    pub(super) outcome: Outcome,
     pub(super) cause: String,
     /// Targets that were tried, in the order of their ids.
     pub(super) tried: String,
@@ -491,19 +491,19 @@
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err(plain(
             StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
+            Outcome::BodyTooLarge,
             e.to_string(),
         )),
         Err(e) => Err(plain(
             StatusCode::BAD_REQUEST,
-            "body_unreadable",
+            Outcome::BodyUnreadable,
             e.to_string(),
         )),
     }
 }
 
 fn no_route(uri: &Uri) -> End {
-    plain(StatusCode::NOT_FOUND, "no_route", uri.to_string())
+    plain(StatusCode::NOT_FOUND, Outcome::NoRoute, uri.to_string())
 }
 
 fn has_time(work: &Work) -> bool {
@@ -512,8 +512,8 @@
 
 fn answered(whole: Whole) -> End {
     let outcome = match whole.status {
-        status if status.is_success() => "answered",
-        _ => "failed_at_target",
+        status if status.is_success() => Outcome::Answered,
+        _ => Outcome::FailedAtTarget,
     };
     let cause = whole.status.as_u16().to_string();
     End {
@@ -525,8 +525,8 @@
 }
 
 /// An answer of this host's own.
-fn plain(status: StatusCode, outcome: &'static str, cause: String) -> End {
-    let mut response = Response::new(Full::new(Bytes::from(format!("{outcome}\n"))));
+fn plain(status: StatusCode, outcome: Outcome, cause: String) -> End {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{}\n", outcome.name()))));
     *response.status_mut() = status;
     End {
         outcome,
@@ -538,7 +538,11 @@
 
 /// The request has not run and never will; the caller may come back.
 fn refuse(cause: &str, retry: Duration) -> End {
-    let mut end = plain(StatusCode::SERVICE_UNAVAILABLE, "refused", cause.to_owned());
+    let mut end = plain(
+        StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Refused,
+        cause.to_owned(),
+    );
     let seconds = format!("{:.2}", retry.as_secs_f64());
     if let Ok(value) = HeaderValue::try_from(seconds) {
         end.response
@@ -550,14 +554,14 @@
 
 /// Nobody knows whether the request ran.
 fn lost(cause: String) -> End {
-    plain(StatusCode::BAD_GATEWAY, "lost", cause)
+    plain(StatusCode::BAD_GATEWAY, Outcome::Lost, cause)
 }
 
 /// The request was sent and its time is over.
 fn late() -> End {
     plain(
         StatusCode::GATEWAY_TIMEOUT,
-        "late",
+        Outcome::Late,
         "no answer in time".to_owned(),
     )
 }
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -7,7 +7,7 @@
 use super::{Front, lanes::Lane, place::Place, request::End};
 use crate::{
     model::Route,
-    trace::{Lines, Told},
+    trace::{Lines, Outcome, Told},
 };
 
 /// Lines a second on requests that end well, and on sends: a host at its usual load stays below.
@@ -82,11 +82,11 @@
 
     /// A request ended.
     pub(super) fn told(&self, id: &Arc<str>, end: &End, time: Duration) {
-        self.shared.meters.count(end.outcome);
+        self.shared.meters.count(end.outcome.name());
         self.shared.meters.time("time", time);
-        if self.may_say(end.outcome != "answered") {
+        if self.may_say(end.outcome != Outcome::Answered) {
             log::info!(
-                target: "request", event = end.outcome, id = &**id, cause = &*end.cause,
+                target: "request", event = end.outcome.name(), id = &**id, cause = &*end.cause,
                 tried = &*end.tried,
                 status = end.response.status().as_u16(), time_ms = millis(time),
                 belief_age_ms = millis(self.shared.age()); "ended"
--- a/crates/edge/src/meters/mod.rs
+++ b/crates/edge/src/meters/mod.rs
@@ -13,6 +13,9 @@
 use self::table::Table;
 use crate::host::Shared;
 
+/// Stands before every name.
+const PREFIX: &str = "dunlinrock.edge";
+
 /// Path on which metrics are served.
 pub const PATH: &str = "/metrics";
 
@@ -27,7 +30,7 @@
     /// Opens meters that have counted nothing.
     pub fn open() -> Meters {
         let table = Table::default();
-        let client = StatsdClient::from_sink("dunlinrock", table.clone());
+        let client = StatsdClient::from_sink(PREFIX, table.clone());
         Meters { client, table }
     }
 
--- a/crates/edge/src/trace/mod.rs
+++ b/crates/edge/src/trace/mod.rs
@@ -5,10 +5,14 @@
 //! missing. Lines about failures have a budget of their own, which successes cannot use up.
 
 mod budget;
+mod outcome;
 
 use std::{collections::BTreeSet, sync::Arc};
 
-pub use self::budget::{Lines, Told};
+pub use self::{
+    budget::{Lines, Told},
+    outcome::Outcome,
+};
 use crate::world::View;
 
 /// Names in one line; a failure domain holds a few dozen targets.
