--- a/crates/edge/src/front/ahead.rs
+++ b/crates/edge/src/front/ahead.rs
@@ -11,11 +11,7 @@
 use http::{HeaderName, HeaderValue, Method, Request, header, request::Parts};
 use tokio::task::JoinHandle;
 
-use super::{
-    Front, place,
-    request::{End, Gone},
-    wire::Wire,
-};
+use super::{Front, end::End, place, request::Gone, wire::Wire};
 
 /// Requests of one connection that are begun ahead: callers send a few at once, and one that sends
 /// more must not take all slots.
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -1,6 +1,8 @@
 //! The callers' duty: accepts connections and runs requests at targets.
 
 mod ahead;
+mod attempt;
+mod end;
 mod lanes;
 mod link;
 mod place;
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -4,7 +4,7 @@
 
 use dunlinrock_decide::admit::direct::{Evidence, Forecast};
 
-use super::{Front, lanes::Lane, place::Place, request::End};
+use super::{Front, end::End, lanes::Lane, place::Place};
 use crate::{
     model::Route,
     trace::{Lines, Outcome, Told},
