--- a/crates/admit/src/direct/set_aside.rs
+++ b/crates/admit/src/direct/set_aside.rs
@@ -21,6 +21,10 @@
 /// that fails one in three costs more second runs than its objects cost elsewhere.
 const BAD_SHARE: f64 = 0.3;
 
+/// Trials in a row that did not reach a target, after which it is taken for down. One may be a lost
+/// packet: requests that are at the target are then better left there.
+const DOWN_TRIALS: u32 = 2;
+
 /// How a request at a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
@@ -38,6 +42,8 @@
     failures: f64,
     pause: Duration,
     until: Option<Duration>,
+    /// Trials in a row that did not reach the target.
+    downs: u32,
     /// Whether one request tries the target; others stay away until its end.
     trying: bool,
 }
@@ -58,6 +64,11 @@
         self.until.is_some()
     }
 
+    /// Whether the target is down beyond doubt, so that what is at it will not be answered.
+    pub fn is_down(&self) -> bool {
+        self.downs >= DOWN_TRIALS
+    }
+
     /// A request goes to the target.
     pub fn start(&mut self, now: Duration) {
         if self.until.is_some_and(|until| now >= until) {
@@ -72,6 +83,7 @@
         let tried = std::mem::take(&mut self.trying);
         match evidence {
             Evidence::Good => {
+                self.downs = 0;
                 if tried {
                     *self = SetAside::open();
                 }
@@ -79,7 +91,11 @@
             }
             Evidence::Bad if tried || self.failures > BAD_SHARE => self.set(now),
             Evidence::Bad => false,
-            Evidence::Down => self.set(now),
+            Evidence::Down => {
+                let counts = self.until.is_none_or(|until| now >= until);
+                self.downs += u32::from(counts);
+                self.set(now)
+            }
         }
     }
 
--- a/crates/admit/tests/direct.rs
+++ b/crates/admit/tests/direct.rs
@@ -138,6 +138,21 @@
     assert!(once.is_usable(ms(0)));
 }
 
+/// A packet is lost and with it one attempt to connect; further ones that began at the same time fail
+/// too. That is no proof: what runs at the target stays there. The next trial fails as well: it is.
+#[test]
+fn a_target_is_down_after_two_trials_in_a_row_and_not_after_one() {
+    let mut aside = SetAside::open();
+    aside.end(Evidence::Down, ms(0));
+    aside.end(Evidence::Down, ms(10));
+    assert!(!aside.is_down());
+    aside.start(ms(500));
+    aside.end(Evidence::Down, ms(900));
+    assert!(aside.is_down());
+    aside.end(Evidence::Good, ms(950));
+    assert!(!aside.is_down());
+}
+
 #[test]
 fn a_trial_that_was_withdrawn_leaves_the_target_to_the_next() {
     let mut aside = SetAside::open();
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -66,6 +66,7 @@
             Ok(Err(Broken::Moved)) => (Tried::Moved, None),
             Ok(Err(Broken::Unsent(cause))) => (Tried::Unsent(cause), Some(Evidence::Down)),
             Ok(Err(Broken::Sent(cause))) => (Tried::Lost(cause), Some(Evidence::Bad)),
+            Ok(Err(Broken::Silent(cause))) => (Tried::Lost(cause), Some(Evidence::Down)),
             Ok(Ok(whole)) => self.judge(lane, work, whole),
         };
         if matches!(tried, Tried::Answered(_)) {
@@ -95,7 +96,11 @@
             }
             let was_used = link.is_used();
             sent.set(true);
-            match link.exchange(self.request(lane, work)).await {
+            let exchanged = tokio::select! {
+                exchanged = link.exchange(self.request(lane, work)) => exchanged,
+                () = fell(lane, route) => Err(Broken::Sent("the target is down".to_owned())),
+            };
+            match exchanged {
                 Ok((whole, reusable)) => {
                     if reusable && self.is_own(work, &whole) {
                         lane.keep(link);
@@ -207,12 +212,24 @@
             aside.withdraw();
             return;
         };
-        if aside.end(evidence, self.shared.now()) {
-            drop(aside);
-            if evidence == Evidence::Down {
-                lane.close();
-            }
+        let is_new = aside.end(evidence, self.shared.now());
+        let is_down = aside.is_down();
+        drop(aside);
+        if is_down && evidence == Evidence::Down {
+            lane.close();
+            lane.fell.notify_waiters();
+        }
+        if is_new {
             self.set_aside(lane, evidence);
         }
     }
 }
+
+/// Waits until the target is known to be down, for a request that may then run elsewhere. One that
+/// may run once only is better left waiting: the target may yet answer it.
+async fn fell(lane: &Lane, route: &Route) {
+    match route.repeatable {
+        true => lane.fell.notified().await,
+        false => std::future::pending().await,
+    }
+}
--- a/crates/edge/src/front/lanes.rs
+++ b/crates/edge/src/front/lanes.rs
@@ -13,6 +13,8 @@
     steer::hash,
 };
 
+use tokio::sync::Notify;
+
 use super::link::Link;
 use crate::{
     model::{Reported, Target},
@@ -34,6 +36,8 @@
     pub(super) seed: u64,
     pub(super) aside: RefCell<SetAside>,
     pub(super) cold: RefCell<ColdRate>,
+    /// Tells those whose requests are at the target that it is down.
+    pub(super) fell: Notify,
     /// Requests of this host that are at the target.
     own: Cell<u32>,
     /// Requests of other hosts there, when that was reported.
@@ -48,6 +52,7 @@
             target,
             aside: RefCell::new(SetAside::open()),
             cold: RefCell::new(ColdRate::open()),
+            fell: Notify::new(),
             own: Cell::new(0),
             others: Cell::new((0, Duration::ZERO)),
             idle: RefCell::default(),
--- a/crates/edge/src/front/link.rs
+++ b/crates/edge/src/front/link.rs
@@ -1,12 +1,13 @@
 //! One connection to a target, and one exchange on it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{error::Error, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::Instant};
 
 /// Time in which a connection must open. Between regions a round trip takes some tens of
@@ -14,6 +15,18 @@
 /// before that.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 
+/// Time for which a target may leave what was sent to it unconfirmed, and the pause before and
+/// between the probes that ask a waiting connection whether the other side is there.
+///
+/// A target that loses power says nothing: without these its requests wait until their deadlines,
+/// and a kept connection takes the next ones too. A link that loses one packet in twenty loses four
+/// in a row, which is what passes in this time, once in 160,000; the kernel's shortest probe is one
+/// second.
+const SILENT_TIME: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is broken.
+const PROBES: u32 = 2;
+
 /// Largest answer taken, in bytes. Answers are passed on only once they are whole, so that one
 /// which breaks off never looks complete; memory bounds how large that may be.
 const ANSWER_BYTES: usize = 8 << 20;
@@ -34,6 +47,8 @@
     Moved,
     /// Something may have been sent, and no whole answer came back.
     Sent(String),
+    /// The same, and the target does not answer the kernel's probes either.
+    Silent(String),
 }
 
 /// A whole answer of a target.
@@ -70,7 +85,7 @@
         let stream = connect
             .map_err(|_| unsent(&"no connection in time"))?
             .map_err(|e| unsent(&e))?;
-        stream.set_nodelay(true).map_err(|e| unsent(&e))?;
+        set_up(&stream).map_err(|e| unsent(&e))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| unsent(&e))?;
         let task = tokio::task::spawn_local(async move {
@@ -112,11 +127,11 @@
             // The library gives the request back where it has not begun to send it.
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
-                let cause = e.into_error().to_string();
+                let error = e.into_error();
                 return Err(if unsent {
-                    Broken::Unsent(cause)
+                    Broken::Unsent(error.to_string())
                 } else {
-                    Broken::Sent(cause)
+                    broken(&error)
                 });
             }
         };
@@ -145,6 +160,29 @@
     words.any(|word| word.trim().eq_ignore_ascii_case("close"))
 }
 
+/// What a failure after the first byte says.
+fn broken(error: &hyper::Error) -> Broken {
+    let source = error
+        .source()
+        .and_then(|source| source.downcast_ref::<io::Error>());
+    match source.map(io::Error::kind) {
+        Some(io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable) => {
+            Broken::Silent(error.to_string())
+        }
+        _ => Broken::Sent(error.to_string()),
+    }
+}
+
+fn set_up(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENT_TIME))?;
+    let probes = TcpKeepalive::new()
+        .with_time(SILENT_TIME)
+        .with_interval(SILENT_TIME);
+    socket.set_tcp_keepalive(&probes.with_retries(PROBES))
+}
+
 /// The target's own idle time, from `Keep-Alive: timeout=N`, in part.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let value = headers.get("keep-alive").and_then(|v| v.to_str().ok());
--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -238,3 +238,31 @@
     drop(stream);
     ended.recv().expect("the run ends");
 }
+
+/// A target loses power with a search and an order at it: their connections stay open and say
+/// nothing, and new ones fail. The search is given up as soon as two trials in a row have failed,
+/// and does not wait for its deadline. The order stays: the target may yet answer it.
+#[test]
+fn a_search_at_a_target_that_is_down_does_not_wait_for_its_deadline() {
+    let (tell, order) = channel();
+    let tell = std::sync::Mutex::new(tell);
+    let silent = Stand::open(move |head| {
+        let tell = tell.lock().unwrap().clone();
+        let ignored = channel().0;
+        Script::UntilClosed(if head.id() == "order" { tell } else { ignored })
+    });
+    let deployment = Deployment::open(config(1), &[&silent]);
+    let order_text = request("POST", "/once/a", "order", "Content-Length: 0\r\n");
+    let _ordered = deployment.send(&order_text);
+    silent.next();
+    let mut search = deployment.send(&request("GET", "/read/a", "r1", "Connection: close\r\n"));
+    silent.next();
+    silent.stop_listening();
+    let meters = &deployment.host.shared().meters;
+    while !meters.text().contains("edge.lost 1\n") && !meters.text().contains("edge.late 1\n") {
+        deployment.call("GET", "/read/b", "trial");
+    }
+    let answer = support::read_all(&mut search);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(order.try_recv().is_err(), "the order was taken away");
+}
