--- a/crates/admit/src/direct/forecast.rs
+++ b/crates/admit/src/direct/forecast.rs
@@ -16,6 +16,10 @@
 /// slots, and what it turns away has cost a second send.
 const MOST_ROOM: u32 = 3;
 
+/// How many times the usual a run of a sound target may take. A cold run takes about three warm ones,
+/// and the usual time lies between the two.
+const SLOW: f64 = 4.0;
+
 /// Usual time of a route's runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Forecast {
@@ -45,6 +49,14 @@
         usual.mul_f64(f64::from(ahead) / f64::from(slots.max(1)))
     }
 
+    /// Whether an answer took so long that its target is to blame. It never is for want of knowledge.
+    pub fn is_slow(&self, time: Duration, busy: u32, slots: u32) -> bool {
+        let Some(usual) = self.usual else {
+            return false;
+        };
+        time > self.wait(busy, slots) + usual.mul_f64(SLOW)
+    }
+
     /// Requests that a target with `slots` may have, for one more to be answered within `time`;
     /// never less than its slots.
     pub fn room(&self, slots: u32, time: Duration) -> u32 {
--- a/crates/admit/tests/direct.rs
+++ b/crates/admit/tests/direct.rs
@@ -187,3 +187,17 @@
         "no more than its queue takes"
     );
 }
+
+/// A cold run takes three times a warm one, and a wait in the queue is nobody's fault; a run of ten
+/// times the usual is the target's.
+#[test]
+fn a_target_is_blamed_for_very_long_runs_only() {
+    let mut forecast = Forecast::open();
+    assert!(!forecast.is_slow(ms(60_000), 0, 4), "nothing is known yet");
+    for _ in 0..20 {
+        forecast.note(ms(100), 0, 4);
+    }
+    assert!(!forecast.is_slow(ms(330), 0, 4));
+    assert!(!forecast.is_slow(ms(550), 11, 4), "two waves went before");
+    assert!(forecast.is_slow(ms(1000), 0, 4));
+}
--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -20,33 +20,29 @@
 pub(super) const ANSWER_BYTES: usize = 16 << 20;
 
 /// How long an answer is held back while nothing changes. Each answer also says that the host lives
-/// and how fresh its word is.
-const HOLD: Duration = Duration::from_millis(600);
+/// and how fresh its word is; through three hosts that word grows older by three times this.
+const HOLD: Duration = Duration::from_millis(400);
 
 /// Time an asking host waits beyond that: a round trip between regions and a busy processor.
-const SLACK: Duration = Duration::from_millis(500);
+const SLACK: Duration = Duration::from_millis(400);
 
 /// What a follower knows.
 #[derive(Clone, Copy, Debug)]
 #[derive(Deserialize, Serialize)]
 pub(super) struct Asked {
-    /// The process whose numbers these are; 0 for none.
-    pub(super) process: u64,
-    /// Last change that is known.
-    pub(super) number: u64,
+    /// Store's revision up to which nothing is missing.
+    pub(super) reached: u64,
 }
 
-/// What changed since.
+/// What it does not know yet.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
 pub(super) struct Told {
-    /// Process that answers; its numbers mean nothing to another.
-    pub(super) process: u64,
-    /// Last change that is contained.
-    pub(super) number: u64,
+    /// Store's revision up to which nothing is missing with these items.
+    pub(super) reached: u64,
     /// Time since the store confirmed this.
     pub(super) age: Duration,
-    /// Items that changed.
+    /// Items that said something new after the revision asked.
     pub(super) items: Vec<Item>,
 }
 
@@ -79,12 +75,11 @@
 
 /// Serves other hosts.
 pub(super) fn router(shared: &Arc<Shared>) -> Router {
-    let process = rand::random::<u64>().max(1);
     let (changes, dump) = (Arc::clone(shared), Arc::clone(shared));
     Router::new()
         .post(PATH, move |request: Request| {
             let shared = Arc::clone(&changes);
-            async move { Ok(answer(&shared, process, request).await) }
+            async move { Ok(answer(&shared, request).await) }
         })
         .get(DUMP, move |_: Request| {
             let shared = Arc::clone(&dump);
@@ -92,7 +87,7 @@
         })
 }
 
-async fn answer(shared: &Shared, process: u64, mut request: Request) -> Response {
+async fn answer(shared: &Shared, mut request: Request) -> Response {
     let body = match request.bytes().await {
         Ok(body) => body,
         Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
@@ -101,28 +96,23 @@
         Ok(asked) => asked,
         Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
     };
-    let told = tell(shared, process, asked).await;
+    let told = tell(shared, asked).await;
     match rmp_serde::to_vec_named(&told) {
         Ok(bytes) => bytes.into_response(),
         Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
     }
 }
 
-async fn tell(shared: &Shared, process: u64, asked: Asked) -> Told {
-    let follows = asked.process == process;
-    if follows {
-        let mut changed = shared.changed.subscribe();
-        let newer = changed.wait_for(|number| *number > asked.number);
-        // An answer without changes is as good: it says that there are none.
-        let _ = tokio::time::timeout(HOLD, newer).await;
-    }
+async fn tell(shared: &Shared, asked: Asked) -> Told {
+    let mut changed = shared.changed.subscribe();
+    let newer = changed.wait_for(|said| *said > asked.reached);
+    // An answer without changes is as good: it says that there are none.
+    let _ = tokio::time::timeout(HOLD, newer).await;
     let (world, now) = (shared.world(), shared.now());
-    let items = follows.then(|| world.since(asked.number, now)).flatten();
     Told {
-        process,
-        number: world.last(),
+        reached: world.reached(),
         age: shared.age(),
-        items: items.unwrap_or_else(|| world.all(now)),
+        items: world.after(asked.reached, now),
     }
 }
 
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -1,12 +1,12 @@
 //! Keeps what this host believes up to date: from a reader, or from the store itself.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use dunlinrock_node::wire::Client;
 
 use super::{
-    changes::{ANSWER_BYTES, Asked, Told, ask},
-    readers::readers,
+    changes::{ANSWER_BYTES, Asked, ask},
+    spread::place,
 };
 use crate::{
     host::Shared,
@@ -32,7 +32,11 @@
 
 /// Age above which a reader's word is not enough, and the store is asked. It leaves a target's
 /// drain time, 2.5 s or more, room for the way through two hosts.
-const STALE: Duration = Duration::from_millis(1500);
+const STALE: Duration = Duration::from_millis(2000);
+
+/// How long a host that did not answer is passed over. Asked again at once, it would hold up every
+/// round by the time that an answer may take.
+const SILENT_TIME: Duration = Duration::from_secs(3);
 
 /// How long a target or host whose entry vanished while the store was away is still believed in:
 /// entries that lapsed meanwhile are back within two seconds of the store's return.
@@ -44,8 +48,8 @@
     client: Client,
     /// Revision of the store that is contained in what is believed, if it was read.
     at: Option<u64>,
-    /// Process and number up to which each reader's changes are known.
-    known: std::collections::BTreeMap<SocketAddr, (u64, u64)>,
+    /// Until when hosts that did not answer are passed over.
+    silent: BTreeMap<SocketAddr, Duration>,
     /// Whether the store answered the last call.
     reached: bool,
     pause: Duration,
@@ -62,7 +66,7 @@
         client: Client::open_from(Some(peers.ip()), ANSWER_BYTES),
         shared,
         at: None,
-        known: std::collections::BTreeMap::new(),
+        silent: BTreeMap::new(),
         reached: true,
         pause: FIRST_PAUSE,
         keep: Duration::ZERO,
@@ -76,12 +80,16 @@
 impl Follower {
     async fn step(&mut self) {
         self.settle();
-        let me = Arc::clone(&self.shared.settings.name);
-        let readers = readers(&self.shared.view.load().hosts);
-        let is_reader = readers.iter().any(|r| r.name == me);
+        let settings = &self.shared.settings;
+        let place = place(
+            &settings.name,
+            &self.shared.view.load().hosts,
+            &settings.domains,
+        );
+        let is_reader = place.is_reader;
         // A reader that the store does not serve follows the other one, and goes on trying.
         if !is_reader || !self.reached {
-            let followed = self.ask_any(&readers).await;
+            let followed = self.ask_any(&place.sources).await;
             if followed && !is_reader {
                 // From here on the store's own history is not followed.
                 self.at = None;
@@ -117,7 +125,7 @@
         self.at = Some(snapshot.at);
         if self.shared.now() < self.keep {
             // What is not named may only have lapsed; it is compared again when the time is over.
-            self.shared.take(snapshot.items);
+            self.shared.take(snapshot.items, 0);
             self.at = None;
             tokio::time::sleep(READER_PAUSE).await;
         } else {
@@ -132,7 +140,7 @@
         self.back();
         self.at = Some(batch.at);
         let (items, vanished) = self.sift(batch.items);
-        self.shared.take(items);
+        self.shared.take(items, batch.at);
         self.vanished.extend(vanished);
         self.shared.confirm(Duration::ZERO);
         Ok(())
@@ -151,7 +159,7 @@
         if self.shared.now() >= self.keep && !self.vanished.is_empty() {
             let vanished = std::mem::take(&mut self.vanished);
             // An entry that is back has a later revision, which keeps it.
-            self.shared.take(vanished);
+            self.shared.take(vanished, 0);
         }
     }
 
@@ -187,31 +195,24 @@
 
     /// Asks another host for changes; tells whether its word is fresh enough to follow it.
     async fn ask_host(&mut self, address: SocketAddr) -> bool {
-        if address == self.shared.settings.listen.peers {
+        let now = self.shared.now();
+        let is_silent = self.silent.get(&address).is_some_and(|until| now < *until);
+        if is_silent || address == self.shared.settings.listen.peers {
             return false;
         }
-        let known = self.known.get(&address).copied().unwrap_or_default();
-        let asked = Asked {
-            process: known.0,
-            number: known.1,
-        };
-        let told = match ask(&self.client, address, &asked).await {
+        let reached = self.shared.world().reached();
+        let told = match ask(&self.client, address, &Asked { reached }).await {
             Ok(told) => told,
             Err(e) => {
-                log::debug!(target: "peers", host:% = address, error:% = e; "a reader does not answer");
+                log::debug!(target: "peers", host:% = address, error:% = e; "a host does not answer");
+                self.silent.insert(address, now + SILENT_TIME);
                 return false;
             }
         };
-        let Told {
-            process,
-            number,
-            age,
-            items,
-        } = told;
-        self.known.insert(address, (process, number));
-        self.shared.take(items);
-        self.shared.confirm(age);
-        age < STALE
+        self.silent.remove(&address);
+        self.shared.take(told.items, told.reached);
+        self.shared.confirm(told.age);
+        told.age < STALE
     }
 }
 
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -3,7 +3,7 @@
 mod announce;
 mod changes;
 mod follow;
-mod readers;
+mod spread;
 
 use std::{net::TcpListener, sync::Arc, thread::JoinHandle, time::Duration};
 
@@ -11,7 +11,7 @@
 use tokio::{runtime::Builder, sync::watch};
 use viz::{Router, Tree};
 
-pub use self::readers::{READERS, readers};
+pub use self::spread::{FAN_OUT, Place, READERS, place};
 use crate::{
     host::{Phase, Shared},
     lookup, meters,
--- /dev/null
+++ b/crates/edge/src/control/spread.rs
@@ -0,0 +1,81 @@
+//! From whom each host hears of changes.
+//!
+//! The heartbeats of all targets pass through every host that watches the store; in a fleet of 600
+//! targets that is some 120 KB a second for each, most of it between regions. So two hosts read, and
+//! pass on only what changes something. They do not pass it to everybody: in each region two *heads*
+//! ask the readers, and the other hosts form a tree below the heads, so that a change crosses to a
+//! region twice, whatever its size, and no host serves more than a few.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::model::HostEntry;
+
+/// Hosts that read the store, and heads of a region. With one, its death would send all that follow
+/// it to the store at once.
+pub const READERS: usize = 2;
+
+/// Hosts that ask one host, at most, beside those whose own source is away. A region of a hundred
+/// hosts is then two steps below its heads.
+pub const FAN_OUT: usize = 8;
+
+/// Where a host stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// Whether it reads the store.
+    pub is_reader: bool,
+    /// Hosts that it asks, first choice first.
+    pub sources: Vec<Arc<HostEntry>>,
+}
+
+/// Where a host stands among those that are known. All hosts that know the same hosts agree, and no
+/// two of them ask each other: a host asks readers, or hosts of its region that stand before it.
+pub fn place(
+    me: &str,
+    hosts: &BTreeMap<Arc<str>, Arc<HostEntry>>,
+    domains: &BTreeMap<Arc<str>, Arc<str>>,
+) -> Place {
+    let readers = readers(hosts);
+    let is_reader = readers.iter().any(|reader| &*reader.name == me);
+    let others = || readers.iter().filter(|reader| &*reader.name != me).cloned();
+    let region = hosts.get(me).and_then(|host| domains.get(&host.domain));
+    let Some(region) = region.filter(|_| !is_reader) else {
+        return Place {
+            is_reader,
+            sources: others().collect(),
+        };
+    };
+    let is_near = |host: &&Arc<HostEntry>| domains.get(&host.domain) == Some(region);
+    let is_below = |host: &&Arc<HostEntry>| readers.iter().all(|r| r.name != host.name);
+    let row: Vec<_> = hosts.values().filter(is_near).filter(is_below).collect();
+    let at = row
+        .iter()
+        .position(|host| &*host.name == me)
+        .unwrap_or_default();
+    let mut sources: Vec<_> = parents(at).map(|n| Arc::clone(row[n])).collect();
+    sources.extend(others());
+    Place { is_reader, sources }
+}
+
+/// The hosts before the one at `at` that it asks: none for a head.
+fn parents(at: usize) -> impl Iterator<Item = usize> {
+    let below = at.checked_sub(READERS);
+    let first = below.map(|below| below / FAN_OUT);
+    // Neighbours, so that the second choice is no descendant of the first.
+    first
+        .into_iter()
+        .flat_map(move |first| [first, first ^ 1])
+        .filter(move |n| *n < at)
+}
+
+/// The readers, first choice first: those nearest to the store, so that what the readers drop does
+/// not travel between regions.
+fn readers(hosts: &BTreeMap<Arc<str>, Arc<HostEntry>>) -> Vec<Arc<HostEntry>> {
+    let mut all: Vec<_> = hosts.values().cloned().collect();
+    all.sort_by(|a, b| {
+        a.distance
+            .cmp(&b.distance)
+            .then_with(|| a.name.cmp(&b.name))
+    });
+    all.truncate(READERS);
+    all
+}
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one target.
 
-use std::{cell::Cell, sync::Arc};
+use std::{cell::Cell, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dunlinrock_decide::admit::direct::Evidence;
@@ -58,7 +58,7 @@
         let exchange = self.exchange(route, place, work, &sent);
         let exchanged = tokio::time::timeout_at(work.end, exchange).await;
         let (tried, evidence) = match exchanged {
-            Err(_) if sent.get() => (Tried::Late, None),
+            Err(_) if sent.get() => (Tried::Late, self.blames(route, start.elapsed())),
             Err(_) => (
                 Tried::Unsent("no connection in time".to_owned()),
                 Some(Evidence::Down),
@@ -69,13 +69,27 @@
             Ok(Err(Broken::Silent(cause))) => (Tried::Lost(cause), Some(Evidence::Down)),
             Ok(Ok(whole)) => self.judge(lane, work, whole),
         };
+        let mut evidence = evidence;
         if matches!(tried, Tried::Answered(_)) {
-            self.note_time(&route.name, start.elapsed(), place);
+            let (time, slots) = (start.elapsed(), lane.target.slots);
+            if self.forecast(&route.name).is_slow(time, place.busy, slots) {
+                evidence = Some(Evidence::Bad);
+            }
+            self.note_time(&route.name, time, place);
         }
         self.learn(lane, evidence);
         tried
     }
 
+    /// What a request that got no answer in time says about its target: something only if it had the
+    /// time that a sound one needs.
+    ///
+    /// Load: targets that run many times slower. Without this nothing ever spoke against them, and
+    /// their objects' requests ended at them, late, one after the other.
+    fn blames(&self, route: &Route, time: Duration) -> Option<Evidence> {
+        (time >= route.objective).then_some(Evidence::Bad)
+    }
+
     /// Exchanges on a kept connection, or on a new one.
     async fn exchange(
         &self,
--- a/crates/edge/src/front/place.rs
+++ b/crates/edge/src/front/place.rs
@@ -109,7 +109,7 @@
             room: forecast.room(known.target.slots, route.objective),
             seed: lane.seed,
             slots: known.target.slots,
-            near: known.region == self.shared.settings.region,
+            weight: known.weight,
             busy: lane.busy(now),
             sound: lane.aside.borrow().is_usable(now),
         }
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -44,7 +44,7 @@
     pub clock: Clock,
     /// What requests are served by.
     pub view: ArcSwap<View>,
-    /// Number of the last change.
+    /// Highest revision of which others can be told something.
     pub changed: watch::Sender<u64>,
     /// Phase of the host.
     pub phase: watch::Sender<Phase>,
@@ -98,14 +98,15 @@
         });
     }
 
-    /// Takes items in and publishes what they change.
-    pub fn take(&self, items: Vec<Item>) {
+    /// Takes in items after which nothing up to `reached` is missing, and publishes what they change.
+    pub fn take(&self, items: Vec<Item>, reached: u64) {
         let now = self.now();
         let mut world = self.world();
         let mut changed = false;
         for item in items {
             changed |= world.apply(item, now);
         }
+        world.reach(reached);
         if changed {
             self.publish(&world, now);
         }
@@ -144,10 +145,15 @@
         }
     }
 
+    fn view_of(&self, world: &World, warmed: &BTreeMap<Arc<str>, Duration>) -> View {
+        let settings = &self.settings;
+        View::open(world, &settings.region, &settings.domains, warmed)
+    }
+
     fn publish(&self, world: &World, now: Duration) {
         let before = self.view.load_full();
         let mut warmed = self.warmed.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut view = View::open(world, &self.settings.domains, &warmed);
+        let mut view = self.view_of(world, &warmed);
         let back: Vec<_> = before
             .evacuated
             .difference(&view.evacuated)
@@ -159,10 +165,10 @@
             let services = view.config.iter().flat_map(|c| c.services.values());
             let cold = services.map(|s| s.cold).max().unwrap_or_default();
             warmed.extend(back.into_iter().map(|domain| (domain, now + cold)));
-            view = View::open(world, &self.settings.domains, &warmed);
+            view = self.view_of(world, &warmed);
         }
         crate::trace::believed(&before, &view);
         self.view.store(Arc::new(view));
-        self.changed.send_replace(world.last());
+        self.changed.send_replace(world.said());
     }
 }
