--- a/crates/edge/src/front/place.rs
+++ b/crates/edge/src/front/place.rs
@@ -109,7 +109,7 @@
             room: forecast.room(known.target.slots, route.objective),
             seed: lane.seed,
             slots: known.target.slots,
-            weight: known.weight,
+            near: known.region == self.shared.settings.region,
             busy: lane.busy(now),
             sound: lane.aside.borrow().is_usable(now),
         }
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -31,7 +31,7 @@
 
 /// How late an answer may be expected and still be worth a slot, in objectives of its route. While
 /// there is more to do than slots, a late answer makes the next one late as well.
-const PATIENCE: f64 = 1.25;
+const PATIENCE: f64 = 2.5;
 
 /// Least time that must be left for another run to be of use.
 const LEAST_RUN: Duration = Duration::from_millis(50);
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -145,15 +145,10 @@
         }
     }
 
-    fn view_of(&self, world: &World, warmed: &BTreeMap<Arc<str>, Duration>) -> View {
-        let settings = &self.settings;
-        View::open(world, &settings.region, &settings.domains, warmed)
-    }
-
     fn publish(&self, world: &World, now: Duration) {
         let before = self.view.load_full();
         let mut warmed = self.warmed.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut view = self.view_of(world, &warmed);
+        let mut view = View::open(world, &self.settings.domains, &warmed);
         let back: Vec<_> = before
             .evacuated
             .difference(&view.evacuated)
@@ -165,7 +160,7 @@
             let services = view.config.iter().flat_map(|c| c.services.values());
             let cold = services.map(|s| s.cold).max().unwrap_or_default();
             warmed.extend(back.into_iter().map(|domain| (domain, now + cold)));
-            view = self.view_of(world, &warmed);
+            view = View::open(world, &self.settings.domains, &warmed);
         }
         crate::trace::believed(&before, &view);
         self.view.store(Arc::new(view));
--- a/crates/steer/src/affinity/mod.rs
+++ b/crates/steer/src/affinity/mod.rs
@@ -5,13 +5,15 @@
 //! and the service is short of slots; where each object stays at one target, half of them are free.
 //!
 //! The choice is weighted rendezvous hashing, which all hosts compute alike without a word between
-//! them. A target that comes or goes moves only the objects that it wins or loses. How much the
-//! targets of each region weigh for callers of another is [`row`]'s to say.
+//! them. A target that comes or goes moves only the objects that it wins or loses. Targets in the
+//! caller's region weigh more, since bytes between regions are slow and dear, but not so much more
+//! that a small region carries all its own callers: their number swings, and the other regions'
+//! slots even that out.
 //!
 //! ```
 //! use dunlinrock_steer::affinity::{Candidate, Choice, Rules, choose};
 //!
-//! let target = |seed, busy| Candidate { seed, slots: 2, weight: 1.0, busy, room: 4, sound: true };
+//! let target = |seed, busy| Candidate { seed, slots: 2, near: true, busy, room: 4, sound: true };
 //! let Some(Choice { index, .. }) = choose(7, &[target(1, 0), target(2, 0)], &Rules::default())
 //! else { panic!() };
 //! // The object stays where it is while its target has a free slot.
@@ -22,9 +24,6 @@
 //! assert_ne!(choose(7, &both, &Rules::default()).unwrap().index, index);
 //! ```
 
-mod rows;
-
-pub use self::rows::{RowRules, row};
 use crate::hash::{mix, score};
 
 /// A target that may take the request.
@@ -34,8 +33,8 @@
     pub seed: u64,
     /// Requests that it runs at once; more wait in its queue.
     pub slots: u32,
-    /// Weight of one of its slots for callers of this region; see [`row`].
-    pub weight: f64,
+    /// Whether it stands in the caller's region.
+    pub near: bool,
     /// Requests that it runs or queues, as far as this host knows.
     pub busy: u32,
     /// Requests that it may have, running and queued, for one more to be answered in good time.
@@ -47,6 +46,8 @@
 /// Weights of the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
+    /// Weight of a near target's slot against a far one's.
+    pub near: f64,
     /// How many choices of an object are tried: few, so that what its own target cannot take is
     /// warm at the next.
     pub choices: usize,
@@ -54,7 +55,10 @@
 
 impl Default for Rules {
     fn default() -> Rules {
-        Rules { choices: 3 }
+        Rules {
+            near: 3.0,
+            choices: 3,
+        }
     }
 }
 
@@ -78,7 +82,7 @@
         .iter()
         .enumerate()
         .filter(|(_, c)| c.sound)
-        .map(|(index, c)| (score(c.seed, object, weight(c)), index))
+        .map(|(index, c)| (score(c.seed, object, weight(c, rules)), index))
         .collect();
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     let own = ranked.iter().take(rules.choices).enumerate();
@@ -108,6 +112,7 @@
     Some(Choice { index, rank: 0 })
 }
 
-fn weight(candidate: &Candidate) -> f64 {
-    f64::from(candidate.slots.max(1)) * candidate.weight
+fn weight(candidate: &Candidate, rules: &Rules) -> f64 {
+    let near = if candidate.near { rules.near } else { 1.0 };
+    f64::from(candidate.slots.max(1)) * near
 }
