--- a/crates/cli/src/soak/mod.rs
+++ b/crates/cli/src/soak/mod.rs
@@ -25,8 +25,15 @@
     rt::block_on,
 };
 
+/// Hosts of a plan at most: each has an address of its own, of which the last number counts.
+const MOST_HOSTS: usize = 200;
+
 /// Plays the plans and tells which of them broke a promise.
 pub(crate) fn run(args: &Soak) -> Result<(), Failure> {
+    if args.hosts == 0 || args.hosts > MOST_HOSTS {
+        let text = format!("--hosts {}: give 1 to {MOST_HOSTS}", args.hosts);
+        return Err(Failure::open(Exit::Usage, text));
+    }
     let mut broken = 0;
     for seed in args.seed..args.seed + args.plans {
         let plan = Plan::open(seed, args.hosts, args.faults);
