--- a/crates/cli/src/soak/callers.rs
+++ b/crates/cli/src/soak/callers.rs
@@ -11,7 +11,10 @@
 };
 
 use bytes::Bytes;
-use dunlinrock_platform::standin::Ledger;
+use dunlinrock_platform::{
+    dialect,
+    standin::{self, Ledger},
+};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -19,18 +22,20 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::net::TcpStream;
 
+use super::fleet::NAME;
+
 /// Callers at the same time.
 const CALLERS: u64 = 12;
 
 /// Pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(15);
 
-/// Time that a caller grants, in milliseconds, as it says in its requests.
-const DEADLINE_MS: u64 = 3000;
+/// Time that a caller grants, as it says in its requests.
+const DEADLINE: Duration = Duration::from_secs(3);
 
 /// How long a caller waits beyond that before it closes the connection. It is no bound on the
 /// answer: a caller that leaves judges nothing.
-const WAIT: Duration = Duration::from_millis(DEADLINE_MS + 2000);
+const WAIT: Duration = Duration::from_secs(5);
 
 /// How many connections of callers a host's faults may have cut.
 #[derive(Debug, Default)]
@@ -141,13 +146,13 @@
     /// Sends one request and checks what comes back.
     async fn call(&mut self, number: u64) {
         let (id, object) = (
-            format!("c{}-{number}", self.name),
+            Arc::<str>::from(format!("c{}-{number}", self.name)),
             self.rng.random_range(0..24),
         );
         let is_once = self.rng.random_range(0..3) == 0;
         let path = format!("/{}/{object}", if is_once { "once" } else { "read" });
         if is_once {
-            lock(&self.seen.once).insert(id.clone());
+            lock(&self.seen.once).insert(id.to_string());
         }
         let Some((host, mut sender)) = self.connect().await else {
             return;
@@ -199,7 +204,7 @@
         self.count(status.is_success());
         if status.is_success() {
             let own = body == format!("{id} {path}").as_bytes();
-            if !own || !headers.contains_key("server-stamp") {
+            if !own || !headers.contains_key(dialect::open().stamp) {
                 let text = String::from_utf8_lossy(body);
                 self.seen
                     .broke(format!("{id} got another's answer, or a part: {text}"));
@@ -233,7 +238,7 @@
     }
 }
 
-fn request(id: &str, path: &str, is_once: bool, object: u32) -> Request<Full<Bytes>> {
+fn request(id: &Arc<str>, path: &str, is_once: bool, object: u32) -> Request<Full<Bytes>> {
     let body = if is_once { "an order" } else { "" };
     let mut request = Request::new(Full::from(body));
     *request.method_mut() = if is_once {
@@ -243,14 +248,6 @@
     };
     // The path is made here, of a word and a number.
     *request.uri_mut() = path.parse().unwrap_or_default();
-    let headers = request.headers_mut();
-    let cookie = format!("Affinity-Key={object}");
-    let fields = [("host", "soak"), ("request-id", id), ("cookie", &cookie)];
-    for (name, value) in fields {
-        if let Ok(value) = value.parse() {
-            headers.insert(name, value);
-        }
-    }
-    headers.insert("deadline-ms", DEADLINE_MS.into());
+    *request.headers_mut() = standin::headers(NAME, id, object, DEADLINE);
     request
 }
--- a/crates/cli/src/soak/faults.rs
+++ b/crates/cli/src/soak/faults.rs
@@ -53,13 +53,10 @@
         Fault::TargetSheds(n) => fleet.targets[n].target.set(|rules| rules.sheds = true),
         Fault::TargetSlow(n) => fleet.targets[n].target.set(|rules| rules.work *= SLOWER),
         Fault::TargetMute(n) => fleet.targets[n].proxy.set(Mode::Mute),
-        Fault::TargetLeaves(n) => fleet.announce(n, "draining"),
+        Fault::TargetLeaves(n) => fleet.announce(n, true),
         Fault::TargetReplaced(n) => fleet.renew(n),
         Fault::Configure => fleet.configure(),
-        Fault::Evacuate(n) => {
-            let key = format!("op/evacuate/{}", DOMAINS[n % DOMAINS.len()]);
-            fleet.store.put(&key, &serde_json::json!({}));
-        }
+        Fault::Evacuate(n) => fleet.store.evacuate(DOMAINS[n % DOMAINS.len()], true),
     }
     Ok(())
 }
@@ -81,11 +78,7 @@
         Fault::TargetSlow(n) => fleet.targets[n].target.set(sound),
         Fault::TargetMute(n) => fleet.targets[n].proxy.set(Mode::Pass),
         Fault::TargetLeaves(n) => fleet.renew(n),
-        Fault::Evacuate(n) => {
-            fleet
-                .store
-                .remove(&format!("op/evacuate/{}", DOMAINS[n % DOMAINS.len()]));
-        }
+        Fault::Evacuate(n) => fleet.store.evacuate(DOMAINS[n % DOMAINS.len()], false),
         Fault::Stop(_)
         | Fault::Reload(_)
         | Fault::StoreForgets
--- a/crates/cli/src/soak/fleet.rs
+++ b/crates/cli/src/soak/fleet.rs
@@ -9,18 +9,28 @@
 };
 
 use anyhow::Context;
-use dunlinrock_platform::standin::{Ledger, Store, Target, TargetRules};
+use dunlinrock_edge::model;
+use dunlinrock_platform::standin::{Draft, Ledger, Store, Target, TargetRules};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use super::{plan::TARGETS, proxy::Proxy};
 
 /// Failure domains; hosts and targets stand in them in turn.
 pub(super) const DOMAINS: [&str; 3] = ["north-1", "south-1", "west-1"];
 
+/// Host name of the routes.
+pub(super) const NAME: &str = "soak";
+
+/// The one service.
+const SERVICE: &str = "work";
+
+/// Timeout of the routes; each configuration adds a little, so that versions differ.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time of a run.
 const WORK: Duration = Duration::from_millis(20);
 
@@ -102,53 +112,45 @@
             proxy,
             starts: 1,
         });
-        self.announce(n, "ready");
+        self.announce(n, false);
         Ok(())
     }
 
     /// Writes a target's entry.
-    pub(super) fn announce(&self, n: usize, state: &str) {
+    pub(super) fn announce(&self, n: usize, is_leaving: bool) {
         let seat = &self.targets[n];
-        let entry = json!({
-            "addr": seat.proxy.address,
-            "info": {
-                "service": "work", "version": "v1", "zone": DOMAINS[n % DOMAINS.len()],
-                "slots": SLOTS,
-            },
-            "status": {"state": state, "seq": seat.starts, "coldLeft": "0ms"},
+        self.store.write_target(&model::Target {
+            id: seat.target.rules().id.into(),
+            service: SERVICE.into(),
+            address: seat.proxy.address,
+            domain: DOMAINS[n % DOMAINS.len()].into(),
+            slots: SLOTS,
+            leaving: is_leaving,
+            cold: Duration::ZERO,
         });
-        self.store
-            .put(&format!("servers/{}", seat.target.rules().id), &entry);
     }
 
     /// Ends a target's start and begins another, at the same address.
     pub(super) fn renew(&mut self, n: usize) {
         let old = self.targets[n].target.rules().id;
-        self.store.remove(&format!("servers/{old}"));
+        self.store.remove_target(&old);
         let seat = &mut self.targets[n];
         seat.starts += 1;
         let next = rules(n, seat.starts);
         seat.target.set(|rules| *rules = next);
-        self.announce(n, "ready");
+        self.announce(n, false);
     }
 
     /// Puts a newer configuration in force.
     pub(super) fn configure(&mut self) {
         self.version += 3;
-        let route = |prefix: &str, kind: &str| {
-            json!({
-                "name": prefix, "host": "soak", "prefix": prefix, "kind": kind,
-                "timeout": format!("{}ms", 2000 + self.version), "latencyTarget": "1s",
-                "priority": 1, "maxAttempts": 3, "service": "work", "homeRegions": [],
-            })
-        };
-        let config = json!({
-            "version": format!("r{}", self.version),
-            "routes": [route("/read/", "safe"), route("/once/", "unsafe")],
-            "services": [{"name": "work", "healthPath": "/health", "coldStart": "0s", "coldPerS": 1000}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeout": "15s"},
+        self.store.write_config(&Draft {
+            version: self.version,
+            host: NAME,
+            service: SERVICE,
+            routes: &[("/read/", true), ("/once/", false)],
+            timeout: TIMEOUT + Duration::from_millis(self.version),
         });
-        self.store.put("op/config", &config);
     }
 }
 
