--- a/crates/cli/src/logs/lines.rs
+++ b/crates/cli/src/logs/lines.rs
@@ -5,6 +5,7 @@
 //! told once there is room.
 
 use std::{
+    fmt::Write as _,
     io::{self, Write as _},
     sync::{
         Arc, Mutex, PoisonError,
@@ -20,11 +21,14 @@
     kv::{Error, Key, Value, VisitSource},
 };
 use log4rs::append::Append;
-use serde_json::{Map, json};
+use serde_json::json;
 
 /// Lines that may wait for the writer: a few seconds of a host at its line budget.
 const RING: usize = 4096;
 
+/// Room for a usual line, in bytes.
+const LINE_BYTES: usize = 320;
+
 /// Bytes written at once at most; each write costs a system call.
 const BATCH_BYTES: usize = 32 << 10;
 
@@ -95,22 +99,36 @@
 }
 
 /// One JSON object: time, level, module, the record's fields, and its message.
+///
+/// Written field by field: a map of values in between took between a quarter and a half of what all
+/// lines cost, measured as the processor time of a host with and without them.
 fn line(record: &Record<'_>) -> anyhow::Result<String> {
-    let mut fields = Fields(Map::new());
-    fields.0.insert("time".to_owned(), json!(seconds()));
-    fields
-        .0
-        .insert("level".to_owned(), json!(record.level().as_str()));
-    fields.0.insert("of".to_owned(), json!(record.target()));
-    record.key_values().visit(&mut fields)?;
-    fields
-        .0
-        .insert("text".to_owned(), json!(record.args().to_string()));
-    let mut line = serde_json::to_string(&fields.0)?;
-    line.push('\n');
+    let mut line = String::with_capacity(LINE_BYTES);
+    write!(
+        line,
+        "{{\"time\":{:.3},\"level\":\"{}\"",
+        seconds(),
+        record.level()
+    )?;
+    field(&mut line, "of", record.target())?;
+    record.key_values().visit(&mut Fields(&mut line))?;
+    match record.args().as_str() {
+        Some(text) => field(&mut line, "text", text)?,
+        None => field(&mut line, "text", &record.args().to_string())?,
+    }
+    line.push_str("}\n");
     Ok(line)
 }
 
+/// Appends a field with a text.
+fn field(line: &mut String, name: &str, text: &str) -> anyhow::Result<()> {
+    line.push_str(",\"");
+    line.push_str(name);
+    line.push_str("\":");
+    line.push_str(&serde_json::to_string(text)?);
+    Ok(())
+}
+
 /// Seconds since 1970, to the millisecond.
 fn seconds() -> f64 {
     let since = SystemTime::now()
@@ -119,16 +137,19 @@
     since.as_millis() as f64 / 1000.0
 }
 
-struct Fields(Map<String, serde_json::Value>);
+struct Fields<'a>(&'a mut String);
 
-impl<'kvs> VisitSource<'kvs> for Fields {
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    /// Appends a field. Names are written in the source, and need no escape.
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match (value.to_i64(), value.to_f64()) {
-            (Some(n), _) => json!(n),
-            (None, Some(n)) => json!(n),
-            (None, None) => json!(value.to_string()),
-        };
-        self.0.insert(key.to_string(), value);
-        Ok(())
+        let line = &mut *self.0;
+        if let Some(text) = value.to_borrowed_str() {
+            return field(line, key.as_str(), text).map_err(Error::boxed);
+        }
+        match (value.to_i64(), value.to_f64().filter(|n| n.is_finite())) {
+            (Some(n), _) => write!(line, ",\"{key}\":{n}").map_err(Error::boxed),
+            (None, Some(n)) => write!(line, ",\"{key}\":{n}").map_err(Error::boxed),
+            (None, None) => field(line, key.as_str(), &value.to_string()).map_err(Error::boxed),
+        }
     }
 }
--- a/crates/cli/tests/edge.rs
+++ b/crates/cli/tests/edge.rs
@@ -3,6 +3,8 @@
 mod support;
 
 use std::{
+    collections::BTreeSet,
+    io::Read,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     process::{Child, Stdio},
     time::Duration,
@@ -171,3 +173,43 @@
         "{error}"
     );
 }
+
+/// Every line of the log is a JSON object of its own, whatever the texts in it hold.
+#[tokio::test]
+async fn every_line_of_the_log_is_an_object_with_its_event() {
+    const PORT: u16 = 17321;
+    let mut deployment = Deployment::open(PORT);
+    while deployment
+        .get(PORT, "/read/0", "fi\"rst")
+        .await
+        .is_none_or(|a| a.0 != StatusCode::OK)
+    {
+        tokio::task::yield_now().await;
+    }
+    deployment
+        .get(PORT, "/nowhere/\\", "second")
+        .await
+        .expect("an answer");
+    let id = i32::try_from(deployment.child.id()).unwrap();
+    kill(Pid::from_raw(id), Signal::SIGTERM).unwrap();
+    let mut text = String::new();
+    deployment
+        .child
+        .stdout
+        .take()
+        .unwrap()
+        .read_to_string(&mut text)
+        .unwrap();
+    let mut events = BTreeSet::new();
+    for line in text.lines() {
+        let fields: serde_json::Value = serde_json::from_str(line).expect(line);
+        assert!(
+            fields["time"].is_number() && fields["text"].is_string(),
+            "{line}"
+        );
+        events.insert(fields["event"].as_str().expect(line).to_owned());
+    }
+    for event in ["start", "config", "targets", "sent", "answered", "stop"] {
+        assert!(events.contains(event), "{event} is missing in {events:?}");
+    }
+}
