--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -20,8 +20,19 @@
 pub(super) const ANSWER_BYTES: usize = 16 << 20;
 
 /// How long an answer is held back while nothing changes. Each answer also says that the host lives
-/// and how fresh its word is; through three hosts that word grows older by three times this.
-const HOLD: Duration = Duration::from_millis(400);
+/// and how fresh its word is; with each step down the tree that word grows older by this.
+pub const HOLD: Duration = Duration::from_millis(250);
+
+/// Age above which a host's word is not enough, and the next source is asked, at last the store. What
+/// was changed just after the store's last answer is known this late at most, and some round trips
+/// later: a configuration may take 2.5 s to be in force, and a leaving target as long.
+pub const STALE: Duration = Duration::from_millis(1600);
+
+/// How long a host whose word has this age holds an answer back: not at all once it is stale, or the
+/// sources that are stale would use up the time in which the next one must be asked.
+pub fn hold(age: Duration) -> Duration {
+    HOLD.min(STALE.saturating_sub(age))
+}
 
 /// Time an asking host waits beyond that: a round trip between regions and a busy processor.
 const SLACK: Duration = Duration::from_millis(400);
@@ -107,7 +118,7 @@
     let mut changed = shared.changed.subscribe();
     let newer = changed.wait_for(|said| *said > asked.reached);
     // An answer without changes is as good: it says that there are none.
-    let _ = tokio::time::timeout(HOLD, newer).await;
+    let _ = tokio::time::timeout(hold(shared.age()), newer).await;
     let (world, now) = (shared.world(), shared.now());
     Told {
         reached: world.reached(),
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -5,7 +5,7 @@
 use dunlinrock_node::wire::Client;
 
 use super::{
-    changes::{ANSWER_BYTES, Asked, ask},
+    changes::{ANSWER_BYTES, Asked, STALE, ask},
     spread::place,
 };
 use crate::{
@@ -19,7 +19,7 @@
 
 /// Pause of a reader between two calls to the store. Changes of half a second come in one answer,
 /// which costs one call instead of ten.
-const READER_PAUSE: Duration = Duration::from_millis(400);
+pub const READER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause of a host that reads for itself while no reader answers.
 const LONE_PAUSE: Duration = Duration::from_millis(700);
@@ -30,10 +30,6 @@
 /// Longest pause after failed calls: a store that is back is noticed within it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-/// Age above which a reader's word is not enough, and the store is asked. It leaves a target's
-/// drain time, 2.5 s or more, room for the way through two hosts.
-const STALE: Duration = Duration::from_millis(2000);
-
 /// How long a host that did not answer is passed over. Asked again at once, it would hold up every
 /// round by the time that an answer may take.
 const SILENT_TIME: Duration = Duration::from_secs(3);
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -11,7 +11,11 @@
 use tokio::{runtime::Builder, sync::watch};
 use viz::{Router, Tree};
 
-pub use self::spread::{FAN_OUT, Place, READERS, place};
+pub use self::{
+    changes::{HOLD, STALE, hold},
+    follow::READER_PAUSE,
+    spread::{FAN_OUT, Place, READERS, place},
+};
 use crate::{
     host::{Phase, Shared},
     lookup, meters,
--- a/crates/edge/src/control/spread.rs
+++ b/crates/edge/src/control/spread.rs
@@ -18,6 +18,9 @@
 /// hosts is then two steps below its heads.
 pub const FAN_OUT: usize = 8;
 
+/// Hosts beside the other reader that a reader asks while the store turns it away.
+const SPARE: usize = 2;
+
 /// Where a host stands.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Place {
@@ -34,14 +37,18 @@
     hosts: &BTreeMap<Arc<str>, Arc<HostEntry>>,
     domains: &BTreeMap<Arc<str>, Arc<str>>,
 ) -> Place {
-    let readers = readers(hosts);
+    let mut readers = nearest(hosts);
+    let others_of_readers = readers.split_off(READERS.min(readers.len()));
     let is_reader = readers.iter().any(|reader| &*reader.name == me);
     let others = || readers.iter().filter(|reader| &*reader.name != me).cloned();
     let region = hosts.get(me).and_then(|host| domains.get(&host.domain));
     let Some(region) = region.filter(|_| !is_reader) else {
+        // A reader that the store turns away follows the other one, or hosts that have come to read
+        // for themselves because both readers are turned away.
+        let spare = others_of_readers.into_iter().take(SPARE);
         return Place {
             is_reader,
-            sources: others().collect(),
+            sources: others().chain(spare).collect(),
         };
     };
     let is_near = |host: &&Arc<HostEntry>| domains.get(&host.domain) == Some(region);
@@ -67,15 +74,14 @@
         .filter(move |n| *n < at)
 }
 
-/// The readers, first choice first: those nearest to the store, so that what the readers drop does
+/// All hosts, the nearest to the store first. The first of them read, so that what readers drop does
 /// not travel between regions.
-fn readers(hosts: &BTreeMap<Arc<str>, Arc<HostEntry>>) -> Vec<Arc<HostEntry>> {
+fn nearest(hosts: &BTreeMap<Arc<str>, Arc<HostEntry>>) -> Vec<Arc<HostEntry>> {
     let mut all: Vec<_> = hosts.values().cloned().collect();
     all.sort_by(|a, b| {
         a.distance
             .cmp(&b.distance)
             .then_with(|| a.name.cmp(&b.name))
     });
-    all.truncate(READERS);
     all
 }
