--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
-use std::sync::mpsc::channel;
+use std::sync::{Arc, mpsc::channel};
 
+use dunlinrock_edge::model::{Entry, Route, Target};
 use support::{Deployment, Script, Stand, config, request, times};
 
 #[test]
@@ -266,3 +267,34 @@
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
     assert!(order.try_recv().is_err(), "the order was taken away");
 }
+
+/// A route may run in the south only, and both a northern and a southern target are there. Requests
+/// run in the south; without a southern target they are refused, also where others are free.
+#[test]
+fn a_route_with_homes_runs_nowhere_else() {
+    let (north, south) = (Stand::sound("north"), Stand::sound("south"));
+    let mut config = config(1);
+    let route = &config.routes[0];
+    let homes = ["south".into()].into();
+    config.routes[0] = Arc::new(Route {
+        homes,
+        ..Route::clone(route)
+    });
+    let deployment = Deployment::open(config, &[&north]);
+    assert!(
+        deployment
+            .call("GET", "/read/a", "r1")
+            .starts_with("HTTP/1.1 503")
+    );
+    let entry = Target {
+        domain: "south-1".into(),
+        ..support::target("s", south.address())
+    };
+    deployment.board.put("s", Entry::Target(Arc::new(entry)));
+    deployment.until_ready();
+    for n in 0..20 {
+        let answer = deployment.call("GET", &format!("/read/{n}"), "r2");
+        assert!(answer.ends_with("south"), "{answer}");
+    }
+    assert_eq!(north.count(), 0);
+}
