--- a/crates/admit/src/direct/budget.rs
+++ b/crates/admit/src/direct/budget.rs
@@ -13,6 +13,13 @@
 /// then the parts of all add up to more than the whole.
 const SPENT: f64 = 0.8;
 
+/// Part of the bound that is spent within the first window of a host's life.
+///
+/// A host that was killed may have spent its whole part a moment before, and its successor does not
+/// know: killed while targets shed, all hosts together made up to 1.2 times the second runs allowed.
+/// What a killed host may have spent and this part are the whole bound.
+const FRESH_SPENT: f64 = 1.0 - SPENT;
+
 /// The bound for all hosts together.
 #[derive(Clone, Copy, Debug)]
 pub struct BudgetRules {
@@ -27,16 +34,27 @@
 /// First and second runs of one service in the last window, at one host.
 #[derive(Clone, Debug, Default)]
 pub struct SharedBudget {
+    /// When the host started, if another process may have spent its part before.
+    since: Option<Duration>,
     /// Start, first runs and second runs of each slice, oldest first.
     slices: VecDeque<(Duration, u32, u32)>,
 }
 
 impl SharedBudget {
-    /// Opens a budget without runs.
+    /// Opens a budget of which nothing was spent.
     pub fn open() -> SharedBudget {
         SharedBudget::default()
     }
 
+    /// Opens the budget of a host that started at `since`, and may be the successor of one that was
+    /// killed.
+    pub fn resume(since: Duration) -> SharedBudget {
+        SharedBudget {
+            since: Some(since),
+            ..SharedBudget::default()
+        }
+    }
+
     /// Notes a request that a caller sent.
     pub fn first(&mut self, rules: &BudgetRules, now: Duration) {
         self.slice(rules, now).1 += 1;
@@ -48,8 +66,9 @@
         self.slice(rules, now);
         let first: u32 = self.slices.iter().map(|s| s.1).sum();
         let second: u32 = self.slices.iter().map(|s| s.2).sum();
-        let slack = rules.slack / hosts.max(1) as f64;
-        let most = SPENT * (f64::from(first) * rules.ratio + slack);
+        let (spent, grown) = self.grown(rules, now);
+        let slack = rules.slack / hosts.max(1) as f64 * grown;
+        let most = spent * (f64::from(first) * rules.ratio + slack);
         if f64::from(second + 1) > most {
             return false;
         }
@@ -57,6 +76,16 @@
         true
     }
 
+    /// Part of the bound that may be spent, and how far the slack has grown: killed time and again, a
+    /// host has in all no more of it than one that lives on.
+    fn grown(&self, rules: &BudgetRules, now: Duration) -> (f64, f64) {
+        let lived = self.since.map(|since| now.saturating_sub(since));
+        match lived.filter(|lived| *lived < rules.window) {
+            Some(lived) => (FRESH_SPENT, lived.div_duration_f64(rules.window)),
+            None => (SPENT, 1.0),
+        }
+    }
+
     /// The slice of `now`; those that left the window go.
     fn slice(&mut self, rules: &BudgetRules, now: Duration) -> &mut (Duration, u32, u32) {
         let length = rules.window / SLICES;
--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -8,10 +8,12 @@
 mod cold;
 mod forecast;
 mod set_aside;
+mod sharers;
 
 pub use self::{
     budget::{BudgetRules, SharedBudget},
     cold::{ColdRate, ColdRules},
     forecast::Forecast,
     set_aside::{Evidence, SetAside},
+    sharers::Sharers,
 };
--- a/crates/edge/src/front/place.rs
+++ b/crates/edge/src/front/place.rs
@@ -18,6 +18,11 @@
     world::{Known, View},
 };
 
+/// Time after its start in which a host sends single requests to cold targets. Hosts that start
+/// together know only of themselves at first, and each would take the whole rate for its own; in
+/// this time their entries are in the store and back from it.
+const FRESH_TIME: Duration = Duration::from_secs(3);
+
 /// Why no target can take a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NoPlace {
@@ -125,7 +130,8 @@
             rate: rate.unwrap_or_default(),
             ..self.shared.settings.cold
         };
-        let part = rules.part(self.seed, &view.seeds, lane.seed);
+        let part = rules.part(self.seed, &view.sharers, lane.seed);
+        let part = if now < FRESH_TIME { part.min(1) } else { part };
         lane.cold.borrow_mut().admit(part, now)
     }
 }
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -211,7 +211,7 @@
             place.lane.aside.borrow_mut().withdraw();
             return Some(course.give_up(&cause, retry));
         }
-        if course.arrived > 0 && !self.second(service, view.sharers()) {
+        if course.arrived > 0 && !self.second(service, view.sharer_count()) {
             place.lane.aside.borrow_mut().withdraw();
             return Some(course.give_up("the retry budget is spent", LEAST_RETRY));
         }
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -1,8 +1,8 @@
 //! Log lines and metrics of requests, and the counters that decisions need.
 
-use std::{sync::Arc, time::Duration};
+use std::{cell::RefMut, sync::Arc, time::Duration};
 
-use dunlinrock_decide::admit::direct::{Evidence, Forecast};
+use dunlinrock_decide::admit::direct::{Evidence, Forecast, SharedBudget};
 
 use super::{Front, end::End, lanes::Lane, place::Place};
 use crate::{
@@ -17,6 +17,9 @@
 /// budget only bounds a flood.
 const FAILURE_LINES: u32 = 400;
 
+/// Start of the process, on its own clock.
+const START: Duration = Duration::ZERO;
+
 /// Budgets of lines.
 #[derive(Debug)]
 pub(super) struct Say {
@@ -131,18 +134,19 @@
 
     pub(super) fn first(&self, service: &Arc<str>) {
         let rules = &self.shared.settings.budget;
-        let mut budgets = self.budgets.borrow_mut();
-        budgets
-            .entry(Arc::clone(service))
-            .or_default()
-            .first(rules, self.shared.now());
+        self.budget(service).first(rules, self.shared.now());
     }
 
     pub(super) fn second(&self, service: &Arc<str>, hosts: usize) -> bool {
         let rules = &self.shared.settings.budget;
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(Arc::clone(service)).or_default();
-        budget.second(rules, hosts, self.shared.now())
+        self.budget(service).second(rules, hosts, self.shared.now())
+    }
+
+    fn budget(&self, service: &Arc<str>) -> RefMut<'_, SharedBudget> {
+        RefMut::map(self.budgets.borrow_mut(), |budgets| {
+            let budget = budgets.entry(Arc::clone(service));
+            budget.or_insert_with(|| SharedBudget::resume(START))
+        })
     }
 }
 
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -10,6 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
+use dunlinrock_decide::admit::direct::Sharers;
 use dunlinrock_node::clock::Clock;
 use tokio::sync::watch;
 
@@ -51,12 +52,19 @@
     /// Counters and histograms.
     pub meters: Meters,
     world: Mutex<World>,
-    /// Until when targets of domains that were evacuated are taken for cold.
-    warmed: Mutex<BTreeMap<Arc<str>, Duration>>,
+    past: Mutex<Past>,
     /// When the store last confirmed what this host believes, in milliseconds; 0 for never.
     fresh: AtomicU64,
 }
 
+/// What a view takes from those before it.
+#[derive(Debug, Default)]
+struct Past {
+    /// Until when targets of domains that were evacuated are taken for cold.
+    warmed: BTreeMap<Arc<str>, Duration>,
+    sharers: Sharers,
+}
+
 impl Shared {
     pub(super) fn open(settings: Settings, feed: Feed, dialect: Dialect) -> Arc<Shared> {
         Arc::new(Shared {
@@ -69,7 +77,7 @@
             phase: watch::channel(Phase::Serving).0,
             meters: Meters::open(),
             world: Mutex::new(World::open()),
-            warmed: Mutex::default(),
+            past: Mutex::default(),
             fresh: AtomicU64::new(0),
         })
     }
@@ -147,8 +155,8 @@
 
     fn publish(&self, world: &World, now: Duration) {
         let before = self.view.load_full();
-        let mut warmed = self.warmed.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut view = View::open(world, &self.settings.domains, &warmed);
+        let mut past = self.past.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut view = View::open(world, &self.settings.domains, &past.warmed);
         let back: Vec<_> = before
             .evacuated
             .difference(&view.evacuated)
@@ -159,9 +167,11 @@
             // their objects would all return before that.
             let services = view.config.iter().flat_map(|c| c.services.values());
             let cold = services.map(|s| s.cold).max().unwrap_or_default();
-            warmed.extend(back.into_iter().map(|domain| (domain, now + cold)));
-            view = View::open(world, &self.settings.domains, &warmed);
+            past.warmed
+                .extend(back.into_iter().map(|domain| (domain, now + cold)));
+            view = View::open(world, &self.settings.domains, &past.warmed);
         }
+        view.sharers = past.sharers.note(&before.seeds, &view.seeds, now);
         crate::trace::believed(&before, &view);
         self.view.store(Arc::new(view));
         self.changed.send_replace(world.said());
--- a/crates/edge/src/world/view.rs
+++ b/crates/edge/src/world/view.rs
@@ -33,8 +33,11 @@
     pub services: BTreeMap<Arc<str>, Vec<Known>>,
     /// Failure domains whose targets get nothing.
     pub evacuated: BTreeSet<Arc<str>>,
-    /// Hashes of the entry hosts' names, for choices that all hosts make alike.
+    /// Hashes of the listed entry hosts' names.
     pub seeds: Vec<u64>,
+    /// Hashes of the names of all hosts that share bounds: the listed ones, and those that may go on
+    /// serving though their entries vanished.
+    pub sharers: Vec<u64>,
     /// Entry hosts by name.
     pub hosts: BTreeMap<Arc<str>, Arc<HostEntry>>,
 }
@@ -84,7 +87,7 @@
     }
 
     /// Number of entry hosts that share bounds; this host counts also while it is not listed.
-    pub fn sharers(&self) -> usize {
-        self.hosts.len().max(1)
+    pub fn sharer_count(&self) -> usize {
+        self.sharers.len().max(1)
     }
 }
