--- a/crates/cli/src/logs/lines.rs
+++ b/crates/cli/src/logs/lines.rs
@@ -146,6 +146,9 @@
         if let Some(text) = value.to_borrowed_str() {
             return field(line, key.as_str(), text).map_err(Error::boxed);
         }
+        if let Some(truth) = value.to_bool() {
+            return write!(line, ",\"{key}\":{truth}").map_err(Error::boxed);
+        }
         match (value.to_i64(), value.to_f64().filter(|n| n.is_finite())) {
             (Some(n), _) => write!(line, ",\"{key}\":{n}").map_err(Error::boxed),
             (None, Some(n)) => write!(line, ",\"{key}\":{n}").map_err(Error::boxed),
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -145,7 +145,10 @@
     fn budget(&self, service: &Arc<str>) -> RefMut<'_, SharedBudget> {
         RefMut::map(self.budgets.borrow_mut(), |budgets| {
             let budget = budgets.entry(Arc::clone(service));
-            budget.or_insert_with(|| SharedBudget::resume(START))
+            budget.or_insert_with(|| match self.shared.settings.first {
+                true => SharedBudget::open(),
+                false => SharedBudget::resume(START),
+            })
         })
     }
 }
--- a/crates/edge/src/host/mod.rs
+++ b/crates/edge/src/host/mod.rs
@@ -57,7 +57,7 @@
         let front = front::spawn(Arc::clone(&shared), callers)?;
         let control = control::spawn(Arc::clone(&shared), listeners)?;
         let (name, domain) = (&*shared.settings.name, &*shared.settings.domain);
-        log::info!(target: "host", event = "start", host = name, domain = domain, callers:% = shared.settings.listen.callers; "host started");
+        log::info!(target: "host", event = "start", host = name, domain = domain, first = shared.settings.first, callers:% = shared.settings.listen.callers; "host started");
         Ok(Host {
             shared,
             control,
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -38,6 +38,8 @@
     pub store: SocketAddr,
     /// Hosts that are asked for changes while the store is away.
     pub seeds: Vec<SocketAddr>,
+    /// Whether no host of the deployment ran before.
+    pub first: bool,
     /// Time between the request to stop and the end of the process.
     pub grace: Duration,
     /// Longest time for which a look-up may be kept.
@@ -89,6 +91,7 @@
             factor: check.number("bounds.cold_factor", bounds.cold_factor, 1.5),
             slack: check.number("bounds.cold_slack", bounds.cold_slack, 2.0),
         },
+        first: raw.first_start.unwrap_or_default(),
         name: raw.name,
         region: raw.region,
         domain: raw.domain,
--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -4,7 +4,10 @@
 
 use std::sync::{Arc, mpsc::channel};
 
-use dunlinrock_edge::model::{Entry, Route, Target};
+use dunlinrock_edge::{
+    model::{Entry, Route, Target},
+    settings::Settings,
+};
 use support::{Deployment, Script, Stand, config, request, times};
 
 #[test]
@@ -109,6 +112,25 @@
     }
 }
 
+/// Targets shed, and a host is killed and starts again. The second runs of its forerunner are still
+/// in the window that bounds them, and it does not know how many they were: a request that its first
+/// target has not run is refused, so that its caller comes back by itself.
+#[test]
+fn a_host_that_may_succeed_a_killed_one_does_not_repeat_at_once() {
+    let unrun =
+        |head: &support::Head| Script::Write(head.answer_with("503 Busy", "Unrun: 1\r\n", ""));
+    let (a, b) = (Stand::open(unrun), Stand::open(unrun));
+    let successor = Settings {
+        first: false,
+        ..support::settings()
+    };
+    let deployment = Deployment::open_with(successor, config(1), &[&a, &b]);
+    let answer = deployment.call("GET", "/read/a", "r1");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after: "), "{answer}");
+    assert_eq!(a.count() + b.count(), 1);
+}
+
 /// Every target says that it has not run the request: the caller is told so, and when to come back.
 #[test]
 fn what_nobody_has_run_is_refused_with_a_time_to_come_back() {
