--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -16,7 +16,9 @@
 };
 
 /// Fields that every line has, or that are shown apart.
-const APART: [&str; 7] = ["time", "level", "of", "event", "id", "text", "source"];
+const APART: [&str; 8] = [
+    "time", "level", "of", "event", "id", "text", "source", "held_ms",
+];
 
 /// A line about the request.
 struct Line {
@@ -100,10 +102,9 @@
         if fields.get("id").and_then(Value::as_str) != Some(id) {
             return;
         }
-        let time = fields
-            .get("time")
-            .and_then(Value::as_f64)
-            .unwrap_or_default();
+        let number = |name| fields.get(name).and_then(Value::as_f64).unwrap_or_default();
+        // A line may be written some time after what it tells.
+        let time = number("time") - number("held_ms") / 1000.0;
         let source = before.split_whitespace().last().unwrap_or(name).to_owned();
         self.lines.push(Line {
             time,
--- /dev/null
+++ b/crates/cli/tests/causes.rs
@@ -0,0 +1,159 @@
+//! Causes of failed requests, found in the logs of the host alone, as an engineer on call would.
+
+mod support;
+
+use std::{fs, io::Read, thread::JoinHandle, time::Duration};
+
+use http::StatusCode;
+use support::{edge::Deployment, program::run};
+
+/// A host whose log is collected.
+struct Logged {
+    deployment: Deployment,
+    log: JoinHandle<String>,
+    port: u16,
+}
+
+impl Logged {
+    async fn open(port: u16) -> Logged {
+        let mut deployment = Deployment::open(port);
+        let mut out = deployment.child.stdout.take().unwrap();
+        let log = std::thread::spawn(move || {
+            let mut text = String::new();
+            out.read_to_string(&mut text).expect("the log is text");
+            text
+        });
+        deployment.until_serves(port, "first").await;
+        Logged {
+            deployment,
+            log,
+            port,
+        }
+    }
+
+    async fn status(&self, path: &str, id: &str) -> StatusCode {
+        let answer = self.deployment.get(self.port, path, id).await;
+        answer.expect("an answer").0
+    }
+
+    /// Stops the host, and tells what `explain` prints of each request.
+    fn explain(self, ids: &[&str]) -> Vec<String> {
+        self.deployment.stop();
+        let text = self.log.join().unwrap();
+        let dir = tempfile::tempdir().unwrap();
+        let path = dir.path().join("host.log");
+        fs::write(&path, text).unwrap();
+        let path = path.display().to_string();
+        ids.iter()
+            .map(|id| run(&["explain", id, &path]).out)
+            .collect()
+    }
+}
+
+/// A caller is refused although targets are free: its target sheds. The log shows that the target had
+/// free slots when it was asked, that it turned the request away, and which rule then refused.
+#[tokio::test]
+async fn a_refusal_with_free_targets_is_traced_to_the_target_that_sheds() {
+    let logged = Logged::open(17401).await;
+    logged.deployment.target.set(|rules| rules.sheds = true);
+    assert_eq!(
+        logged.status("/read/a", "r1").await,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    let shown = &logged.explain(&["r1"])[0];
+    let lines: Vec<&str> = shown.lines().collect();
+    assert!(
+        lines[0].contains("sent") && lines[0].contains("busy=0"),
+        "{shown}"
+    );
+    assert!(
+        lines[0].contains("slots=64") && lines[0].contains("to=t0"),
+        "{shown}"
+    );
+    assert!(lines[1].contains("attempt_failed"), "{shown}");
+    assert!(lines[1].contains("not run"), "{shown}");
+    assert!(
+        lines[2].contains("refused") && lines[2].contains("cause="),
+        "{shown}"
+    );
+}
+
+/// A caller gets 502 for a request that may run once: the target ran it and closed the connection. The
+/// log shows that it was sent, to whom, and that nobody can say whether it ran.
+#[tokio::test]
+async fn an_answer_that_was_lost_is_traced_to_the_target_that_closed() {
+    let logged = Logged::open(17411).await;
+    logged.deployment.target.set(|rules| rules.loses = true);
+    assert_eq!(
+        logged.status("/once/a", "r1").await,
+        StatusCode::BAD_GATEWAY
+    );
+    assert_eq!(logged.deployment.ledger.runs("r1"), 1);
+    let shown = &logged.explain(&["r1"])[0];
+    let lines: Vec<&str> = shown.lines().collect();
+    assert!(
+        lines[0].contains("sent") && lines[0].contains("to=t0"),
+        "{shown}"
+    );
+    assert!(
+        lines[1].contains("attempt_failed") && lines[1].contains("arrived=1"),
+        "{shown}"
+    );
+    assert!(
+        lines[2].contains("lost") && lines[2].contains("tried=t0"),
+        "{shown}"
+    );
+}
+
+/// A caller's time is over: its target is slow. The log shows that the target had free slots and the
+/// whole time of the caller, so that neither a queue nor the host took it.
+#[tokio::test]
+async fn a_late_answer_is_traced_to_the_target_that_is_slow() {
+    const LEFT: Duration = Duration::from_millis(300);
+    let logged = Logged::open(17421).await;
+    let slow = Duration::from_secs(30);
+    logged.deployment.target.set(|rules| rules.work = slow);
+    let answer = logged
+        .deployment
+        .get_within(logged.port, "/read/a", "r1", LEFT)
+        .await;
+    assert_eq!(answer.expect("an answer").0, StatusCode::GATEWAY_TIMEOUT);
+    let shown = &logged.explain(&["r1"])[0];
+    let lines: Vec<&str> = shown.lines().collect();
+    assert!(
+        lines[0].contains("sent") && lines[0].contains("busy=0"),
+        "{shown}"
+    );
+    assert!(lines[0].contains("rank=0"), "{shown}");
+    assert!(
+        lines[1].contains("late") && lines[1].contains("tried=t0"),
+        "{shown}"
+    );
+}
+
+/// Load: far more requests a second than the budget of lines on those that end well. The lines of
+/// requests that fail are all there, those of their sends too.
+#[tokio::test]
+async fn a_request_that_failed_keeps_its_lines_when_others_lose_theirs() {
+    const REQUESTS: usize = 1200;
+    const EACH: usize = 40;
+    let logged = Logged::open(17431).await;
+    let mut failed = Vec::new();
+    for n in 0..REQUESTS {
+        let fails = n % EACH == 0;
+        logged.deployment.target.set(|rules| rules.loses = fails);
+        let id = format!("r{n}");
+        let status = logged.status("/once/a", &id).await;
+        assert_eq!(status.is_success(), !fails, "{id}: {status}");
+        if fails {
+            failed.push(id);
+        }
+    }
+    let ids: Vec<&str> = failed.iter().map(String::as_str).collect();
+    for (id, shown) in ids.iter().zip(logged.explain(&ids)) {
+        let events = ["sent", "attempt_failed", "lost"];
+        let told = |event: &&str| !shown.contains(*event);
+        let missing: Vec<&&str> = events.iter().filter(|event| told(event)).collect();
+        assert!(missing.is_empty(), "{id} lacks {missing:?}: {shown}");
+    }
+}
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -62,6 +62,31 @@
     );
 }
 
+/// A request was sent twice and failed. The line of the first send was written only at the end; it is
+/// shown where it belongs, before what followed from it.
+#[test]
+fn a_line_that_was_held_stands_at_the_time_of_what_it_tells() {
+    let dir = tempfile::tempdir().unwrap();
+    let a = log(
+        &dir,
+        "a.log",
+        &[
+            r#"{"time":10.2,"event":"attempt_failed","id":"r1","cause":"reset"}"#,
+            r#"{"time":10.9,"event":"sent","id":"r1","to":"t7","held_ms":900}"#,
+            r#"{"time":10.9,"event":"lost","id":"r1","status":502}"#,
+        ],
+    );
+    let out = run(&["explain", "r1", &a]);
+    let lines: Vec<&str> = out.out.lines().collect();
+    assert!(
+        lines[0].contains("0 ms") && lines[0].contains("to=t7"),
+        "{}",
+        out.out
+    );
+    assert!(lines[1].contains("200 ms"), "{}", out.out);
+    assert!(!out.out.contains("held_ms"), "{}", out.out);
+}
+
 #[test]
 fn a_request_that_no_line_names_is_said_so() {
     let dir = tempfile::tempdir().unwrap();
--- /dev/null
+++ b/crates/cli/tests/support/edge.rs
@@ -0,0 +1,156 @@
+//! The program `edge` as a process, between stand-ins of the platform.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    process::{Child, Stdio},
+    time::Duration,
+};
+
+use dunlinrock_edge::model;
+use dunlinrock_node::wire::Client;
+use dunlinrock_platform::standin::{self, Draft, Ledger, Store, Target, TargetRules};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+use super::program::program;
+
+const LOCAL: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+/// Ports of this test's host, on an address of its own.
+const HOST: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 41, 7, 9));
+
+/// Host name of the route.
+const NAME: &str = "shop";
+
+/// A hang guard; no call takes so long.
+const LONG: Duration = Duration::from_secs(60);
+
+pub(crate) struct Deployment {
+    pub(crate) child: Child,
+    pub(crate) ledger: Ledger,
+    client: Client,
+    _store: Store,
+    pub(crate) target: Target,
+    _dir: tempfile::TempDir,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // It has ended where the test went well.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Deployment {
+    /// Starts a host whose standard output nobody reads.
+    pub(crate) fn open(port: u16) -> Deployment {
+        let store = Store::bind(SocketAddr::new(LOCAL, 0)).unwrap();
+        let ledger = Ledger::default();
+        let rules = TargetRules {
+            id: "t0".into(),
+            slots: 64,
+            work: Duration::ZERO,
+            is_down: false,
+            loses: false,
+            sheds: false,
+        };
+        let target = Target::bind(SocketAddr::new(LOCAL, 0), rules, ledger.clone()).unwrap();
+        fill(&store, target.address());
+        let dir = tempfile::tempdir().unwrap();
+        let path = dir.path().join("host.toml");
+        std::fs::write(&path, settings(port, store.address())).unwrap();
+        let child = program(&["edge", "--settings", path.to_str().unwrap()])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let client = Client::open(1 << 20);
+        Deployment {
+            child,
+            ledger,
+            client,
+            _store: store,
+            target,
+            _dir: dir,
+        }
+    }
+
+    /// Waits until a request is answered.
+    pub(crate) async fn until_serves(&self, port: u16, id: &str) {
+        let served = async || self.get(port, "/read/0", id).await;
+        while served().await.is_none_or(|a| a.0 != StatusCode::OK) {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Asks for a planned stop.
+    pub(crate) fn stop(&self) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill(Pid::from_raw(id), Signal::SIGTERM).unwrap();
+    }
+
+    pub(crate) async fn get(
+        &self,
+        port: u16,
+        path: &str,
+        id: &str,
+    ) -> Option<(StatusCode, String)> {
+        self.get_within(port, path, id, LONG).await
+    }
+
+    /// The same, by a caller that waits for a time only.
+    pub(crate) async fn get_within(
+        &self,
+        port: u16,
+        path: &str,
+        id: &str,
+        left: Duration,
+    ) -> Option<(StatusCode, String)> {
+        let mut request = Request::get(format!("http://{HOST}:{port}{path}"))
+            .body(Full::default())
+            .unwrap();
+        *request.headers_mut() = standin::headers(NAME, &id.into(), 1, left);
+        let answer = self.client.call(request, LONG).await.ok()?;
+        Some((
+            answer.status,
+            String::from_utf8_lossy(&answer.body).into_owned(),
+        ))
+    }
+}
+
+fn fill(store: &Store, target: SocketAddr) {
+    store.write_target(&model::Target {
+        id: "t0".into(),
+        service: "work".into(),
+        address: target,
+        domain: "north-1".into(),
+        slots: 64,
+        leaving: false,
+        cold: Duration::ZERO,
+    });
+    store.write_config(&Draft {
+        version: 1,
+        host: NAME,
+        service: "work",
+        routes: &[("/read/", true), ("/once/", false)],
+        timeout: Duration::from_secs(20),
+    });
+}
+
+pub(crate) fn settings(port: u16, store: SocketAddr) -> String {
+    let listen = ["callers", "lookup", "ready", "peers", "metrics"];
+    let listen = listen
+        .iter()
+        .zip(port..)
+        .map(|(name, port)| format!("{name} = \"{HOST}:{port}\""));
+    let listen: Vec<_> = listen.collect();
+    format!(
+        "name = \"h\"\nregion = \"north\"\ndomain = \"north-1\"\n[domains]\nnorth-1 = \"north\"\n\
+         [listen]\n{}\n[store]\naddress = \"{store}\"\n[bounds]\ngrace = \"2s\"\n",
+        listen.join("\n")
+    )
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Scripted hosts, and runs of the built program.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod edge;
 pub(crate) mod program;
 pub(crate) mod scripted;
 
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -1,6 +1,10 @@
 //! One attempt at one target.
 
-use std::{cell::Cell, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use dunlinrock_decide::admit::direct::Evidence;
@@ -13,6 +17,7 @@
     lanes::Lane,
     link::{Broken, Link, Whole},
     place::{self, Place},
+    say::Sent,
 };
 use crate::model::Route;
 
@@ -26,6 +31,8 @@
     pub(super) body: Bytes,
     /// When the caller stops waiting, or the route's timeout is over.
     pub(super) end: Instant,
+    /// Sends that no log line tells yet.
+    pub(super) unsaid: RefCell<Vec<Sent>>,
 }
 
 /// How one attempt ended.
@@ -48,12 +55,7 @@
     pub(super) async fn attempt(&self, route: &Route, place: &Place, work: &Work) -> Tried {
         let lane = &place.lane;
         let _visit = lane.enter();
-        self.sends(
-            &work.id,
-            route,
-            place,
-            work.end.saturating_duration_since(Instant::now()),
-        );
+        self.sends(route, place, work);
         let (start, sent) = (Instant::now(), Cell::new(false));
         let exchange = self.exchange(route, place, work, &sent);
         let exchanged = tokio::time::timeout_at(work.end, exchange).await;
--- a/crates/edge/src/front/end.rs
+++ b/crates/edge/src/front/end.rs
@@ -7,7 +7,10 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use super::link::{Whole, pass_on};
+use super::{
+    link::{Whole, pass_on},
+    say::Sent,
+};
 use crate::trace::Outcome;
 
 /// How a request ended, for logs and metrics.
@@ -17,6 +20,8 @@
     pub(super) cause: String,
     /// Targets that were tried, in the order of their ids.
     pub(super) tried: String,
+    /// Sends that no log line tells yet.
+    pub(super) unsaid: Vec<Sent>,
     pub(super) response: Response<Full<Bytes>>,
 }
 
@@ -56,6 +61,7 @@
         outcome,
         cause,
         tried: String::new(),
+        unsaid: Vec::new(),
         response: pass_on(whole),
     }
 }
@@ -68,6 +74,7 @@
         outcome,
         cause,
         tried: String::new(),
+        unsaid: Vec::new(),
         response,
     }
 }
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its head to its answer.
 
-use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request::Parts};
@@ -164,6 +164,7 @@
             headers,
             body,
             end: Instant::now() + left.min(route.timeout),
+            unsaid: RefCell::default(),
         }
     }
 
@@ -181,6 +182,7 @@
                 let tried: Vec<_> = course.tried.iter().map(|id| &**id).collect();
                 return End {
                     tried: tried.join(","),
+                    unsaid: work.unsaid.take(),
                     ..end
                 };
             }
@@ -247,7 +249,7 @@
             }
         };
         course.tried.insert(Arc::clone(&place.lane.target.id));
-        self.repeats(&work.id, &cause, course.arrived);
+        self.repeats(work, &cause, course.arrived);
         let ended = course.arrived >= route.attempts || !has_time(work);
         let once = course.ran && !route.repeatable;
         (ended || once).then(|| course.give_up(&cause, LEAST_RETRY))
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -4,7 +4,9 @@
 
 use dunlinrock_decide::admit::direct::{Evidence, Forecast, SharedBudget};
 
-use super::{Front, end::End, lanes::Lane, place::Place};
+use tokio::time::Instant;
+
+use super::{Front, attempt::Work, end::End, lanes::Lane, place::Place};
 use crate::{
     model::Route,
     trace::{Lines, Outcome, Told},
@@ -47,6 +49,50 @@
     }
 }
 
+/// One send of a request to a target, and what decided it.
+#[derive(Debug)]
+pub(super) struct Sent {
+    route: Arc<str>,
+    to: Arc<str>,
+    /// How far down the object's ranking the target stands.
+    rank: usize,
+    /// Requests that the target had, as far as was known.
+    busy: u32,
+    slots: u32,
+    /// Age of the load that the target reported.
+    load_age: Duration,
+    /// Time that was left to the request.
+    left: Duration,
+    /// Number of the belief.
+    change: u64,
+    belief_age: Duration,
+    /// When it was sent, on the host's clock.
+    at: Duration,
+}
+
+impl Sent {
+    fn say(&self, id: &str, now: Duration) {
+        log::info!(
+            target: "request", event = "sent", id = id, route = &*self.route, to = &*self.to,
+            rank = self.rank, busy = self.busy, slots = self.slots,
+            load_age_ms = millis(self.load_age), left_ms = millis(self.left),
+            change = self.change, belief_age_ms = millis(self.belief_age),
+            held_ms = millis(now.saturating_sub(self.at)); "sent"
+        );
+    }
+
+    /// The send and the answer in one line.
+    fn say_answered(&self, id: &str, end: &End, time: Duration) {
+        log::info!(
+            target: "request", event = "answered", id = id, route = &*self.route, to = &*self.to,
+            rank = self.rank, busy = self.busy, slots = self.slots,
+            load_age_ms = millis(self.load_age), left_ms = millis(self.left),
+            change = self.change, belief_age_ms = millis(self.belief_age),
+            status = end.response.status().as_u16(), time_ms = millis(time); "answered at once"
+        );
+    }
+}
+
 impl Front {
     fn may_say(&self, fails: bool) -> bool {
         let now = self.shared.now();
@@ -57,37 +103,66 @@
     }
 
     /// A request goes to a target.
-    pub(super) fn sends(&self, id: &Arc<str>, route: &Route, place: &Place, left: Duration) {
+    ///
+    /// The line of one that may run once is written at once: if this host is killed, somebody will
+    /// want to know whether it was sent. That of another one waits for the request's end, and is part
+    /// of its line if it is answered at once, which is what nearly all are.
+    pub(super) fn sends(&self, route: &Route, place: &Place, work: &Work) {
         self.shared.meters.count("sent");
-        if !self.may_say(false) {
-            return;
-        }
         let (lane, now) = (&place.lane, self.shared.now());
-        log::info!(
-            target: "request", event = "sent", id = &**id, route = &*route.name,
-            to = &*lane.target.id, rank = place.rank, busy = place.busy,
-            slots = lane.target.slots, load_age_ms = millis(lane.load_age(now)),
-            left_ms = millis(left), change = self.shared.view.load().number,
-            belief_age_ms = millis(self.shared.age()); "sent"
-        );
+        let sent = Sent {
+            route: Arc::clone(&route.name),
+            to: Arc::clone(&lane.target.id),
+            rank: place.rank,
+            busy: place.busy,
+            slots: lane.target.slots,
+            load_age: lane.load_age(now),
+            left: work.end.saturating_duration_since(Instant::now()),
+            change: self.shared.view.load().number,
+            belief_age: self.shared.age(),
+            at: now,
+        };
+        if !route.repeatable && self.may_say(false) {
+            sent.say(&work.id, now);
+        } else {
+            work.unsaid.borrow_mut().push(sent);
+        }
     }
 
     /// A request is tried again, or given up, after an attempt failed.
-    pub(super) fn repeats(&self, id: &Arc<str>, cause: &str, arrived: u32) {
+    pub(super) fn repeats(&self, work: &Work, cause: &str, arrived: u32) {
         self.shared.meters.count("attempt_failed");
+        self.say_held(&work.id, &work.unsaid.take(), true);
         if self.may_say(true) {
             log::info!(
-                target: "request", event = "attempt_failed", id = &**id, cause = cause,
+                target: "request", event = "attempt_failed", id = &*work.id, cause = cause,
                 arrived = arrived; "an attempt failed"
             );
         }
     }
 
-    /// A request ended.
+    /// Writes the lines of sends that were held.
+    fn say_held(&self, id: &str, held: &[Sent], fails: bool) {
+        for sent in held {
+            if self.may_say(fails) {
+                sent.say(id, self.shared.now());
+            }
+        }
+    }
+
+    /// A request ended. One that failed keeps the lines of all its sends.
     pub(super) fn told(&self, id: &Arc<str>, end: &End, time: Duration) {
         self.shared.meters.count(end.outcome.name());
         self.shared.meters.time("time", time);
-        if self.may_say(end.outcome != Outcome::Answered) {
+        let fails = end.outcome != Outcome::Answered;
+        if let ([sent], false) = (&*end.unsaid, fails) {
+            if self.may_say(false) {
+                sent.say_answered(id, end, time);
+            }
+            return;
+        }
+        self.say_held(id, &end.unsaid, fails);
+        if self.may_say(fails) {
             log::info!(
                 target: "request", event = end.outcome.name(), id = &**id, cause = &*end.cause,
                 tried = &*end.tried,
