--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -38,6 +38,16 @@
 /// entries that lapsed meanwhile are back within two seconds of the store's return.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
+/// Whether entries may have lapsed while this host did not reach the store, given the age of its word
+/// as it returns.
+///
+/// Where other hosts gave it fresh word meanwhile, the store was away for this host alone. Were it to
+/// hold removals back all the same, hosts that ask it would go on sending to a target that has left:
+/// its word is fresh again, and nothing tells them to ask another.
+pub fn may_have_lapsed(age: Duration) -> bool {
+    age > STALE
+}
+
 /// State of the follower.
 struct Follower {
     shared: Arc<Shared>,
@@ -184,8 +194,11 @@
     fn back(&mut self) {
         self.pause = FIRST_PAUSE;
         if !std::mem::replace(&mut self.reached, true) {
-            self.keep = self.shared.now() + RETURN_TIME;
-            log::info!(target: "store", event = "regained", age_ms = millis(self.shared.age()); "the store is back");
+            let age = self.shared.age();
+            if may_have_lapsed(age) {
+                self.keep = self.shared.now() + RETURN_TIME;
+            }
+            log::info!(target: "store", event = "regained", age_ms = millis(age), keeps = may_have_lapsed(age); "the store is back");
         }
     }
 
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -13,7 +13,7 @@
 
 pub use self::{
     changes::{HOLD, STALE, hold},
-    follow::READER_PAUSE,
+    follow::{READER_PAUSE, may_have_lapsed},
     spread::{FAN_OUT, Place, READERS, place},
 };
 use crate::{
