--- a/crates/admit/src/direct/budget.rs
+++ b/crates/admit/src/direct/budget.rs
@@ -21,7 +21,7 @@
 const FRESH_SPENT: f64 = 1.0 - SPENT;
 
 /// The bound for all hosts together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetRules {
     /// Second runs for each first run.
     pub ratio: f64,
--- a/crates/admit/src/direct/cold.rs
+++ b/crates/admit/src/direct/cold.rs
@@ -11,7 +11,7 @@
 const WINDOW: Duration = Duration::from_millis(1100);
 
 /// What a cold target bears from all hosts together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdRules {
     /// Requests a second that it tolerates.
     pub rate: f64,
--- a/crates/cli/tests/edge.rs
+++ b/crates/cli/tests/edge.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::{collections::BTreeSet, io::Read};
+use std::{
+    collections::BTreeSet,
+    io::{BufRead, BufReader, Read},
+};
 
 use http::StatusCode;
 use support::{
@@ -84,3 +87,32 @@
         assert!(events.contains(event), "{event} is missing in {events:?}");
     }
 }
+
+/// The settings file is replaced time and again without a signal: by one with another bound, by
+/// one with a mistake, by a sound one, by one with another name. The host takes up what it can, says
+/// what waits for its next start, and keeps what it has where the file is wrong.
+#[tokio::test]
+async fn a_changed_settings_file_is_taken_up_without_a_signal() {
+    const PORT: u16 = 17331;
+    let mut deployment = Deployment::open(PORT);
+    let out = BufReader::new(deployment.child.stdout.take().unwrap());
+    let mut lines = out.lines().map(|line| line.expect("the log is text"));
+    let mut next = |event: &str| {
+        let event = format!("\"event\":\"{event}\"");
+        lines.find(|line| line.contains(&event)).expect("a line")
+    };
+    next("start");
+    deployment.edit("grace = \"2s\"", "grace = \"1900ms\"");
+    let line = next("reload");
+    assert!(line.contains("\"changed\":true"), "{line}");
+    assert!(line.contains("\"next_start\":\"\""), "{line}");
+    deployment.edit("1900ms", "soon");
+    let line = next("reload_failed");
+    assert!(line.contains("bounds.grace"), "{line}");
+    deployment.edit("soon", "1900ms");
+    let line = next("reload");
+    assert!(line.contains("\"changed\":false"), "{line}");
+    deployment.edit("name = \"h\"", "name = \"g\"");
+    let line = next("reload");
+    assert!(line.contains("\"next_start\":\"name\""), "{line}");
+}
--- a/crates/cli/tests/support/edge.rs
+++ b/crates/cli/tests/support/edge.rs
@@ -1,7 +1,9 @@
 //! The program `edge` as a process, between stand-ins of the platform.
 
 use std::{
+    fs,
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
     process::{Child, Stdio},
     time::Duration,
 };
@@ -35,6 +37,8 @@
     client: Client,
     _store: Store,
     pub(crate) target: Target,
+    /// The host's settings file.
+    pub(crate) path: PathBuf,
     _dir: tempfile::TempDir,
 }
 
@@ -75,6 +79,7 @@
             client,
             _store: store,
             target,
+            path,
             _dir: dir,
         }
     }
@@ -87,6 +92,15 @@
         }
     }
 
+    /// Changes the text of the settings file; whole, as a replaced file is.
+    pub(crate) fn edit(&self, from: &str, to: &str) {
+        let text = fs::read_to_string(&self.path).unwrap();
+        assert!(text.contains(from), "{from} stands in {text}");
+        let beside = self.path.with_extension("new");
+        fs::write(&beside, text.replace(from, to)).unwrap();
+        fs::rename(beside, &self.path).unwrap();
+    }
+
     /// Asks for a planned stop.
     pub(crate) fn stop(&self) {
         let id = i32::try_from(self.child.id()).unwrap();
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -90,7 +90,7 @@
         let place = place(
             &settings.name,
             &self.shared.view.load().hosts,
-            &settings.domains,
+            &self.shared.live.load().domains,
         );
         let is_reader = place.is_reader;
         // A reader that the store does not serve follows the other one, and goes on trying.
@@ -179,7 +179,7 @@
                 if std::mem::replace(&mut self.reached, false) {
                     log::warn!(target: "store", event = "lost", error:% = error; "the store is lost");
                 }
-                for seed in self.shared.settings.seeds.clone() {
+                for seed in self.shared.live.load().seeds.clone() {
                     if self.shared.view.load().config.is_none() && self.ask_host(seed).await {
                         break;
                     }
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -143,7 +143,7 @@
 /// Waits until a planned stop is over: no new request is taken and the last one has ended, or the
 /// grace has.
 async fn ended(front: &Front) {
-    let grace = front.shared.settings.grace;
+    let grace = front.shared.live.load().grace;
     tokio::time::sleep(grace.mul_f64(TAKE_PART)).await;
     let end = Instant::now() + grace.mul_f64(END_PART - TAKE_PART);
     while front.running.get() > 0 && Instant::now() < end {
@@ -156,7 +156,7 @@
 impl Front {
     /// Whether new requests are turned away, as the host ends soon.
     fn is_closing(&self) -> bool {
-        let take = self.shared.settings.grace.mul_f64(TAKE_PART);
+        let take = self.shared.live.load().grace.mul_f64(TAKE_PART);
         self.leaving
             .get()
             .is_some_and(|since| since.elapsed() >= take)
--- a/crates/edge/src/front/place.rs
+++ b/crates/edge/src/front/place.rs
@@ -128,7 +128,7 @@
             .map(|s| s.rate);
         let rules = ColdRules {
             rate: rate.unwrap_or_default(),
-            ..self.shared.settings.cold
+            ..self.shared.live.load().cold
         };
         let part = rules.part(self.seed, &view.sharers, lane.seed);
         let part = if now < FRESH_TIME { part.min(1) } else { part };
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -208,13 +208,14 @@
     }
 
     pub(super) fn first(&self, service: &Arc<str>) {
-        let rules = &self.shared.settings.budget;
-        self.budget(service).first(rules, self.shared.now());
+        let rules = self.shared.live.load().budget;
+        self.budget(service).first(&rules, self.shared.now());
     }
 
     pub(super) fn second(&self, service: &Arc<str>, hosts: usize) -> bool {
-        let rules = &self.shared.settings.budget;
-        self.budget(service).second(rules, hosts, self.shared.now())
+        let rules = self.shared.live.load().budget;
+        self.budget(service)
+            .second(&rules, hosts, self.shared.now())
     }
 
     fn budget(&self, service: &Arc<str>) -> RefMut<'_, SharedBudget> {
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -17,7 +17,7 @@
 use crate::{
     meters::Meters,
     model::{Dialect, Feed, HostEntry, Item},
-    settings::Settings,
+    settings::{Live, Settings},
     world::{View, World},
 };
 
@@ -35,8 +35,10 @@
 /// What the duties share.
 #[derive(Debug)]
 pub struct Shared {
-    /// Checked settings.
+    /// Checked settings, as the host started with them; those that may change are in `live`.
     pub settings: Settings,
+    /// Settings that may change, as of the last reading of the file.
+    pub live: ArcSwap<Live>,
     /// The platform's store.
     pub feed: Feed,
     /// The platform's names.
@@ -68,6 +70,7 @@
 impl Shared {
     pub(super) fn open(settings: Settings, feed: Feed, dialect: Dialect) -> Arc<Shared> {
         Arc::new(Shared {
+            live: ArcSwap::from_pointee(settings.live.clone()),
             settings,
             feed,
             dialect,
@@ -142,6 +145,19 @@
         self.now().saturating_sub(fresh)
     }
 
+    /// Takes up what may change while the host runs, from another reading of the settings file.
+    pub fn reload(&self, settings: Settings) {
+        let fixed = self.settings.fixed_changes(&settings).join(",");
+        let changed = settings.live != **self.live.load();
+        self.live.store(Arc::new(settings.live));
+        // Regions of failure domains stand in the view.
+        self.publish(&self.world(), self.now());
+        log::info!(
+            target: "host", event = "reload", changed = changed, next_start = &*fixed;
+            "the settings file was read"
+        );
+    }
+
     /// This host, as others should know it.
     pub fn introduce(&self, distance: u32) -> HostEntry {
         HostEntry {
@@ -154,9 +170,9 @@
     }
 
     fn publish(&self, world: &World, now: Duration) {
-        let before = self.view.load_full();
+        let (before, live) = (self.view.load_full(), self.live.load());
         let mut past = self.past.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut view = View::open(world, &self.settings.domains, &past.warmed);
+        let mut view = View::open(world, &live.domains, &past.warmed);
         let back: Vec<_> = before
             .evacuated
             .difference(&view.evacuated)
@@ -169,7 +185,7 @@
             let cold = services.map(|s| s.cold).max().unwrap_or_default();
             past.warmed
                 .extend(back.into_iter().map(|domain| (domain, now + cold)));
-            view = View::open(world, &self.settings.domains, &past.warmed);
+            view = View::open(world, &live.domains, &past.warmed);
         }
         view.sharers = past.sharers.note(&before.seeds, &view.seeds, now);
         crate::trace::believed(&before, &view);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,7 +18,7 @@
 //!     store = { address = "127.0.0.1:9" }
 //!     bounds = { grace = "2.5s" }
 //! "#;
-//! assert_eq!(settings::parse(text).unwrap().grace.as_millis(), 2500);
+//! assert_eq!(settings::parse(text).unwrap().live.grace.as_millis(), 2500);
 //!
 //! // Every mistake is told at once.
 //! let wrong = text.replace("2.5s", "soon").replace("127.0.0.1:9", "the store");
--- a/crates/edge/src/lookup/mod.rs
+++ b/crates/edge/src/lookup/mod.rs
@@ -51,7 +51,7 @@
     if hosts.is_empty() {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    let ttl = TTL.min(shared.settings.ttl);
+    let ttl = TTL.min(shared.live.load().ttl);
     let (body, kind) = (shared.dialect.answer)(&hosts, ttl);
     let mut response = body.into_response();
     response
@@ -74,7 +74,8 @@
     if !shared.is_ready() {
         hosts.retain(|h| h.name != *me);
     }
-    let region_of = |domain: &Arc<str>| shared.settings.domains.get(domain);
+    let live = shared.live.load();
+    let region_of = |domain: &Arc<str>| live.domains.get(domain);
     let near: Vec<_> = hosts
         .iter()
         .filter(|h| region_of(&h.domain) == Some(&ask.region))
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -7,7 +7,7 @@
 use dunlinrock_schema::edge::{EdgeBounds, EdgeSettings};
 
 /// Addresses on which a host is served.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listen {
     /// Callers' requests.
     pub callers: SocketAddr,
@@ -21,6 +21,23 @@
     pub metrics: Option<SocketAddr>,
 }
 
+/// Settings that a running host takes up when its file changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Live {
+    /// Region of each failure domain.
+    pub domains: BTreeMap<Arc<str>, Arc<str>>,
+    /// Hosts that are asked for changes while the store is away.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between the request to stop and the end of the process.
+    pub grace: Duration,
+    /// Longest time for which a look-up may be kept.
+    pub ttl: Duration,
+    /// Bound on second runs, over all hosts.
+    pub budget: BudgetRules,
+    /// Bound on requests to cold targets, over all hosts; the rate comes with the configuration.
+    pub cold: ColdRules,
+}
+
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -30,24 +47,14 @@
     pub region: Arc<str>,
     /// Its failure domain.
     pub domain: Arc<str>,
-    /// Region of each failure domain.
-    pub domains: BTreeMap<Arc<str>, Arc<str>>,
     /// Its addresses.
     pub listen: Listen,
     /// The store's address.
     pub store: SocketAddr,
-    /// Hosts that are asked for changes while the store is away.
-    pub seeds: Vec<SocketAddr>,
     /// Whether no host of the deployment ran before.
     pub first: bool,
-    /// Time between the request to stop and the end of the process.
-    pub grace: Duration,
-    /// Longest time for which a look-up may be kept.
-    pub ttl: Duration,
-    /// Bound on second runs, over all hosts.
-    pub budget: BudgetRules,
-    /// Bound on requests to cold targets, over all hosts; the rate comes with the configuration.
-    pub cold: ColdRules,
+    /// What may change while the host runs.
+    pub live: Live,
 }
 
 /// Reads and checks a settings file.
@@ -82,7 +89,9 @@
     let seeds = raw.seeds.iter();
     let seeds = seeds.map(|a| check.address("seeds", a)).collect();
     let bounds = raw.bounds.unwrap_or_default();
-    let settings = Settings {
+    let live = Live {
+        domains: raw.domains,
+        seeds,
         grace: check.time("bounds.grace", bounds.grace.as_deref(), "6s"),
         ttl: check.time("bounds.lookup_ttl", bounds.lookup_ttl.as_deref(), "5s"),
         budget: budget(&bounds, &mut check),
@@ -91,22 +100,39 @@
             factor: check.number("bounds.cold_factor", bounds.cold_factor, 1.5),
             slack: check.number("bounds.cold_slack", bounds.cold_slack, 2.0),
         },
+    };
+    let settings = Settings {
         first: raw.first_start.unwrap_or_default(),
         name: raw.name,
         region: raw.region,
         domain: raw.domain,
-        domains: raw.domains,
         listen,
         store,
-        seeds,
+        live,
     };
-    if !settings.domains.contains_key(&settings.domain) {
+    if !settings.live.domains.contains_key(&settings.domain) {
         check.found("domain", &settings.domain, "name one of `domains`");
     }
     check.end()?;
     Ok(settings)
 }
 
+impl Settings {
+    /// Keys that differ in another reading of the file and that a running host cannot take up: its
+    /// identity, and the addresses that it has bound.
+    pub fn fixed_changes(&self, other: &Settings) -> Vec<&'static str> {
+        let changed = [
+            ("name", self.name != other.name),
+            ("region", self.region != other.region),
+            ("domain", self.domain != other.domain),
+            ("listen", self.listen != other.listen),
+            ("store", self.store != other.store),
+        ];
+        let changed = changed.into_iter().filter(|(_, differs)| *differs);
+        changed.map(|(key, _)| key).collect()
+    }
+}
+
 fn budget(bounds: &EdgeBounds, check: &mut Check) -> BudgetRules {
     BudgetRules {
         ratio: check.number("bounds.retry_ratio", bounds.retry_ratio, 0.2),
--- a/crates/edge/tests/lookups.rs
+++ b/crates/edge/tests/lookups.rs
@@ -45,6 +45,28 @@
     assert!(get(listen.lookup, "/hosts").starts_with("HTTP/1.1 400"));
 }
 
+/// A failure domain is moved to another region in the settings of a running host: look-ups follow.
+#[test]
+fn settings_that_change_are_in_force_without_a_new_start() {
+    let stand = Stand::sound("x");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let far = HostEntry {
+        domain: "south-1".into(),
+        callers: "127.0.0.3:3".parse().unwrap(),
+        ..host_entry("far", 1)
+    };
+    deployment.board.put("far", Entry::Host(Arc::new(far)));
+    deployment.until_ready();
+    let shared = deployment.host.shared();
+    let lookup = shared.settings.listen.lookup;
+    let mut settings = shared.settings.clone();
+    let domains = &mut settings.live.domains;
+    domains.insert("south-1".into(), "west".into());
+    shared.reload(settings);
+    let west = get(lookup, "/hosts?region=west");
+    assert!(west.ends_with("127.0.0.3:3"), "{west}");
+}
+
 /// A host that is asked to stop is not ready from that moment, and look-ups no longer name it.
 #[test]
 fn a_host_that_stops_is_neither_ready_nor_named() {
