--- a/crates/node/src/duties/control/steering.rs
+++ b/crates/node/src/duties/control/steering.rs
@@ -34,6 +34,9 @@
 /// Rounds of asks of which one asks for shares while nothing moves here. They are asked for in case
 /// a peer is behind; a peer that moves asks this host.
 const CALM_ROUNDS: u32 = 6;
+/// Time between two looks at the traffic of a host that has none: with a round trip, the first
+/// requests for another region get room within the time that they may wait in a queue.
+const FIRST_LOOK: Duration = Duration::from_millis(100);
 /// Weight of the last second in rates and sizes.
 const FRESH: f64 = 0.3;
 /// Rate below which a lane counts as idle, in requests a second. Room is not asked for; the next
@@ -180,12 +183,15 @@
         now: Duration,
     ) {
         let time = now.saturating_sub(self.measured).as_secs_f64();
-        if time < ASK.as_secs_f64() / 2.0 {
+        if time < ASK.as_secs_f64() / 2.0 && !(self.is_idle() && time >= FIRST_LOOK.as_secs_f64()) {
             return;
         }
         self.measured = now;
         let sums = meters.take();
-        self.learn(config, &sums, time);
+        if self.learn(config, &sums, time) {
+            // Room for a lane that was idle is not asked for before; its requests wait by now.
+            self.next_ask = now;
+        }
         for name in config.services.keys() {
             let own = self.own(name, &sums, reports, time);
             if let Some(own) = own {
@@ -194,7 +200,9 @@
         }
     }
 
-    fn learn(&mut self, config: &Config, sums: &Sums, time: f64) {
+    /// Takes the traffic of the last while in; tells whether an idle lane has woken up.
+    fn learn(&mut self, config: &Config, sums: &Sums, time: f64) -> bool {
+        let mut woke = false;
         for service in config.services.keys() {
             let sizes = sums.sizes.get(service).filter(|sizes| sizes.count > 0);
             let lanes = self.traffic.entry(Arc::clone(service)).or_default();
@@ -208,7 +216,12 @@
                     .entered
                     .get(service)
                     .and_then(|lanes| lanes.get(callers));
-                lane.rate += (*count.unwrap_or(&0) as f64 / time - lane.rate) * FRESH;
+                let rate = *count.unwrap_or(&0) as f64 / time;
+                let wakes = lane.rate == 0.0 && rate > IDLE;
+                woke |= wakes;
+                // The first figure of a lane is taken whole: smoothed from zero, the room asked for
+                // would be a third of what is needed, for seconds.
+                lane.rate += (rate - lane.rate) * if wakes { 1.0 } else { FRESH };
                 if lane.rate < IDLE {
                     lane.rate = 0.0;
                 }
@@ -220,6 +233,13 @@
                 }
             }
         }
+        woke
+    }
+
+    /// Whether no lane has traffic.
+    fn is_idle(&self) -> bool {
+        let mut lanes = self.traffic.values().flat_map(BTreeMap::values);
+        lanes.all(|lane| lane.rate == 0.0)
     }
 
     /// Use of the targets that this host owns, of one service; none where it owns none.
--- a/crates/steer/src/grants/grantee.rs
+++ b/crates/steer/src/grants/grantee.rs
@@ -11,13 +11,18 @@
 #[error("no room was lent for it; try again after {} ms", retry_after.as_millis())]
 pub struct Shortage {
     /// Time after which there is room for one request at the rate that is lent now; a grant's
-    /// lifetime where none is.
+    /// lifetime where none is, and a round trip where none was ever heard of.
     pub retry_after: Duration,
 }
 
 /// Shortest time to wait; rounding would else end a wait just before its time.
 const SHORTEST: Duration = Duration::from_millis(1);
 
+/// Time after which a request tries again where no grant was ever heard of. Room is asked for once a
+/// lane has traffic, and the answer is a round trip away; told to wait for a grant's whole life, the
+/// first requests of a lane were refused while most slots were free.
+const UNHEARD: Duration = Duration::from_millis(50);
+
 /// Buckets of one region and service.
 #[derive(Clone, Debug)]
 struct Pool {
@@ -135,7 +140,9 @@
         now: Duration,
     ) -> Result<(), Shortage> {
         let Some(pool) = self.pool(region, service) else {
-            return Err(Shortage { retry_after: TTL });
+            return Err(Shortage {
+                retry_after: UNHEARD,
+            });
         };
         pool.sizes = (request, answer);
         pool.fill(now);
--- a/crates/steer/tests/grants_stay_within_the_room.rs
+++ b/crates/steer/tests/grants_stay_within_the_room.rs
@@ -321,3 +321,17 @@
         .unwrap_err();
     assert!(shortage.retry_after <= TICK * 2, "{shortage}");
 }
+
+/// The first requests of a lane come before room was asked for, while nearly all slots are free. The
+/// ask is on its way: told to wait for a grant's whole life, they would be refused at once; told to
+/// wait for a round trip, they find room within the time that a queue may take.
+#[test]
+fn a_request_that_comes_before_the_first_grant_waits_for_a_round_trip() {
+    let name = |text: &str| Arc::<str>::from(text);
+    let mut grantee = Grantee::open(&name("h1"), &name("north"));
+    let size = (100.0, 100.0);
+    let shortage = grantee.take("south", "web", size, Duration::ZERO);
+    let wait = shortage.unwrap_err().retry_after;
+    assert!(wait <= Duration::from_millis(100), "{wait:?}");
+    assert!(wait >= Duration::from_millis(20), "no spinning: {wait:?}");
+}
