--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use dunlinrock_node::wire::{Client, Failure};
+use dunlinrock_node::{
+    clock::millis,
+    wire::{Client, Failure},
+};
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -141,7 +144,7 @@
         "ready": shared.is_ready(),
         "version": view.config.as_ref().map(|c| c.version),
         "change": view.number,
-        "age_ms": u64::try_from(shared.age().as_millis()).unwrap_or(u64::MAX),
+        "age_ms": millis(shared.age()),
         "evacuated": view.evacuated,
         "hosts": view.hosts.keys().collect::<Vec<_>>(),
         "targets": targets,
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use dunlinrock_node::wire::Client;
+use dunlinrock_node::{clock::millis, wire::Client};
 
 use super::{
     changes::{ANSWER_BYTES, Asked, STALE, ask},
@@ -224,7 +224,3 @@
         told.age < STALE
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefMut, sync::Arc, time::Duration};
 
 use dunlinrock_decide::admit::direct::{Evidence, Forecast, SharedBudget};
-
+use dunlinrock_node::clock::millis;
 use tokio::time::Instant;
 
 use super::{Front, attempt::Work, end::End, lanes::Lane, place::Place};
@@ -228,7 +228,3 @@
         })
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwap;
 use dunlinrock_decide::admit::direct::Sharers;
-use dunlinrock_node::clock::Clock;
+use dunlinrock_node::clock::{Clock, millis};
 use tokio::sync::watch;
 
 use crate::{
@@ -135,7 +135,7 @@
     /// The store has just confirmed what is believed, or did so some time ago.
     pub fn confirm(&self, age: Duration) {
         let at = self.now().saturating_sub(age);
-        let at = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+        let at = millis(at);
         self.fresh.fetch_max(at, Ordering::Relaxed);
     }
 
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -33,3 +33,8 @@
         self.origin + time
     }
 }
+
+/// Whole milliseconds of a time, for logs, headers and messages; the largest number for one beyond it.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/dump/mod.rs
+++ b/crates/node/src/dump/mod.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    clock::millis,
     duties::{
         control, ledger,
         pools::{self, PoolReport},
@@ -133,7 +134,3 @@
 fn shares(view: &View) -> Value {
     json!(view.shares.rows())
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/duties/control/peering.rs
+++ b/crates/node/src/duties/control/peering.rs
@@ -13,7 +13,7 @@
     settings::TimingSettings,
 };
 
-use crate::{host::INCARNATION_BITS, view::Member};
+use crate::{clock::millis, host::INCARNATION_BITS, view::Member};
 
 /// Times of the membership, from the settings; the rest as the coordination crate chose them.
 pub(super) fn timings(timing: &TimingSettings) -> Timings {
@@ -101,7 +101,7 @@
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+    let now = millis(now);
     (now.saturating_sub(started) / epoch_ms.max(1)).saturating_sub(1)
 }
 
--- a/crates/node/src/duties/control/words.rs
+++ b/crates/node/src/duties/control/words.rs
@@ -5,6 +5,8 @@
 use dunlinrock_decide::admit::{Grade, Word};
 use dunlinrock_schema::coord::{Quarantine, QuarantineKind};
 
+use crate::clock::millis;
+
 /// Before the fingerprint of a request under suspicion.
 const SUSPECT: &str = "suspect:";
 /// Before the fingerprint of a request that is refused.
@@ -18,7 +20,7 @@
     Quarantine {
         kind: QuarantineKind::Request,
         id: format!("{grade}{:016x}", word.fingerprint).into(),
-        ttl_ms: u64::try_from(word.life.as_millis()).unwrap_or(u64::MAX),
+        ttl_ms: millis(word.life),
     }
 }
 
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    clock::Clock,
+    clock::{Clock, millis},
     duties::{callers, control, ledger, peers, pools},
     meters::Meters,
     metrics::Metrics,
@@ -238,7 +238,3 @@
     let random = rand::random::<u64>() & ((1 << INCARNATION_BITS) - 1);
     (millis(since) << INCARNATION_BITS) | random
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/run/forward.rs
+++ b/crates/node/src/run/forward.rs
@@ -19,6 +19,7 @@
 use super::{Links, relay::CALL_PATH};
 use crate::{
     call::Call,
+    clock::millis,
     duties::pools::PoolId,
     shared::Shared,
     view::{Member, PoolRoute},
@@ -233,9 +234,7 @@
         kind: trouble.kind.name().into(),
         run: trouble.run.to_string().into(),
         detail: Arc::clone(&trouble.detail),
-        retry_after_ms: trouble
-            .retry_after
-            .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
+        retry_after_ms: trouble.retry_after.map(millis),
     }
 }
 
--- a/crates/node/src/run/target.rs
+++ b/crates/node/src/run/target.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     call::Call,
+    clock::millis,
     wire::{self, Answer, Client, Failure, Part},
 };
 
@@ -86,8 +87,7 @@
     *request.headers_mut() = call.headers.clone();
     let headers = request.headers_mut();
     headers.insert(wire::REQUEST_ID, HeaderValue::from_str(&call.request)?);
-    let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    headers.insert(wire::REQUEST_TIMEOUT, HeaderValue::from(millis));
+    headers.insert(wire::REQUEST_TIMEOUT, HeaderValue::from(millis(time)));
     Ok(request)
 }
 
--- a/crates/node/src/wire/problem.rs
+++ b/crates/node/src/wire/problem.rs
@@ -6,6 +6,8 @@
 use http_body_util::Full;
 use viz::{Body, Response, StatusCode, header};
 
+use crate::clock::millis;
+
 /// Kinds of error answers. Each has one status and one title.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -199,7 +201,3 @@
         response
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
