--- a/crates/admit/src/direct/budget.rs
+++ b/crates/admit/src/direct/budget.rs
@@ -66,9 +66,14 @@
         self.slice(rules, now);
         let first: u32 = self.slices.iter().map(|s| s.1).sum();
         let second: u32 = self.slices.iter().map(|s| s.2).sum();
-        let (spent, grown) = self.grown(rules, now);
-        let slack = rules.slack / hosts.max(1) as f64 * grown;
-        let most = spent * (f64::from(first) * rules.ratio + slack);
+        let slack = rules.slack / hosts.max(1) as f64;
+        let ratio = f64::from(first) * rules.ratio;
+        let most = match self.fresh_for(rules, now) {
+            None => SPENT * (ratio + slack),
+            // The slack grows: killed time and again, a host has in all no more of it than one that
+            // lives on.
+            Some(lived) => FRESH_SPENT * (ratio + slack * lived.div_duration_f64(rules.window)),
+        };
         if f64::from(second + 1) > most {
             return false;
         }
@@ -76,14 +81,11 @@
         true
     }
 
-    /// Part of the bound that may be spent, and how far the slack has grown: killed time and again, a
-    /// host has in all no more of it than one that lives on.
-    fn grown(&self, rules: &BudgetRules, now: Duration) -> (f64, f64) {
-        let lived = self.since.map(|since| now.saturating_sub(since));
-        match lived.filter(|lived| *lived < rules.window) {
-            Some(lived) => (FRESH_SPENT, lived.div_duration_f64(rules.window)),
-            None => (SPENT, 1.0),
-        }
+    /// Time that a host has lived which may succeed a killed one, while what that one spent may still
+    /// be in the window.
+    fn fresh_for(&self, rules: &BudgetRules, now: Duration) -> Option<Duration> {
+        let lived = now.saturating_sub(self.since?);
+        (lived < rules.window).then_some(lived)
     }
 
     /// The slice of `now`; those that left the window go.
--- a/crates/cli/src/commands/edge.rs
+++ b/crates/cli/src/commands/edge.rs
@@ -30,11 +30,11 @@
         let mut signals = Signals::open()?;
         let mut hangup = signal(SignalKind::hangup()).map_err(anyhow::Error::from)?;
         let host = Host::spawn(settings, feed, dialect::open())?;
-        let mut file = File::open(&args.settings);
+        let mut file = Watched::open(&args.settings);
         loop {
             tokio::select! {
                 () = signals.next() => break,
-                _ = hangup.recv() => file.read(&host),
+                _ = hangup.recv() => file.reload(&host),
                 () = tokio::time::sleep(LOOK) => file.look(&host),
             }
         }
@@ -57,35 +57,46 @@
 }
 
 /// The settings file of a running host.
-struct File<'a> {
+struct Watched<'a> {
     path: &'a Path,
-    /// Its text when it was last taken up or found wrong; empty if it could not be read.
+    /// Its text when it was last read; empty if it could not be.
     text: String,
 }
 
-impl File<'_> {
-    fn open(path: &Path) -> File<'_> {
+impl Watched<'_> {
+    fn open(path: &Path) -> Watched<'_> {
+        // It was read a moment ago; if it cannot be now, the next look takes it for changed.
         let text = fs::read_to_string(path).unwrap_or_default();
-        File { path, text }
+        Watched { path, text }
     }
 
-    /// Reads the file again if its text has changed: it may be replaced without a signal.
+    /// Reads the file and takes it up if its text has changed: it may be replaced without a signal.
     fn look(&mut self, host: &Host) {
         // One that is just being replaced may be missing for a moment.
-        let text = fs::read_to_string(self.path);
-        if text.is_ok_and(|text| text != self.text) {
-            self.read(host);
+        if let Ok(text) = fs::read_to_string(self.path)
+            && text != self.text
+        {
+            self.take(text, host);
         }
     }
 
-    /// Takes the file up, or says what is wrong with it; the settings in use then stay.
-    fn read(&mut self, host: &Host) {
-        self.text = fs::read_to_string(self.path).unwrap_or_default();
-        match settings::open(self.path) {
+    /// Takes the file up whether it has changed or not, as somebody asked for it.
+    fn reload(&mut self, host: &Host) {
+        match fs::read_to_string(self.path) {
+            Ok(text) => self.take(text, host),
+            Err(e) => refuse(&e.into()),
+        }
+    }
+
+    fn take(&mut self, text: String, host: &Host) {
+        match settings::parse(&text) {
             Ok(settings) => host.shared().reload(settings),
-            Err(e) => {
-                log::warn!(target: "host", event = "reload_failed", error:? = e; "the settings in use stay");
-            }
+            Err(e) => refuse(&e),
         }
+        self.text = text;
     }
 }
+
+fn refuse(error: &anyhow::Error) {
+    log::warn!(target: "host", event = "reload_failed", error:? = error; "the settings in use stay");
+}
--- a/crates/steer/src/affinity/mod.rs
+++ b/crates/steer/src/affinity/mod.rs
@@ -77,10 +77,12 @@
 /// The object's own target takes it while it has fewer than [`Rules::own`] requests a slot; then the
 /// next of its choices that has a free slot. A request that waits for one warm run and then has its
 /// own is answered before a run elsewhere would be, which takes three times as long, and three times
-/// the slot. The figure does not follow how long runs take at present: it did, and as cold runs made
-/// the usual run longer, more requests were sent elsewhere, which made more cold runs. Where all are behind it stays at its own target, for the caller to refuse if that is too
-/// far behind: sent to any target that is less behind, it would run three times as long there, and
-/// the whole service would go on without an object at home after the burst that began it is over.
+/// the slot. The figure must not follow how long runs take at present: as cold runs make the usual
+/// run longer, more requests would be sent elsewhere, which makes more cold runs.
+///
+/// Where all are behind it stays at its own target, for the caller to refuse if that is too far
+/// behind: sent to any target that is less behind, it would run three times as long there, and the
+/// whole service would go on without an object at home after the burst that began it is over.
 pub fn choose(object: u64, candidates: &[Candidate], rules: &Rules) -> Option<Choice> {
     let mut ranked: Vec<(f64, usize)> = candidates
         .iter()
