--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -5,14 +5,18 @@
 //! counter could allow, and never adds up to more.
 
 mod budget;
+mod bytes;
 mod cold;
+mod connections;
 mod forecast;
 mod set_aside;
 mod sharers;
 
 pub use self::{
     budget::{BudgetRules, SharedBudget},
+    bytes::BodyBytes,
     cold::{ColdRate, ColdRules},
+    connections::{Arrival, ConnectionRules, Held},
     forecast::Forecast,
     set_aside::{Evidence, SetAside},
     sharers::Sharers,
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -21,9 +21,13 @@
     lookup, meters,
 };
 
-/// Connections served at once on each of these addresses: callers ask a look-up every few seconds
-/// and keep no connection for it.
-const CONNECTIONS: usize = 512;
+/// Parts of the connections that the duty may serve. Callers ask a look-up every few seconds and keep
+/// no connection for it; other hosts keep theirs, and a few ask each host; whoever asks for readiness
+/// or metrics does so every second at most.
+const LOOKUP_PART: f64 = 0.6;
+const PEERS_PART: f64 = 0.2;
+const READY_PART: f64 = 0.1;
+const METRICS_PART: f64 = 0.1;
 
 /// Largest head, in bytes.
 const HEADER_BYTES: usize = 16 << 10;
@@ -53,16 +57,18 @@
 
 async fn run(shared: Arc<Shared>, listeners: Listeners) {
     let (stop, stopped) = watch::channel(false);
-    let open = |listener: TcpListener, router: Router| {
-        tokio::spawn(listen(listener, router, stopped.clone()));
+    let most = shared.settings.connections.control;
+    let open = |listener: TcpListener, router: Router, part: f64| {
+        let connections = (f64::from(most) * part).ceil() as usize;
+        tokio::spawn(listen(listener, router, connections, stopped.clone()));
     };
-    open(listeners.lookup, lookup::router(&shared));
-    open(listeners.peers, changes::router(&shared));
+    open(listeners.lookup, lookup::router(&shared), LOOKUP_PART);
+    open(listeners.peers, changes::router(&shared), PEERS_PART);
     if let Some(listener) = listeners.ready {
-        open(listener, lookup::readiness(&shared));
+        open(listener, lookup::readiness(&shared), READY_PART);
     }
     if let Some(listener) = listeners.metrics {
-        open(listener, meters::router(&shared));
+        open(listener, meters::router(&shared), METRICS_PART);
     }
     tokio::spawn(follow::follow(Arc::clone(&shared)));
     let announcer = tokio::spawn(announce::announce(Arc::clone(&shared)));
@@ -73,7 +79,12 @@
     stop.send_replace(true);
 }
 
-async fn listen(listener: TcpListener, router: Router, stop: watch::Receiver<bool>) {
+async fn listen(
+    listener: TcpListener,
+    router: Router,
+    connections: usize,
+    stop: watch::Receiver<bool>,
+) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(e) => {
@@ -82,7 +93,7 @@
         }
     };
     let limits = Limits {
-        connections: CONNECTIONS,
+        connections,
         header_bytes: HEADER_BYTES,
         header_time: HEADER_TIME,
     };
--- a/crates/edge/src/front/ahead.rs
+++ b/crates/edge/src/front/ahead.rs
@@ -6,7 +6,7 @@
 //! free. So repeatable requests without a body are begun as soon as they are seen. The library still
 //! reads and frames every request; when it comes to one that was begun, it waits for that run.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use http::{HeaderName, HeaderValue, Method, Request, header, request::Parts};
 use tokio::task::JoinHandle;
@@ -41,7 +41,7 @@
     fn drop(&mut self) {
         if let Some(task) = &self.task {
             task.abort();
-            self.front.left(&self.id, std::time::Duration::ZERO);
+            self.front.left(&self.id, Duration::ZERO);
         }
     }
 }
@@ -68,10 +68,14 @@
         task.await.ok()
     }
 
-    /// Begins further requests as they are seen, until the caller leaves.
-    pub(super) async fn watch(&self, front: &Rc<Front>, wire: &Wire) -> Gone {
+    /// Begins further requests as they are seen, until the caller leaves. To be called with `begins`
+    /// only where what is read ahead begins with a request: behind one without a body.
+    ///
+    /// A body that arrives in pieces is read ahead as well. Were its second piece taken for a request,
+    /// a caller could have anything run in another one's name.
+    pub(super) async fn watch(&self, front: &Rc<Front>, wire: &Wire, begins: bool) -> Gone {
         loop {
-            while wire.look(|bytes| self.begin(front, bytes)) {}
+            while begins && wire.look(|bytes| self.begin(front, bytes)) {}
             if !wire.more().await {
                 return Gone;
             }
@@ -97,7 +101,10 @@
             .path_and_query()
             .map_or_else(String::new, ToString::to_string);
         let running = Rc::clone(front);
-        let task = tokio::task::spawn_local(async move { running.answer(head, None).await });
+        let task =
+            tokio::task::spawn_local(
+                async move { running.answer(head, None, Duration::ZERO).await },
+            );
         let (front, begun) = (Rc::clone(front), Arc::clone(&id));
         let begun = Begun {
             method,
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -105,7 +105,7 @@
             let kept = lane.take();
             let mut link = match kept {
                 Some(link) => link,
-                None => Link::open(lane.target.address).await?,
+                None => Link::open(lane.target.address, &self.links).await?,
             };
             if !self.still_allows(route, place, work) {
                 return Err(Broken::Moved);
--- a/crates/edge/src/front/lanes.rs
+++ b/crates/edge/src/front/lanes.rs
@@ -15,7 +15,7 @@
 
 use tokio::sync::Notify;
 
-use super::link::Link;
+use super::link::{Kept, Link};
 use crate::{
     model::{Reported, Target},
     world::View,
@@ -42,7 +42,7 @@
     own: Cell<u32>,
     /// Requests of other hosts there, when that was reported.
     others: Cell<(u32, Duration)>,
-    idle: RefCell<Vec<Link>>,
+    idle: RefCell<Vec<Kept>>,
 }
 
 impl Lane {
@@ -88,7 +88,8 @@
     /// Takes an idle connection.
     pub(super) fn take(&self) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(link) = idle.pop() {
+        while let Some(kept) = idle.pop() {
+            let link = kept.take();
             if link.is_reusable() {
                 return Some(link);
             }
@@ -100,7 +101,7 @@
     pub(super) fn keep(&self, link: Link) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < IDLE {
-            idle.push(link);
+            idle.extend(Kept::keep(link));
         }
     }
 
--- a/crates/edge/src/front/link.rs
+++ b/crates/edge/src/front/link.rs
@@ -1,6 +1,6 @@
 //! One connection to a target, and one exchange on it.
 
-use std::{error::Error, io, net::SocketAddr, time::Duration};
+use std::{cell::Cell, error::Error, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -69,6 +69,7 @@
     until: Instant,
     /// Whether an exchange was completed on it.
     used: bool,
+    open: Open,
 }
 
 impl Drop for Link {
@@ -77,10 +78,94 @@
     }
 }
 
+/// Connections to targets that a host holds.
+#[derive(Debug)]
+pub(super) struct Links {
+    open: Cell<u32>,
+    kept: Cell<u32>,
+    /// Idle ones that may be kept, at all targets together.
+    most: u32,
+}
+
+impl Links {
+    pub(super) fn open(most: u32) -> Rc<Links> {
+        Rc::new(Links {
+            open: Cell::new(0),
+            kept: Cell::new(0),
+            most,
+        })
+    }
+
+    /// Connections that are open.
+    pub(super) fn count(&self) -> u32 {
+        self.open.get()
+    }
+}
+
+/// Counts a connection while it is open.
+#[derive(Debug)]
+struct Open(Rc<Links>);
+
+impl Open {
+    fn count(links: &Rc<Links>) -> Open {
+        links.open.set(links.open.get() + 1);
+        Open(Rc::clone(links))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// A connection that is kept idle.
+#[derive(Debug)]
+pub(super) struct Kept {
+    link: Link,
+    place: KeptPlace,
+}
+
+impl Kept {
+    /// Keeps a connection, unless as many are kept as may be.
+    pub(super) fn keep(link: Link) -> Option<Kept> {
+        let links = Rc::clone(&link.open.0);
+        let place = KeptPlace::take(links)?;
+        Some(Kept { link, place })
+    }
+
+    /// Gives the connection back.
+    pub(super) fn take(self) -> Link {
+        drop(self.place);
+        self.link
+    }
+}
+
+/// Counts a kept connection.
+#[derive(Debug)]
+struct KeptPlace(Rc<Links>);
+
+impl KeptPlace {
+    fn take(links: Rc<Links>) -> Option<KeptPlace> {
+        if links.kept.get() >= links.most {
+            return None;
+        }
+        links.kept.set(links.kept.get() + 1);
+        Some(KeptPlace(links))
+    }
+}
+
+impl Drop for KeptPlace {
+    fn drop(&mut self) {
+        self.0.kept.set(self.0.kept.get() - 1);
+    }
+}
+
 impl Link {
     /// Opens a connection.
-    pub(super) async fn open(address: SocketAddr) -> Result<Link, Broken> {
+    pub(super) async fn open(address: SocketAddr, links: &Rc<Links>) -> Result<Link, Broken> {
         let unsent = |e: &dyn std::fmt::Display| Broken::Unsent(e.to_string());
+        let open = Open::count(links);
         let connect = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
         let stream = connect
             .map_err(|_| unsent(&"no connection in time"))?
@@ -99,6 +184,7 @@
             task,
             until,
             used: false,
+            open,
         })
     }
 
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod ahead;
 mod attempt;
+mod doors;
 mod end;
 mod lanes;
 mod link;
@@ -22,7 +23,7 @@
 };
 
 use dunlinrock_decide::{
-    admit::direct::{Forecast, SharedBudget},
+    admit::direct::{BodyBytes, Forecast, SharedBudget},
     steer::hash,
 };
 use http::Request;
@@ -34,7 +35,15 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, runtime::Builder, task::LocalSet, time::Instant};
 
-use self::{ahead::Ahead, lanes::Lanes, request::Conn, say::Say, usage::Usage, wire::Wire};
+pub use self::wire::Wire;
+use self::{
+    ahead::Ahead,
+    lanes::Lanes,
+    link::Links,
+    request::Conn,
+    say::Say,
+    usage::{Idle, Usage},
+};
 use crate::{
     host::{Phase, Shared},
     model::Limits,
@@ -50,12 +59,9 @@
 /// Smallest buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8 << 10;
 
-/// Connections of callers served at once: below a host's 4,100 descriptors, with room for those to
-/// targets.
-const CONNECTIONS: u32 = 3000;
-
-/// Pause after a failed accept: out of descriptors it fails at once and again.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time that a caller has for its request where the host is full: it is refused, and its connection
+/// must not stay.
+const FULL_TIME: Duration = Duration::from_millis(500);
 
 /// How long after the request to stop callers are served as before. Look-ups that name this host
 /// have mostly expired by then; earlier, callers would come straight back.
@@ -76,7 +82,7 @@
 /// side which closes first.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
-/// Pause between two looks whether a connection is idle.
+/// Longest pause between two looks whether a connection is idle.
 const IDLE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Pause between two looks whether the last request has ended.
@@ -94,8 +100,16 @@
     say: Say,
     /// Requests being served.
     running: Cell<u32>,
-    /// Open connections.
+    /// Open connections of callers.
     open: Cell<u32>,
+    /// Those of them that are idle.
+    idle: Rc<Idle>,
+    /// Connections to targets.
+    links: Rc<Links>,
+    /// Bytes of bodies being held.
+    bytes: RefCell<BodyBytes>,
+    /// Whether the connections were last seen near their bound.
+    pressed: Cell<bool>,
     /// When the host was asked to stop.
     leaving: Cell<Option<Instant>>,
 }
@@ -118,8 +132,12 @@
     };
     let front = Rc::new(Front {
         seed: hash::text(&shared.settings.name),
-        shared,
         lanes: Lanes::default(),
+        idle: Rc::default(),
+        links: Links::open(shared.settings.connections.most_kept()),
+        bytes: RefCell::new(BodyBytes::open(shared.settings.memory)),
+        pressed: Cell::new(false),
+        shared,
         budgets: RefCell::default(),
         forecasts: RefCell::default(),
         say: Say::open(),
@@ -129,13 +147,14 @@
     });
     let mut phase = front.shared.phase.subscribe();
     tokio::select! {
-        () = accept(&front, &listener) => {}
+        () = doors::accept(&front, &listener) => {}
+        () = doors::gauge(&front) => {}
         // The sender is in `shared`.
         _ = phase.wait_for(|phase| *phase > Phase::Serving) => {}
     }
     front.leaving.set(Some(Instant::now()));
     tokio::select! {
-        () = accept(&front, &listener) => {}
+        () = doors::accept(&front, &listener) => {}
         () = ended(&front) => {}
     }
 }
@@ -170,30 +189,30 @@
     }
 }
 
-async fn accept(front: &Rc<Front>, listener: &tokio::net::TcpListener) {
-    loop {
-        if front.open.get() >= CONNECTIONS {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        }
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(Rc::clone(front), stream));
-            }
-            Err(e) => {
-                log::warn!(target: "host", error:% = e; "accept failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+/// Counts an open connection of a caller.
+struct Open(Rc<Front>);
+
+impl Open {
+    fn count(front: &Rc<Front>) -> Open {
+        front.open.set(front.open.get() + 1);
+        Open(Rc::clone(front))
     }
 }
 
-async fn connection(front: Rc<Front>, stream: TcpStream) {
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Serves a connection that has waited for `waited` in the listen queue; where the host is full, its
+/// request is refused.
+async fn connection(front: Rc<Front>, stream: TcpStream, waited: Duration, is_full: bool) {
+    let _open = Open::count(&front);
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(target: "host", error:% = e; "a caller's connection cannot be set up");
         return;
     }
-    front.open.set(front.open.get() + 1);
     let limits = front
         .shared
         .view
@@ -204,9 +223,16 @@
     let conn = Conn {
         wire: Wire::open(stream),
         ahead: Ahead::default(),
+        waited: Cell::new(waited),
+        is_full,
     };
     let wire = conn.wire.clone();
-    let usage = Usage::open();
+    let usage = Usage::open(&front.idle);
+    let idle_time = if is_full {
+        FULL_TIME
+    } else {
+        limits.idle + IDLE_SLACK
+    };
     let service = service_fn(|request: Request<Incoming>| {
         let used = usage.start();
         // At once, before the library reads on: behind a request without a body the next one begins.
@@ -224,10 +250,9 @@
         .serve_connection(TokioIo::new(wire.clone()), service);
     let served = tokio::select! {
         served = served => served,
-        () = usage.idle_for(limits.idle + IDLE_SLACK) => Ok(()),
+        () = usage.idle_for(idle_time) => Ok(()),
     };
     wire.linger(LINGER).await;
-    front.open.set(front.open.get() - 1);
     if let Err(e) = served {
         log::debug!(target: "host", error:% = e; "a caller's connection ended early");
     }
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -1,11 +1,17 @@
 //! One request of a caller, from its head to its answer.
 
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request::Parts};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
 use super::{
@@ -29,6 +35,10 @@
 /// When a caller is told to come back while this host cannot serve and another may.
 const OTHER_HOST: Duration = Duration::from_millis(50);
 
+/// When a caller is told to come back to a host that is full: idle connections are closed, and runs end,
+/// within this time.
+const FULL_RETRY: Duration = Duration::from_millis(250);
+
 /// How late an answer may be expected and still be worth a slot, in objectives of its route. While
 /// there is more to do than slots, a late answer makes the next one late as well.
 const PATIENCE: f64 = 2.5;
@@ -75,11 +85,27 @@
     }
 }
 
+/// Room for the body of a request, given back when dropped.
+struct BodyRoom<'a> {
+    front: &'a Front,
+    bytes: u64,
+}
+
+impl Drop for BodyRoom<'_> {
+    fn drop(&mut self) {
+        self.front.bytes.borrow_mut().give(self.bytes);
+    }
+}
+
 /// A caller's connection.
 #[derive(Debug)]
 pub(super) struct Conn {
     pub(super) wire: Wire,
     pub(super) ahead: Ahead,
+    /// How long the first request may have waited before the connection was accepted.
+    pub(super) waited: Cell<Duration>,
+    /// Whether the host was full when the connection was opened: it is refused and closed.
+    pub(super) is_full: bool,
 }
 
 /// Serves one request; an error closes the connection.
@@ -93,22 +119,34 @@
     let start = front.shared.now();
     let id = front.id_of(request.headers());
     let (head, body) = request.into_parts();
+    let waited = conn.waited.take();
+    // A caller that gave up while its request lay unread wants no answer, and a run for it would take
+    // a slot from one that does.
+    if conn.wire.has_ended() {
+        front.left_unread(&id, waited);
+        return Err(Gone);
+    }
+    let begins = body.is_end_stream();
     let answer = async {
+        if conn.is_full {
+            return refuse("the host holds all connections that it may", FULL_RETRY);
+        }
         match conn.ahead.take(&id, &head).await {
             Some(end) => end,
-            None => front.answer(head, Some(body)).await,
+            None => front.answer(head, Some(body), waited).await,
         }
     };
     let answered = tokio::select! {
         end = answer => Ok(end),
-        gone = conn.ahead.watch(front, &conn.wire) => Err(gone),
+        gone = conn.ahead.watch(front, &conn.wire, begins) => Err(gone),
     };
     let time = front.shared.now() - start;
     match answered {
         Ok(end) => {
             front.told(&id, &end, time);
             let mut response = end.response;
-            if front.says_farewell() && conn.ahead.is_empty() {
+            let closes = front.says_farewell() || conn.is_full || front.is_tight();
+            if closes && conn.ahead.is_empty() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -129,7 +167,13 @@
         id.unwrap_or("-").into()
     }
 
-    pub(super) async fn answer(&self, head: Parts, body: Option<Incoming>) -> End {
+    /// Answers a request that may have waited unread for `waited`.
+    pub(super) async fn answer(
+        &self,
+        head: Parts,
+        body: Option<Incoming>,
+        waited: Duration,
+    ) -> End {
         let view = self.shared.view.load_full();
         self.lanes.prune(&view);
         let Some(config) = &view.config else {
@@ -141,18 +185,38 @@
         let Some(route) = place::route(config, &head.headers, &head.uri) else {
             return no_route(&head.uri);
         };
+        let end = match self.left_of(&head.headers, route).checked_sub(waited) {
+            Some(left) if left > LEAST_RUN => Instant::now() + left,
+            _ => return refuse("it waited unread until its time was over", OTHER_HOST),
+        };
+        let Some(_room) = self.body_room(body.as_ref(), config.limits.body) else {
+            return refuse("the host holds all bodies that it may", FULL_RETRY);
+        };
         let body = match whole_body(body, config.limits.body).await {
             Ok(body) => body,
             Err(end) => return end,
         };
-        let work = self.work(head, body, route);
+        let work = self.work(head, body, end);
         self.run(&work).await
     }
 
-    fn work(&self, head: Parts, body: Bytes, route: &Route) -> Work {
-        let left = head.headers.get(&self.shared.dialect.left);
+    /// Time that the caller leaves, at most the route's.
+    fn left_of(&self, headers: &HeaderMap, route: &Route) -> Duration {
+        let left = headers.get(&self.shared.dialect.left);
         let left = left.and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
-        let left = left.map_or(route.timeout, Duration::from_millis);
+        left.map_or(route.timeout, Duration::from_millis)
+            .min(route.timeout)
+    }
+
+    /// Takes room for a body of the length that its head tells, or of the longest that is allowed.
+    fn body_room(&self, body: Option<&Incoming>, most: usize) -> Option<BodyRoom<'_>> {
+        let bytes = body.map_or(0, |body| body.size_hint().upper().unwrap_or(most as u64));
+        let bytes = bytes.min(most as u64);
+        let has_room = self.bytes.borrow_mut().take(bytes);
+        has_room.then_some(BodyRoom { front: self, bytes })
+    }
+
+    fn work(&self, head: Parts, body: Bytes, end: Instant) -> Work {
         let id = self.id_of(&head.headers);
         let mut headers = head.headers;
         strip(&mut headers);
@@ -163,7 +227,7 @@
             uri: head.uri,
             headers,
             body,
-            end: Instant::now() + left.min(route.timeout),
+            end,
             unsaid: RefCell::default(),
         }
     }
--- a/crates/edge/src/front/say.rs
+++ b/crates/edge/src/front/say.rs
@@ -183,6 +183,17 @@
         }
     }
 
+    /// The caller left before its request was read.
+    pub(super) fn left_unread(&self, id: &Arc<str>, waited: Duration) {
+        self.shared.meters.count("left_unread");
+        if self.may_say(true) {
+            log::info!(
+                target: "request", event = "left_unread", id = &**id, waited_ms = millis(waited);
+                "the caller had left before its request was read"
+            );
+        }
+    }
+
     /// A target is newly set aside.
     pub(super) fn set_aside(&self, lane: &Lane, evidence: Evidence) {
         self.shared.meters.count("set_aside");
--- a/crates/edge/src/front/wire.rs
+++ b/crates/edge/src/front/wire.rs
@@ -9,6 +9,7 @@
 use std::{
     cell::RefCell,
     io,
+    mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, Waker, ready},
@@ -16,6 +17,7 @@
 };
 
 use bytes::{Buf, BytesMut};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -33,7 +35,7 @@
 
 /// A connection, shared by the HTTP library and by those that wait for its end.
 #[derive(Clone, Debug)]
-pub(super) struct Wire(Rc<RefCell<Inner>>);
+pub struct Wire(Rc<RefCell<Inner>>);
 
 #[derive(Debug)]
 struct Inner {
@@ -52,7 +54,8 @@
 }
 
 impl Wire {
-    pub(super) fn open(stream: TcpStream) -> Wire {
+    /// Takes a connection over.
+    pub fn open(stream: TcpStream) -> Wire {
         Wire(Rc::new(RefCell::new(Inner {
             stream,
             ahead: BytesMut::new(),
@@ -71,6 +74,25 @@
         std::future::poll_fn(|cx| self.0.borrow_mut().poll_more(cx, before)).await
     }
 
+    /// Whether the caller has already closed the connection and nothing more is to be read.
+    ///
+    /// The kernel is asked. The runtime tells of the end of a connection only with its next turn: where
+    /// a turn is long, a caller's request and its end arrive in the same one, and the end is not seen
+    /// before the request has been sent on.
+    pub fn has_ended(&self) -> bool {
+        let mut inner = self.0.borrow_mut();
+        if !inner.over {
+            let mut byte = [MaybeUninit::uninit()];
+            let peeked = SockRef::from(&inner.stream).peek(&mut byte);
+            // Any other error than that there is nothing yet breaks the next read as well.
+            inner.over = match peeked {
+                Ok(n) => n == 0,
+                Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+            };
+        }
+        inner.over
+    }
+
     /// Gives the HTTP library nothing until the guard is dropped. What is read ahead meanwhile
     /// begins where the next request does.
     pub(super) fn hold(&self) -> Hold {
--- a/crates/edge/src/meters/mod.rs
+++ b/crates/edge/src/meters/mod.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms, served as text.
+//! Counters, gauges and latency histograms, served as text.
 //!
 //! Calls go through `cadence`; the sink here keeps them in memory, since the platform reads metrics
 //! instead of receiving them.
@@ -7,7 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cadence::{CountedExt, StatsdClient, Timed};
+use cadence::{CountedExt, Gauged, StatsdClient, Timed};
 use viz::{IntoResponse, Request, Router};
 
 use self::table::Table;
@@ -48,6 +48,13 @@
         }
     }
 
+    /// Notes how much there is of something now.
+    pub fn gauge(&self, name: &str, value: u64) {
+        if let Err(e) = self.client.gauge(name, value) {
+            log::debug!(target: "metrics", error:% = e; "a gauge is lost");
+        }
+    }
+
     /// All of them as text, a line each.
     pub fn text(&self) -> String {
         self.table.text()
--- a/crates/edge/src/meters/table.rs
+++ b/crates/edge/src/meters/table.rs
@@ -1,4 +1,4 @@
-//! Counts and histograms in memory.
+//! Counts, gauges and histograms in memory.
 
 use std::{
     collections::BTreeMap,
@@ -28,6 +28,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     counts: BTreeMap<String, u64>,
+    gauges: BTreeMap<String, u64>,
     times: BTreeMap<String, Histogram<u64>>,
 }
 
@@ -41,6 +42,8 @@
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         if kind.starts_with('c') {
             *inner.counts.entry(name.to_owned()).or_default() += value;
+        } else if kind.starts_with('g') {
+            inner.gauges.insert(name.to_owned(), value);
         } else {
             let times = inner.times.entry(name.to_owned());
             let open = || Histogram::new_with_max(LONGEST, DIGITS).map_err(io::Error::other);
@@ -58,7 +61,7 @@
     pub(super) fn text(&self) -> String {
         let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
-        for (name, count) in &inner.counts {
+        for (name, count) in inner.counts.iter().chain(&inner.gauges) {
             let _ = writeln!(text, "{name} {count}");
         }
         for (name, times) in &inner.times {
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -3,9 +3,22 @@
 use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use anyhow::{Context, bail};
-use dunlinrock_decide::admit::direct::{BudgetRules, ColdRules};
+use dunlinrock_decide::admit::direct::{BudgetRules, ColdRules, ConnectionRules};
 use dunlinrock_schema::edge::{EdgeBounds, EdgeSettings};
 
+/// Open files of a process where the settings do not say: what systems usually allow.
+const DESCRIPTORS: i64 = 4096;
+
+/// Least limit on open files with which a host can serve: its listeners, timers and the store take
+/// about 30.
+const LEAST_DESCRIPTORS: i64 = 64;
+
+/// Memory of a process where the settings do not say, in millions of bytes.
+const MEMORY_MB: f64 = 256.0;
+
+/// Least memory with which a host can serve: one at rest takes about 12 million bytes.
+const LEAST_MEMORY_MB: f64 = 16.0;
+
 /// Addresses on which a host is served.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listen {
@@ -53,6 +66,10 @@
     pub store: SocketAddr,
     /// Whether no host of the deployment ran before.
     pub first: bool,
+    /// Connections that the process may hold, from its limit on open files.
+    pub connections: ConnectionRules,
+    /// Memory that the process may use, in bytes.
+    pub memory: u64,
     /// What may change while the host runs.
     pub live: Live,
 }
@@ -101,7 +118,15 @@
             slack: check.number("bounds.cold_slack", bounds.cold_slack, 2.0),
         },
     };
+    let limits = raw.limits.unwrap_or_default();
+    let descriptors = check.descriptors(limits.descriptors);
+    let memory = check.number("limits.memory_mb", limits.memory_mb, MEMORY_MB);
+    if memory < LEAST_MEMORY_MB {
+        check.found("limits.memory_mb", &memory.to_string(), "give 16 or more");
+    }
     let settings = Settings {
+        connections: ConnectionRules::of_limit(descriptors),
+        memory: (memory * 1e6) as u64,
         first: raw.first_start.unwrap_or_default(),
         name: raw.name,
         region: raw.region,
@@ -127,6 +152,10 @@
             ("domain", self.domain != other.domain),
             ("listen", self.listen != other.listen),
             ("store", self.store != other.store),
+            (
+                "limits",
+                (self.connections, self.memory) != (other.connections, other.memory),
+            ),
         ];
         let changed = changed.into_iter().filter(|(_, differs)| *differs);
         changed.map(|(key, _)| key).collect()
@@ -175,6 +204,14 @@
         value
     }
 
+    fn descriptors(&mut self, value: Option<i64>) -> u32 {
+        let value = value.unwrap_or(DESCRIPTORS);
+        if value < LEAST_DESCRIPTORS {
+            self.found("limits.descriptors", &value.to_string(), "give 64 or more");
+        }
+        u32::try_from(value).unwrap_or(u32::MAX)
+    }
+
     fn end(self) -> anyhow::Result<()> {
         if self.findings.is_empty() {
             return Ok(());
--- /dev/null
+++ b/crates/edge/tests/pressure.rs
@@ -0,0 +1,183 @@
+//! A host near its limits: it goes on accepting, answers what it cannot serve at once, and runs nothing
+//! for callers that have left.
+
+mod support;
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpStream},
+    sync::{Arc, Mutex, mpsc::channel},
+};
+
+use dunlinrock_decide::admit::direct::ConnectionRules;
+use dunlinrock_edge::{
+    front::Wire,
+    model::{Entry, Target},
+    settings::Settings,
+};
+use socket2::SockRef;
+use support::{Deployment, Script, Stand, config, read_all, request};
+use tokio::io::AsyncReadExt;
+
+/// Settings of a process that may have 256 open files: 136 connections of callers and to targets.
+fn small() -> Settings {
+    let mut settings = support::settings();
+    settings.connections = ConnectionRules::of_limit(256);
+    settings
+}
+
+/// Sends a request and the end of the connection as one segment, so that the host finds both at once.
+fn send_and_leave(deployment: &Deployment, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(deployment.callers()).expect("the host listens");
+    SockRef::from(&stream)
+        .set_tcp_cork(true)
+        .expect("a TCP socket");
+    stream.write_all(text.as_bytes()).expect("it is buffered");
+    stream.shutdown(Shutdown::Write).expect("it is open");
+    stream
+}
+
+/// A caller sends a request and gives up before the host has read it. Its run would take a slot from
+/// a caller that still waits; the host closes the connection, and no target sees the request.
+#[test]
+fn a_request_whose_caller_has_left_is_not_sent() {
+    let stand = Stand::sound("hello");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    for n in 0..20 {
+        let text = request("GET", "/read/a", &format!("r{n}"), "");
+        let answer = read_all(&mut send_and_leave(&deployment, &text));
+        assert_eq!(answer, "", "nobody waits for it");
+    }
+    assert!(deployment.call("GET", "/read/a", "last").ends_with("hello"));
+    let ids: Vec<_> = stand.heads().iter().map(|h| h.id().to_owned()).collect();
+    assert_eq!(ids, ["last"]);
+}
+
+/// The host has many connections to read from in one turn. A caller's request is read, and the caller
+/// leaves before its request's turn has come: the host must see that before the runtime tells it.
+#[tokio::test]
+async fn the_end_of_a_connection_is_seen_before_the_next_turn() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let mut wire = Wire::open(listener.accept().await.unwrap().0);
+    caller.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    let mut head = [0; 18];
+    wire.read_exact(&mut head).await.unwrap();
+    assert!(!wire.has_ended(), "the caller waits");
+    drop(caller);
+    assert!(wire.has_ended(), "no turn of the runtime lies between");
+}
+
+/// The same for requests that a caller sent behind the first: none of them begins ahead of its turn.
+#[test]
+fn requests_behind_one_whose_caller_has_left_do_not_begin() {
+    let stand = Stand::sound("hello");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let text: String = (0..4)
+        .map(|n| request("GET", "/read/a", &format!("r{n}"), ""))
+        .collect();
+    read_all(&mut send_and_leave(&deployment, &text));
+    assert!(deployment.call("GET", "/read/a", "last").ends_with("hello"));
+    assert_eq!(stand.count(), 1);
+}
+
+/// A caller sends an upload whose body holds lines that read like requests. The host reads it piece by
+/// piece, and a piece may begin with such a line. Taken for a request, it would run in another caller's
+/// name; it is a part of the body, and the target gets one request.
+#[test]
+fn a_body_in_pieces_that_look_like_requests_runs_none_of_them() {
+    let stand = Stand::sound("own");
+    let deployment = Deployment::open(config(1), &[&stand]);
+    let body: String = (0..100)
+        .map(|n| {
+            format!(
+                "x\r\n\r\n{}",
+                request("GET", "/read/a", &format!("false{n}"), "")
+            )
+        })
+        .collect();
+    let more = format!("Content-Length: {}\r\nConnection: close\r\n", body.len());
+    let text = request("POST", "/once/a", "r1", &more) + &body;
+    assert!(read_all(&mut deployment.send(&text)).ends_with("own"));
+    let ids: Vec<_> = stand.heads().iter().map(|h| h.id().to_owned()).collect();
+    assert_eq!(ids, ["r1"]);
+}
+
+/// Every connection that the host may hold has a request that runs. Further callers are told at once
+/// to come back, and their requests reach no target; callers that had been let in get their answers.
+#[test]
+fn a_caller_at_a_full_host_is_told_at_once_to_come_back() {
+    let (tell, told) = channel::<()>();
+    let told = Arc::new(Mutex::new(told));
+    let stand = Stand::open(move |head| {
+        // All answers wait until the test lets them go.
+        let (answer, script) = channel();
+        let (told, text) = (Arc::clone(&told), head.answer("own"));
+        std::thread::spawn(move || {
+            let _ = told.lock().unwrap().recv();
+            let _ = answer.send(text);
+        });
+        Script::Wait(script)
+    });
+    let deployment = Deployment::open_with(small(), config(1), &[&stand]);
+    deployment
+        .board
+        .put("t0", Entry::Target(Arc::new(wide(&stand))));
+    deployment.until_ready();
+    let most = small().connections.most as usize;
+    let mut served: Vec<_> = (0..most / 2)
+        .map(|n| {
+            let stream = deployment.send(&request("GET", "/read/a", &format!("r{n}"), ""));
+            stand.next();
+            stream
+        })
+        .collect();
+    for n in 0..20 {
+        let answer = deployment.call("GET", "/read/a", &format!("more{n}"));
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("retry-after: "), "{answer}");
+    }
+    assert_eq!(stand.count(), served.len(), "what is refused does not run");
+    drop(tell);
+    for stream in &mut served {
+        assert!(first_line(stream).contains("200"));
+    }
+}
+
+/// Callers send a request each and leave their connections open, until the host is near its bound.
+/// Further callers go on to be answered, and the connections that have been idle longest are closed
+/// for them.
+#[test]
+fn idle_connections_go_when_new_callers_need_their_descriptors() {
+    let stand = Stand::sound("hello");
+    let deployment = Deployment::open_with(small(), config(1), &[&stand]);
+    let metrics = deployment.host.shared().settings.listen.metrics.unwrap();
+    let mut streams = Vec::new();
+    for n in 0..small().connections.most * 3 / 4 {
+        let mut stream = deployment.send(&request("GET", "/read/a", &format!("r{n}"), ""));
+        assert!(first_line(&mut stream).contains("200"));
+        streams.push(stream);
+    }
+    while !support::get(metrics, "/metrics").contains("edge.idle_closed ") {
+        let answer = deployment.call("GET", "/read/a", "more");
+        assert!(answer.ends_with("hello"), "{answer}");
+    }
+    // Returns once the host has closed the oldest one.
+    assert!(read_all(&mut streams[0]).ends_with("hello"));
+}
+
+/// A target that runs more requests at once than the host may hold.
+fn wide(stand: &Stand) -> Target {
+    Target {
+        slots: 1000,
+        ..support::target("t0", stand.address())
+    }
+}
+
+fn first_line(stream: &mut TcpStream) -> String {
+    let (mut line, mut byte) = (Vec::new(), [0]);
+    while !line.ends_with(b"\r\n") && matches!(stream.read(&mut byte), Ok(1)) {
+        line.push(byte[0]);
+    }
+    String::from_utf8_lossy(&line).into_owned()
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -109,6 +109,14 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
+/// Gets what a host serves beside requests.
+pub fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("the host listens");
+    let text = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    stream.write_all(text.as_bytes()).expect("the host reads");
+    read_all(&mut stream)
+}
+
 /// Times a text occurs in another.
 pub fn times(text: &str, part: &str) -> usize {
     text.matches(part).count()
