--- a/crates/cli/src/soak/fleet.rs
+++ b/crates/cli/src/soak/fleet.rs
@@ -127,6 +127,7 @@
             slots: SLOTS,
             leaving: is_leaving,
             cold: Duration::ZERO,
+            born: 0,
         });
     }
 
--- a/crates/cli/tests/support/edge.rs
+++ b/crates/cli/tests/support/edge.rs
@@ -145,6 +145,7 @@
         slots: 64,
         leaving: false,
         cold: Duration::ZERO,
+        born: 0,
     });
     store.write_config(&Draft {
         version: 1,
--- a/crates/edge/src/front/lanes.rs
+++ b/crates/edge/src/front/lanes.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Whether it is the lane of this process of the target.
+    fn is_of(&self, target: &Target) -> bool {
+        (self.target.born, self.target.address) == (target.born, target.address)
+    }
+
     /// Requests that the target runs or queues, as far as is known.
     pub(super) fn busy(&self, now: Duration) -> u32 {
         let (others, at) = self.others.get();
@@ -130,11 +135,21 @@
 }
 
 impl Lanes {
-    /// The lane of a target.
+    /// The lane of a target's present process.
+    ///
+    /// One that started again under its id has lost what was at it, is sound, and knows no object:
+    /// nothing of its old lane holds, and repeatable requests at the old process go elsewhere at once.
     pub(super) fn get(&self, target: &Arc<Target>) -> Rc<Lane> {
         let mut held = self.held.borrow_mut();
-        let lane = held.entry(Arc::clone(&target.id));
-        Rc::clone(lane.or_insert_with(|| Rc::new(Lane::open(Arc::clone(target)))))
+        let lane = held
+            .entry(Arc::clone(&target.id))
+            .or_insert_with(|| Rc::new(Lane::open(Arc::clone(target))));
+        if !lane.is_of(target) {
+            let old = std::mem::replace(lane, Rc::new(Lane::open(Arc::clone(target))));
+            old.close();
+            old.fell.notify_waiters();
+        }
+        Rc::clone(lane)
     }
 
     /// Forgets targets that get no more work, and closes their idle connections.
@@ -142,8 +157,10 @@
         if self.number.replace(view.number) == view.number {
             return;
         }
-        let live = view.services.values().flatten();
-        let live: std::collections::BTreeSet<_> = live.map(|k| &k.target.id).collect();
+        let live: BTreeSet<_> = {
+            let live = view.services.values().flatten();
+            live.map(|k| &k.target.id).collect()
+        };
         self.held.borrow_mut().retain(|id, _| live.contains(id));
     }
 }
--- a/crates/edge/src/model/entry.rs
+++ b/crates/edge/src/model/entry.rs
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Target {
-    /// Names one start of the target's process.
+    /// Names the target; with `born`, one start of its process.
     pub id: Arc<str>,
     /// Service that it runs.
     pub service: Arc<str>,
@@ -50,6 +50,9 @@
     pub leaving: bool,
     /// How much longer it stays cold, from when this was said.
     pub cold: Duration,
+    /// When its process started, in milliseconds since 1970; 0 where that is not told. A target may
+    /// start again under the id that it had, and then holds and knows nothing of before.
+    pub born: u64,
 }
 
 /// An entry host as it announces itself.
--- a/crates/edge/tests/beliefs.rs
+++ b/crates/edge/tests/beliefs.rs
@@ -322,3 +322,23 @@
     let known = &view.services["cart"][0];
     assert!(known.cold > deployment.host.shared().now());
 }
+
+/// A target's process dies and starts again under the same id, at once and elsewhere. The host has seen
+/// it down; the new process is another one, and gets requests without a pause or a trial.
+#[test]
+fn a_target_that_starts_again_under_its_id_is_a_new_one() {
+    let old = Stand::open(|head| support::Script::Close(head.answer("old")));
+    let deployment = Deployment::open(config(1), &[&old]);
+    assert!(deployment.call("GET", "/read/a", "r1").ends_with("old"));
+    old.stop_listening();
+    let answer = deployment.call("GET", "/read/a", "r2");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    let new = Stand::sound("new");
+    let reborn = Target {
+        born: 1,
+        ..support::target("t0", new.address())
+    };
+    deployment.board.put("t0", Entry::Target(Arc::new(reborn)));
+    deployment.until_ready();
+    assert!(deployment.call("GET", "/read/a", "r3").ends_with("new"));
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -131,6 +131,7 @@
         slots: 4,
         leaving: false,
         cold: Duration::ZERO,
+        born: 0,
     }
 }
 
