--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -105,7 +105,7 @@
             let kept = lane.take();
             let mut link = match kept {
                 Some(link) => link,
-                None => Link::open(lane.target.address, &self.links).await?,
+                None => self.connect(place).await?,
             };
             if !self.still_allows(route, place, work) {
                 return Err(Broken::Moved);
@@ -130,6 +130,18 @@
         }
     }
 
+    /// Opens a connection, and notes how long the way takes. The shortest time counts: longer ones hold
+    /// lost packets, and the target's and this host's own delays.
+    async fn connect(&self, place: &Place) -> Result<Link, Broken> {
+        let start = Instant::now();
+        let link = Link::open(place.lane.target.address, &self.links).await?;
+        let time = start.elapsed();
+        let mut ways = self.ways.borrow_mut();
+        let way = ways.entry(Arc::clone(&place.region)).or_insert(time);
+        *way = (*way).min(time);
+        Ok(link)
+    }
+
     /// Whether what is believed now still sends the request where it is about to go.
     ///
     /// Opening a connection between regions takes some hundred milliseconds. A host that was cut off
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -97,6 +97,8 @@
     lanes: Lanes,
     budgets: RefCell<BTreeMap<Arc<str>, SharedBudget>>,
     forecasts: RefCell<BTreeMap<Arc<str>, Forecast>>,
+    /// Shortest time in which a connection to a target of a region was opened: the way there and back.
+    ways: RefCell<BTreeMap<Arc<str>, Duration>>,
     say: Say,
     /// Requests being served.
     running: Cell<u32>,
@@ -140,6 +142,7 @@
         shared,
         budgets: RefCell::default(),
         forecasts: RefCell::default(),
+        ways: RefCell::default(),
         say: Say::open(),
         running: Cell::new(0),
         open: Cell::new(0),
--- a/crates/edge/src/front/place.rs
+++ b/crates/edge/src/front/place.rs
@@ -36,6 +36,8 @@
 #[derive(Debug)]
 pub(super) struct Place {
     pub(super) lane: Rc<Lane>,
+    /// Region of the target.
+    pub(super) region: Arc<str>,
     pub(super) rank: usize,
     pub(super) busy: u32,
     /// Number of the view that it was picked by.
@@ -81,10 +83,11 @@
         let mut candidates: Vec<_> = known
             .iter()
             .zip(&lanes)
-            .map(|(known, lane)| self.candidate(known, lane, now))
+            .map(|(known, lane)| self.candidate(route, known, lane, now))
             .collect();
         let mut held: Vec<usize> = Vec::new();
-        while let Some(Choice { index, rank }) = pick(object, &candidates, &held) {
+        let point = if route.sticky { object } else { rand::random() };
+        while let Some(Choice { index, rank }) = pick(route, point, &candidates, &held) {
             let cold = known[index].cold > now;
             if cold && !self.admits_cold(view, service, &lanes[index], now) {
                 held.push(index);
@@ -96,6 +99,7 @@
             let lane = Rc::clone(&lanes[index]);
             return Ok(Place {
                 lane,
+                region: Arc::clone(&known[index].region),
                 rank,
                 busy,
                 number: view.number,
@@ -108,8 +112,11 @@
         })
     }
 
-    fn candidate(&self, known: &Known, lane: &Lane, now: Duration) -> Candidate {
+    fn candidate(&self, route: &Route, known: &Known, lane: &Lane, now: Duration) -> Candidate {
+        let way = self.ways.borrow().get(&known.region).copied();
+        let way = way.unwrap_or_default().as_secs_f64();
         Candidate {
+            way: way / route.objective.as_secs_f64().max(f64::MIN_POSITIVE),
             seed: lane.seed,
             slots: known.target.slots,
             near: known.region == self.shared.settings.region,
@@ -135,8 +142,12 @@
 }
 
 /// Chooses among the candidates that are not held back.
-fn pick(object: u64, candidates: &[Candidate], held: &[usize]) -> Option<Choice> {
-    let choice = affinity::choose(object, candidates, &affinity::Rules::default())?;
+fn pick(route: &Route, point: u64, candidates: &[Candidate], held: &[usize]) -> Option<Choice> {
+    let rules = affinity::Rules::default();
+    let choice = match route.sticky {
+        true => affinity::choose(point, candidates, &rules)?,
+        false => affinity::spread(point, candidates, &rules)?,
+    };
     // With no sound one left the choice may fall on one that is held back.
     (!held.contains(&choice.index)).then_some(choice)
 }
--- a/crates/edge/src/model/config.rs
+++ b/crates/edge/src/model/config.rs
@@ -45,6 +45,8 @@
     pub prefix: Arc<str>,
     /// Whether a request may run more than once.
     pub repeatable: bool,
+    /// Whether a target that has lately handled a request's object answers sooner.
+    pub sticky: bool,
     /// Longest time that a caller is kept waiting.
     pub timeout: Duration,
     /// Time within which an answer is in good time.
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -153,6 +153,7 @@
             host: "shop.example".into(),
             prefix: prefix.into(),
             repeatable,
+            sticky: true,
             timeout: Duration::from_secs(20),
             objective: Duration::from_secs(10),
             priority: 1,
--- a/crates/steer/src/affinity/mod.rs
+++ b/crates/steer/src/affinity/mod.rs
@@ -13,7 +13,9 @@
 //! ```
 //! use dunlinrock_steer::affinity::{Candidate, Choice, Rules, choose};
 //!
-//! let target = |seed, busy| Candidate { seed, slots: 2, near: true, busy, sound: true };
+//! let target = |seed, busy| Candidate {
+//!     seed, slots: 2, near: true, way: 0.0, busy, sound: true,
+//! };
 //! let Some(Choice { index, .. }) = choose(7, &[target(1, 0), target(2, 0)], &Rules::default())
 //! else { panic!() };
 //! // The object stays where it is while its target has a free slot.
@@ -26,6 +28,10 @@
 
 use crate::hash::{mix, score};
 
+/// Targets drawn for a request that may go to any. Two leave a busy pair one time in ten at half load;
+/// four next to never, and a host's word of the load is too old for more to be of use.
+const DRAWN: usize = 4;
+
 /// A target that may take the request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -35,6 +41,8 @@
     pub slots: u32,
     /// Whether it stands in the caller's region.
     pub near: bool,
+    /// Part of the route's objective that the way there and back takes; 0 while that is not known.
+    pub way: f64,
     /// Requests that it runs or queues, as far as this host knows.
     pub busy: u32,
     /// Whether it answers; one that does not is used only where no sound one is left.
@@ -46,19 +54,28 @@
 pub struct Rules {
     /// Weight of a near target's slot against a far one's.
     pub near: f64,
+    /// Way, as a part of the objective, at which a far target weighs half as much. Where the way takes
+    /// most of the objective, answers from there are late however idle the target is. The weight
+    /// falls smoothly, so that hosts which measure a little differently disagree on few objects.
+    pub way: f64,
     /// Requests for each slot that an object's own target may have before its next choice takes one.
     pub own: u32,
-    /// How many choices of an object are tried: few, so that what its own target cannot take is
-    /// warm at the next.
+    /// How many choices of an object are tried at least: few, so that what its own target cannot take
+    /// is warm at the next.
     pub choices: usize,
+    /// Slots that the choices have together at least. Two targets with one slot each are both taken so
+    /// often that requests are refused while most targets are idle.
+    pub spread: u32,
 }
 
 impl Default for Rules {
     fn default() -> Rules {
         Rules {
             near: 3.0,
+            way: 0.25,
             own: 2,
             choices: 2,
+            spread: 6,
         }
     }
 }
@@ -84,16 +101,14 @@
 /// behind: sent to any target that is less behind, it would run three times as long there, and the
 /// whole service would go on without an object at home after the burst that began it is over.
 pub fn choose(object: u64, candidates: &[Candidate], rules: &Rules) -> Option<Choice> {
-    let mut ranked: Vec<(f64, usize)> = candidates
-        .iter()
-        .enumerate()
-        .filter(|(_, c)| c.sound)
-        .map(|(index, c)| (score(c.seed, object, weight(c, rules)), index))
-        .collect();
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-    let own = ranked.iter().take(rules.choices).enumerate();
-    for (rank, (_, index)) in own {
+    let ranked = rank(object, candidates, rules);
+    let mut slots = 0;
+    for (rank, (_, index)) in ranked.iter().enumerate() {
+        if rank >= rules.choices && slots >= rules.spread {
+            break;
+        }
         let candidate = &candidates[*index];
+        slots += candidate.slots;
         let room = if rank == 0 {
             candidate.slots * rules.own
         } else {
@@ -112,13 +127,69 @@
             rank: 0,
         });
     }
-    // Nobody answers: any of them may be back by now.
+    any(object, candidates)
+}
+
+/// Chooses a target for a request that is answered no sooner where its object was handled lately: the
+/// least busy of a few that `point`, a number drawn for the request, names. `None` where there is no
+/// candidate.
+///
+/// Load: saturation on a route without a gain from affinity. At its object's own target a request waits
+/// for a run while others stand idle, and is refused in the end. The first drawn names the region, by
+/// weight; only where all that are drawn of it are full does the request leave it, so that a region's
+/// share does not swing with the load of its targets.
+pub fn spread(point: u64, candidates: &[Candidate], rules: &Rules) -> Option<Choice> {
+    let ranked = rank(point, candidates, rules);
+    let Some((_, first)) = ranked.first() else {
+        return any(point, candidates);
+    };
+    let first = &candidates[*first];
+    let is_beside = |c: &Candidate| (c.near, c.way) == (first.near, first.way);
+    let beside = ranked.iter().filter(|(_, i)| is_beside(&candidates[*i]));
+    let beside: Vec<usize> = beside.take(DRAWN).map(|(_, i)| *i).collect();
+    let all: Vec<usize> = ranked.iter().take(DRAWN).map(|(_, i)| *i).collect();
+    let least = |drawn: &[usize]| {
+        let parts = drawn.iter().map(|i| (part(&candidates[*i]), *i));
+        parts.min_by(|a, b| a.0.total_cmp(&b.0))
+    };
+    let has_room = |found: &(f64, usize)| found.0 < 1.0;
+    let found = least(&beside).filter(has_room).or_else(|| least(&all))?;
+    let rank = ranked.iter().position(|(_, index)| *index == found.1)?;
+    Some(Choice {
+        index: found.1,
+        rank,
+    })
+}
+
+/// Sound candidates with their scores, the first choice first.
+fn rank(object: u64, candidates: &[Candidate], rules: &Rules) -> Vec<(f64, usize)> {
+    let mut ranked: Vec<(f64, usize)> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, c)| c.sound)
+        .map(|(index, c)| (score(c.seed, object, weight(c, rules)), index))
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    ranked
+}
+
+/// Nobody answers: any of them may be back by now.
+fn any(object: u64, candidates: &[Candidate]) -> Option<Choice> {
     let all = 0..candidates.len();
     let index = all.min_by_key(|i| mix(candidates[*i].seed ^ mix(object)))?;
     Some(Choice { index, rank: 0 })
 }
 
+/// Requests of a target for each of its slots.
+fn part(candidate: &Candidate) -> f64 {
+    f64::from(candidate.busy) / f64::from(candidate.slots.max(1))
+}
+
 fn weight(candidate: &Candidate, rules: &Rules) -> f64 {
-    let near = if candidate.near { rules.near } else { 1.0 };
-    f64::from(candidate.slots.max(1)) * near
+    let nearness = if candidate.near {
+        rules.near
+    } else {
+        1.0 / (1.0 + (candidate.way / rules.way).powi(3))
+    };
+    f64::from(candidate.slots.max(1)) * nearness
 }
--- a/crates/steer/tests/objects_come_home_after_a_burst.rs
+++ b/crates/steer/tests/objects_come_home_after_a_burst.rs
@@ -97,6 +97,7 @@
         seed,
         slots: SLOTS as u32,
         near: true,
+        way: 0.0,
         busy: target.busy(),
         sound: true,
     }
--- a/crates/steer/tests/objects_stay_with_their_targets.rs
+++ b/crates/steer/tests/objects_stay_with_their_targets.rs
@@ -12,6 +12,7 @@
         seed,
         slots: SLOTS,
         near,
+        way: 0.0,
         busy: 0,
         sound: true,
     }
--- /dev/null
+++ b/crates/steer/tests/requests_go_where_they_are_answered_in_time.rs
@@ -0,0 +1,131 @@
+//! Routes without a gain from affinity, far regions, and targets with few slots.
+
+use dunlinrock_steer::affinity::{Candidate, Choice, Rules, choose, spread};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// Length of a run, and the longest time in which its answer is in time, in milliseconds.
+const RUN: u64 = 100;
+const IN_TIME: u64 = 170;
+/// What a target queues for each of its slots.
+const QUEUE: u32 = 2;
+
+fn target(seed: u64, slots: u32, near: bool, way: f64) -> Candidate {
+    Candidate {
+        seed,
+        slots,
+        near,
+        way,
+        busy: 0,
+        sound: true,
+    }
+}
+
+type Pick = fn(u64, &[Candidate], &Rules) -> Option<Choice>;
+
+/// Plays `rate` requests a second at 12 targets for 60 s; of 40 objects a few are asked for most.
+/// Gives the shares that are answered in time and that find no room.
+fn play(slots: u32, rate: f64, pick: Pick, draws: bool) -> (f64, f64) {
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut targets: Vec<_> = (1..=12).map(|s| target(s, slots, true, 0.0)).collect();
+    // When each slot is free again, by target.
+    let mut free = vec![vec![0_u64; slots as usize]; targets.len()];
+    let (mut asked, mut in_time, mut refused) = (0_u32, 0_u32, 0_u32);
+    for now in 0..60_000 {
+        if !rng.random_bool(rate / 1000.0) {
+            continue;
+        }
+        asked += 1;
+        for (target, free) in targets.iter_mut().zip(&free) {
+            let waits = free.iter().map(|at| at.saturating_sub(now).div_ceil(RUN));
+            target.busy = u32::try_from(waits.sum::<u64>()).unwrap();
+        }
+        let object = rng.random_range(0..40_u64).min(rng.random_range(0..40));
+        let point = if draws { rng.random() } else { object };
+        let index = pick(point, &targets, &Rules::default()).unwrap().index;
+        if targets[index].busy >= slots * QUEUE {
+            refused += 1;
+            continue;
+        }
+        let slot = free[index].iter_mut().min().unwrap();
+        *slot = (*slot).max(now) + RUN;
+        in_time += u32::from(*slot - now <= IN_TIME);
+    }
+    let share = |count: u32| f64::from(count) / f64::from(asked);
+    (share(in_time), share(refused))
+}
+
+/// Load: saturation, with a few objects that are asked for most. Any target answers as soon as another.
+/// Kept at their objects' own targets, requests wait and are refused while other slots are free; drawn
+/// and sent to the least busy, nearly all are answered in time.
+#[test]
+fn without_a_gain_from_affinity_requests_go_to_idle_targets() {
+    let (at_home, refused_at_home) = play(3, 250.0, choose, false);
+    let (drawn, refused) = play(3, 250.0, spread, true);
+    assert!(
+        drawn > 0.97 && refused < 0.001,
+        "{drawn}, {refused} refused"
+    );
+    assert!(at_home < drawn - 0.1, "{at_home} against {drawn}");
+    assert!(refused_at_home > refused, "{refused_at_home}");
+}
+
+/// Load: the same at targets with one slot each. Two choices are both taken often; choices with six
+/// slots together seldom are.
+#[test]
+fn an_object_has_more_choices_where_targets_have_few_slots() {
+    let few: Pick = |object, candidates, _| {
+        let rules = Rules {
+            spread: 0,
+            ..Rules::default()
+        };
+        choose(object, candidates, &rules)
+    };
+    let (_, refused_of_two) = play(1, 80.0, few, false);
+    let (_, refused) = play(1, 80.0, choose, false);
+    assert!(
+        refused < refused_of_two / 2.0,
+        "{refused} of {refused_of_two}"
+    );
+}
+
+/// Load: a burst in one region, whose targets are busy but not full. Its callers' requests do not run
+/// over to the other region, which would swing back a moment later.
+#[test]
+fn a_busy_region_keeps_its_share_of_drawn_requests() {
+    let mut rng = SmallRng::seed_from_u64(9);
+    let mut share = |busy| {
+        let near = (1..=4).map(|s| Candidate {
+            busy,
+            ..target(s, 3, true, 0.0)
+        });
+        let far = (5..=12).map(|s| target(s, 3, false, 0.1));
+        let all: Vec<_> = near.chain(far).collect();
+        let picks = (0..4000).filter(|_| {
+            let choice = spread(rng.random(), &all, &Rules::default()).unwrap();
+            all[choice.index].near
+        });
+        picks.count() as f64 / 4000.0
+    };
+    let (idle, busy) = (share(0), share(2));
+    assert!((idle - busy).abs() < 0.05, "{idle}, {busy}");
+    assert!(share(3) < idle, "full, they give some away");
+}
+
+/// Regions far apart. Where the way takes most of the objective an object's own target is a near one,
+/// nearly always; where it takes a twentieth, far targets have their part as before.
+#[test]
+fn far_targets_get_few_objects_where_the_way_takes_the_objective() {
+    let far_share = |way| {
+        let near = (1..=4).map(|s| target(s, 3, true, 0.0));
+        let far = (5..=12).map(|s| target(s, 3, false, way));
+        let all: Vec<_> = near.chain(far).collect();
+        let homes = (0..4000).map(|object| choose(object, &all, &Rules::default()).unwrap());
+        let far = homes.filter(|choice| !all[choice.index].near).count();
+        far as f64 / 4000.0
+    };
+    let unknown = far_share(0.0);
+    assert!((far_share(0.05) - unknown).abs() < 0.02);
+    assert!(far_share(0.9) < 0.03, "{}", far_share(0.9));
+    // Hosts measure a little differently, and must agree on nearly all objects.
+    assert!((far_share(0.25) - far_share(0.26)).abs() < 0.02);
+}
