--- a/crates/admit/src/direct/bytes.rs
+++ b/crates/admit/src/direct/bytes.rs
@@ -17,7 +17,7 @@
 }
 
 impl BodyBytes {
-    /// Opens the books of a host with `memory` bytes.
+    /// Opens the budget of a process with `memory` bytes, none of them taken.
     pub fn open(memory: u64) -> BodyBytes {
         BodyBytes {
             most: (memory as f64 * PART) as u64,
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -1,8 +1,8 @@
 //! The callers' duty: accepts connections and runs requests at targets.
 
+mod accept;
 mod ahead;
 mod attempt;
-mod doors;
 mod end;
 mod lanes;
 mod link;
@@ -150,14 +150,14 @@
     });
     let mut phase = front.shared.phase.subscribe();
     tokio::select! {
-        () = doors::accept(&front, &listener) => {}
-        () = doors::gauge(&front) => {}
+        () = accept::accept(&front, &listener) => {}
+        () = accept::gauge(&front) => {}
         // The sender is in `shared`.
         _ = phase.wait_for(|phase| *phase > Phase::Serving) => {}
     }
     front.leaving.set(Some(Instant::now()));
     tokio::select! {
-        () = doors::accept(&front, &listener) => {}
+        () = accept::accept(&front, &listener) => {}
         () = ended(&front) => {}
     }
 }
