--- a/crates/edge/src/front/lanes.rs
+++ b/crates/edge/src/front/lanes.rs
@@ -15,7 +15,7 @@
 
 use tokio::sync::Notify;
 
-use super::link::{Kept, Link};
+use super::{link::Link, links::Kept};
 use crate::{
     model::{Reported, Target},
     world::View,
--- a/crates/edge/src/front/link.rs
+++ b/crates/edge/src/front/link.rs
@@ -1,6 +1,6 @@
 //! One connection to a target, and one exchange on it.
 
-use std::{cell::Cell, error::Error, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{error::Error, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -10,6 +10,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::Instant};
 
+use super::links::{Links, Open};
+
 /// Time in which a connection must open. Between regions a round trip takes some tens of
 /// milliseconds; a lost packet is sent again only after a second, and another target is tried
 /// before that.
@@ -78,89 +80,6 @@
     }
 }
 
-/// Connections to targets that a host holds.
-#[derive(Debug)]
-pub(super) struct Links {
-    open: Cell<u32>,
-    kept: Cell<u32>,
-    /// Idle ones that may be kept, at all targets together.
-    most: u32,
-}
-
-impl Links {
-    pub(super) fn open(most: u32) -> Rc<Links> {
-        Rc::new(Links {
-            open: Cell::new(0),
-            kept: Cell::new(0),
-            most,
-        })
-    }
-
-    /// Connections that are open.
-    pub(super) fn count(&self) -> u32 {
-        self.open.get()
-    }
-}
-
-/// Counts a connection while it is open.
-#[derive(Debug)]
-struct Open(Rc<Links>);
-
-impl Open {
-    fn count(links: &Rc<Links>) -> Open {
-        links.open.set(links.open.get() + 1);
-        Open(Rc::clone(links))
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
-
-/// A connection that is kept idle.
-#[derive(Debug)]
-pub(super) struct Kept {
-    link: Link,
-    place: KeptPlace,
-}
-
-impl Kept {
-    /// Keeps a connection, unless as many are kept as may be.
-    pub(super) fn keep(link: Link) -> Option<Kept> {
-        let links = Rc::clone(&link.open.0);
-        let place = KeptPlace::take(links)?;
-        Some(Kept { link, place })
-    }
-
-    /// Gives the connection back.
-    pub(super) fn take(self) -> Link {
-        drop(self.place);
-        self.link
-    }
-}
-
-/// Counts a kept connection.
-#[derive(Debug)]
-struct KeptPlace(Rc<Links>);
-
-impl KeptPlace {
-    fn take(links: Rc<Links>) -> Option<KeptPlace> {
-        if links.kept.get() >= links.most {
-            return None;
-        }
-        links.kept.set(links.kept.get() + 1);
-        Some(KeptPlace(links))
-    }
-}
-
-impl Drop for KeptPlace {
-    fn drop(&mut self) {
-        self.0.kept.set(self.0.kept.get() - 1);
-    }
-}
-
 impl Link {
     /// Opens a connection.
     pub(super) async fn open(address: SocketAddr, links: &Rc<Links>) -> Result<Link, Broken> {
@@ -188,6 +107,11 @@
         })
     }
 
+    /// What counts the host's connections to targets.
+    pub(super) fn links(&self) -> &Rc<Links> {
+        self.open.links()
+    }
+
     /// Whether another request may be sent. One that the target has closed, or on which bytes came
     /// unasked, is not ready.
     pub(super) fn is_reusable(&self) -> bool {
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod end;
 mod lanes;
 mod link;
+mod links;
 mod place;
 mod request;
 mod say;
@@ -39,7 +40,7 @@
 use self::{
     ahead::Ahead,
     lanes::Lanes,
-    link::Links,
+    links::Links,
     request::Conn,
     say::Say,
     usage::{Idle, Usage},
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -185,10 +185,11 @@
         let Some(route) = place::route(config, &head.headers, &head.uri) else {
             return no_route(&head.uri);
         };
-        let end = match self.left_of(&head.headers, route).checked_sub(waited) {
-            Some(left) if left > LEAST_RUN => Instant::now() + left,
-            _ => return refuse("it waited unread until its time was over", OTHER_HOST),
-        };
+        let left = self.left_of(&head.headers, route).saturating_sub(waited);
+        if left <= LEAST_RUN {
+            return refuse("too little time is left", OTHER_HOST);
+        }
+        let end = Instant::now() + left;
         let Some(_room) = self.body_room(body.as_ref(), config.limits.body) else {
             return refuse("the host holds all bodies that it may", FULL_RETRY);
         };
--- a/crates/steer/src/affinity/mod.rs
+++ b/crates/steer/src/affinity/mod.rs
@@ -60,12 +60,9 @@
     pub way: f64,
     /// Requests for each slot that an object's own target may have before its next choice takes one.
     pub own: u32,
-    /// How many choices of an object are tried at least: few, so that what its own target cannot take
-    /// is warm at the next.
+    /// How many choices of an object are tried: few, so that what its own target cannot take is
+    /// warm at the next.
     pub choices: usize,
-    /// Slots that the choices have together at least. Two targets with one slot each are both taken so
-    /// often that requests are refused while most targets are idle.
-    pub spread: u32,
 }
 
 impl Default for Rules {
@@ -75,7 +72,6 @@
             way: 0.25,
             own: 2,
             choices: 2,
-            spread: 6,
         }
     }
 }
@@ -102,13 +98,8 @@
 /// whole service would go on without an object at home after the burst that began it is over.
 pub fn choose(object: u64, candidates: &[Candidate], rules: &Rules) -> Option<Choice> {
     let ranked = rank(object, candidates, rules);
-    let mut slots = 0;
-    for (rank, (_, index)) in ranked.iter().enumerate() {
-        if rank >= rules.choices && slots >= rules.spread {
-            break;
-        }
+    for (rank, (_, index)) in ranked.iter().take(rules.choices).enumerate() {
         let candidate = &candidates[*index];
-        slots += candidate.slots;
         let room = if rank == 0 {
             candidate.slots * rules.own
         } else {
