--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 mod board;
+mod relay;
 mod stand;
 
 use std::{
@@ -31,6 +32,7 @@
 
 pub use self::{
     board::Board,
+    relay::Relay,
     stand::{Head, Script, Stand},
 };
 
--- /dev/null
+++ b/crates/edge/tests/support/relay.rs
@@ -0,0 +1,118 @@
+//! A loopback link between two hosts that counts what passes, and may be narrow.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// Time between two pieces on a narrow link.
+const BEAT: Duration = Duration::from_millis(20);
+
+/// Bytes moved at once on a wide link.
+const CHUNK: usize = 16 << 10;
+
+#[derive(Debug, Default)]
+struct Seen {
+    /// Bytes passed towards the host that asks.
+    bytes: AtomicUsize,
+    /// Answers that the asking host did not read to their end.
+    broken: AtomicUsize,
+}
+
+/// A running link. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    to: Arc<OnceLock<SocketAddr>>,
+    seen: Arc<Seen>,
+}
+
+impl Relay {
+    /// Opens a link that passes `rate` bytes a second towards the host that asks, or all at once.
+    pub fn open(rate: Option<usize>) -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let relay = Relay {
+            address: listener.local_addr().expect("it is bound"),
+            to: Arc::default(),
+            seen: Arc::default(),
+        };
+        let served = relay.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let relay = served.clone();
+                thread::spawn(move || relay.serve(&near, rate));
+            }
+        });
+        relay
+    }
+
+    /// Where it leads. Connections that come before wait for it.
+    pub fn lead_to(&self, to: SocketAddr) {
+        self.to.set(to).expect("it leads nowhere else");
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Bytes passed so far.
+    pub fn bytes(&self) -> usize {
+        self.seen.bytes.load(Ordering::SeqCst)
+    }
+
+    /// Answers broken off so far.
+    pub fn broken(&self) -> usize {
+        self.seen.broken.load(Ordering::SeqCst)
+    }
+
+    fn serve(&self, near: &TcpStream, rate: Option<usize>) {
+        let Ok(far) = TcpStream::connect(self.to.wait()) else {
+            return;
+        };
+        // Small messages back and forth: held together they would wait for each other.
+        for stream in [near, &far] {
+            stream.set_nodelay(true).expect("a loopback socket");
+        }
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                let _ = std::io::copy(&mut &*near, &mut &far);
+                let _ = far.shutdown(Shutdown::Both);
+            });
+            if self.pass(&far, near, rate).is_err() {
+                self.seen.broken.fetch_add(1, Ordering::SeqCst);
+            }
+            let _ = near.shutdown(Shutdown::Both);
+            let _ = far.shutdown(Shutdown::Both);
+        });
+    }
+
+    /// Passes answers on; fails where the asking host has left before the end of one.
+    fn pass(
+        &self,
+        mut from: &TcpStream,
+        mut to: &TcpStream,
+        rate: Option<usize>,
+    ) -> std::io::Result<()> {
+        let piece = rate.map_or(CHUNK, |rate| (rate as f64 * BEAT.as_secs_f64()) as usize);
+        let mut chunk = vec![0; piece];
+        loop {
+            let n = match from.read(&mut chunk) {
+                Ok(0) => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(_) => return Ok(()),
+                Ok(n) => n,
+            };
+            to.write_all(&chunk[..n])?;
+            self.seen.bytes.fetch_add(n, Ordering::SeqCst);
+            if rate.is_some() {
+                thread::sleep(BEAT);
+            }
+        }
+    }
+}
