--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -11,10 +11,15 @@
 use serde_json::json;
 use viz::{IntoResponse, Request, RequestExt, Response, Router};
 
-use crate::{host::Shared, model::Item};
+use crate::{
+    host::Shared,
+    model::{Item, PackError},
+    world::News,
+};
 
-/// Path on which changes are asked for.
-const PATH: &str = "/peer/v1/changes";
+/// Path on which changes are asked for. Hosts of a release that sends other messages do not know it:
+/// while a fleet holds both, its hosts read the store for themselves.
+const PATH: &str = "/peer/v2/changes";
 
 /// Path of the dump.
 const DUMP: &str = "/peer/v1/dump";
@@ -46,6 +51,8 @@
 pub(super) struct Asked {
     /// Store's revision up to which nothing is missing.
     pub(super) reached: u64,
+    /// Version of the configuration; 0 for none.
+    pub(super) version: u64,
 }
 
 /// What it does not know yet.
@@ -58,6 +65,8 @@
     pub(super) age: Duration,
     /// Items that said something new after the revision asked.
     pub(super) items: Vec<Item>,
+    /// Later versions of the configuration.
+    pub(super) news: Option<News>,
 }
 
 /// Why a host's answer is of no use.
@@ -121,27 +130,33 @@
         Ok(asked) => asked,
         Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
     };
-    let told = tell(shared, asked).await;
-    match rmp_serde::to_vec_named(&told) {
+    let encoded = tell(shared, asked)
+        .await
+        .and_then(|told| Ok(rmp_serde::to_vec_named(&told)?));
+    match encoded {
         Ok(bytes) => {
             shared.meters.add("peer_out_bytes", bytes.len());
             bytes.into_response()
         }
-        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
+        Err(e) => {
+            log::error!(target: "peers", event = "untold", error:% = e; "another host is told nothing");
+            (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response()
+        }
     }
 }
 
-async fn tell(shared: &Shared, asked: Asked) -> Told {
+async fn tell(shared: &Shared, asked: Asked) -> Result<Told, PackError> {
     let mut changed = shared.changed.subscribe();
-    let newer = changed.wait_for(|said| *said > asked.reached);
+    let newer = changed.wait_for(|m| m.said > asked.reached || m.version > asked.version);
     // An answer without changes is as good: it says that there are none.
     let _ = tokio::time::timeout(hold(shared.age()), newer).await;
-    let (world, now) = (shared.world(), shared.now());
-    Told {
+    let (mut world, now) = (shared.world(), shared.now());
+    Ok(Told {
         reached: world.reached(),
         age: shared.age(),
         items: world.after(asked.reached, now),
-    }
+        news: world.news(asked.version)?,
+    })
 }
 
 fn state(shared: &Shared) -> Response {
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -220,11 +220,21 @@
         if is_silent || address == self.shared.settings.listen.peers {
             return false;
         }
-        let reached = self.shared.world().reached();
-        let answer = ask(&self.client, address, &Asked { reached }).await;
+        let asked = {
+            let world = self.shared.world();
+            Asked {
+                reached: world.reached(),
+                version: world.version(),
+            }
+        };
+        let answer = ask(&self.client, address, &asked).await;
         let took = self.shared.now() - now;
-        let told = match answer {
-            Ok(heard) => self.heard(address, heard, took),
+        let heard = answer.map_err(anyhow::Error::from);
+        match heard.and_then(|heard| self.learn(address, heard, took)) {
+            Ok(age) => {
+                self.silent.remove(&address);
+                age < STALE
+            }
             Err(e) => {
                 self.shared.meters.count("source_failed");
                 log::warn!(
@@ -233,13 +243,22 @@
                     "the next source is asked"
                 );
                 self.silent.insert(address, now + SILENT_TIME);
-                return false;
+                false
             }
-        };
-        self.silent.remove(&address);
+        }
+    }
+
+    /// Takes an answer in; gives the age of the word in it. Where its news of the configuration are of no
+    /// use, nothing of it confirms what is believed: the next source is asked, at last the store, which
+    /// gives the version whole.
+    fn learn(&self, address: SocketAddr, heard: Heard, took: Duration) -> anyhow::Result<Duration> {
+        let told = self.heard(address, heard, took);
+        if let Some(news) = &told.news {
+            self.shared.learn(news)?;
+        }
         self.shared.take(told.items, told.reached);
         self.shared.confirm(told.age);
-        told.age < STALE
+        Ok(told.age)
     }
 
     /// Notes what an answer cost.
--- a/crates/edge/src/host/mod.rs
+++ b/crates/edge/src/host/mod.rs
@@ -11,7 +11,7 @@
 use anyhow::Context;
 use socket2::{Domain, Protocol, Socket, Type};
 
-pub use self::shared::{Phase, Shared};
+pub use self::shared::{Mark, Phase, Shared};
 use crate::{
     control, front,
     model::{Dialect, Feed},
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -18,7 +18,7 @@
     meters::Meters,
     model::{Dialect, Feed, HostEntry, Item},
     settings::{Live, Settings},
-    world::{View, World},
+    world::{News, NewsError, View, World},
 };
 
 /// How far the host is in its life.
@@ -32,6 +32,15 @@
     Ended,
 }
 
+/// Up to where a host can be told something.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mark {
+    /// Highest revision under which an item said something new.
+    pub said: u64,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
 /// What the duties share.
 #[derive(Debug)]
 pub struct Shared {
@@ -47,8 +56,8 @@
     pub clock: Clock,
     /// What requests are served by.
     pub view: ArcSwap<View>,
-    /// Highest revision of which others can be told something.
-    pub changed: watch::Sender<u64>,
+    /// Up to where others can be told something.
+    pub changed: watch::Sender<Mark>,
     /// Phase of the host.
     pub phase: watch::Sender<Phase>,
     /// Counters and histograms.
@@ -76,7 +85,7 @@
             dialect,
             clock: Clock::open(),
             view: ArcSwap::from_pointee(View::default()),
-            changed: watch::channel(0).0,
+            changed: watch::channel(Mark::default()).0,
             phase: watch::channel(Phase::Serving).0,
             meters: Meters::open(),
             world: Mutex::new(World::open()),
@@ -123,6 +132,23 @@
         }
     }
 
+    /// Takes in what another host tells of the configuration, and publishes it.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be read, or does not fit the version that is held.
+    pub fn learn(&self, news: &News) -> Result<(), NewsError> {
+        let now = self.now();
+        let mut world = self.world();
+        let before = world.version();
+        let learned = world.learn(news);
+        // Of several steps some may have been taken before one that does not fit.
+        if world.version() > before {
+            self.publish(&world, now);
+        }
+        learned.map(|_| ())
+    }
+
     /// Takes a whole reading in.
     pub fn replace(&self, at: u64, items: Vec<Item>) {
         let now = self.now();
@@ -190,6 +216,9 @@
         view.sharers = past.sharers.note(&before.seeds, &view.seeds, now);
         crate::trace::believed(&before, &view);
         self.view.store(Arc::new(view));
-        self.changed.send_replace(world.said());
+        self.changed.send_replace(Mark {
+            said: world.said(),
+            version: world.version(),
+        });
     }
 }
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -7,10 +7,14 @@
 mod dialect;
 mod entry;
 mod feed;
+mod packed;
+mod patch;
 
 pub use self::{
     config::{Config, Limits, Part, Route, Service},
     dialect::{Dialect, LookupAsk, Reported},
     entry::{Entry, HostEntry, Item, Target},
     feed::{Batch, Call, Feed, FeedError, Snapshot, Ticket},
+    packed::{PackError, Packed},
+    patch::{Misfit, Patch},
 };
--- a/crates/edge/src/world/view.rs
+++ b/crates/edge/src/world/view.rs
@@ -52,7 +52,7 @@
     ) -> View {
         let mut view = View {
             number: world.last,
-            config: world.config.clone(),
+            config: world.config().cloned(),
             ..View::default()
         };
         for held in world.held.values() {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 mod board;
 mod relay;
+mod routes;
 mod stand;
 
 use std::{
@@ -33,6 +34,7 @@
 pub use self::{
     board::Board,
     relay::Relay,
+    routes::{large, reweighted},
     stand::{Head, Script, Stand},
 };
 
--- /dev/null
+++ b/crates/edge/tests/support/routes.rs
@@ -0,0 +1,48 @@
+//! Configurations of many routes.
+
+use std::{sync::Arc, time::Duration};
+
+use dunlinrock_edge::model::{Config, Part, Route};
+use rand::{RngCore, SeedableRng, rngs::SmallRng};
+
+/// Routes whose names are as good as random, beside those of `small`: little of one can be told from
+/// another. More routes go on from fewer.
+pub fn large(small: Config, routes: usize) -> Config {
+    let mut random = SmallRng::seed_from_u64(7);
+    let mut name = || format!("{:08x}", random.next_u32());
+    let hosts: Vec<Arc<str>> = (0..6)
+        .map(|_| format!("{}.example", name()).into())
+        .collect();
+    let first = small.routes[0].clone();
+    let more = (0..routes).map(|n| {
+        Arc::new(Route {
+            name: format!("r-{}", name()).into(),
+            host: Arc::clone(&hosts[n % hosts.len()]),
+            prefix: format!("/{}/{}/", name(), name()).into(),
+            repeatable: n % 3 == 0,
+            sticky: n % 2 == 0,
+            priority: (n % 3) as u8,
+            timeout: Duration::from_millis(1000 + 200 * (n as u64 % 7)),
+            ..Route::clone(&first)
+        })
+    });
+    Config {
+        routes: small.routes.iter().cloned().chain(more).collect(),
+        ..small
+    }
+}
+
+/// The next version, with other weights on one route.
+pub fn reweighted(mut config: Config) -> Config {
+    let part = |service: &str, weight| Part {
+        service: service.into(),
+        weight,
+    };
+    config.version += 1;
+    let changed = Route {
+        parts: vec![part("cart", 70.0), part("till", 30.0)],
+        ..Route::clone(&config.routes[1])
+    };
+    config.routes[1] = Arc::new(changed);
+    config
+}
