--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -4,12 +4,13 @@
 
 use dunlinrock_node::{
     clock::millis,
-    wire::{Client, Failure},
+    wire::{Client, Failure, Flow},
 };
-use http::StatusCode;
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use viz::{IntoResponse, Request, RequestExt, Response, Router};
+use viz::{IntoResponse, RequestExt, Response, Router};
 
 use crate::{
     host::Shared,
@@ -45,6 +46,15 @@
 /// Time an asking host waits beyond that: a round trip between regions and a busy processor.
 const SLACK: Duration = Duration::from_millis(400);
 
+/// Longest pause within an answer: a packet that is lost between regions is sent again within 300 ms, and
+/// a host that has used up its share of a processor goes on within as much.
+const PAUSE: Duration = Duration::from_millis(600);
+
+/// Longest time of an answer that goes on. The whole version of a large configuration, 130 KB, takes 0.8 s
+/// where eight hosts share a link of 10 Mbit/s; what takes five is too late to be in force in time, and
+/// another source or the store may do better.
+const WHOLE: Duration = Duration::from_secs(5);
+
 /// What a follower knows.
 #[derive(Clone, Copy, Debug)]
 #[derive(Deserialize, Serialize)]
@@ -80,6 +90,8 @@
     Unreadable(#[from] rmp_serde::decode::Error),
     #[error("cannot be encoded: {0}")]
     Unsent(#[from] rmp_serde::encode::Error),
+    #[error(transparent)]
+    Unasked(#[from] http::Error),
 }
 
 /// An answer, and its size on the wire.
@@ -97,7 +109,13 @@
     asked: &Asked,
 ) -> Result<Heard, AskError> {
     let body = rmp_serde::to_vec_named(asked)?;
-    let answer = client.post(address, PATH, body, HOLD + SLACK).await?;
+    let flow = Flow {
+        head: HOLD + SLACK,
+        pause: PAUSE,
+        whole: WHOLE,
+    };
+    let request = Request::post(format!("http://{address}{PATH}")).body(Full::from(body))?;
+    let answer = client.call_flowing(request, flow).await?;
     if answer.status != StatusCode::OK {
         return Err(AskError::Status(answer.status));
     }
@@ -111,17 +129,17 @@
 pub(super) fn router(shared: &Arc<Shared>) -> Router {
     let (changes, dump) = (Arc::clone(shared), Arc::clone(shared));
     Router::new()
-        .post(PATH, move |request: Request| {
+        .post(PATH, move |request: viz::Request| {
             let shared = Arc::clone(&changes);
             async move { Ok(answer(&shared, request).await) }
         })
-        .get(DUMP, move |_: Request| {
+        .get(DUMP, move |_: viz::Request| {
             let shared = Arc::clone(&dump);
             async move { Ok(state(&shared)) }
         })
 }
 
-async fn answer(shared: &Shared, mut request: Request) -> Response {
+async fn answer(shared: &Shared, mut request: viz::Request) -> Response {
     let body = match request.bytes().await {
         Ok(body) => body,
         Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
--- a/crates/node/src/wire/client.rs
+++ b/crates/node/src/wire/client.rs
@@ -5,9 +5,9 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode, body::Incoming};
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -47,6 +47,9 @@
     /// The time given ran out after something may have been sent.
     #[error("no whole answer in {0:?}")]
     Timeout(Duration),
+    /// The answer began, and then nothing more came for the time given.
+    #[error("no more of the answer in {0:?}")]
+    Stalled(Duration),
     /// The answer's body is larger than the limit, in bytes.
     #[error("the answer is larger than {0} bytes")]
     Large(usize),
@@ -65,6 +68,21 @@
     }
 }
 
+/// How long an answer may take that may be large.
+///
+/// A limit on the whole alone breaks off what would have come: an answer of some hundred kilobytes over a
+/// narrow link that others use as well takes seconds, and begun anew it takes as long again and fills the
+/// link besides. As long as it goes on, the other side is there; that it has gone shows by a pause.
+#[derive(Clone, Copy, Debug)]
+pub struct Flow {
+    /// Until its head.
+    pub head: Duration,
+    /// Between two pieces of its body.
+    pub pause: Duration,
+    /// For all of it, from the head on.
+    pub whole: Duration,
+}
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -127,6 +145,27 @@
         }
     }
 
+    /// Sends a request and waits for its whole answer for as long as it goes on.
+    pub async fn call_flowing(
+        &self,
+        request: Request<Full<Bytes>>,
+        flow: Flow,
+    ) -> Result<Answer, Failure> {
+        let response = tokio::time::timeout(flow.head, self.inner.request(request))
+            .await
+            .map_err(|_| Failure::Timeout(flow.head))?
+            .map_err(|e| unanswered(&e))?;
+        let (head, body) = response.into_parts();
+        let body = tokio::time::timeout(flow.whole, self.pieces(body, flow.pause))
+            .await
+            .map_err(|_| Failure::Timeout(flow.whole))??;
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+
     /// Posts a packed message to a path of another host.
     pub async fn post(
         &self,
@@ -144,19 +183,12 @@
     async fn answer(&self, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
         let response = match self.inner.request(request).await {
             Ok(response) => response,
-            Err(e) if e.is_connect() => return Err(broken(Part::Connect, &e)),
-            Err(e) => return Err(broken(Part::Head, &e)),
+            Err(e) => return Err(unanswered(&e)),
         };
         let (head, body) = response.into_parts();
         let body = match Limited::new(body, self.answer_bytes).collect().await {
             Ok(whole) => whole.to_bytes(),
-            Err(e) if e.is::<LengthLimitError>() => return Err(Failure::Large(self.answer_bytes)),
-            Err(e) => {
-                return Err(Failure::Broken {
-                    part: Part::Body,
-                    detail: e.to_string(),
-                });
-            }
+            Err(e) => return Err(self.unread(&*e)),
         };
         Ok(Answer {
             status: head.status,
@@ -164,6 +196,44 @@
             body,
         })
     }
+
+    /// Reads a body of which a piece comes at least every `pause`.
+    async fn pieces(&self, body: Incoming, pause: Duration) -> Result<Bytes, Failure> {
+        let mut body = Limited::new(body, self.answer_bytes);
+        let mut whole = BytesMut::new();
+        loop {
+            let frame = tokio::time::timeout(pause, body.frame())
+                .await
+                .map_err(|_| Failure::Stalled(pause))?;
+            let Some(frame) = frame else {
+                return Ok(whole.freeze());
+            };
+            let frame = frame.map_err(|e| self.unread(&*e))?;
+            // What follows the body says nothing here.
+            if let Ok(piece) = frame.into_data() {
+                whole.extend_from_slice(&piece);
+            }
+        }
+    }
+
+    /// Why a body did not come whole.
+    fn unread(&self, error: &(dyn std::error::Error + 'static)) -> Failure {
+        if error.is::<LengthLimitError>() {
+            return Failure::Large(self.answer_bytes);
+        }
+        Failure::Broken {
+            part: Part::Body,
+            detail: error.to_string(),
+        }
+    }
+}
+
+/// Why no head came.
+fn unanswered(error: &legacy::Error) -> Failure {
+    match error.is_connect() {
+        true => broken(Part::Connect, error),
+        false => broken(Part::Head, error),
+    }
 }
 
 fn broken(part: Part, error: &dyn std::error::Error) -> Failure {
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -5,7 +5,7 @@
 mod pack;
 mod problem;
 
-pub use client::{Answer, Client, Failure, Part};
+pub use client::{Answer, Client, Failure, Flow, Part};
 pub use names::{
     ATTEMPTS, CALLER, CLIENT, FINGERPRINT, HOPS, KEY, KIND, OUTCOME, REQUEST, REQUEST_ID,
     REQUEST_TIMEOUT, RETRY_SAFE, TARGET_LOAD, TARGET_SHED, TIMEOUT,
