--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -13,14 +13,17 @@
     model::{FeedError, HostEntry, Item},
 };
 
-/// Longest wait for changes at the store. Targets send a heartbeat every second or two, so that an
-/// answer without any change is rare and a silent connection is noticed soon.
-const WAIT: Duration = Duration::from_millis(1200);
-
 /// Pause of a reader between two calls to the store. Changes of half a second come in one answer,
 /// which costs one call instead of ten.
 pub const READER_PAUSE: Duration = Duration::from_millis(400);
 
+/// Longest wait for changes at the store. Heartbeats need not change anything there, and while nothing
+/// does a reader's word is as old as this wait. Longer, and the hosts below would take a quiet store for a
+/// lost one and read all of it for themselves, over and over: it takes a narrow link a second, in which
+/// callers' answers and the next version wait. With the pause instead of it, a quiet store is called no
+/// more often than a busy one.
+const WAIT: Duration = READER_PAUSE;
+
 /// Pause of a host that reads for itself while no reader answers.
 const LONE_PAUSE: Duration = Duration::from_millis(700);
 
@@ -69,6 +72,14 @@
     vanished: Vec<Item>,
 }
 
+/// What a call to the store gave.
+enum Came {
+    /// Items.
+    Items,
+    /// The word that nothing changed, after a wait.
+    Nothing,
+}
+
 /// Follows for as long as the host lives.
 pub(super) async fn follow(shared: Arc<Shared>) {
     let peers = shared.settings.listen.peers;
@@ -106,12 +117,18 @@
                 return;
             }
         }
+        let start = self.shared.now();
         let result = match self.at {
             None => self.read().await,
             Some(at) => self.wait(at).await,
         };
         match result {
-            Ok(()) => {
+            // The wait stood for the pause, unless the answer came at once.
+            Ok(Came::Nothing) if is_reader => {
+                let waited = self.shared.now() - start;
+                tokio::time::sleep(READER_PAUSE.saturating_sub(waited)).await;
+            }
+            Ok(_) => {
                 let pause = if is_reader { READER_PAUSE } else { LONE_PAUSE };
                 tokio::time::sleep(pause).await;
             }
@@ -129,7 +146,7 @@
         false
     }
 
-    async fn read(&mut self) -> Result<(), FeedError> {
+    async fn read(&mut self) -> Result<Came, FeedError> {
         let (start, age) = (self.shared.now(), self.shared.age());
         let snapshot = (self.shared.feed.read)(()).await?;
         self.shared.meters.count("store_read");
@@ -149,18 +166,22 @@
             self.shared.replace(snapshot.at, snapshot.items);
         }
         self.shared.confirm(Duration::ZERO);
-        Ok(())
+        Ok(Came::Items)
     }
 
-    async fn wait(&mut self, at: u64) -> Result<(), FeedError> {
+    async fn wait(&mut self, at: u64) -> Result<Came, FeedError> {
         let batch = (self.shared.feed.wait)((at, WAIT)).await?;
         self.back();
         self.at = Some(batch.at);
+        let came = match batch.items.is_empty() {
+            true => Came::Nothing,
+            false => Came::Items,
+        };
         let (items, vanished) = self.sift(batch.items);
         self.shared.take(items, batch.at);
         self.vanished.extend(vanished);
         self.shared.confirm(Duration::ZERO);
-        Ok(())
+        Ok(came)
     }
 
     /// Parts entries that vanished just after the store's return from what is taken at once.
