--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -41,8 +41,8 @@
 /// entries that lapsed meanwhile are back within two seconds of the store's return.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// Answers of other hosts from this size on have a line of their own, in bytes: a hundred targets that
-/// changed at once. A link of 10 Mbit/s carries it in 50 ms.
+/// Answers of other hosts from this size on have a line of their own, in bytes: a link of 10 Mbit/s needs
+/// 50 ms for it, and callers' answers wait meanwhile.
 const LARGE: usize = 64 << 10;
 
 /// Whether entries may have lapsed while this host did not reach the store, given the age of its word
@@ -274,10 +274,8 @@
     /// gives the version whole.
     fn learn(&self, address: SocketAddr, heard: Heard, took: Duration) -> anyhow::Result<Duration> {
         let told = self.heard(address, heard, took);
-        if let Some(news) = &told.news {
-            self.shared.learn(news)?;
-        }
-        self.shared.take(told.items, told.reached);
+        self.shared
+            .hear(told.news.as_ref(), told.items, told.reached)?;
         self.shared.confirm(told.age);
         Ok(told.age)
     }
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -132,21 +132,34 @@
         }
     }
 
-    /// Takes in what another host tells of the configuration, and publishes it.
+    /// Takes in what another host tells: news of the configuration, and items after which nothing up to
+    /// `reached` is missing. All of it is published at once: a request never meets a route whose targets are
+    /// still to come.
     ///
     /// # Errors
     ///
-    /// When it cannot be read, or does not fit the version that is held.
-    pub fn learn(&self, news: &News) -> Result<(), NewsError> {
+    /// When the news cannot be read, or do not fit the version that is held; the items are not taken then.
+    pub fn hear(
+        &self,
+        news: Option<&News>,
+        items: Vec<Item>,
+        reached: u64,
+    ) -> Result<(), NewsError> {
         let now = self.now();
         let mut world = self.world();
-        let before = world.version();
-        let learned = world.learn(news);
+        let before = world.last();
+        let learned = news.map_or(Ok(()), |news| world.learn(news));
+        if learned.is_ok() {
+            for item in items {
+                world.apply(item, now);
+            }
+            world.reach(reached);
+        }
         // Of several steps some may have been taken before one that does not fit.
-        if world.version() > before {
+        if world.last() > before {
             self.publish(&world, now);
         }
-        learned.map(|_| ())
+        learned
     }
 
     /// Takes a whole reading in.
--- a/crates/edge/src/model/packed.rs
+++ b/crates/edge/src/model/packed.rs
@@ -6,8 +6,8 @@
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-/// Largest value that is unpacked, in bytes: ten times the configuration of a large deployment. A broken
-/// message must not take a host's memory.
+/// Largest value that is unpacked, in bytes: twenty times a configuration of 4,200 routes. A broken message
+/// must not take a host's memory.
 const MOST: u64 = 16 << 20;
 
 /// A packed value. Clones share its bytes.
--- a/crates/edge/src/world/mod.rs
+++ b/crates/edge/src/world/mod.rs
@@ -92,15 +92,16 @@
         self.versions.news(held)
     }
 
-    /// Takes in what another host tells of the configuration; tells whether it changes what is believed.
+    /// Takes in what another host tells of the configuration.
     ///
     /// # Errors
     ///
     /// When it cannot be read, or does not fit the version that is held.
-    pub fn learn(&mut self, news: &News) -> Result<bool, NewsError> {
-        let newer = self.versions.learn(news)?;
-        self.last += u64::from(newer);
-        Ok(newer)
+    pub fn learn(&mut self, news: &News) -> Result<(), NewsError> {
+        let before = self.version();
+        let learned = self.versions.learn(news);
+        self.last += u64::from(self.version() > before);
+        learned
     }
 
     /// Takes an item in; tells whether it changes what is believed.
