--- a/crates/edge/tests/support/board.rs
+++ b/crates/edge/tests/support/board.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// The same for a host that lists itself nowhere: hosts are listed as the test puts them.
+    pub fn feed_unlisted(&self) -> Feed {
+        Feed {
+            announce: Arc::new(|_| async { Ok(Ticket(1)) }.boxed()),
+            ..self.feed()
+        }
+    }
+
     async fn wait(self, after: u64, time: Duration) -> Result<Batch, FeedError> {
         self.read.send_modify(|read| *read = (*read).max(after));
         let mut changed = self.changed.subscribe();
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -93,6 +93,13 @@
     }
 }
 
+/// Waits until something is so.
+pub fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        std::thread::yield_now();
+    }
+}
+
 /// A request as callers send it.
 pub fn request(method: &str, path: &str, id: &str, more: &str) -> String {
     format!(
