--- a/crates/edge/tests/support/relay.rs
+++ b/crates/edge/tests/support/relay.rs
@@ -110,6 +110,7 @@
             };
             to.write_all(&chunk[..n])?;
             self.seen.bytes.fetch_add(n, Ordering::SeqCst);
+            // A narrow link takes real time; no test asks how long.
             if rate.is_some() {
                 thread::sleep(BEAT);
             }
