--- a/crates/cli/src/commands/edge.rs
+++ b/crates/cli/src/commands/edge.rs
@@ -2,7 +2,11 @@
 
 use std::{fs, path::Path, thread, time::Duration};
 
-use dunlinrock_edge::{host::Host, settings};
+use anyhow::Context;
+use dunlinrock_edge::{
+    host::Host,
+    settings::{self, Settings},
+};
 use dunlinrock_platform::{dialect, store};
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -22,7 +26,8 @@
 
 /// Runs a host until a signal, then until its planned stop is over.
 pub(crate) fn edge(args: &Edge) -> Result<(), Failure> {
-    let settings = settings::open(&args.settings)?;
+    let mut file = Watched::open(&args.settings)?;
+    let settings = file.settings()?;
     logs::open_lines()?;
     let feed = store::open(settings.store, settings.listen.peers.ip());
     block_on(async {
@@ -30,7 +35,6 @@
         let mut signals = Signals::open()?;
         let mut hangup = signal(SignalKind::hangup()).map_err(anyhow::Error::from)?;
         let host = Host::spawn(settings, feed, dialect::open())?;
-        let mut file = Watched::open(&args.settings);
         loop {
             tokio::select! {
                 () = signals.next() => break,
@@ -59,15 +63,23 @@
 /// The settings file of a running host.
 struct Watched<'a> {
     path: &'a Path,
-    /// Its text when it was last read; empty if it could not be.
+    /// Its text when it was last read.
     text: String,
 }
 
 impl Watched<'_> {
-    fn open(path: &Path) -> Watched<'_> {
-        // It was read a moment ago; if it cannot be now, the next look takes it for changed.
-        let text = fs::read_to_string(path).unwrap_or_default();
-        Watched { path, text }
+    /// Reads the file once, for the host's start and for the first look. Read for each, a change between
+    /// the two would pass for what the host started with, and never be taken up.
+    fn open(path: &Path) -> anyhow::Result<Watched<'_>> {
+        let text =
+            fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
+        Ok(Watched { path, text })
+    }
+
+    /// What it says.
+    fn settings(&self) -> anyhow::Result<Settings> {
+        let at = || format!("settings file {}", self.path.display());
+        settings::parse(&self.text).with_context(at)
     }
 
     /// Reads the file and takes it up if its text has changed: it may be replaced without a signal.
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -1,8 +1,8 @@
-//! Settings of an edge host: read, checked, all mistakes reported together.
+//! Settings of an edge host: checked, all mistakes reported together.
 
-use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use anyhow::{Context, bail};
+use anyhow::bail;
 use dunlinrock_decide::admit::direct::{BudgetRules, ColdRules, ConnectionRules};
 use dunlinrock_schema::edge::{EdgeBounds, EdgeSettings};
 
@@ -74,21 +74,11 @@
     pub live: Live,
 }
 
-/// Reads and checks a settings file.
-///
-/// # Errors
-///
-/// Every mistake of the file, with its key and the mend.
-pub fn open(path: &Path) -> anyhow::Result<Settings> {
-    let text = fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
-    parse(&text).with_context(|| format!("settings file {}", path.display()))
-}
-
 /// Checks the text of a settings file.
 ///
 /// # Errors
 ///
-/// As [`open`].
+/// Every mistake of the file, with its key and the mend.
 pub fn parse(text: &str) -> anyhow::Result<Settings> {
     let raw: EdgeSettings = toml::from_str(text)?;
     let mut check = Check::default();
