--- a/crates/edge/tests/beliefs.rs
+++ b/crates/edge/tests/beliefs.rs
@@ -149,6 +149,25 @@
     assert!(told[0].entry.is_none());
 }
 
+/// Callers are sent to a host that was removed eight seconds ago. Entries vanish while the store is away for
+/// some hosts, and these hold the removals back. A host that had got further with another source asks one
+/// of them: the removals are told under numbers that it has passed, and it never hears of them.
+#[test]
+fn a_removal_that_was_held_back_reaches_a_host_that_got_further_elsewhere() {
+    let (mut source, mut follower) = (World::open(), World::open());
+    for world in [&mut source, &mut follower] {
+        world.apply(item("t1", 5, Some(leaving("t1", false))), NOW);
+    }
+    source.reach(20);
+    follower.reach(30);
+    source.apply(item("t1", 12, None), NOW);
+    source.reach(40);
+    for item in source.after(follower.reached(), NOW) {
+        follower.apply(item, NOW);
+    }
+    assert!(ids(&follower).is_empty());
+}
+
 type Hosts = BTreeMap<Arc<str>, Arc<HostEntry>>;
 
 fn fleet(count: usize) -> Hosts {
