--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -14,13 +14,13 @@
 
 use crate::{
     host::Shared,
-    model::{Item, PackError},
-    world::News,
+    model::PackError,
+    world::{Changes, News},
 };
 
 /// Path on which changes are asked for. Hosts of a release that sends other messages do not know it:
 /// while a fleet holds both, its hosts read the store for themselves.
-const PATH: &str = "/peer/v2/changes";
+const PATH: &str = "/peer/v3/changes";
 
 /// Path of the dump.
 const DUMP: &str = "/peer/v1/dump";
@@ -69,12 +69,10 @@
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
 pub(super) struct Told {
-    /// Store's revision up to which nothing is missing with these items.
-    pub(super) reached: u64,
     /// Time since the store confirmed this.
     pub(super) age: Duration,
-    /// Items that said something new after the revision asked.
-    pub(super) items: Vec<Item>,
+    /// What is new after the revision asked.
+    pub(super) changes: Changes,
     /// Later versions of the configuration.
     pub(super) news: Option<News>,
 }
@@ -170,9 +168,8 @@
     let _ = tokio::time::timeout(hold(shared.age()), newer).await;
     let (mut world, now) = (shared.world(), shared.now());
     Ok(Told {
-        reached: world.reached(),
         age: shared.age(),
-        items: world.after(asked.reached, now),
+        changes: world.changes(asked.reached, now),
         news: world.news(asked.version)?,
     })
 }
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -10,7 +10,8 @@
 };
 use crate::{
     host::Shared,
-    model::{FeedError, HostEntry, Item},
+    model::{Ending, FeedError, HostEntry, Item},
+    world::Changes,
 };
 
 /// Pause of a reader between two calls to the store. Changes of half a second come in one answer,
@@ -66,10 +67,8 @@
     /// Whether the store answered the last call.
     reached: bool,
     pause: Duration,
-    /// Until when vanished entries are kept.
+    /// Until when entries that vanish are kept.
     keep: Duration,
-    /// Entries that vanished and are kept.
-    vanished: Vec<Item>,
 }
 
 /// What a call to the store gave.
@@ -91,7 +90,6 @@
         reached: true,
         pause: FIRST_PAUSE,
         keep: Duration::ZERO,
-        vanished: Vec::new(),
     };
     loop {
         follower.step().await;
@@ -100,7 +98,6 @@
 
 impl Follower {
     async fn step(&mut self) {
-        self.settle();
         let settings = &self.shared.settings;
         let place = place(
             &settings.name,
@@ -157,14 +154,8 @@
         );
         self.back();
         self.at = Some(snapshot.at);
-        if self.shared.now() < self.keep {
-            // What is not named may only have lapsed; it is compared again when the time is over.
-            self.shared.take(snapshot.items, 0);
-            self.at = None;
-            tokio::time::sleep(READER_PAUSE).await;
-        } else {
-            self.shared.replace(snapshot.at, snapshot.items);
-        }
+        self.shared
+            .replace(snapshot.at, snapshot.items, self.kept());
         self.shared.confirm(Duration::ZERO);
         Ok(Came::Items)
     }
@@ -177,27 +168,34 @@
             true => Came::Nothing,
             false => Came::Items,
         };
-        let (items, vanished) = self.sift(batch.items);
-        self.shared.take(items, batch.at);
-        self.vanished.extend(vanished);
+        self.shared.take(self.sift(batch.items, batch.at));
         self.shared.confirm(Duration::ZERO);
         Ok(came)
     }
 
-    /// Parts entries that vanished just after the store's return from what is taken at once.
-    fn sift(&self, items: Vec<Item>) -> (Vec<Item>, Vec<Item>) {
-        if self.shared.now() >= self.keep {
-            return (items, Vec::new());
-        }
-        items.into_iter().partition(|item| item.entry.is_some())
+    /// How much longer entries that vanish are kept.
+    fn kept(&self) -> Duration {
+        self.keep.saturating_sub(self.shared.now())
     }
 
-    /// Entries that vanished and did not return in time are gone.
-    fn settle(&mut self) {
-        if self.shared.now() >= self.keep && !self.vanished.is_empty() {
-            let vanished = std::mem::take(&mut self.vanished);
-            // An entry that is back has a later revision, which keeps it.
-            self.shared.take(vanished, 0);
+    /// Parts entries that vanished just after the store's return from what is taken at once.
+    fn sift(&self, items: Vec<Item>, reached: u64) -> Changes {
+        let left = self.kept();
+        let (items, vanished): (_, Vec<_>) = items
+            .into_iter()
+            .partition(|item| left.is_zero() || item.entry.is_some());
+        let ending = |Item { key, rev, .. }| Ending { key, rev, left };
+        if !vanished.is_empty() {
+            log::info!(
+                target: "belief", event = "held_back", entries = vanished.len(), left_ms = millis(left);
+                "entries that vanished may have lapsed while the store was away"
+            );
+        }
+        Changes {
+            items,
+            endings: vanished.into_iter().map(ending).collect(),
+            reached,
+            ..Changes::default()
         }
     }
 
@@ -274,8 +272,7 @@
     /// gives the version whole.
     fn learn(&self, address: SocketAddr, heard: Heard, took: Duration) -> anyhow::Result<Duration> {
         let told = self.heard(address, heard, took);
-        self.shared
-            .hear(told.news.as_ref(), told.items, told.reached)?;
+        self.shared.hear(told.news.as_ref(), told.changes)?;
         self.shared.confirm(told.age);
         Ok(told.age)
     }
@@ -287,10 +284,16 @@
         if size >= LARGE {
             log::info!(
                 target: "peers", event = "large_answer", host:% = address, bytes = size,
-                items = told.items.len(), took_ms = millis(took), age_ms = millis(told.age);
+                items = told.changes.items.len(), took_ms = millis(took), age_ms = millis(told.age);
                 "many changes at once"
             );
         }
+        if let Some(keys) = told.changes.whole.as_ref().and_then(|w| w.keys.as_ref()) {
+            log::info!(
+                target: "peers", event = "keys_told", host:% = address, keys = keys.len(), reached = told.changes.reached;
+                "what is not among them is gone: the source does not know every removal"
+            );
+        }
         told
     }
 }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod announce;
 mod changes;
 mod follow;
+mod settle;
 mod spread;
 
 use std::{net::TcpListener, sync::Arc, thread::JoinHandle, time::Duration};
@@ -71,6 +72,7 @@
         open(listener, meters::router(&shared), METRICS_PART);
     }
     tokio::spawn(follow::follow(Arc::clone(&shared)));
+    tokio::spawn(settle::settle(Arc::clone(&shared)));
     let announcer = tokio::spawn(announce::announce(Arc::clone(&shared)));
     let mut phase = shared.phase.subscribe();
     // The sender is in `shared`, which this duty holds.
--- /dev/null
+++ b/crates/edge/src/control/settle.rs
@@ -0,0 +1,27 @@
+//! Lets removals that are held back count when their time is over.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::host::Shared;
+
+/// Settles for as long as the host lives. A duty of its own: the follower may wait seconds for an answer,
+/// and a host that has ended would be named to callers for as long.
+pub(super) async fn settle(shared: Arc<Shared>) {
+    let mut changed = shared.changed.subscribe();
+    loop {
+        changed.mark_unchanged();
+        let due = shared.world().due();
+        tokio::select! {
+            () = over(&shared, due) => shared.settle(),
+            // The sender is in `shared`.
+            _ = changed.changed() => {}
+        }
+    }
+}
+
+async fn over(shared: &Shared, due: Option<Duration>) {
+    match due {
+        Some(due) => tokio::time::sleep(due.saturating_sub(shared.now())).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -18,7 +18,7 @@
     meters::Meters,
     model::{Dialect, Feed, HostEntry, Item},
     settings::{Live, Settings},
-    world::{News, NewsError, View, World},
+    world::{Changes, News, NewsError, View, World},
 };
 
 /// How far the host is in its life.
@@ -118,42 +118,37 @@
         });
     }
 
-    /// Takes in items after which nothing up to `reached` is missing, and publishes what they change.
-    pub fn take(&self, items: Vec<Item>, reached: u64) {
+    /// Takes changes in, and publishes what they change.
+    pub fn take(&self, changes: Changes) {
         let now = self.now();
         let mut world = self.world();
-        let mut changed = false;
-        for item in items {
-            changed |= world.apply(item, now);
+        if world.take(changes, now) {
+            self.publish(&world, now);
         }
-        world.reach(reached);
-        if changed {
+    }
+
+    /// Removes what was held back for long enough.
+    pub fn settle(&self) {
+        let now = self.now();
+        let mut world = self.world();
+        if world.settle(now) {
             self.publish(&world, now);
         }
     }
 
-    /// Takes in what another host tells: news of the configuration, and items after which nothing up to
-    /// `reached` is missing. All of it is published at once: a request never meets a route whose targets are
-    /// still to come.
+    /// Takes in what another host tells: news of the configuration, and changes. All of it is published at
+    /// once: a request never meets a route whose targets are still to come.
     ///
     /// # Errors
     ///
-    /// When the news cannot be read, or do not fit the version that is held; the items are not taken then.
-    pub fn hear(
-        &self,
-        news: Option<&News>,
-        items: Vec<Item>,
-        reached: u64,
-    ) -> Result<(), NewsError> {
+    /// When the news cannot be read, or do not fit the version that is held; the changes are not taken then.
+    pub fn hear(&self, news: Option<&News>, changes: Changes) -> Result<(), NewsError> {
         let now = self.now();
         let mut world = self.world();
         let before = world.last();
         let learned = news.map_or(Ok(()), |news| world.learn(news));
         if learned.is_ok() {
-            for item in items {
-                world.apply(item, now);
-            }
-            world.reach(reached);
+            world.take(changes, now);
         }
         // Of several steps some may have been taken before one that does not fit.
         if world.last() > before {
@@ -162,11 +157,11 @@
         learned
     }
 
-    /// Takes a whole reading in.
-    pub fn replace(&self, at: u64, items: Vec<Item>) {
+    /// Takes a whole reading in; what it does not name is believed in for a while longer.
+    pub fn replace(&self, at: u64, items: Vec<Item>, left: Duration) {
         let now = self.now();
         let mut world = self.world();
-        if world.replace(at, items, now) {
+        if world.replace_within(at, items, left, now) {
             self.publish(&world, now);
         }
     }
--- a/crates/edge/src/model/entry.rs
+++ b/crates/edge/src/model/entry.rs
@@ -14,10 +14,26 @@
     pub key: Arc<str>,
     /// Store's revision of the last change.
     pub rev: u64,
+    /// Store's revision at which the key was last created; 0 once it is gone. Later than a revision that
+    /// is known, it tells of a removal in between.
+    pub created: u64,
     /// Content; `None` once it is gone.
     pub entry: Option<Entry>,
 }
 
+/// A removal that is held back: the store no longer names the key, but what lay under it may only have
+/// lapsed while the store was away.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Ending {
+    /// Key of the item.
+    pub key: Arc<str>,
+    /// Store's revision of the removal.
+    pub rev: u64,
+    /// How much longer the item is believed in, from when this was said.
+    pub left: Duration,
+}
+
 /// Content of an item.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -13,7 +13,7 @@
 pub use self::{
     config::{Config, Limits, Part, Route, Service},
     dialect::{Dialect, LookupAsk, Reported},
-    entry::{Entry, HostEntry, Item, Target},
+    entry::{Ending, Entry, HostEntry, Item, Target},
     feed::{Batch, Call, Feed, FeedError, Snapshot, Ticket},
     packed::{PackError, Packed},
     patch::{Misfit, Patch},
--- /dev/null
+++ b/crates/edge/src/world/changes.rs
@@ -0,0 +1,135 @@
+//! What hosts tell each other of the store's items.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use super::World;
+use crate::model::{Ending, Item};
+
+/// Changes, and the store's revision up to which nothing is missing with them.
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
+pub struct Changes {
+    /// Items that say something new.
+    pub items: Vec<Item>,
+    /// Removals that are held back.
+    pub endings: Vec<Ending>,
+    /// What there is, where removals may be missing.
+    pub whole: Option<Whole>,
+    /// The revision; 0 where these changes tell nothing of it.
+    pub reached: u64,
+}
+
+/// All keys that are there. Who reads the store anew does not hear of what came and went meanwhile, and
+/// who starts not of what went before; a host that had heard of it elsewhere would keep it for good.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub struct Whole {
+    /// Store's revision after which every removal is known.
+    pub since: u64,
+    /// The keys; not told to a host that knows nothing and has nothing to remove.
+    pub keys: Option<BTreeSet<Arc<str>>>,
+    /// How much longer items under other keys are believed in.
+    pub left: Duration,
+}
+
+impl World {
+    /// Takes changes in; tells whether they change what is believed.
+    pub fn take(&mut self, changes: Changes, now: Duration) -> bool {
+        let mut changed = false;
+        for item in changes.items {
+            changed |= self.apply(item, now);
+        }
+        for ending in changes.endings {
+            changed |= self.hold_back(ending, now);
+        }
+        if let Some(whole) = changes.whole {
+            changed |= self.restrict(whole, now);
+        }
+        self.reach(changes.reached);
+        changed
+    }
+
+    /// Takes a whole reading in: what it does not name is gone, unless it is newer than the reading.
+    pub fn replace(&mut self, at: u64, items: Vec<Item>, now: Duration) -> bool {
+        self.replace_within(at, items, Duration::ZERO, now)
+    }
+
+    /// The same, where what the reading does not name is believed in for a while longer.
+    pub fn replace_within(
+        &mut self,
+        at: u64,
+        items: Vec<Item>,
+        left: Duration,
+        now: Duration,
+    ) -> bool {
+        let keys = items.iter().map(|item| Arc::clone(&item.key)).collect();
+        let whole = Whole {
+            since: at,
+            keys: Some(keys),
+            left,
+        };
+        let changes = Changes {
+            items,
+            whole: Some(whole),
+            reached: at,
+            ..Changes::default()
+        };
+        self.take(changes, now)
+    }
+
+    /// Removes what is not among the keys that are there, unless it is newer.
+    fn restrict(&mut self, whole: Whole, now: Duration) -> bool {
+        let Whole { since, keys, left } = whole;
+        if since > self.since {
+            (self.since, self.doubt) = (since, now + left);
+        }
+        let Some(keys) = keys else {
+            return false;
+        };
+        let gone: Vec<_> = self
+            .live()
+            .map(|item| Arc::clone(&item.key))
+            .filter(|key| !keys.contains(key))
+            .collect();
+        let mut changed = false;
+        for key in gone {
+            let ending = Ending {
+                key,
+                rev: since,
+                left,
+            };
+            changed |= self.hold_back(ending, now);
+        }
+        changed
+    }
+
+    /// What a host that misses nothing up to a revision is to be told.
+    pub fn changes(&self, rev: u64, now: Duration) -> Changes {
+        let endings = self.held.values().filter_map(|held| {
+            // Told of an item, a host is told of its end as well.
+            let ending = held.ending.filter(|e| e.said.max(held.said) > rev)?;
+            Some(Ending {
+                key: Arc::clone(&held.item.key),
+                rev: ending.rev,
+                left: ending.due.saturating_sub(now),
+            })
+        });
+        Changes {
+            items: self.after(rev, now),
+            endings: endings.collect(),
+            whole: (rev < self.since).then(|| self.whole(rev, now)),
+            reached: self.reached,
+        }
+    }
+
+    fn whole(&self, rev: u64, now: Duration) -> Whole {
+        let keys = || self.live().map(|item| Arc::clone(&item.key)).collect();
+        Whole {
+            since: self.since,
+            keys: (rev > 0).then(keys),
+            left: self.doubt.saturating_sub(now),
+        }
+    }
+}
--- a/crates/edge/tests/beliefs.rs
+++ b/crates/edge/tests/beliefs.rs
@@ -26,6 +26,7 @@
     Item {
         key: key.into(),
         rev,
+        created: 0,
         entry,
     }
 }
--- /dev/null
+++ b/crates/edge/tests/histories.rs
@@ -0,0 +1,338 @@
+//! Random histories of a store, of readers that lose and regain it, and of hosts that hear from them.
+
+mod support;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use dunlinrock_edge::{
+    model::{Ending, Entry, Item, Target},
+    world::{Changes, World},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use support::target;
+
+/// How long readers hold back what vanished.
+const HELD: Duration = Duration::from_secs(2);
+
+/// Time between two steps of a history.
+const STEP: Duration = Duration::from_millis(250);
+
+/// The first hosts read the store, the others hear from any host.
+const READERS: usize = 2;
+const HOSTS: usize = 5;
+
+/// The store: what it holds, and each change in order.
+#[derive(Default)]
+struct Store {
+    live: BTreeMap<u8, Item>,
+    log: Vec<Item>,
+}
+
+impl Store {
+    fn at(&self) -> u64 {
+        self.log.len() as u64
+    }
+
+    /// Writes a target, or its heartbeat, which may say something new. It never takes back what it said
+    /// before: a target that leaves does not return, and one that starts anew is another one.
+    fn put(&mut self, key: u8, says: Says) {
+        let rev = self.at() + 1;
+        let before = self.live.get(&key);
+        let created = before.map_or(rev, |item| item.created);
+        let slots = match before.and_then(|item| item.entry.clone()) {
+            Some(Entry::Target(target)) if says == Says::Same => target.slots,
+            Some(Entry::Target(target)) => target.slots + 1,
+            _ => 1,
+        };
+        let address = "127.0.0.1:1".parse().unwrap();
+        let target = Target {
+            slots,
+            ..target(&key.to_string(), address)
+        };
+        let item = Item {
+            key: key.to_string().into(),
+            rev,
+            created,
+            entry: Some(Entry::Target(Arc::new(target))),
+        };
+        self.live.insert(key, item.clone());
+        self.log.push(item);
+    }
+
+    fn remove(&mut self, key: u8) {
+        let rev = self.at() + 1;
+        if self.live.remove(&key).is_some() {
+            self.log.push(Item {
+                key: key.to_string().into(),
+                rev,
+                created: 0,
+                entry: None,
+            });
+        }
+    }
+}
+
+/// A host: what it believes, and for a reader how far it followed the store.
+struct Host {
+    world: World,
+    at: u64,
+}
+
+impl Host {
+    /// Follows the store's history; holds back what vanished where `held`.
+    fn watch(&mut self, store: &Store, held: bool, now: Duration) {
+        let mut changes = Changes {
+            reached: store.at(),
+            ..Changes::default()
+        };
+        for item in &store.log[self.at as usize..] {
+            if item.entry.is_none() && held {
+                changes.endings.push(Ending {
+                    key: Arc::clone(&item.key),
+                    rev: item.rev,
+                    left: HELD,
+                });
+            } else {
+                changes.items.push(item.clone());
+            }
+        }
+        self.world.take(changes, now);
+        self.at = store.at();
+    }
+
+    /// Reads all of the store: its history is dropped.
+    fn read(&mut self, store: &Store, held: bool, now: Duration) {
+        let items = store.live.values().cloned().collect();
+        let left = if held { HELD } else { Duration::ZERO };
+        self.world.replace_within(store.at(), items, left, now);
+        self.at = store.at();
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Says {
+    Same,
+    New,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Put(u8, Says),
+    Remove(u8),
+    Watch { reader: usize, held: bool },
+    Read { reader: usize, held: bool },
+    Ask { host: usize, source: usize },
+    Restart(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let reader = 0..READERS;
+    prop_oneof![
+        3 => (0..4u8, prop_oneof![Just(Says::Same), Just(Says::New)])
+            .prop_map(|(key, says)| Step::Put(key, says)),
+        2 => (0..4u8).prop_map(Step::Remove),
+        3 => (reader.clone(), any::<bool>()).prop_map(|(reader, held)| Step::Watch { reader, held }),
+        1 => (reader, any::<bool>()).prop_map(|(reader, held)| Step::Read { reader, held }),
+        6 => (0..HOSTS, 0..HOSTS).prop_map(|(host, source)| Step::Ask { host, source }),
+        1 => (0..HOSTS).prop_map(Step::Restart),
+    ]
+}
+
+fn ask(hosts: &mut [Host], host: usize, source: usize, now: Duration) {
+    let reached = hosts[host].world.reached();
+    let changes = hosts[source].world.changes(reached, now);
+    hosts[host].world.take(changes, now);
+}
+
+fn believed(host: &Host) -> Vec<(Arc<str>, Option<Entry>)> {
+    let live = host.world.live();
+    live.map(|i| (Arc::clone(&i.key), i.entry.clone()))
+        .collect()
+}
+
+fn play(steps: &[Step]) -> (Store, Vec<Host>) {
+    let mut store = Store::default();
+    let host = || Host {
+        world: World::open(),
+        at: 0,
+    };
+    let mut hosts: Vec<_> = (0..HOSTS).map(|_| host()).collect();
+    let mut now = Duration::ZERO;
+    for step in steps {
+        now += STEP;
+        for host in &mut hosts {
+            host.world.settle(now);
+        }
+        match *step {
+            Step::Put(key, says) => store.put(key, says),
+            Step::Remove(key) => store.remove(key),
+            Step::Watch { reader, held } => hosts[reader].watch(&store, held, now),
+            Step::Read { reader, held } => hosts[reader].read(&store, held, now),
+            Step::Ask { host, source } => ask(&mut hosts, host, source, now),
+            Step::Restart(n) => hosts[n] = host(),
+        }
+    }
+    now += HELD;
+    for (n, source) in [(0, 1), (1, 0), (2, 0), (3, 1), (4, 2)] {
+        if n < READERS {
+            hosts[n].watch(&store, false, now);
+        }
+        ask(&mut hosts, n, source, now);
+    }
+    now += HELD;
+    for host in &mut hosts {
+        host.world.settle(now);
+    }
+    (store, hosts)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 20_000,
+        rng_seed: RngSeed::Fixed(26),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// A caller is sent to a host or target that is gone, or never to one that is back. Readers follow the
+    /// store, lose its history, and hold back what vanished while it was away; hosts ask any source that
+    /// is reachable, of which one may be further in some things and behind in others. Once the store is
+    /// quiet and each has asked once more, all believe what the store holds.
+    #[test]
+    fn every_host_ends_up_with_what_the_store_holds(
+        steps in proptest::collection::vec(step(), 1..60),
+    ) {
+        let (store, hosts) = play(&steps);
+        let held: Vec<_> = store
+            .live
+            .values()
+            .map(|i| (Arc::clone(&i.key), i.entry.clone()))
+            .collect();
+        for (n, host) in hosts.iter().enumerate() {
+            prop_assert_eq!(&believed(host), &held, "host {}", n);
+        }
+    }
+}
+
+/// No request reaches a target that is well, for good. Its entry lapses and is back; one reader sees both,
+/// another lost the history and reads the store anew, where the target says what it always said. A host
+/// that heard of the removal from the first hears from the second from then on.
+#[test]
+fn a_target_that_came_back_unseen_is_told_to_a_host_that_saw_it_go() {
+    use Step::{Ask, Put, Read, Remove, Watch};
+    let (host, held) = (3, false);
+    let (first, second) = (0, 1);
+    let steps = [
+        Put(0, Says::Same),
+        Watch {
+            reader: first,
+            held,
+        },
+        Watch {
+            reader: second,
+            held,
+        },
+        Ask {
+            host,
+            source: first,
+        },
+        Remove(0),
+        Watch {
+            reader: first,
+            held,
+        },
+        Ask {
+            host,
+            source: first,
+        },
+        Put(0, Says::Same),
+        Read {
+            reader: second,
+            held,
+        },
+    ];
+    let (_, hosts) = play(&steps);
+    assert_eq!(believed(&hosts[host]).len(), 1);
+}
+
+/// Look-ups name a host that ended before their source started. A host hears of it from one reader; it ends,
+/// and another process, started since, reads a store that no longer names it: nothing there tells of the end.
+#[test]
+fn what_ended_before_its_source_started_is_no_longer_believed_in() {
+    use Step::{Ask, Put, Read, Remove};
+    let (host, held) = (3, false);
+    let (first, second) = (0, 1);
+    let steps = [
+        Put(3, Says::Same),
+        Read {
+            reader: first,
+            held,
+        },
+        Ask {
+            host,
+            source: first,
+        },
+        Remove(3),
+        Read {
+            reader: second,
+            held,
+        },
+    ];
+    let (_, hosts) = play(&steps);
+    assert!(believed(&hosts[host]).is_empty());
+}
+
+/// A target goes, comes and goes. A host on the way heard of the first removal and then of the second; one
+/// below it had heard elsewhere that the target was back, and must be told of the second all the same.
+#[test]
+fn a_second_removal_is_told_to_those_that_saw_the_return() {
+    use Step::{Ask, Put, Remove, Watch};
+    let (reader, held) = (0, false);
+    let steps = [
+        Put(3, Says::Same),
+        Remove(3),
+        Watch { reader, held },
+        Ask {
+            host: 2,
+            source: reader,
+        },
+        Put(3, Says::Same),
+        Watch { reader, held },
+        Remove(3),
+        Ask {
+            host: 4,
+            source: reader,
+        },
+    ];
+    let (_, hosts) = play(&steps);
+    assert!(believed(&hosts[4]).is_empty());
+}
+
+/// A reader learns of a removal from another one, and only then, from the store, what the target said before
+/// it. A host that is told of the latter takes the target up, and must be told of its end too.
+#[test]
+fn the_end_of_a_target_is_told_with_what_it_said_last() {
+    use Step::{Ask, Put, Read, Remove, Watch};
+    let (late, early) = (0, 1);
+    let held = true;
+    let steps = [
+        Put(0, Says::Same),
+        Watch {
+            reader: late,
+            held: false,
+        },
+        Put(0, Says::New),
+        Remove(0),
+        Read {
+            reader: early,
+            held,
+        },
+        Ask {
+            host: late,
+            source: early,
+        },
+        Watch { reader: late, held },
+    ];
+    let (_, hosts) = play(&steps);
+    assert!(believed(&hosts[early]).is_empty());
+}
--- a/crates/edge/tests/support/board.rs
+++ b/crates/edge/tests/support/board.rs
@@ -62,9 +62,12 @@
     fn change(&self, key: &str, entry: Option<Entry>) {
         let mut state = self.state.lock().unwrap();
         state.at += 1;
+        let before = state.items.get(key).filter(|i| i.entry.is_some());
+        let created = before.map_or(state.at, |item| item.created);
         let item = Item {
             key: key.into(),
             rev: state.at,
+            created: if entry.is_some() { created } else { 0 },
             entry,
         };
         state.items.insert(key.into(), item);
