--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -20,8 +20,16 @@
     block_on(async {
         // Before the host starts: a signal during the start must begin a planned stop too.
         let mut signals = Signals::open()?;
-        let host = Host::spawn(settings)?;
-        signals.next().await;
+        let mut host = Host::spawn(settings.clone())?;
+        loop {
+            let earlier = tokio::select! {
+                () = signals.next() => break,
+                earlier = host.outnumbered() => earlier,
+            };
+            let ended = tokio::task::spawn_blocking(|| host.wait());
+            ended.await.map_err(anyhow::Error::from)??;
+            host = Host::succeed(settings.clone(), earlier)?;
+        }
         log::info!("planned stop begins; a second signal ends the host at once");
         host.leave();
         let (tell, ended) = oneshot::channel();
--- a/crates/coord/src/member/mod.rs
+++ b/crates/coord/src/member/mod.rs
@@ -104,6 +104,11 @@
         /// The later incarnation.
         incarnation: u64,
     },
+    /// An earlier process of this name had a higher incarnation; this one must begin anew above it.
+    Outnumbered {
+        /// The earlier process's.
+        incarnation: u64,
+    },
 }
 
 /// A membership of one host.
@@ -155,6 +160,8 @@
     last_tick: Duration,
     /// Since when other hosts are asked; `None` once one has answered.
     asking: Option<Duration>,
+    /// Whether this host has ever caught up.
+    joined: bool,
     /// Counts up with each ask, to ask others in turn; begins at a place of the host's own, as hosts
     /// started together would all ask the same one.
     turn: usize,
@@ -240,6 +247,7 @@
             differs: BTreeMap::new(),
             last_tick: now,
             asking: Some(now),
+            joined: false,
             turn: place as usize,
             listed: false,
             superseded: None,
@@ -328,16 +336,27 @@
     }
 
     /// Notes another process under this host's name.
+    ///
+    /// Incarnations come from the time of day. Where it was set back, or stood ahead when the earlier
+    /// process started, the later one has the lower number: all others take it for the old one, tell it to
+    /// stop, and the host is out of service until the clock is past the earlier start. A process that has
+    /// not joined yet has only just started, so what is known of its name is of an earlier one. One that
+    /// was paused and replaced had joined before.
     fn other_me(&mut self, incarnation: u64, out: &mut Vec<Action>) {
-        if incarnation > self.superseded.unwrap_or(self.me.incarnation) {
-            self.superseded = Some(incarnation);
-            out.push(Action::Superseded { incarnation });
-            out.push(Action::CaughtUp(false));
+        if incarnation <= self.superseded.unwrap_or(self.me.incarnation) {
+            return;
         }
+        self.superseded = Some(incarnation);
+        out.push(match self.joined {
+            true => Action::Superseded { incarnation },
+            false => Action::Outnumbered { incarnation },
+        });
+        out.push(Action::CaughtUp(false));
     }
 
     fn heard_from_others(&mut self, out: &mut Vec<Action>) {
         if self.asking.take().is_some() && self.superseded.is_none() {
+            self.joined = true;
             out.push(Action::CaughtUp(true));
         }
     }
--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -183,6 +183,29 @@
     assert_eq!(fleet.seen("host-01-01"), only(HostState::Serving));
 }
 
+// The operators see: a restarted host that stays out of service. The clock of its machine stood ahead when
+// the earlier process started and is right again, or was set back since: the later process has the lower
+// number, and all others take it for the earlier one. It has only just started, and must not stop for that.
+#[test]
+fn a_restarted_host_whose_clock_was_set_back_begins_anew() {
+    let mut fleet = settled(6, 2);
+    let replace = |fleet: &mut Fleet, incarnation| {
+        fleet.start(1, 1, incarnation);
+        fleet.send_listing();
+        fleet.run(SETTLE);
+    };
+    replace(&mut fleet, 9);
+    replace(&mut fleet, 2);
+    let log = &fleet.node("host-01-01").log;
+    let told = |action: Action| log.iter().any(|(_, one)| *one == action);
+    assert!(told(Action::Outnumbered { incarnation: 9 }), "{log:?}");
+    assert!(!told(Action::Superseded { incarnation: 9 }), "{log:?}");
+    assert!(!told(Action::CaughtUp(true)), "{log:?}");
+    replace(&mut fleet, 10);
+    assert!(fleet.node("host-01-01").member.caught_up());
+    assert_eq!(fleet.seen("host-01-01"), only(HostState::Serving));
+}
+
 // A region is cut off for minutes, then reached again. Each side sees the other's domains silent
 // and keeps its own; afterwards all is as before, without a restart.
 #[test]
--- a/crates/node/src/duties/control/mod.rs
+++ b/crates/node/src/duties/control/mod.rs
@@ -54,7 +54,9 @@
             Some(result) = done.recv() => control.done(result),
             Some(input) = inputs.recv() => control.input(input),
         }
-        if let Some(drain) = control.ended() {
+        // Nobody was served, so that there is nothing to drain.
+        let outnumbered = shared.outnumbered.borrow().map(|_| Duration::ZERO);
+        if let Some(drain) = control.ended().or(outnumbered) {
             return Ending { drain };
         }
     }
--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -272,6 +272,13 @@
                         self.steering.restart();
                     }
                 }
+                member::Action::Outnumbered { incarnation } => {
+                    log::warn!(
+                        incarnation = self.shared.me.incarnation, earlier = incarnation;
+                        "an earlier process of this host has the higher number, by its clock; begun anew"
+                    );
+                    self.shared.outnumbered.send_replace(Some(incarnation));
+                }
                 member::Action::Superseded { incarnation } => {
                     log::error!(incarnation = incarnation; "another process has this host's name");
                     self.begin_leaving();
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -60,12 +60,21 @@
     ///
     /// When an address of the settings is malformed or cannot be bound, or a thread does not start.
     pub fn spawn(settings: Settings) -> anyhow::Result<Host> {
+        Host::succeed(settings, 0)
+    }
+
+    /// The same, with an incarnation above that of an earlier process.
+    ///
+    /// # Errors
+    ///
+    /// As [`Host::spawn`].
+    pub fn succeed(settings: Settings, earlier: u64) -> anyhow::Result<Host> {
         let callers = listen::bind("callers", &settings.callers)?;
         let peers = listen::bind("peers", &settings.peers)?;
         let clock = Clock::open();
         let me = Member {
             name: Arc::clone(&settings.name),
-            incarnation: incarnation(),
+            incarnation: incarnation().max(earlier.saturating_add(1)),
             region: Arc::clone(&settings.region),
             domain: Arc::clone(&settings.domain),
             callers: callers.local_addr().context("the callers' address")?,
@@ -97,6 +106,7 @@
             meters: Meters::default(),
             fence,
             published: watch::channel(0).0,
+            outnumbered: watch::channel(None).0,
             pools,
             ledger: ledger.sender,
             epoch: ledger.epoch,
@@ -164,6 +174,19 @@
         &self.shared
     }
 
+    /// Waits until an earlier process of this name turns out to have the higher incarnation, which it gives.
+    /// The host serves nobody then and ends by itself; [`Host::succeed`] takes its place after
+    /// [`Host::wait`].
+    pub async fn outnumbered(&self) -> u64 {
+        let mut outnumbered = self.shared.outnumbered.subscribe();
+        let earlier = outnumbered.wait_for(Option::is_some).await;
+        // The sender lives as long as the host.
+        earlier
+            .ok()
+            .and_then(|earlier| *earlier)
+            .unwrap_or_default()
+    }
+
     /// Begins a planned stop: others are told at once, cached look-ups are honoured until they have
     /// expired, requests in flight end, records are handed on.
     pub fn leave(&self) {
@@ -230,7 +253,8 @@
 }
 
 /// A number that no earlier process of this name had: the time, then random bits. The time makes a
-/// later process's number the higher one, which is how other hosts tell which of two is the newer.
+/// later process's number the higher one, which is how other hosts tell which of two is the newer; where
+/// clocks jump it may be the lower one, and the process begins anew above the earlier one.
 fn incarnation() -> u64 {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -84,6 +84,38 @@
     }
 }
 
+// The operators see: a restarted host that serves. Order: it started while its machine's clock stood ahead,
+// and starts again with the clock set right. All others know the higher number for the newer process and
+// tell the new one to stop; it had not served anybody yet, ends by itself and begins anew above that number.
+#[tokio::test]
+async fn a_host_that_starts_again_after_its_clock_was_set_back_serves() {
+    let mut d = Deployment::open("cursuri", Duration::ZERO);
+    d.start().await;
+    let settings = d.settings("again", "cluj-a");
+    let ahead = Host::succeed(settings.clone(), u64::MAX >> 1).expect("the host starts");
+    ahead
+        .until(|view| view.ready && view.members.len() > 1)
+        .await;
+    for host in &d.hosts {
+        host.until(|view| view.members.contains_key("again")).await;
+    }
+    ahead.leave();
+    let end = |host: Host| tokio::task::spawn_blocking(|| host.wait());
+    end(ahead).await.expect("no panic").expect("the duties end");
+    let back = Host::spawn(settings.clone()).expect("the host starts");
+    let earlier = back.outnumbered().await;
+    end(back).await.expect("no panic").expect("the duties end");
+    let anew = Host::succeed(settings, earlier).expect("the host starts");
+    anew.until(|view| view.ready).await;
+    let number = anew.shared().me.incarnation;
+    for host in &d.hosts {
+        let seen = host.until(|view| view.incarnations.contains_key(&number));
+        tokio::time::timeout(common::LONG, seen)
+            .await
+            .expect("the host is no member");
+    }
+}
+
 // The callers see: their answers. Order: a search and a payment are at targets when the host is
 // asked to stop; it takes no new work, waits for both, and ends.
 #[tokio::test]
