--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -60,8 +60,8 @@
 struct Follower {
     shared: Arc<Shared>,
     client: Client,
-    /// Revision of the store that is contained in what is believed, if it was read.
-    at: Option<u64>,
+    /// Whether the store dropped the history after what is believed: all of it is read.
+    dropped: bool,
     /// Until when hosts that did not answer are passed over.
     silent: BTreeMap<SocketAddr, Duration>,
     /// Whether the store answered the last call.
@@ -85,7 +85,7 @@
     let mut follower = Follower {
         client: Client::open_from(Some(peers.ip()), ANSWER_BYTES),
         shared,
-        at: None,
+        dropped: false,
         silent: BTreeMap::new(),
         reached: true,
         pause: FIRST_PAUSE,
@@ -109,15 +109,16 @@
         if !is_reader || !self.reached {
             let followed = self.ask_any(&place.sources).await;
             if followed && !is_reader {
-                // From here on the store's own history is not followed.
-                self.at = None;
                 return;
             }
         }
         let start = self.shared.now();
-        let result = match self.at {
-            None => self.read().await,
-            Some(at) => self.wait(at).await,
+        // What other hosts told goes up to a revision of the store as well. Read from the beginning
+        // each time that its sources fail, the store would answer with all items instead of some.
+        let at = self.shared.world().reached();
+        let result = match at == 0 || self.dropped {
+            true => self.read().await,
+            false => self.wait(at).await,
         };
         match result {
             // The wait stood for the pause, unless the answer came at once.
@@ -153,7 +154,7 @@
             "everything was read"
         );
         self.back();
-        self.at = Some(snapshot.at);
+        self.dropped = false;
         self.shared
             .replace(snapshot.at, snapshot.items, self.kept());
         self.shared.confirm(Duration::ZERO);
@@ -163,7 +164,6 @@
     async fn wait(&mut self, at: u64) -> Result<Came, FeedError> {
         let batch = (self.shared.feed.wait)((at, WAIT)).await?;
         self.back();
-        self.at = Some(batch.at);
         let came = match batch.items.is_empty() {
             true => Came::Nothing,
             false => Came::Items,
@@ -203,7 +203,7 @@
         match error {
             FeedError::Dropped => {
                 log::info!(target: "store", event = "history_dropped"; "read anew");
-                self.at = None;
+                self.dropped = true;
             }
             _ => {
                 if std::mem::replace(&mut self.reached, false) {
--- a/crates/edge/tests/beliefs.rs
+++ b/crates/edge/tests/beliefs.rs
@@ -428,6 +428,42 @@
     assert!(other.count() > 0, "it was asked");
 }
 
+/// The hosts that this one hears from are gone. It goes on with the store from the revision that they told it
+/// up to; were it to read the whole store instead, callers' answers on its link would wait behind that, and
+/// hosts that hear from it would have to be told all keys again.
+#[test]
+fn a_host_whose_sources_are_gone_does_not_read_everything_again() {
+    let board = Board::open();
+    board.put("config", Entry::Config(Arc::new(config(1))));
+    let reader = Host::spawn(settings(), board.feed(), dialect()).unwrap();
+    until(|| reader.shared().is_ready() && !reader.shared().view.load().hosts.is_empty());
+    let settings = Settings {
+        name: "h2".into(),
+        ..settings()
+    };
+    let (waits, reads) = (Count::default(), Count::default());
+    let feed = counted(board.feed_unlisted(), &reads, &waits);
+    let follower = Host::spawn(settings, feed, dialect()).unwrap();
+    until(|| follower.shared().is_ready());
+    board.put("t1", leaving("t1", false));
+    let knows = |id: &str| {
+        let view = follower.shared().view.load();
+        let mut targets = view.services.values().flatten();
+        targets.any(|k| &*k.target.id == id)
+    };
+    until(|| knows("t1"));
+    assert_eq!(
+        (count(&reads), count(&waits)),
+        (1, 0),
+        "it hears from the reader"
+    );
+    board.remove("host");
+    until(|| count(&waits) > 0);
+    board.put("t2", leaving("t2", false));
+    until(|| knows("t2"));
+    assert_eq!(count(&reads), 1, "readings of the whole store");
+}
+
 type Count = Arc<AtomicUsize>;
 
 fn count(counter: &Count) -> usize {
