--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -4,7 +4,7 @@
 
 use dunlinrock_node::{
     clock::millis,
-    wire::{Client, Failure, Flow},
+    wire::{Client, Failure, Flow, PackError, pack, unpack},
 };
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -14,7 +14,6 @@
 
 use crate::{
     host::Shared,
-    model::PackError,
     world::{Changes, News},
 };
 
@@ -84,10 +83,8 @@
     Call(#[from] Failure),
     #[error("status {0}")]
     Status(StatusCode),
-    #[error("unreadable: {0}")]
-    Unreadable(#[from] rmp_serde::decode::Error),
-    #[error("cannot be encoded: {0}")]
-    Unsent(#[from] rmp_serde::encode::Error),
+    #[error(transparent)]
+    Pack(#[from] PackError),
     #[error(transparent)]
     Unasked(#[from] http::Error),
 }
@@ -106,7 +103,7 @@
     address: SocketAddr,
     asked: &Asked,
 ) -> Result<Heard, AskError> {
-    let body = rmp_serde::to_vec_named(asked)?;
+    let body = pack(asked)?;
     let flow = Flow {
         head: HOLD + SLACK,
         pause: PAUSE,
@@ -118,7 +115,7 @@
         return Err(AskError::Status(answer.status));
     }
     Ok(Heard {
-        told: rmp_serde::from_slice(&answer.body)?,
+        told: unpack(&answer.body)?,
         size: answer.body.len(),
     })
 }
@@ -142,13 +139,11 @@
         Ok(body) => body,
         Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
     };
-    let asked: Asked = match rmp_serde::from_slice(&body) {
+    let asked: Asked = match unpack(&body) {
         Ok(asked) => asked,
         Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
     };
-    let encoded = tell(shared, asked)
-        .await
-        .and_then(|told| Ok(rmp_serde::to_vec_named(&told)?));
+    let encoded = tell(shared, asked).await.and_then(|told| pack(&told));
     match encoded {
         Ok(bytes) => {
             shared.meters.add("peer_out_bytes", bytes.len());
--- a/crates/edge/src/model/entry.rs
+++ b/crates/edge/src/model/entry.rs
@@ -14,10 +14,10 @@
     pub key: Arc<str>,
     /// Store's revision of the last change.
     pub rev: u64,
-    /// Store's revision at which the key was last created; 0 once it is gone. Later than a revision that
+    /// Store's revision at which the key was last created; 0 once it is removed. Later than a revision that
     /// is known, it tells of a removal in between.
     pub created: u64,
-    /// Content; `None` once it is gone.
+    /// Content; `None` once it is removed, or where it names nobody.
     pub entry: Option<Entry>,
 }
 
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -15,6 +15,6 @@
     dialect::{Dialect, LookupAsk, Reported},
     entry::{Ending, Entry, HostEntry, Item, Target},
     feed::{Batch, Call, Feed, FeedError, Snapshot, Ticket},
-    packed::{PackError, Packed},
+    packed::Packed,
     patch::{Misfit, Patch},
 };
--- a/crates/edge/src/world/versions.rs
+++ b/crates/edge/src/world/versions.rs
@@ -2,9 +2,10 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
+use dunlinrock_node::wire::PackError;
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Config, Misfit, PackError, Packed, Patch};
+use crate::model::{Config, Misfit, Packed, Patch};
 
 /// Patches that are kept. A host that asks every quarter of a second is rarely more than one behind; one
 /// that was cut off while a dozen versions came in quick succession still needs no whole one.
--- a/crates/edge/tests/beliefs.rs
+++ b/crates/edge/tests/beliefs.rs
@@ -95,6 +95,22 @@
     assert!(world.apply(item("t1", 3, Some(leaving("t1", true))), NOW));
 }
 
+/// An entry that cannot be read is written again and again. Were each time a change, every host would be told
+/// of it, for as long as the writer lives.
+#[test]
+fn an_entry_that_names_nobody_is_no_change_when_it_is_repeated() {
+    let broken = |rev| Item {
+        created: 1,
+        ..item("t1", rev, None)
+    };
+    let mut world = World::open();
+    assert!(world.apply(item("t1", 1, Some(leaving("t1", false))), NOW));
+    assert!(world.apply(broken(2), NOW));
+    let number = world.last();
+    assert!(!world.apply(broken(3), NOW));
+    assert_eq!(world.last(), number);
+}
+
 /// A target says that it is cold for three seconds more. A host that hears of it a second later, from
 /// another host, must not take it for cold a second longer than it is.
 #[test]
--- a/crates/node/src/duties/control/peering.rs
+++ b/crates/node/src/duties/control/peering.rs
@@ -7,13 +7,16 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use dunlinrock_coord::member::{Host, HostState, Me, Membership, Timings};
+use dunlinrock_coord::{
+    member::{Host, HostState, Me, Membership, Timings},
+    once::named_epoch,
+};
 use dunlinrock_schema::{
     coord::{Message, SyncAsk},
     settings::TimingSettings,
 };
 
-use crate::{clock::millis, host::INCARNATION_BITS, view::Member};
+use crate::{host::INCARNATION_BITS, view::Member};
 
 /// Times of the membership, from the settings; the rest as the coordination crate chose them.
 pub(super) fn timings(timing: &TimingSettings) -> Timings {
@@ -90,19 +93,14 @@
     })
 }
 
-/// An epoch of another host's ledger that is surely begun and, for a while yet, held.
-///
-/// The start of an incarnation is written in its number, so no message has to carry epochs. The
-/// epoch before the one that the clocks give is taken: clocks that differ by less than an epoch
-/// then never name one that has not begun, and of the three epochs held one or two are left. A
-/// clock that is wrong by more costs a refused key and a new look-up, never a second run.
+/// An epoch of another host's ledger to bind keys to. The start of an incarnation is written in its number,
+/// so no message has to carry epochs.
 pub(super) fn epoch(incarnation: u64, epoch_ms: u64) -> u64 {
-    let started = incarnation >> INCARNATION_BITS;
+    let started = Duration::from_millis(incarnation >> INCARNATION_BITS);
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    let now = millis(now);
-    (now.saturating_sub(started) / epoch_ms.max(1)).saturating_sub(1)
+    named_epoch(started, now, Duration::from_millis(epoch_ms))
 }
 
 /// Name of the host that a message says it is from.
--- a/crates/node/src/wire/pack.rs
+++ b/crates/node/src/wire/pack.rs
@@ -1,5 +1,7 @@
 //! Bodies between hosts: `MessagePack` with field names, so that a newer host may add a field.
 
+use std::io;
+
 use bytes::Bytes;
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -15,6 +17,9 @@
     /// A frame is not a head and a body.
     #[error("reading a frame from another host: {0}")]
     Frame(&'static str),
+    /// A value cannot be compressed, or its compression is broken.
+    #[error("compressing or uncompressing a message: {0}")]
+    Compression(#[from] io::Error),
 }
 
 /// Encodes a message.
--- a/crates/once/src/ledger/mod.rs
+++ b/crates/once/src/ledger/mod.rs
@@ -306,3 +306,16 @@
         record.waiters.push(waiter);
     }
 }
+
+/// An epoch of another host's ledger that is surely begun and, for a while yet, held, given the times of day
+/// of its start and of now.
+///
+/// The epoch before the one that the clocks give is taken: clocks that differ or jump by less than an epoch
+/// then never name one that has not begun, and of the three epochs held one or two are left. A clock that
+/// is wrong by more costs a refused key and a new look-up, never a second run.
+#[must_use]
+pub fn named_epoch(started: Duration, now: Duration, length: Duration) -> u64 {
+    let lived = now.saturating_sub(started).as_nanos();
+    let epoch = lived / length.as_nanos().max(1);
+    u64::try_from(epoch).unwrap_or(u64::MAX).saturating_sub(1)
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -41,6 +41,6 @@
     attempts::{Attempts, AttemptsError},
     dunlinrock_schema::once::Message,
     key::{Key, KeyError, NONCE_MAX, Seat},
-    ledger::{Counts, Ledger},
+    ledger::{Counts, Ledger, named_epoch},
     limits::{Faults, Limits},
 };
