--- a/crates/node/src/run/keyed.rs
+++ b/crates/node/src/run/keyed.rs
@@ -19,6 +19,10 @@
 /// Retry hint when the ledger's queue is full; it empties within milliseconds.
 const FULL_QUEUE_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry hint for a key that will not run. A new key may be sent at once: the next look-up names
+/// other hosts if those of the key are leaving or silent.
+const NEW_KEY_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Cancels an attempt in the ledger when dropped while armed: it no longer waits for the result.
 struct CancelGuard<'a> {
     shared: &'a Shared,
@@ -200,10 +204,13 @@
         RunStatus::Unknown => Run::Unknown,
         RunStatus::Yes => Run::Yes,
     };
+    // The request itself is valid. Without a hint, callers would take the refusal for final.
+    let allows_new_key =
+        run == Run::No && matches!(reason, RefusalReason::Closed | RefusalReason::Stopping);
     CallError {
         kind,
         run,
         detail: detail.into(),
-        retry_after,
+        retry_after: retry_after.or(allows_new_key.then_some(NEW_KEY_RETRY_AFTER)),
     }
 }
--- a/crates/node/tests/host_crash.rs
+++ b/crates/node/tests/host_crash.rs
@@ -165,6 +165,18 @@
     assert!(d.runs().values().all(|runs| *runs == 1), "{:?}", d.runs());
 }
 
+// The witness is paused, so the owner closes the key and answers `run: no`. The request itself is
+// valid, so the caller must be told when to send it under a new key: without that it gives up.
+#[tokio::test]
+async fn a_key_whose_claim_was_not_answered_may_be_replaced_by_a_new_one() {
+    let (d, remote) = pair(Duration::ZERO).await;
+    let (key, owner, _) = bind(&d, false).await;
+    remote.signal("STOP");
+    let told = problem(&d.post(owner, PATH, &key, FIRST_ATTEMPT).await);
+    assert_eq!((kind(&told), told.run), ("key-refused", Run::No));
+    assert!(told.retry_after_ms.is_some(), "{told:?}");
+}
+
 // The witness is paused, so the owner's claim is not answered, and the owner closes the key after
 // the claim timeout and answers `run: no`. The witness resumes and grants a claim that no request
 // waits for any more. The late grant must not start the request, since the caller was told that it
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -4,8 +4,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use common::{Deployment, FIRST_ATTEMPT, wait_until};
+use common::{Deployment, FIRST_ATTEMPT, kind, problem, wait_until};
 use dunlinrock_node::Host;
+use dunlinrock_schema::api::Run;
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 const PATH: &str = "/v1/call/records/pay/7";
@@ -124,6 +125,45 @@
     }
 }
 
+// A host that is stopping waits for a payment and gets new keys from callers with old look-ups. It
+// refuses them as not run. The callers must be told when to send new keys: without that they give up.
+#[tokio::test]
+async fn a_key_refused_by_a_stopping_host_may_be_replaced_by_a_new_one() {
+    let mut d = Deployment::open("cursuri", Duration::from_secs(2));
+    d.start().await;
+    let bound = d.binding("records").await;
+    let host = take(&mut d, bound.owner);
+    let d = Arc::new(d);
+    host.start_shutdown();
+    let ended = tokio::task::spawn_blocking(|| host.wait());
+    let mut payments = tokio::task::JoinSet::new();
+    let refused = loop {
+        let (d, key) = (
+            Arc::clone(&d),
+            format!("{}.n{}", bound.prefix, payments.len()),
+        );
+        let owner = bound.owner;
+        payments.spawn(async move { d.post(owner, PATH, &key, FIRST_ATTEMPT).await });
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let done = payments
+            .try_join_next()
+            .map(|answer| answer.expect("no panic"));
+        if let Some(answer) = done.filter(|answer| answer.status != 200) {
+            break problem(&answer);
+        }
+    };
+    assert_eq!(
+        (kind(&refused), refused.run),
+        ("not-ready", Run::No),
+        "{refused:?}"
+    );
+    assert!(refused.retry_after_ms.is_some(), "{refused:?}");
+    while let Some(answer) = payments.join_next().await {
+        answer.expect("no panic");
+    }
+    ended.await.expect("no panic").expect("the workers end");
+}
+
 // A search and a payment run at targets when the host shuts down. The host accepts no new requests,
 // waits for both to finish, and both callers get their responses.
 #[tokio::test]
