--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -444,7 +444,7 @@
         let mut grants = self.steering.grants(now);
         for (ask, reply) in std::mem::take(&mut self.waiting) {
             let lent = grants.remove(&ask.name).unwrap_or_default();
-            let give = self.steering.answer(ask.all, lent);
+            let give = self.steering.answer(&ask, lent);
             // The requester may have stopped waiting.
             let _ = reply.send(Reply::Frame(coord_wire::encode(&give)));
         }
--- a/crates/node/src/duties/control/steering.rs
+++ b/crates/node/src/duties/control/steering.rs
@@ -426,9 +426,12 @@
     }
 
     /// Returns the response to a host's request.
-    pub(super) fn answer(&self, all: bool, lent: Vec<Lent>) -> SteerGive {
-        let mut shares = self.shares.table();
-        if !all {
+    pub(super) fn answer(&self, ask: &SteerAsk, lent: Vec<Lent>) -> SteerGive {
+        let mut shares = match ask.region == self.me.region {
+            true => self.shares.table(),
+            false => self.shares.table_for(&ask.region),
+        };
+        if !ask.all {
             for (service, flows) in &mut shares {
                 flows.retain(|callers, _| self.shares.remaining(service, callers) > 0.0);
             }
--- a/crates/steer/src/shift/flow.rs
+++ b/crates/steer/src/shift/flow.rs
@@ -35,6 +35,8 @@
     pub(super) regions: Vec<RegionShare>,
     /// Region of the callers.
     callers: Arc<str>,
+    /// Whether the shares began as the desired split and were never those of another host.
+    pub(super) is_assumed: bool,
     /// Current speed in shares per second; 0 while blocked.
     pub(super) speed: f64,
     /// Fraction of the traffic that is not at the desired split, whether it is blocked by limits or
@@ -54,6 +56,7 @@
     pub(super) fn open(callers: &Arc<str>, shares: &RegionShares, now: Duration) -> Self {
         let mut flow = Self {
             callers: callers.clone(),
+            is_assumed: false,
             regions: Vec::new(),
             speed: 0.0,
             remaining: 0.0,
@@ -98,8 +101,9 @@
         self.peers = splits.cloned().collect();
     }
 
-    /// Replaces the shares by the given ones.
+    /// Replaces the shares by those of another host.
     pub(super) fn adopt(&mut self, shares: &RegionShares) {
+        self.is_assumed = false;
         for entry in &mut self.regions {
             entry.share = 0.0;
         }
--- a/crates/steer/src/shift/mod.rs
+++ b/crates/steer/src/shift/mod.rs
@@ -14,7 +14,8 @@
 //!   replaced and its memory is lost.
 //! * A new host starts from the mean of its peers' shares. If it started from the desired split,
 //!   its part of the traffic would jump; where no peer has shares there is no traffic that could
-//!   jump.
+//!   jump. Hosts of other regions tell it what they adopted from its region's hosts, not the split
+//!   that they assumed for callers whose hosts they never heard.
 //! * For the callers of other regions, a host adopts the shares of the hosts in those regions.
 //! * A host stays within [`MAX_LEAD`] of the cap of its slowest peer, for at most [`PEER_WINDOWS`]
 //!   windows: when a host fails and its callers move to others, the traffic jumps by the difference
@@ -70,6 +71,8 @@
     /// Empty until the host knows which shares to start from.
     flows: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Flow>>,
     initial: initial_split::InitialSplit,
+    /// Shares before the last reset; for flows of which no peer knows shares.
+    previous: SplitTable,
 }
 
 impl TrafficSplit {
@@ -123,9 +126,16 @@
     }
 
     /// Drops all shares. Used after the host was paused: its peers have moved on, so it starts
-    /// again from their shares.
+    /// again from their shares, or from its own where no peer knows any.
     pub fn reset(&mut self) {
-        *self = Self::open();
+        let previous = match self.ready() {
+            true => self.table(),
+            false => std::mem::take(&mut self.previous),
+        };
+        *self = Self {
+            previous,
+            ..Self::open()
+        };
     }
 
     /// Moves shares towards the desired splits, as far as the elapsed time and the limits allow.
@@ -140,8 +150,11 @@
             flows.retain(|callers, _| by_callers.contains_key(callers));
             for (callers, desired) in by_callers {
                 let flow = flows.entry(callers.clone()).or_insert_with(|| {
-                    let split = self.initial.find(service, callers);
-                    Flow::open(callers, split.unwrap_or(&desired.shares), now)
+                    let previous = || self.previous.get(service)?.get(callers);
+                    let known = self.initial.find(service, callers).or_else(previous);
+                    let mut flow = Flow::open(callers, known.unwrap_or(&desired.shares), now);
+                    flow.is_assumed = known.is_none();
+                    flow
                 });
                 let limits = limits.get(service).and_then(|table| table.get(callers));
                 flow.advance(desired, limits, now);
@@ -172,10 +185,25 @@
         }
     }
 
-    /// Returns all shares, to be sent to peers.
+    /// Returns all shares, to be sent to hosts of this host's region.
     pub fn table(&self) -> SplitTable {
+        self.filter_table(|_, _| true)
+    }
+
+    /// Returns the shares to send to a host of another region.
+    ///
+    /// Shares that this host assumed for that region's callers are left out: they ignore regions
+    /// that it had not heard then, and a host that started from them would move all traffic of its
+    /// callers at once.
+    pub fn table_for(&self, region: &str) -> SplitTable {
+        self.filter_table(|callers, flow| *callers != *region || !flow.is_assumed)
+    }
+
+    fn filter_table(&self, includes: impl Fn(&str, &Flow) -> bool) -> SplitTable {
         let tables = self.flows.iter().map(|(service, flows)| {
-            let tables = flows.iter();
+            let tables = flows
+                .iter()
+                .filter(|(callers, flow)| includes(callers, flow));
             let tables = tables.map(|(callers, flow)| (callers.clone(), flow.shares()));
             (service.clone(), tables.collect())
         });
--- a/crates/steer/tests/shift_cap.rs
+++ b/crates/steer/tests/shift_cap.rs
@@ -280,6 +280,45 @@
     assert_eq!(&**host.pick_region("s", "a", 1).unwrap(), "b");
 }
 
+/// A host of region `b` started alone and assumed that all regions but its own were lost. A paused
+/// host of region `a` that asks it for shares must not move its callers to `b` at once.
+#[test]
+fn a_paused_host_does_not_start_from_an_assumed_split() {
+    let mut lone = TrafficSplit::open();
+    lone.update_peers(&[]);
+    let only_b = desired_splits(&[("b", 1.0)]);
+    lone.advance(&only_b, &ShareLimits::default(), Duration::ZERO);
+    let desired = desired_splits(&[("a", 0.9), ("b", 0.1)]);
+    let mut host = TrafficSplit::open();
+    host.update_peers(&[]);
+    host.advance(&desired, &ShareLimits::default(), Duration::ZERO);
+    host.reset();
+    host.update_peers(&[PeerSplit {
+        table: Some(&lone.table_for("a")),
+    }]);
+    host.advance(&desired, &ShareLimits::default(), TICK);
+    assert!((share(&host.table(), "a") - 0.9).abs() < 1e-9);
+}
+
+/// Hosts of region `b` followed those of `a` until none was left. A new host of `a` starts from what
+/// they followed, since they carry its callers' traffic by it.
+#[test]
+fn a_new_host_starts_from_what_other_regions_adopted() {
+    let desired = desired_splits(&[("a", 0.1), ("b", 0.9)]);
+    let mut other = TrafficSplit::open();
+    other.update_peers(&[]);
+    other.advance(&desired, &ShareLimits::default(), Duration::ZERO);
+    let split = BTreeMap::from([("a".into(), 0.8), ("b".into(), 0.2)]);
+    let table = SplitTable::from([("s".into(), BTreeMap::from([("a".into(), split)]))]);
+    other.adopt_remote("b", &BTreeMap::from([("a".into(), vec![&table])]));
+    let mut host = TrafficSplit::open();
+    host.update_peers(&[PeerSplit {
+        table: Some(&other.table_for("a")),
+    }]);
+    host.advance(&desired, &ShareLimits::default(), Duration::ZERO);
+    assert!((share(&host.table(), "a") - 0.8).abs() < 1e-9);
+}
+
 /// A host of region `b` adopts the shares of `a`'s hosts for `a`'s callers while one of them is
 /// alive, and continues from there within the cap once none is.
 #[test]
