--- a/crates/cli/src/caller/connections.rs
+++ b/crates/cli/src/caller/connections.rs
@@ -36,6 +36,17 @@
 /// Media type of an error response.
 const PROBLEM: &str = "application/problem+json";
 
+/// Result of a lookup at one host.
+#[derive(Debug)]
+pub(super) enum LookupResult {
+    /// The hosts of the service.
+    Found(Hosts),
+    /// The host does not know the service.
+    Rejected,
+    /// The host could not be reached or cannot answer now.
+    Failed,
+}
+
 /// Result of one attempt.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
@@ -81,14 +92,21 @@
         at: SocketAddr,
         service: &str,
         time: Duration,
-    ) -> Option<Hosts> {
-        let req = Request::get(format!("http://{at}/v1/hosts/{service}"));
-        let sent = self.exchange(req.body(Full::default()).ok()?);
-        let (status, _, body) = tokio::time::timeout(time, sent).await.ok()?.ok()?;
-        if status != StatusCode::OK {
-            return None;
+    ) -> LookupResult {
+        let uri = format!("http://{at}/v1/hosts/{service}");
+        let Ok(req) = Request::get(uri).body(Full::default()) else {
+            return LookupResult::Rejected;
+        };
+        let Ok(Ok((status, _, body))) = tokio::time::timeout(time, self.exchange(req)).await else {
+            return LookupResult::Failed;
+        };
+        if status.is_client_error() {
+            return LookupResult::Rejected;
+        }
+        match serde_json::from_slice(&body) {
+            Ok(hosts) if status == StatusCode::OK => LookupResult::Found(hosts),
+            _ => LookupResult::Failed,
         }
-        serde_json::from_slice(&body).ok()
     }
 
     /// Sends one attempt of a request to a host.
--- a/crates/cli/src/caller/mod.rs
+++ b/crates/cli/src/caller/mod.rs
@@ -27,14 +27,17 @@
 pub use outcome::{CallResult, Outcome, TargetResponse};
 
 use cache::Cache;
-use connections::Connections;
+use connections::{Connections, LookupResult};
 
 /// Timeout of a lookup at one host, after which another host is tried.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Maximum number of hosts that one lookup tries.
+/// Maximum number of hosts that one lookup tries in a row.
 const MAX_LOOKUP_ATTEMPTS: usize = 4;
 
+/// Pause before a lookup is repeated that no host answered.
+const LOOKUP_BACKOFF: Duration = Duration::from_millis(250);
+
 /// Upper bound of the random backoff before a retry, which is added to the time that the host asked
 /// for, if any.
 const BACKOFF: Duration = Duration::from_millis(40);
@@ -104,20 +107,33 @@
         }
     }
 
-    /// Returns the hosts of a service, from the cache or by a new lookup.
+    /// Returns the hosts of a service, from the cache or by a new lookup; `None` if the hosts do
+    /// not know the service, or none answers before the deadline.
+    ///
+    /// Hosts that have just started or were paused answer no lookups for some seconds. A request
+    /// that can wait longer than that is not given up.
     async fn look_up(&self, service: &str, deadline: Instant) -> Option<Arc<Hosts>> {
         if let Some(hosts) = self.cache().get(service, Instant::now()) {
             return Some(hosts);
         }
-        for _ in 0..MAX_LOOKUP_ATTEMPTS {
-            let at = self.pick(&self.cache().candidates())?;
-            let time = LOOKUP_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
-            match self.connections.hosts(at, service, time).await {
-                Some(hosts) => return Some(self.cache().insert(hosts, Instant::now())),
-                None => self.cache().remove_host(at),
+        loop {
+            let mut may_succeed = false;
+            for _ in 0..MAX_LOOKUP_ATTEMPTS {
+                let at = self.pick(&self.cache().candidates())?;
+                let time = LOOKUP_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
+                match self.connections.hosts(at, service, time).await {
+                    LookupResult::Found(hosts) => {
+                        return Some(self.cache().insert(hosts, Instant::now()));
+                    }
+                    LookupResult::Failed => may_succeed = true,
+                    LookupResult::Rejected => {}
+                }
+                self.cache().remove_host(at);
+            }
+            if !may_succeed || !self.backoff(Some(LOOKUP_BACKOFF), deadline).await {
+                return None;
             }
         }
-        None
     }
 
     /// Drops the cached hosts of a service, so that the next request does a new lookup.
--- a/crates/cli/tests/caller.rs
+++ b/crates/cli/tests/caller.rs
@@ -3,7 +3,14 @@
 
 mod support;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use dunlinrock::caller::{CallRequest, CallResult, Caller, CallerOptions, Outcome};
 use dunlinrock_schema::api::Run;
@@ -103,6 +110,42 @@
     }
 }
 
+/// A caller gave its requests up when four lookups in a row failed, as they do at hosts that were
+/// paused, although the hosts answered again long before the deadline.
+#[test]
+fn a_request_waits_for_hosts_that_answer_no_lookups_for_a_while() {
+    for at_most_once in [false, true] {
+        block_on(async move {
+            let target = ScriptedHost::open(|_| target_response("{}")).await;
+            let at = target.addr;
+            let failures = AtomicUsize::new(6);
+            let found = move || match failures.load(Ordering::Relaxed) {
+                0 => hosts(&[at], Some((at, at)), HOUR_MS),
+                left => {
+                    failures.store(left - 1, Ordering::Relaxed);
+                    problem(Run::No, Some(500))
+                }
+            };
+            let start = host(found, |_| ScriptedResponse::Close).await;
+            let result = caller(start.addr).call(&request(at_most_once)).await;
+            assert!(matches!(result.outcome, Outcome::Answered(_)), "{result:?}");
+        });
+    }
+}
+
+/// A service that no host knows is reported at once: to ask again would hold the caller until its
+/// deadline.
+#[test]
+fn a_lookup_of_an_unknown_service_is_not_repeated() {
+    block_on(async {
+        let unknown = || ScriptedResponse::Reply(404, "application/json", b"{}".to_vec());
+        let start = host(unknown, |_| ScriptedResponse::Close).await;
+        let result = caller(start.addr).call(&request(false)).await;
+        assert!(matches!(result.outcome, Outcome::NotRun(_)), "{result:?}");
+        assert_eq!(start.lookups(), 4);
+    });
+}
+
 #[test]
 fn a_request_states_its_caller_and_its_timeout() {
     block_on(async {
