--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -45,7 +45,7 @@
     ///
     /// SIGTERM or SIGINT begins a graceful shutdown: the host announces to callers and other hosts
     /// that it is leaving, finishes its running requests, and exits. A second signal ends it at
-    /// once.
+    /// once. SIGHUP is ignored: settings are read at the start.
     #[bpaf(command)]
     Serve(#[bpaf(external(serve::serve))] Serve),
     /// Run one entry host on the users' platform
--- a/crates/cli/src/commands/edge.rs
+++ b/crates/cli/src/commands/edge.rs
@@ -8,16 +8,14 @@
     settings::{self, Settings},
 };
 use dunlinrock_platform::{dialect, store};
-use tokio::{
-    signal::unix::{SignalKind, signal},
-    sync::oneshot,
-};
+use tokio::sync::oneshot;
 
 use crate::{
     args::Edge,
     exit::{CliError, Exit},
     logs,
-    runtime::{Signals, block_on},
+    runtime::block_on,
+    signals::{HeldSignals, Signal, Signals},
 };
 
 /// Interval at which the settings file is polled for changes. New settings may take a few seconds
@@ -25,21 +23,22 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs a host until a signal, then until its graceful shutdown has ended.
-pub(crate) fn edge(args: &Edge) -> Result<(), CliError> {
-    let mut file = SettingsFile::open(&args.settings)?;
-    let settings = file.settings()?;
-    logs::open_lines()?;
-    let feed = store::open(settings.store, settings.listen.peers.ip());
+pub(crate) fn edge(args: &Edge, held: HeldSignals) -> Result<(), CliError> {
     block_on(async {
-        // Installed before the host starts, so that a signal during the start causes a graceful
-        // shutdown too.
-        let mut signals = Signals::open()?;
-        let mut hangup = signal(SignalKind::hangup()).map_err(anyhow::Error::from)?;
+        // Installed first, so that a signal during the start causes a graceful shutdown or a reload
+        // once the host runs.
+        let mut signals = Signals::open(held)?;
+        let mut file = SettingsFile::open(&args.settings)?;
+        let settings = file.settings()?;
+        logs::open_lines()?;
+        let feed = store::open(settings.store, settings.listen.peers.ip());
         let host = Host::spawn(settings, feed, dialect::open())?;
         loop {
             tokio::select! {
-                () = signals.next() => break,
-                _ = hangup.recv() => file.reload(&host),
+                signal = signals.next() => match signal {
+                    Signal::Stop => break,
+                    Signal::Hangup => file.reload(&host),
+                },
                 () = tokio::time::sleep(POLL_INTERVAL) => file.poll(&host),
             }
         }
@@ -54,7 +53,7 @@
                 Ok(result) => Ok(result?),
                 Err(_) => Err(CliError::open(Exit::Failed, "the graceful shutdown panicked")),
             },
-            () = signals.next() => {
+            () = signals.stop() => {
                 Err(CliError::open(Exit::Failed, "ended at once by a second signal"))
             }
         }
--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -10,21 +10,27 @@
     args::Serve,
     exit::{CliError, Exit},
     logs,
-    runtime::{Signals, block_on},
+    runtime::block_on,
+    signals::{HeldSignals, Signal, Signals},
 };
 
 /// Runs a host until a signal, then until its graceful shutdown has ended.
-pub(crate) fn serve(args: &Serve) -> Result<(), CliError> {
-    let settings = settings::load(&args.settings)?;
-    logs::open(&settings.log.clone().unwrap_or_default())?;
+pub(crate) fn serve(args: &Serve, held: HeldSignals) -> Result<(), CliError> {
     block_on(async {
-        // Installed before the host starts, so that a signal during the start causes a graceful
-        // shutdown too.
-        let mut signals = Signals::open()?;
+        // Installed first, so that a signal during the start causes a graceful shutdown too.
+        let mut signals = Signals::open(held)?;
+        let settings = settings::load(&args.settings)?;
+        logs::open(&settings.log.clone().unwrap_or_default())?;
         let mut host = Host::spawn(settings.clone())?;
         loop {
             let earlier = tokio::select! {
-                () = signals.next() => break,
+                signal = signals.next() => match signal {
+                    Signal::Stop => break,
+                    Signal::Hangup => {
+                        log_ignored_hangup();
+                        continue;
+                    }
+                },
                 earlier = host.higher_incarnation() => earlier,
             };
             let ended = tokio::task::spawn_blocking(|| host.wait());
@@ -43,9 +49,16 @@
                 Ok(result) => Ok(result.map(|_| ())?),
                 Err(_) => Err(CliError::open(Exit::Failed, "the graceful shutdown panicked")),
             },
-            () = signals.next() => {
+            () = signals.stop() => {
                 Err(CliError::open(Exit::Failed, "ended at once by a second signal"))
             }
         }
     })?
 }
+
+/// A hangup must not end the host: it would break off running requests without a drain.
+fn log_ignored_hangup() {
+    log::warn!(
+        "SIGHUP ignored: settings are read at the start; to apply changes, stop the host with SIGTERM and start it again"
+    );
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -26,20 +26,26 @@
 mod logs;
 mod output;
 mod runtime;
+mod signals;
 mod soak;
 
 use std::process::ExitCode;
 
 use args::Command;
 use exit::{CliError, Exit};
+use signals::HeldSignals;
 
 /// Runs the command given by this process's arguments and returns its exit code.
 pub fn run() -> ExitCode {
+    let held = signals::hold();
     let command = match args::parse() {
         Ok(command) => command,
         Err(exit) => return exit.into(),
     };
-    match dispatch(command) {
+    match held
+        .map_err(CliError::from)
+        .and_then(|held| dispatch(command, held))
+    {
         Ok(()) => Exit::Ok.into(),
         Err(failure) => {
             eprintln!("{}", failure.message.trim_end());
@@ -48,10 +54,22 @@
     }
 }
 
-fn dispatch(command: Command) -> Result<(), CliError> {
+/// Runs a command that handles signals itself, or any other with the system's defaults.
+fn dispatch(command: Command, held: HeldSignals) -> Result<(), CliError> {
+    match command {
+        Command::Serve(args) => commands::serve(&args, held),
+        Command::Edge(args) => commands::edge(&args, held),
+        Command::Soak(args) => soak::run(&args, held),
+        Command::Fake(args) => commands::fake(&args, held),
+        command => {
+            drop(held);
+            dispatch_other(command)
+        }
+    }
+}
+
+fn dispatch_other(command: Command) -> Result<(), CliError> {
     match command {
-        Command::Serve(args) => commands::serve(&args),
-        Command::Edge(args) => commands::edge(&args),
         Command::Explain(args) => commands::explain(&args),
         Command::Check(args) => commands::check(&args),
         Command::Plan(args) => commands::plan(&args),
@@ -63,8 +81,9 @@
         Command::Load(args) => commands::load(&args),
         Command::Plot(args) => commands::plot(&args),
         Command::Demo(args) => demo::run(&args),
-        Command::Soak(args) => soak::run(&args),
-        Command::Fake(args) => commands::fake(&args),
+        Command::Serve(_) | Command::Edge(_) | Command::Soak(_) | Command::Fake(_) => {
+            unreachable!("handled by the caller")
+        }
         Command::Man | Command::Help => unreachable!("handled by the parser"),
     }
 }
