--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -280,6 +280,15 @@
         kill(Pid::from_raw(id), signal).with_context(|| format!("signalling {}", self.name))
     }
 
+    /// Returns whether the process blocks or handles a signal. Until the program's first
+    /// instructions have run, a signal ends any process by the system's default.
+    pub(super) fn is_prepared(&self, signal: Signal) -> bool {
+        let status = self.id().map(|id| format!("/proc/{id}/status"));
+        // A process that has just exited has no entries in /proc.
+        let text = status.and_then(|path| std::fs::read_to_string(path).ok());
+        text.is_some_and(|text| is_blocked_or_handled(&text, signal))
+    }
+
     /// Returns the exit code once the process has exited.
     pub(super) fn try_wait(&mut self) -> anyhow::Result<Option<Option<i32>>> {
         let Some(child) = &mut self.child else {
@@ -323,3 +332,15 @@
         }
     }
 }
+
+/// Reads the masks of blocked and handled signals from the text of /proc/PID/status.
+fn is_blocked_or_handled(status: &str, signal: Signal) -> bool {
+    let bit = 1 << (signal as u64 - 1);
+    let masks = status.lines().filter_map(|line| {
+        let mask = line
+            .strip_prefix("SigBlk:")
+            .or_else(|| line.strip_prefix("SigCgt:"))?;
+        u64::from_str_radix(mask.trim(), 16).ok()
+    });
+    masks.fold(0, |all, mask| all | mask) & bit != 0
+}
--- a/crates/cli/src/soak/mod.rs
+++ b/crates/cli/src/soak/mod.rs
@@ -24,28 +24,40 @@
     exit::{CliError, Exit},
     output,
     runtime::block_on,
+    signals::{HeldSignals, Signals},
 };
 
 /// Maximum number of hosts: each has its own address, and only the last octet varies.
 const MAX_HOSTS: usize = 200;
 
 /// Runs the plans and reports which of them broke a promise.
-pub(crate) fn run(args: &Soak) -> Result<(), CliError> {
+pub(crate) fn run(args: &Soak, held: HeldSignals) -> Result<(), CliError> {
     if args.hosts == 0 || args.hosts > MAX_HOSTS {
         let text = format!("--hosts {}: must be from 1 to {MAX_HOSTS}", args.hosts);
         return Err(CliError::open(Exit::Usage, text));
     }
+    block_on(async {
+        let mut signals = Signals::open(held)?;
+        tokio::select! {
+            result = run_plans(args) => result,
+            // Dropping the plan kills its hosts, which would otherwise go on without it.
+            _ = signals.next() => Err(CliError::open(Exit::Failed, "ended by a signal")),
+        }
+    })?
+}
+
+async fn run_plans(args: &Soak) -> Result<(), CliError> {
     let mut broken = 0;
     for seed in args.seed..args.seed + args.plans {
         let plan = Plan::open(seed, args.hosts, args.faults);
-        let result = run_plan(&plan, args.keep.as_deref())?;
+        let result = run_plan(&plan, args.keep.as_deref()).await?;
         output::line(format!("seed {seed}: {result}"))?;
         if result.violations.is_empty() {
             continue;
         }
         broken += 1;
         if args.shrink {
-            let smallest = shrink(plan, args.keep.as_deref())?;
+            let smallest = shrink(plan, args.keep.as_deref()).await?;
             output::line(format!(
                 "fewest faults that still break a promise:\n{smallest}"
             ))?;
@@ -61,12 +73,10 @@
 }
 
 /// Runs one plan; keeps the logs if a promise was broken.
-fn run_plan(plan: &Plan, keep: Option<&Path>) -> anyhow::Result<SoakResult> {
+async fn run_plan(plan: &Plan, keep: Option<&Path>) -> anyhow::Result<SoakResult> {
     let dir = log_dir(plan.seed, keep)?;
-    let result = block_on(async {
-        let deployment = Deployment::spawn(&dir, plan.hosts).await?;
-        runner::run(deployment, plan).await
-    })??;
+    let deployment = Deployment::spawn(&dir, plan.hosts).await?;
+    let result = runner::run(deployment, plan).await?;
     if result.violations.is_empty() {
         std::fs::remove_dir_all(&dir).with_context(|| format!("removing {}", dir.display()))?;
     } else {
@@ -78,12 +88,12 @@
 }
 
 /// Removes faults from a plan one by one while it still breaks a promise.
-fn shrink(mut plan: Plan, keep: Option<&Path>) -> anyhow::Result<Plan> {
+async fn shrink(mut plan: Plan, keep: Option<&Path>) -> anyhow::Result<Plan> {
     let mut at = 0;
     while at < plan.steps.len() {
         let mut fewer = plan.clone();
         fewer.steps.remove(at);
-        if run_plan(&fewer, keep)?.violations.is_empty() {
+        if run_plan(&fewer, keep).await?.violations.is_empty() {
             at += 1;
         } else {
             plan = fewer;
--- a/crates/cli/src/soak/proxy.rs
+++ b/crates/cli/src/soak/proxy.rs
@@ -56,10 +56,18 @@
     }
 }
 
+/// Accepts connections until the proxy is dropped.
 async fn accept(listener: TcpListener, modes: watch::Receiver<Mode>, to: SocketAddr) {
-    // Accepting fails only if the process runs out of descriptors, which fails the soak.
-    while let Ok((near, _)) = listener.accept().await {
-        tokio::spawn(serve(near, to, modes.clone()));
+    let mut open = modes.clone();
+    let accept = async {
+        // Accepting fails only if the process runs out of descriptors, which fails the soak.
+        while let Ok((near, _)) = listener.accept().await {
+            tokio::spawn(serve(near, to, modes.clone()));
+        }
+    };
+    tokio::select! {
+        () = accept => {}
+        _ = open.wait_for(|_| false) => {}
     }
 }
 
--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -20,6 +20,10 @@
 /// Interval at which processes and their dumps are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which a starting process is checked until it is prepared for a signal. It is short,
+/// so that the signal arrives in the first moments of the start.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Time limit for the deployment to recover after the last fault. It only ends a hang: hosts
 /// recover within seconds, and a busy machine may take ten times as long.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(120);
@@ -93,7 +97,7 @@
     runner.wait_recovered("at the start").await?;
     for step in &plan.steps {
         runner.monitor_for(step.pause).await?;
-        runner.begin(step.fault, step.lasts)?;
+        runner.begin(step.fault, step.lasts).await?;
     }
     while !runner.active_faults.is_empty() {
         runner.monitor_for(POLL_INTERVAL).await?;
@@ -109,11 +113,16 @@
         self.callers.observations.record_violation(text);
     }
 
-    fn begin(&mut self, fault: Fault, lasts: Duration) -> anyhow::Result<()> {
+    async fn begin(&mut self, fault: Fault, lasts: Duration) -> anyhow::Result<()> {
         // Two overlapping instances of a fault would both end with the first.
         if self.active_faults.iter().any(|(_, other)| *other == fault) {
             return Ok(());
         }
+        match fault {
+            Fault::Stop(host) => self.wait_prepared(host, Signal::SIGTERM).await?,
+            Fault::Reload(host) => self.wait_prepared(host, Signal::SIGHUP).await?,
+            _ => {}
+        }
         match fault {
             Fault::Kill(host) => self.killed[host] = true,
             Fault::Stop(host) => self.stopped[host] = true,
@@ -128,6 +137,18 @@
         Ok(())
     }
 
+    /// Waits until a host's process is prepared for a signal, or has ended.
+    async fn wait_prepared(&mut self, host: usize, signal: Signal) -> anyhow::Result<()> {
+        while self.deployment.hosts[host].id().is_some()
+            && !self.deployment.hosts[host].is_prepared(signal)
+        {
+            tokio::time::sleep(START_POLL_INTERVAL).await;
+            self.end_due()?;
+            self.check_exit(host)?;
+        }
+        Ok(())
+    }
+
     /// Checks the hosts repeatedly for a time and ends the faults that are due.
     async fn monitor_for(&mut self, time: Duration) -> anyhow::Result<()> {
         let end = Instant::now() + time;
