--- a/crates/node/src/run/dispatch.rs
+++ b/crates/node/src/run/dispatch.rs
@@ -18,6 +18,7 @@
 };
 use crate::{
     call::Call,
+    clock::millis,
     duties::pools::PoolId,
     shared::Shared,
     view::{PoolRoute, View},
@@ -230,6 +231,10 @@
         UnservableReason::NoRegion => "no region serves it",
         UnservableReason::RegionGone => "it moves to another region no faster than its cap",
     };
+    log::debug!(
+        request = &*call.request, service = &*call.service, callers = from, attempt = call.identity,
+        retry_after_ms = millis(refusal.retry_after); "no region for the request: {why}"
+    );
     let detail = format!("{} for callers of {from}: {why}", call.service);
     CallError::not_run(ProblemKind::Unavailable, detail).retry_after(refusal.retry_after)
 }
