--- a/crates/node/src/run/keyed.rs
+++ b/crates/node/src/run/keyed.rs
@@ -204,13 +204,16 @@
         RunStatus::Unknown => Run::Unknown,
         RunStatus::Yes => Run::Yes,
     };
-    // The request itself is valid. Without a hint, callers would take the refusal for final.
-    let allows_new_key =
-        run == Run::No && matches!(reason, RefusalReason::Closed | RefusalReason::Stopping);
+    // A key that is closed, or refused by a stopping host, does not make the request invalid.
+    let hint = match (run, reason) {
+        (Run::No, RefusalReason::Closed | RefusalReason::Stopping) => Some(NEW_KEY_RETRY_AFTER),
+        (Run::No, _) => kind.retry_hint(),
+        _ => None,
+    };
     CallError {
         kind,
         run,
         detail: detail.into(),
-        retry_after: retry_after.or(allows_new_key.then_some(NEW_KEY_RETRY_AFTER)),
+        retry_after: retry_after.or(hint),
     }
 }
--- a/crates/node/src/wire/problem.rs
+++ b/crates/node/src/wire/problem.rs
@@ -135,6 +135,18 @@
     }
 }
 
+/// Retry hint of a refusal for which no better one is known; hosts agree on owners and states
+/// within a heartbeat.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+impl ProblemKind {
+    /// Returns the retry hint for a valid request that this kind of problem refuses; `None` if a
+    /// retry would meet the same problem.
+    pub fn retry_hint(self) -> Option<Duration> {
+        matches!(self, Self::NotReady | Self::Unavailable).then_some(DEFAULT_RETRY_AFTER)
+    }
+}
+
 /// Error of a call that got no response from a target, with whether the request ran.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallError {
@@ -149,13 +161,14 @@
 }
 
 impl CallError {
-    /// Creates the error of a request that did not run and will not run.
+    /// Creates the error of a request that did not run and will not run, with the retry hint of
+    /// its kind: callers take a refusal without one for final.
     pub fn not_run(kind: ProblemKind, detail: impl Into<Arc<str>>) -> CallError {
         CallError {
             kind,
             run: Run::No,
             detail: detail.into(),
-            retry_after: None,
+            retry_after: kind.retry_hint(),
         }
     }
 
