--- a/crates/node/src/duties/control/members.rs
+++ b/crates/node/src/duties/control/members.rs
@@ -72,10 +72,17 @@
 }
 
 /// Returns the regions with at least one responsive host, including hosts that are still starting.
-pub(super) fn present_regions(membership: &Membership) -> BTreeSet<Arc<str>> {
+///
+/// A leaving host owns no targets any more. If it is the last of its region, traffic moves away
+/// from its notice on; callers would otherwise use up their attempts until it is gone. The host
+/// itself, `me`, sends its callers to other hosts instead.
+pub(super) fn present_regions(membership: &Membership, me: &str) -> BTreeSet<Arc<str>> {
     let hosts = membership.hosts().iter().filter(|(name, host)| {
-        let state = membership.state_of(name);
-        let alive = !matches!(state, HostState::Suspect | HostState::Gone);
+        let alive = match membership.state_of(name) {
+            HostState::Suspect | HostState::Gone => false,
+            HostState::Leaving => ***name == *me,
+            _ => true,
+        };
         alive && !host.region.is_empty() && !membership.is_domain_silent(&host.domain)
     });
     hosts.map(|(_, host)| Arc::clone(&host.region)).collect()
--- a/crates/node/src/duties/control/state.rs
+++ b/crates/node/src/duties/control/state.rs
@@ -295,6 +295,7 @@
         if changed {
             self.refresh_members();
             self.update_role();
+            self.steer(now);
             self.publish(now);
         }
     }
@@ -436,7 +437,7 @@
         let config = Arc::clone(&self.active.config);
         self.steering
             .measure(&config, &self.shared.traffic, &self.reports, now);
-        let present = members::present_regions(&self.membership);
+        let present = members::present_regions(&self.membership, &self.shared.me.name);
         self.steering.step(&config, &self.members, present, now);
         for outgoing in self.steering.due_asks(&self.members, now) {
             self.remote.steer(outgoing.to, &outgoing.ask);
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -5,8 +5,8 @@
 use std::{sync::Arc, time::Duration};
 
 use common::{Deployment, FIRST_ATTEMPT, kind, problem, wait_until};
-use dunlinrock_node::Host;
-use dunlinrock_schema::api::Run;
+use dunlinrock_node::{Host, wire::Answer};
+use dunlinrock_schema::{api::Run, config::Config};
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 const PATH: &str = "/v1/call/records/pay/7";
@@ -164,6 +164,43 @@
     ended.await.expect("no panic").expect("the workers end");
 }
 
+// The only host of a region stops while that region serves all requests of the callers. Until the
+// host was gone, the others told callers every 250 ms to try again, so that callers used up their
+// attempts before the wait that the cap on moves asks for. They must be told that wait from the
+// notice on.
+#[tokio::test]
+async fn the_wait_for_a_region_that_is_left_is_told_from_the_notice_on() {
+    let all_in_cluj = |config: &mut Config| {
+        config.blocks = [("127.0.0.0/8".into(), "cluj".into())].into();
+        let service = config.services.get_mut("catalogue").expect("known");
+        service.spread = [("cluj".into(), [("cluj".into(), 1.0)].into())].into();
+    };
+    let mut d = Deployment::open_with("cursuri", Duration::ZERO, all_in_cluj);
+    d.host("leaves", "cluj-a");
+    d.host("stays", "bucharest-a");
+    d.apply().await;
+    d.settle(1).await;
+    let (leaves, stays) = (&d.hosts[0], &d.hosts[1]);
+    let path = "/v1/call/catalogue/courses";
+    let in_cluj = |answer: &Answer| {
+        let served: serde_json::Value = serde_json::from_slice(&answer.body).expect("an object");
+        let target = served["target"]
+            .as_str()
+            .and_then(|name| d.config.targets.get(name));
+        target.is_some_and(|target| target.domain.starts_with("cluj"))
+    };
+    while !in_cluj(&d.get(stays.callers_addr(), path).await) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    leaves.start_shutdown();
+    let left = stays.wait_for(|view| view.members.get("leaves").is_none_or(|m| m.leaving));
+    tokio::time::timeout(common::HANG_TIMEOUT, left)
+        .await
+        .expect("the notice arrives");
+    let told = problem(&d.get(stays.callers_addr(), path).await);
+    assert!(told.detail.contains("moves to another region"), "{told:?}");
+}
+
 // A search and a payment run at targets when the host shuts down. The host accepts no new requests,
 // waits for both to finish, and both callers get their responses.
 #[tokio::test]
