--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -82,6 +82,8 @@
     /// Workspace of the caller, if it is authenticated.
     workspace: Option<Arc<Workspace>>,
     to: Arc<str>,
+    /// Region of the target.
+    region: Arc<str>,
     /// Rank of the target for the affinity key; 0 is the preferred one.
     rank: usize,
     /// Requests that the target had, as far as was known.
@@ -106,7 +108,7 @@
     fn log(&self, id: &str, now: Duration) {
         log::info!(
             target: "request", event = "sent", id = id, route = &*self.route, workspace = self.workspace(), to = &*self.to,
-            rank = self.rank, busy = self.busy, slots = self.slots,
+            region = &*self.region, rank = self.rank, busy = self.busy, slots = self.slots,
             load_age_ms = millis(self.load_age), left_ms = millis(self.time_left),
             change = self.change, belief_age_ms = millis(self.belief_age),
             held_ms = millis(now.saturating_sub(self.at)); "sent"
@@ -117,7 +119,7 @@
     fn log_answered(&self, id: &str, end: &RequestEnd, time: Duration) {
         log::info!(
             target: "request", event = "answered", id = id, route = &*self.route, workspace = self.workspace(), to = &*self.to,
-            rank = self.rank, busy = self.busy, slots = self.slots,
+            region = &*self.region, rank = self.rank, busy = self.busy, slots = self.slots,
             load_age_ms = millis(self.load_age), left_ms = millis(self.time_left),
             change = self.change, belief_age_ms = millis(self.belief_age),
             status = end.response.status().as_u16(), time_ms = millis(time); "answered"
@@ -148,6 +150,7 @@
             route: Arc::clone(&route.name),
             workspace: access.workspace.clone(),
             to: Arc::clone(&handle.target.id),
+            region: Arc::clone(&selected.region),
             rank: selected.rank,
             busy: selected.busy,
             slots: handle.target.slots,
