--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Tests of the command `soak`: a short run with fixed seeds must keep every promise.
 //!
-//! A seed that breaks a promise is to be added here with its cause; none has so far.
+//! A seed that breaks a promise is to be added here with its cause.
 
 mod support;
 
@@ -21,6 +21,17 @@
     );
 }
 
+/// Seed 825 reloads a host right after its start, which ended it: its handlers came too late.
+#[test]
+fn a_reload_right_after_a_start_does_not_end_a_host() {
+    let args = [
+        "soak", "--seed", "825", "--plans", "1", "--hosts", "8", "--faults", "16",
+    ];
+    let out = run(&args);
+    assert_eq!(out.code, 0, "{}\n{}", out.out, out.err);
+    assert!(out.out.contains("every promise kept"), "{}", out.out);
+}
+
 #[test]
 fn a_soak_without_hosts_is_rejected_with_the_reason() {
     let out = run(&["soak", "--hosts", "0"]);
