--- a/crates/cli/src/commands/fake.rs
+++ b/crates/cli/src/commands/fake.rs
@@ -39,10 +39,10 @@
     wait(held)
 }
 
-/// Waits for a signal.
+/// Waits for a signal that ends the command.
 fn wait(held: HeldSignals) -> Result<(), CliError> {
     block_on(async {
-        Signals::open(held)?.next().await;
+        Signals::open(held)?.end().await;
         Ok(())
     })?
 }
--- a/crates/cli/src/signals.rs
+++ b/crates/cli/src/signals.rs
@@ -48,12 +48,16 @@
     interrupt: unix::Signal,
     terminate: unix::Signal,
     hangup: unix::Signal,
+    /// Whether the process was started with SIGHUP ignored, as by `nohup`.
+    ignores_hangup: bool,
 }
 
 impl Signals {
     /// Installs the handlers and releases the held signals to them.
     pub(crate) fn open(held: HeldSignals) -> anyhow::Result<Self> {
+        let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
         let signals = Self {
+            ignores_hangup: is_in_mask(&status, "SigIgn:", SystemSignal::SIGHUP),
             interrupt: signal(SignalKind::interrupt())?,
             terminate: signal(SignalKind::terminate())?,
             hangup: signal(SignalKind::hangup())?,
@@ -75,4 +79,18 @@
     pub(crate) async fn stop(&mut self) {
         while self.next().await != Signal::Stop {}
     }
+
+    /// Waits for a signal that ends a command without settings to reload: also SIGHUP, unless it
+    /// was ignored at the start.
+    pub(crate) async fn end(&mut self) {
+        while self.next().await == Signal::Hangup && self.ignores_hangup {}
+    }
+}
+
+/// Returns whether a signal is in a mask of the text of /proc/PID/status, such as `SigIgn:`.
+pub(crate) fn is_in_mask(status: &str, name: &str, signal: SystemSignal) -> bool {
+    let bit = 1 << (signal as u64 - 1);
+    let mask = status.lines().find_map(|line| line.strip_prefix(name));
+    mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok())
+        .is_some_and(|mask| mask & bit != 0)
 }
--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -23,6 +23,7 @@
     plan::TARGETS,
     proxy::Proxy,
 };
+use crate::signals::is_in_mask;
 
 /// Failure domains; hosts and targets are assigned to them round robin.
 pub(super) const DOMAINS: [&str; 3] = ["north-1", "south-1", "west-1"];
@@ -286,7 +287,10 @@
         let status = self.id().map(|id| format!("/proc/{id}/status"));
         // A process that has just exited has no entries in /proc.
         let text = status.and_then(|path| std::fs::read_to_string(path).ok());
-        text.is_some_and(|text| is_blocked_or_handled(&text, signal))
+        text.is_some_and(|text| {
+            let masks = ["SigBlk:", "SigCgt:"];
+            masks.iter().any(|mask| is_in_mask(&text, mask, signal))
+        })
     }
 
     /// Returns the exit code once the process has exited.
@@ -332,15 +336,3 @@
         }
     }
 }
-
-/// Reads the masks of blocked and handled signals from the text of /proc/PID/status.
-fn is_blocked_or_handled(status: &str, signal: Signal) -> bool {
-    let bit = 1 << (signal as u64 - 1);
-    let masks = status.lines().filter_map(|line| {
-        let mask = line
-            .strip_prefix("SigBlk:")
-            .or_else(|| line.strip_prefix("SigCgt:"))?;
-        u64::from_str_radix(mask.trim(), 16).ok()
-    });
-    masks.fold(0, |all, mask| all | mask) & bit != 0
-}
--- a/crates/cli/src/soak/mod.rs
+++ b/crates/cli/src/soak/mod.rs
@@ -41,7 +41,7 @@
         tokio::select! {
             result = run_plans(args) => result,
             // Dropping the plan kills its hosts, which would otherwise go on without it.
-            _ = signals.next() => Err(CliError::open(Exit::Failed, "ended by a signal")),
+            () = signals.end() => Err(CliError::open(Exit::Failed, "ended by a signal")),
         }
     })?
 }
--- a/crates/cli/tests/signals.rs
+++ b/crates/cli/tests/signals.rs
@@ -5,8 +5,11 @@
 use std::{
     fs::{self, File, OpenOptions},
     io::{BufRead, BufReader, Read, Write},
+    net::TcpStream,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    thread,
+    time::Duration,
 };
 
 use nix::{
@@ -164,6 +167,32 @@
     assert_eq!(host.wait(), Some(0));
 }
 
+/// Under `nohup` a command without settings must go on after its terminal has closed: its own handler
+/// of SIGHUP would end it.
+#[test]
+fn a_fake_that_was_started_with_hangups_ignored_goes_on() {
+    let command = format!(
+        "trap '' HUP; exec {} fake store --bind 127.0.0.1:0",
+        program(&[]).get_program().to_str().unwrap()
+    );
+    let mut fake = Command::new("sh")
+        .args(["-c", &command])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = log_lines(fake.stdout.take().unwrap());
+    let line = log.next().unwrap();
+    let at = line.rsplit(' ').next().unwrap();
+    kill(pid(fake.id()), Signal::SIGHUP).unwrap();
+    for _ in 0..100 {
+        TcpStream::connect(at).unwrap();
+        assert!(fake.try_wait().unwrap().is_none(), "ended by SIGHUP");
+        thread::sleep(Duration::from_millis(2));
+    }
+    kill(pid(fake.id()), Signal::SIGTERM).unwrap();
+    assert_eq!(fake.wait().unwrap().code(), Some(0));
+}
+
 /// A soak that was ended by a signal left its host processes running.
 #[test]
 fn a_soak_ended_by_a_signal_ends_its_hosts() {
