--- a/crates/cli/src/caller/mod.rs
+++ b/crates/cli/src/caller/mod.rs
@@ -35,7 +35,7 @@
 /// Maximum number of hosts that one lookup tries in a row.
 const MAX_LOOKUP_ATTEMPTS: usize = 4;
 
-/// Pause before a lookup is repeated that no host answered.
+/// Pause before a lookup is repeated that no host answered; doubled each time.
 const LOOKUP_BACKOFF: Duration = Duration::from_millis(250);
 
 /// Upper bound of the random backoff before a retry, which is added to the time that the host asked
@@ -108,32 +108,50 @@
     }
 
     /// Returns the hosts of a service, from the cache or by a new lookup; `None` if the hosts do
-    /// not know the service, or none answers before the deadline.
+    /// not know the service, or none answers in as many rounds as the request has attempts.
     ///
-    /// Hosts that have just started or were paused answer no lookups for some seconds. A request
-    /// that can wait longer than that is not given up.
+    /// Hosts that have just started or were paused answer no lookups for some seconds, so a single
+    /// round would give up requests that have time left.
     async fn look_up(&self, service: &str, deadline: Instant) -> Option<Arc<Hosts>> {
         if let Some(hosts) = self.cache().get(service, Instant::now()) {
             return Some(hosts);
         }
-        loop {
-            let mut may_succeed = false;
-            for _ in 0..MAX_LOOKUP_ATTEMPTS {
-                let at = self.pick(&self.cache().candidates())?;
-                let time = LOOKUP_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
-                match self.connections.hosts(at, service, time).await {
-                    LookupResult::Found(hosts) => {
-                        return Some(self.cache().insert(hosts, Instant::now()));
-                    }
-                    LookupResult::Failed => may_succeed = true,
-                    LookupResult::Rejected => {}
+        let mut pause = LOOKUP_BACKOFF;
+        for round in 0..self.options.attempts {
+            if round > 0 {
+                if !self.backoff(Some(pause), deadline).await {
+                    return None;
                 }
-                self.cache().remove_host(at);
+                pause *= 2;
             }
-            if !may_succeed || !self.backoff(Some(LOOKUP_BACKOFF), deadline).await {
-                return None;
+            match self.look_up_once(service, deadline).await {
+                LookupResult::Found(hosts) => {
+                    return Some(self.cache().insert(hosts, Instant::now()));
+                }
+                LookupResult::Rejected => return None,
+                LookupResult::Failed => {}
+            }
+        }
+        None
+    }
+
+    /// Looks a service up at a few hosts, one after another. The result is `Rejected` only if all of
+    /// them rejected the lookup.
+    async fn look_up_once(&self, service: &str, deadline: Instant) -> LookupResult {
+        let mut result = LookupResult::Rejected;
+        for _ in 0..MAX_LOOKUP_ATTEMPTS {
+            let Some(at) = self.pick(&self.cache().candidates()) else {
+                return LookupResult::Rejected;
+            };
+            let time = LOOKUP_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
+            match self.connections.hosts(at, service, time).await {
+                LookupResult::Found(hosts) => return LookupResult::Found(hosts),
+                LookupResult::Failed => result = LookupResult::Failed,
+                LookupResult::Rejected => {}
             }
+            self.cache().remove_host(at);
         }
+        result
     }
 
     /// Drops the cached hosts of a service, so that the next request does a new lookup.
