--- a/crates/node/src/duties/control/steering.rs
+++ b/crates/node/src/duties/control/steering.rs
@@ -427,10 +427,7 @@
 
     /// Returns the response to a host's request.
     pub(super) fn answer(&self, ask: &SteerAsk, lent: Vec<Lent>) -> SteerGive {
-        let mut shares = match ask.region == self.me.region {
-            true => self.shares.table(),
-            false => self.shares.table_for(&ask.region),
-        };
+        let mut shares = self.shares.table_for_peers(&self.me.region);
         if !ask.all {
             for (service, flows) in &mut shares {
                 flows.retain(|callers, _| self.shares.remaining(service, callers) > 0.0);
--- a/crates/steer/src/shift/mod.rs
+++ b/crates/steer/src/shift/mod.rs
@@ -14,8 +14,8 @@
 //!   replaced and its memory is lost.
 //! * A new host starts from the mean of its peers' shares. If it started from the desired split,
 //!   its part of the traffic would jump; where no peer has shares there is no traffic that could
-//!   jump. Hosts of other regions tell it what they adopted from its region's hosts, not the split
-//!   that they assumed for callers whose hosts they never heard.
+//!   jump. Hosts tell only what they apply to their own region's callers or adopted from others, not
+//!   the split that they assumed for callers whose hosts they never heard.
 //! * For the callers of other regions, a host adopts the shares of the hosts in those regions.
 //! * A host stays within [`MAX_LEAD`] of the cap of its slowest peer, for at most [`PEER_WINDOWS`]
 //!   windows: when a host fails and its callers move to others, the traffic jumps by the difference
@@ -185,18 +185,18 @@
         }
     }
 
-    /// Returns all shares, to be sent to hosts of this host's region.
+    /// Returns all shares.
     pub fn table(&self) -> SplitTable {
         self.filter_table(|_, _| true)
     }
 
-    /// Returns the shares to send to a host of another region.
+    /// Returns the shares to send to peers; `own` is the region of this host.
     ///
-    /// Shares that this host assumed for that region's callers are left out: they ignore regions
-    /// that it had not heard then, and a host that started from them would move all traffic of its
-    /// callers at once.
-    pub fn table_for(&self, region: &str) -> SplitTable {
-        self.filter_table(|callers, flow| *callers != *region || !flow.is_assumed)
+    /// Shares that this host assumed for other regions' callers are left out: they ignore regions
+    /// that it had not heard then, and a host of the callers' region that started from them, or
+    /// from what a third host took from them, would move all its traffic at once.
+    pub fn table_for_peers(&self, own: &str) -> SplitTable {
+        self.filter_table(|callers, flow| *callers == *own || !flow.is_assumed)
     }
 
     fn filter_table(&self, includes: impl Fn(&str, &Flow) -> bool) -> SplitTable {
