--- a/crates/cli/tests/causes.rs
+++ b/crates/cli/tests/causes.rs
@@ -187,3 +187,29 @@
         assert!(shown.contains(event), "{event}: {shown}");
     }
 }
+
+/// A caller sends a failed request again under another id. The log must show that both are the same
+/// request, or nobody can tell which one takes the targets down.
+#[tokio::test]
+async fn a_repeat_under_another_id_has_the_same_fingerprint() {
+    let logged = LoggedHost::open(17481).await;
+    logged
+        .deployment
+        .target
+        .set(|rules| rules.drops_responses = true);
+    for (path, id) in [("/once/a", "r1"), ("/once/a", "r2"), ("/once/b", "r3")] {
+        assert_eq!(logged.status(path, id).await, StatusCode::BAD_GATEWAY);
+    }
+    let shown = logged.explain(&["r1", "r2", "r3"]);
+    let fingerprints: Vec<_> = shown
+        .iter()
+        .map(|shown| {
+            let failed = shown.lines().find(|l| l.contains("attempt_failed"));
+            let mut fields = failed.expect("an attempt failed").split_whitespace();
+            fields.find_map(|f| f.strip_prefix("fingerprint="))
+        })
+        .collect();
+    assert!(fingerprints[0].is_some(), "{shown:?}");
+    assert_eq!(fingerprints[0], fingerprints[1]);
+    assert_ne!(fingerprints[0], fingerprints[2]);
+}
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod caller_stream;
 mod connection;
+mod fingerprint;
 mod idle;
 mod idle_callers;
 mod pipeline;
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -20,6 +20,7 @@
     attempt::{AttemptResult, OutboundRequest},
     caller_stream::CallerStream,
     connection::strip_hop_by_hop,
+    fingerprint::Fingerprint,
     pipeline::Pipeline,
     response::{RequestEnd, answered, late, lost, read_body, refuse},
     select::{self, NoTarget, SelectedTarget},
@@ -59,8 +60,10 @@
 pub(super) struct CallerGone;
 
 /// State of a request over its attempts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RetryState {
+    /// Identity of the request across its repeats.
+    fingerprint: Fingerprint,
     /// Targets that the request was sent to.
     tried: BTreeSet<Arc<str>>,
     /// Those of them that are excluded from further attempts.
@@ -76,6 +79,19 @@
 }
 
 impl RetryState {
+    /// Opens the state of a request that was not sent yet.
+    fn open(fingerprint: Fingerprint) -> RetryState {
+        RetryState {
+            fingerprint,
+            tried: BTreeSet::new(),
+            excluded: BTreeSet::new(),
+            delivered: 0,
+            may_have_run: false,
+            token: None,
+            in_budget: false,
+        }
+    }
+
     /// Records whether the request's token is consumed.
     fn set_spent(&self, is_spent: bool) {
         if let Some(token) = &self.token {
@@ -225,7 +241,9 @@
             Err(end) => return end,
         };
         let outbound = self.outbound_request(head, credentials, body, deadline);
-        let end = self.run(&outbound).await;
+        let affinity_key = (self.shared.dialect.affinity_key)(&outbound.headers);
+        let fingerprint = Fingerprint::of(&outbound, &access, affinity_key.unwrap_or_default());
+        let end = self.run(&outbound, fingerprint).await;
         if let Some(workspace) = &access.workspace {
             let is_limited = end.outcome == Outcome::Limited;
             self.shared.meters.workspace(&workspace.name, is_limited);
@@ -276,8 +294,12 @@
     }
 
     /// Sends a request to targets until one answers or it must be given up.
-    async fn run(self: &Rc<Front>, outbound: &OutboundRequest) -> RequestEnd {
-        let mut state = RetryState::default();
+    async fn run(
+        self: &Rc<Front>,
+        outbound: &OutboundRequest,
+        fingerprint: Fingerprint,
+    ) -> RequestEnd {
+        let mut state = RetryState::open(fingerprint);
         loop {
             // The view may have changed since the last attempt, and with it the route.
             let freshness = self.key_freshness();
@@ -407,7 +429,7 @@
         if !is_shed || !self.failures_common(&target.service) {
             state.excluded.insert(Arc::clone(&target.id));
         }
-        self.log_failed_attempt(outbound, &cause, state.delivered);
+        self.log_failed_attempt(outbound, state.fingerprint, &cause, state.delivered);
         let ended = state.delivered >= route.attempts || !has_time(outbound);
         let once = state.may_have_run && !route.repeatable;
         (ended || once).then(|| state.give_up(&cause, MIN_BACKOFF))
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -7,8 +7,8 @@
 use tokio::time::Instant;
 
 use super::{
-    Front, access::Access, attempt::OutboundRequest, response::RequestEnd, select::SelectedTarget,
-    targets::TargetHandle,
+    Front, access::Access, attempt::OutboundRequest, fingerprint::Fingerprint,
+    response::RequestEnd, select::SelectedTarget, targets::TargetHandle,
 };
 use crate::{
     model::Workspace,
@@ -171,6 +171,7 @@
     pub(super) fn log_failed_attempt(
         &self,
         outbound: &OutboundRequest,
+        fingerprint: Fingerprint,
         cause: &str,
         delivered: u32,
     ) {
@@ -179,7 +180,7 @@
         if self.may_log(Kind::Failure) {
             log::info!(
                 target: "request", event = "attempt_failed", id = &*outbound.id, cause = cause,
-                arrived = delivered; "an attempt failed"
+                arrived = delivered, fingerprint:% = fingerprint; "an attempt failed"
             );
         }
     }
--- a/crates/node/src/duties/callers/call.rs
+++ b/crates/node/src/duties/callers/call.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use dunlinrock_coord::once::Key;
+use dunlinrock_decide::steer::hash::hash_parts;
 use dunlinrock_schema::{api::Run, config::Service};
 use http_body_util::Full;
 use hyper::{HeaderMap, Method};
-use rapidhash::v3::rapidhash_v3;
 use tokio::time::Instant;
 use viz::{Body, Request, Response, header::HeaderValue};
 
@@ -182,8 +182,8 @@
     let caller = caller_hash(headers, service, address)?;
     let path_only = path.split('?').next().unwrap_or_default();
     let first_segment = path_only.split('/').nth(1).unwrap_or_default();
-    let kind = hash(&[method.as_str().as_bytes(), first_segment.as_bytes()]);
-    let fingerprint = hash(&[method.as_str().as_bytes(), path.as_bytes(), &body]);
+    let kind = hash_parts(&[method.as_str().as_bytes(), first_segment.as_bytes()]);
+    let fingerprint = hash_parts(&[method.as_str().as_bytes(), path.as_bytes(), &body]);
     Ok(Call {
         request: Arc::clone(id),
         headers: target_fields(headers),
@@ -191,10 +191,10 @@
         region: Arc::clone(region),
         client: address,
         caller,
-        topic: hash(&[path_only.as_bytes()]),
+        topic: hash_parts(&[path_only.as_bytes()]),
         kind,
         fingerprint,
-        identity: hash(&[&caller.to_be_bytes(), &fingerprint.to_be_bytes()]),
+        identity: hash_parts(&[&caller.to_be_bytes(), &fingerprint.to_be_bytes()]),
         repeatable: service
             .repeatable
             .iter()
@@ -213,8 +213,8 @@
 fn caller_hash(headers: &HeaderMap, service: &Service, address: IpAddr) -> Result<u64, CallError> {
     let named = header_text(headers, &service.caller_header)?;
     Ok(match named {
-        Some(name) => hash(&[name.as_bytes()]),
-        None => hash(&[address.to_string().as_bytes()]),
+        Some(name) => hash_parts(&[name.as_bytes()]),
+        None => hash_parts(&[address.to_string().as_bytes()]),
     })
 }
 
@@ -243,14 +243,3 @@
     text.parse()
         .map_err(|e: dunlinrock_coord::once::KeyError| malformed(&e.to_string()))
 }
-
-/// Returns one hash over several parts. The length of each part is hashed too, so that `ab`, `c`
-/// and `a`, `bc` differ.
-fn hash(parts: &[&[u8]]) -> u64 {
-    let mut bytes = Vec::with_capacity(parts.iter().map(|part| part.len() + 8).sum());
-    for part in parts {
-        bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
-        bytes.extend_from_slice(part);
-    }
-    rapidhash_v3(&bytes)
-}
--- a/crates/steer/src/hash/mod.rs
+++ b/crates/steer/src/hash/mod.rs
@@ -3,6 +3,19 @@
 //! Hosts make the same choice without coordination because they compute the same hashes; the hasher
 //! of the standard library does not guarantee that.
 
+use rapidhash::v3::rapidhash_v3;
+
+/// Hashes several parts. The length of each part is hashed too, so that `ab`, `c` and `a`, `bc`
+/// differ.
+pub fn hash_parts(parts: &[&[u8]]) -> u64 {
+    let mut bytes = Vec::with_capacity(parts.iter().map(|part| part.len() + 8).sum());
+    for part in parts {
+        bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
+        bytes.extend_from_slice(part);
+    }
+    rapidhash_v3(&bytes)
+}
+
 /// Hashes a string (FNV-1a, finished by [`mix64`]).
 pub fn hash_str(text: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
