--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -74,5 +74,8 @@
         PoolConfig, PoolState, RefusalReason, TargetSpec, TargetState,
     },
     pool_choice::{PoolCandidate, choose_pool},
-    quarantine::{CrashedRun, Quarantine, QuarantineStatus, QuarantineUpdate},
+    quarantine::{
+        CrashedRun, Quarantine, QuarantineStatus, QuarantineTtls, QuarantineUpdate,
+        RecentSuccesses, RunTicket, TargetRuns,
+    },
 };
--- a/crates/admit/src/quarantine/mod.rs
+++ b/crates/admit/src/quarantine/mod.rs
@@ -4,37 +4,63 @@
 //! retry. Without quarantine it takes down one target after the other.
 //!
 //! After a crash, all requests that ran on the target are suspects, because any of them may have
-//! caused it. A suspect runs alone on its target until one run succeeds, which clears it. A second
-//! crash during such an isolated run therefore confirms the request as the cause, while a request
-//! that only shared the first crash succeeds in its isolated run. A crash counts as the second one
-//! only if the run began after the first crash was known: when a whole failure domain goes down at
-//! once, many targets crash under popular requests, and none of that is evidence against the
-//! requests.
+//! caused it. A run that succeeds clears its request. A second crash confirms a suspect as the cause
+//! if it was the only suspect on the target. A crash counts as the second one only if the run began
+//! after the first crash was known: when a whole failure domain goes down at once, many targets crash
+//! under popular requests, and none of that is evidence against the requests. Nor is a crash that a
+//! confirmed request explains evidence against those beside it.
+//!
+//! A pool runs a suspect alone on its target, so that a request that only shared a crash is cleared
+//! by its next run. A host that sends straight to targets cannot, since other hosts use the same
+//! ones; it leaves out requests that have lately succeeded ([`RecentSuccesses`]).
 //!
 //! Hosts exchange [`QuarantineUpdate`]s, so that a resend through another host meets the same
 //! record. An update is idempotent, and every record expires: a request that was confirmed wrongly,
-//! or whose cause has been fixed, is admitted again after half an hour.
+//! or whose cause has been fixed, is admitted again.
+
+mod recent_successes;
+mod target_runs;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use std::{collections::BTreeMap, time::Duration};
+pub use self::{
+    recent_successes::RecentSuccesses,
+    target_runs::{RunTicket, TargetRuns},
+};
 
 /// Maximum number of records; beyond it the weakest and oldest is evicted. A crash leaves as many
 /// suspects as a target has slots, 3 to 8, so this is enough for 30 crashes within the time to live
 /// of a suspect.
 pub(crate) const MAX_RECORDS: usize = 256;
 
-/// Time to live of a suspect's record: longer than callers wait before they send again.
-pub(crate) const SUSPECT_TTL: Duration = Duration::from_secs(300);
+/// Times to live of records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuarantineTtls {
+    /// Of a suspect's record: longer than callers wait before they send again.
+    pub suspect: Duration,
+    /// Of a confirmed request: long enough for the on-call engineer to act.
+    pub confirmed: Duration,
+}
 
-/// Time for which a confirmed request is refused: long enough for the on-call engineer to act.
-pub(crate) const CONFIRMED_TTL: Duration = Duration::from_secs(1800);
+impl Default for QuarantineTtls {
+    fn default() -> QuarantineTtls {
+        QuarantineTtls {
+            suspect: Duration::from_secs(300),
+            confirmed: Duration::from_secs(1800),
+        }
+    }
+}
 
 /// Status of a quarantined request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum QuarantineStatus {
     /// Ran on a target that crashed. It runs alone until it has succeeded once.
     Suspect,
-    /// Confirmed as the cause of a crash: two targets crashed under it, the second while it ran
-    /// alone. It is refused.
+    /// Confirmed as the cause of a crash: two targets crashed under it, the second while it was the
+    /// only suspect there. It is refused.
     Convict,
 }
 
@@ -87,6 +113,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    ttls: QuarantineTtls,
     records: BTreeMap<u64, Record>,
     updates: Vec<QuarantineUpdate>,
 }
@@ -97,6 +124,14 @@
         Self::default()
     }
 
+    /// Opens an empty quarantine with these times to live.
+    pub fn open_with(ttls: QuarantineTtls) -> Self {
+        Self {
+            ttls,
+            ..Self::default()
+        }
+    }
+
     /// Returns the status of a request, or `None` if it is not quarantined.
     pub fn status(&self, fingerprint: u64, now: Duration) -> Option<QuarantineStatus> {
         let r = self.records.get(&fingerprint)?;
@@ -111,15 +146,19 @@
 
     /// Records that a target crashed while these requests ran on it.
     pub fn record_crash(&mut self, crashed_runs: &[CrashedRun], now: Duration) {
-        let alone = crashed_runs.len() == 1;
+        let is_explained = crashed_runs
+            .iter()
+            .any(|run| self.status(run.fingerprint, now) == Some(QuarantineStatus::Convict));
+        if is_explained {
+            return;
+        }
+        let recurs = |run: &&CrashedRun| self.was_suspect(run, now);
+        let suspects = crashed_runs.iter().filter(recurs);
+        let suspects: BTreeSet<_> = suspects.map(|run| run.fingerprint).collect();
         for v in crashed_runs {
-            let is_confirmed = self.records.get(&v.fingerprint).is_some_and(|r| {
-                now < r.expires_at
-                    && (r.status == QuarantineStatus::Convict || (alone && v.since >= r.since))
-            });
-            let (status, ttl) = match is_confirmed {
-                true => (QuarantineStatus::Convict, CONFIRMED_TTL),
-                false => (QuarantineStatus::Suspect, SUSPECT_TTL),
+            let (status, ttl) = match suspects.len() == 1 && suspects.contains(&v.fingerprint) {
+                true => (QuarantineStatus::Convict, self.ttls.confirmed),
+                false => (QuarantineStatus::Suspect, self.ttls.suspect),
             };
             let update = QuarantineUpdate {
                 fingerprint: v.fingerprint,
@@ -132,6 +171,12 @@
         }
     }
 
+    /// Whether a run began after an earlier crash under its request was known.
+    fn was_suspect(&self, run: &CrashedRun, now: Duration) -> bool {
+        let record = self.records.get(&run.fingerprint);
+        record.is_some_and(|r| now < r.expires_at && run.since >= r.since)
+    }
+
     /// Clears a suspect after a run that ended with a response: the request does not crash its
     /// targets.
     pub fn clear(&mut self, fingerprint: u64) {
@@ -144,6 +189,11 @@
         }
     }
 
+    /// Removes a record, whatever its status.
+    pub fn forget(&mut self, fingerprint: u64) {
+        self.records.remove(&fingerprint);
+    }
+
     /// Merges an update from a peer.
     pub fn apply_update(&mut self, update: QuarantineUpdate, now: Duration) {
         self.upsert(update, now);
@@ -176,8 +226,8 @@
     /// Merges a record; returns true if it is stronger than what was known.
     fn upsert(&mut self, update: QuarantineUpdate, now: Duration) -> bool {
         let life = update.ttl.min(match update.status {
-            QuarantineStatus::Suspect => SUSPECT_TTL,
-            QuarantineStatus::Convict => CONFIRMED_TTL,
+            QuarantineStatus::Suspect => self.ttls.suspect,
+            QuarantineStatus::Convict => self.ttls.confirmed,
         });
         let known = self
             .records
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -14,7 +14,7 @@
 pub use explain::Explain;
 pub use fake::{Fake, FakeServe, FakeTargets};
 pub use load::{Demo, Load, Plot};
-pub use operator::{Apply, Check, Dump, History, Hosts, HostsFrom, Plan, Show, Store};
+pub use operator::{Apply, Check, Dump, History, Hosts, HostsFrom, Plan, Release, Show, Store};
 pub use serve::Serve;
 pub use soak::Soak;
 
@@ -75,6 +75,12 @@
     /// Show the complete state of a host as JSON
     #[bpaf(command)]
     Dump(#[bpaf(external(operator::dump))] Dump),
+    /// End the quarantine of a request on the users' platform
+    ///
+    /// Hosts refuse a request that crashes the targets that run it. Release one whose cause is
+    /// fixed; if it crashes targets again, it is refused again.
+    #[bpaf(command)]
+    Release(#[bpaf(external(operator::release))] Release),
     /// Trace one request through the logs of hosts
     ///
     /// Reads the structured logs of any number of hosts, prints the lines about the request in
--- a/crates/cli/src/args/operator.rs
+++ b/crates/cli/src/args/operator.rs
@@ -130,6 +130,18 @@
     },
 }
 
+/// Which request to release
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+pub struct Release {
+    /// Address of a host, as other hosts reach it
+    #[bpaf(long, argument::<String>("ADDR"), parse(address))]
+    pub at: SocketAddr,
+    /// Fingerprint of the request, as logs and dumps show it
+    #[bpaf(positional("FINGERPRINT"))]
+    pub fingerprint: String,
+}
+
 /// Which host to read
 #[derive(Clone, Debug)]
 #[derive(Bpaf)]
--- a/crates/cli/src/commands/dump.rs
+++ b/crates/cli/src/commands/dump.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dunlinrock_node::wire::{Answer, Client};
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use serde_json::Value;
 
@@ -75,10 +75,18 @@
 
 /// Sends a GET request to a host.
 pub(crate) async fn get(at: SocketAddr, path: &str) -> Result<Answer, CliError> {
+    call(Method::GET, at, path).await
+}
+
+/// Sends a request without a body to a host.
+pub(super) async fn call(method: Method, at: SocketAddr, path: &str) -> Result<Answer, CliError> {
     let away = |e: &dyn std::fmt::Display| {
         CliError::open(Exit::Unreachable, format!("no host answered at {at}: {e}"))
     };
-    let req = Request::get(format!("http://{at}{path}")).body(Full::<Bytes>::default());
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{at}{path}"))
+        .body(Full::<Bytes>::default());
     let req = req.map_err(|e| CliError::open(Exit::Usage, format!("{path}: {e}")))?;
     let answer = Client::open(MAX_RESPONSE_BYTES)
         .call(req, CALL_TIMEOUT)
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -33,6 +33,7 @@
     for path in &args.files {
         read(path, &args.id, &mut matches)?;
     }
+    matches.add_quarantine();
     if matches.lines.is_empty() {
         let text = format!(
             "no line names request {}; {} lines were read",
@@ -55,10 +56,18 @@
     Ok(())
 }
 
+impl Line {
+    fn fingerprint(&self) -> Option<&str> {
+        self.fields.get("fingerprint")?.as_str()
+    }
+}
+
 /// Lines found in the files.
 #[derive(Default)]
 struct Matches {
     lines: Vec<Line>,
+    /// Lines about the quarantine of requests, of any fingerprint.
+    quarantine: Vec<Line>,
     read: u64,
     /// Number of lines that are not valid log lines, such as truncated ones.
     malformed: u64,
@@ -99,19 +108,38 @@
                 .and_then(Value::as_u64)
                 .unwrap_or_default();
         }
-        if fields.get("id").and_then(Value::as_str) != Some(id) {
+        let is_request = fields.get("id").and_then(Value::as_str) == Some(id);
+        let is_belief = fields.get("of").and_then(Value::as_str) == Some("belief");
+        let is_quarantine = is_belief && fields.contains_key("fingerprint");
+        if !is_request && !is_quarantine {
             return;
         }
         let number = |name| fields.get(name).and_then(Value::as_f64).unwrap_or_default();
         // A line may be written some time after its event.
         let time = number("time") - number("held_ms") / 1000.0;
         let source = before.split_whitespace().last().unwrap_or(name).to_owned();
-        self.lines.push(Line {
+        let lines = match is_request {
+            true => &mut self.lines,
+            false => &mut self.quarantine,
+        };
+        lines.push(Line {
             time,
             source,
             fields,
         });
     }
+
+    /// Adds the lines that tell why hosts suspect or refuse the request: those with its
+    /// fingerprint.
+    fn add_quarantine(&mut self) {
+        let fingerprint = self.lines.iter().find_map(Line::fingerprint);
+        let Some(fingerprint) = fingerprint.map(str::to_owned) else {
+            return;
+        };
+        let quarantine = std::mem::take(&mut self.quarantine);
+        let same = |line: &Line| line.fingerprint() == Some(&*fingerprint);
+        self.lines.extend(quarantine.into_iter().filter(same));
+    }
 }
 
 fn show(line: &Line, start: f64) -> String {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -78,6 +78,7 @@
         Command::History(args) => commands::history(&args),
         Command::Hosts(args) => commands::hosts(&args),
         Command::Dump(args) => commands::dump(&args),
+        Command::Release(args) => commands::release(&args),
         Command::Load(args) => commands::load(&args),
         Command::Plot(args) => commands::plot(&args),
         Command::Demo(args) => demo::run(&args),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -107,3 +107,31 @@
     assert_ne!(out.code, 0);
     assert!(out.err.contains("/nowhere/a.log"), "{}", out.err);
 }
+
+/// A request was refused because an earlier one with the same fingerprint crashed targets. The lines
+/// that say so name neither its id nor its host.
+#[test]
+fn a_refused_request_is_followed_to_the_crashes_under_its_fingerprint() {
+    let dir = tempfile::tempdir().unwrap();
+    let a = log(
+        &dir,
+        "a.log",
+        &[
+            r#"{"time":9.0,"of":"belief","event":"suspected","fingerprint":"0a","to":"t1","runs":1}"#,
+            r#"{"time":9.5,"of":"belief","event":"quarantined","fingerprint":"0a","to":"t2","runs":1}"#,
+            r#"{"time":9.6,"of":"belief","event":"suspected","fingerprint":"0b","to":"t3","runs":1}"#,
+        ],
+    );
+    let b = log(
+        &dir,
+        "b.log",
+        &[r#"{"time":10.0,"of":"request","event":"refused","id":"r1","fingerprint":"0a"}"#],
+    );
+    let out = run(&["explain", "r1", &a, &b]);
+    assert_eq!(out.code, 0, "{}", out.err);
+    let events: Vec<_> = ["to=t1", "to=t2", "refused"]
+        .map(|part| out.out.lines().position(|line| line.contains(part)))
+        .into();
+    assert_eq!(events, [Some(0), Some(1), Some(2)], "{}", out.out);
+    assert!(!out.out.contains("t3"), "{}", out.out);
+}
--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use viz::{IntoResponse, RequestExt, Response, Router};
 
-use super::tokens;
+use super::{quarantine, tokens};
 use crate::{
     host::Shared,
     replica::{Changes, ConfigUpdate},
@@ -20,7 +20,7 @@
 
 /// Path of the changes request. Hosts of a release with other messages do not know it: while a
 /// fleet runs both releases, its hosts read the store themselves.
-const CHANGES_PATH: &str = "/peer/v4/changes";
+const CHANGES_PATH: &str = "/peer/v5/changes";
 
 /// Path of the dump.
 const DUMP_PATH: &str = "/peer/v1/dump";
@@ -138,7 +138,7 @@
             let shared = Arc::clone(&dump_state);
             async move { Ok(dump(&shared)) }
         });
-    tokens::routes(router, shared)
+    quarantine::routes(tokens::routes(router, shared), shared)
 }
 
 /// Reads a message of another host; the error is the response to an unreadable one.
@@ -198,6 +198,10 @@
         (name.to_string(), list.collect())
     });
     let targets: serde_json::Map<String, serde_json::Value> = targets.collect();
+    let quarantined = view.quarantined.iter().map(|(fingerprint, (entry, _))| {
+        let status = ["suspect", "confirmed"][usize::from(entry.is_confirmed)];
+        (format!("{fingerprint:016x}"), json!(status))
+    });
     let text = json!({
         "name": shared.settings.name,
         "ready": shared.is_ready(),
@@ -205,6 +209,7 @@
         "change": view.change,
         "age_ms": millis(shared.age()),
         "evacuated": view.evacuated,
+        "quarantined": quarantined.collect::<serde_json::Map<_, _>>(),
         "hosts": view.hosts.keys().collect::<Vec<_>>(),
         "targets": targets,
     });
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -4,21 +4,28 @@
 mod changes;
 mod deferred;
 mod follow;
+mod quarantine;
 mod tokens;
 mod tree;
 
 use std::{net::TcpListener, sync::Arc, thread::JoinHandle, time::Duration};
 
 use dunlinrock_node::serve::{ConnectionLimits, serve};
-use tokio::{runtime::Builder, sync::watch};
+use tokio::{
+    runtime::Builder,
+    sync::{mpsc, watch},
+};
 use viz::{Router, Tree};
 
-pub(crate) use self::tokens::{MAX_TOKEN_BYTES, ask_tokens};
 pub use self::{
     changes::{LONG_POLL_TIME, STALE_AGE, long_poll_time},
     follow::{READER_POLL_INTERVAL, may_have_expired},
     tree::{FAN_OUT, STORE_READERS, TreePosition, tree_position},
 };
+pub(crate) use self::{
+    quarantine::QuarantineChange,
+    tokens::{MAX_TOKEN_BYTES, ask_tokens},
+};
 use crate::{
     host::{Phase, Shared},
     lookup, meters,
@@ -52,13 +59,21 @@
 }
 
 /// Spawns the control thread; it ends in the phase [`Phase::Stopped`].
-pub fn spawn(shared: Arc<Shared>, listeners: Listeners) -> anyhow::Result<JoinHandle<()>> {
+pub(crate) fn spawn(
+    shared: Arc<Shared>,
+    listeners: Listeners,
+    quarantine: mpsc::Receiver<QuarantineChange>,
+) -> anyhow::Result<JoinHandle<()>> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let thread = std::thread::Builder::new().name("control".to_owned());
-    Ok(thread.spawn(move || runtime.block_on(run(shared, listeners)))?)
+    Ok(thread.spawn(move || runtime.block_on(run(shared, listeners, quarantine)))?)
 }
 
-async fn run(shared: Arc<Shared>, listeners: Listeners) {
+async fn run(
+    shared: Arc<Shared>,
+    listeners: Listeners,
+    quarantine: mpsc::Receiver<QuarantineChange>,
+) {
     let (stop, stopped) = watch::channel(false);
     let max = shared.settings.connections.control;
     let open = |listener: TcpListener, router: Router, fraction: f64| {
@@ -75,6 +90,7 @@
     }
     tokio::spawn(follow::follow(Arc::clone(&shared)));
     tokio::spawn(deferred::apply_when_due(Arc::clone(&shared)));
+    tokio::spawn(quarantine::announce(Arc::clone(&shared), quarantine));
     let announcer = tokio::spawn(announce::announce(Arc::clone(&shared)));
     let mut phase = shared.phase.subscribe();
     // The sender is in `shared`, which this thread holds.
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -10,22 +11,29 @@
 use dunlinrock_decide::admit::direct::{Evidence, FailureRate};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
-use tokio::time::Instant;
+use tokio::time::{Instant, error::Elapsed};
 
 use super::{
     Front,
     access::Access,
     connection::{BufferedResponse, ExchangeError, TargetConnection},
+    fingerprint::Fingerprint,
     request_log::Sent,
     select::SelectedTarget,
     targets::TargetHandle,
 };
 use crate::model::{Credentials, Route};
 
+/// How long a target must have been silent for a timeout to be a sign that it is gone. A target
+/// that answers others is slow.
+const SILENCE: Duration = Duration::from_millis(500);
+
 /// A request as it is sent to targets.
 #[derive(Debug)]
 pub(super) struct OutboundRequest {
     pub(super) id: Arc<str>,
+    /// Identity of the request across its repeats.
+    pub(super) fingerprint: Fingerprint,
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
@@ -56,7 +64,7 @@
 impl Front {
     /// Sends a request to one target.
     pub(super) async fn attempt(
-        &self,
+        self: &Rc<Front>,
         access: &Access,
         selected: &SelectedTarget,
         outbound: &OutboundRequest,
@@ -68,6 +76,8 @@
         let (start, sent) = (Instant::now(), Cell::new(false));
         let exchange = self.exchange(access, selected, outbound, &sent);
         let exchanged = tokio::time::timeout_at(outbound.deadline, exchange).await;
+        self.examine_target(handle, exchanged.as_ref().map(Result::as_ref))
+            .await;
         let (result, evidence) = match exchanged {
             Err(_) if sent.get() => (
                 AttemptResult::TimedOut,
@@ -78,7 +88,7 @@
                 Some(Evidence::Down),
             ),
             Ok(Err(ExchangeError::Rerouted)) => (AttemptResult::Rerouted, None),
-            Ok(Err(ExchangeError::NotSent(cause))) => {
+            Ok(Err(ExchangeError::NotSent(cause) | ExchangeError::Refused(cause))) => {
                 (AttemptResult::NotSent(cause), Some(Evidence::Down))
             }
             Ok(Err(ExchangeError::Sent(cause))) => {
@@ -99,11 +109,38 @@
                 evidence = Some(Evidence::Bad);
             }
             self.record_time(&route.name, time, selected);
+            self.record_success(outbound.fingerprint);
         }
         self.record_evidence(handle, evidence);
         result
     }
 
+    /// Looks for signs that a target's process is gone, in an exchange that may have timed out.
+    ///
+    /// A connection that broke is followed by a check before the request may be sent again: a retry
+    /// counts as sent after the crash only if the crash is known.
+    async fn examine_target(
+        self: &Rc<Front>,
+        handle: &Rc<TargetHandle>,
+        exchanged: Result<Result<&BufferedResponse, &ExchangeError>, &Elapsed>,
+    ) {
+        let is_gone = match exchanged {
+            Ok(Ok(response)) => response.status == StatusCode::MISDIRECTED_REQUEST,
+            Ok(Err(ExchangeError::Refused(_) | ExchangeError::Unreachable(_))) => true,
+            Ok(Err(ExchangeError::Rerouted | ExchangeError::NotSent(_))) => false,
+            Ok(Err(ExchangeError::Sent(_))) => return self.check_target(handle).await,
+            Err(_) if handle.is_silent(SILENCE, self.shared.now()) => {
+                let (front, handle) = (Rc::clone(self), Rc::clone(handle));
+                tokio::task::spawn_local(async move { front.check_target(&handle).await });
+                false
+            }
+            Err(_) => false,
+        };
+        if is_gone {
+            self.record_gone(handle);
+        }
+    }
+
     /// Returns what a timeout indicates about the target: nothing, unless the attempt had as much
     /// time as a healthy target needs.
     ///
@@ -133,19 +170,32 @@
             }
             let was_used = connection.is_used();
             sent.set(true);
+            let run = handle.start_run(outbound.fingerprint, self.shared.clock);
             let exchanged = tokio::select! {
                 exchanged = connection.exchange(self.request(access, handle, outbound)) => exchanged,
                 () = wait_down(handle, &access.route) => Err(ExchangeError::Sent("the target is down".to_owned())),
             };
             match exchanged {
                 Ok((response, is_reusable)) => {
+                    match response.status {
+                        // Another process than the expected one.
+                        StatusCode::MISDIRECTED_REQUEST => run.withdraw(),
+                        _ => run.finish(),
+                    }
                     if is_reusable && self.matches_request(outbound, &response) {
                         handle.keep_idle(connection);
                     }
                     return Ok(response);
                 }
                 // The target closed an idle connection before anything was sent.
-                Err(ExchangeError::NotSent(_)) if was_used => sent.set(false),
+                Err(ExchangeError::NotSent(_)) if was_used => {
+                    run.withdraw();
+                    sent.set(false);
+                }
+                Err(e @ ExchangeError::NotSent(_)) => {
+                    run.withdraw();
+                    return Err(e);
+                }
                 Err(e) => return Err(e),
             }
         }
@@ -316,6 +366,7 @@
         let is_down = ejection.is_down();
         drop(ejection);
         if is_down && evidence == Evidence::Down {
+            self.record_gone(handle);
             handle.close_idle();
             handle.down_notify.notify_waiters();
         }
--- a/crates/edge/src/front/connection.rs
+++ b/crates/edge/src/front/connection.rs
@@ -45,6 +45,8 @@
 pub(super) enum ExchangeError {
     /// Certainly nothing was sent.
     NotSent(String),
+    /// Nothing was sent: no process listens at the address.
+    Refused(String),
     /// Nothing was sent, because the request must now go to another target.
     Rerouted,
     /// Something may have been sent, and no complete response came back.
@@ -91,7 +93,10 @@
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connect
             .map_err(|_| unsent(&"no connection in time"))?
-            .map_err(|e| unsent(&e))?;
+            .map_err(|e| match e.kind() {
+                io::ErrorKind::ConnectionRefused => ExchangeError::Refused(e.to_string()),
+                _ => unsent(&e),
+            })?;
         configure_socket(&stream).map_err(|e| unsent(&e))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| unsent(&e))?;
--- a/crates/edge/src/front/fingerprint.rs
+++ b/crates/edge/src/front/fingerprint.rs
@@ -6,31 +6,24 @@
 use std::fmt;
 
 use dunlinrock_decide::steer::hash::hash_parts;
-use http::header;
+use http::{header, request::Parts};
 
-use super::{access::Access, attempt::OutboundRequest};
+use super::access::Access;
 
 /// Hash over what a target acts on: method, host, path with query, workspace, affinity key and
 /// body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Fingerprint(pub(super) u64);
+pub(crate) struct Fingerprint(pub(crate) u64);
 
 impl Fingerprint {
     /// Computes the fingerprint of a request of a caller with this access.
-    pub(super) fn of(outbound: &OutboundRequest, access: &Access, affinity_key: &str) -> Self {
-        let OutboundRequest {
-            method,
-            uri,
-            headers,
-            body,
-            ..
-        } = outbound;
-        let host = headers.get(header::HOST).map_or(&[][..], |v| v.as_bytes());
-        let path = uri.path_and_query().map_or("/", |p| p.as_str());
+    pub(super) fn of(head: &Parts, body: &[u8], access: &Access, affinity_key: &str) -> Self {
+        let host = head.headers.get(header::HOST);
+        let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
         let workspace = access.workspace.as_ref().map_or("", |w| &*w.name);
         Fingerprint(hash_parts(&[
-            method.as_str().as_bytes(),
-            host,
+            head.method.as_str().as_bytes(),
+            host.map_or(&[], |v| v.as_bytes()),
             path.as_bytes(),
             workspace.as_bytes(),
             affinity_key.as_bytes(),
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -10,6 +10,7 @@
 mod idle;
 mod idle_callers;
 mod pipeline;
+mod quarantine;
 mod request;
 mod request_log;
 mod response;
@@ -46,6 +47,7 @@
     idle::ConnectionCounter,
     idle_callers::{ConnectionUsage, IdleTracker},
     pipeline::Pipeline,
+    quarantine::KnownQuarantine,
     request::CallerConnection,
     request_log::RequestLog,
     targets::TargetTable,
@@ -129,6 +131,8 @@
     client: Client,
     /// Counts connections to targets.
     target_connections: Rc<ConnectionCounter>,
+    /// Requests that crash their targets.
+    quarantine: KnownQuarantine,
     /// Memory for request bodies.
     body_budget: RefCell<BodyBudget>,
     /// Whether the number of connections was near the limit at the last check.
@@ -162,6 +166,7 @@
         pruned_version: Cell::new(0),
         client: Client::open_from(Some(shared.settings.listen.peers.ip()), MAX_TOKEN_BYTES),
         body_budget: RefCell::new(BodyBudget::open(shared.settings.memory)),
+        quarantine: KnownQuarantine::open(),
         near_limit: Cell::new(false),
         shared,
         retry_budgets: RefCell::default(),
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -60,10 +60,8 @@
 pub(super) struct CallerGone;
 
 /// State of a request over its attempts.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct RetryState {
-    /// Identity of the request across its repeats.
-    fingerprint: Fingerprint,
     /// Targets that the request was sent to.
     tried: BTreeSet<Arc<str>>,
     /// Those of them that are excluded from further attempts.
@@ -79,19 +77,6 @@
 }
 
 impl RetryState {
-    /// Opens the state of a request that was not sent yet.
-    fn open(fingerprint: Fingerprint) -> RetryState {
-        RetryState {
-            fingerprint,
-            tried: BTreeSet::new(),
-            excluded: BTreeSet::new(),
-            delivered: 0,
-            may_have_run: false,
-            token: None,
-            in_budget: false,
-        }
-    }
-
     /// Records whether the request's token is consumed.
     fn set_spent(&self, is_spent: bool) {
         if let Some(token) = &self.token {
@@ -240,10 +225,10 @@
             Ok(body) => body,
             Err(end) => return end,
         };
-        let outbound = self.outbound_request(head, credentials, body, deadline);
-        let affinity_key = (self.shared.dialect.affinity_key)(&outbound.headers);
-        let fingerprint = Fingerprint::of(&outbound, &access, affinity_key.unwrap_or_default());
-        let end = self.run(&outbound, fingerprint).await;
+        let affinity_key = (self.shared.dialect.affinity_key)(&head.headers).unwrap_or_default();
+        let fingerprint = Fingerprint::of(&head, &body, &access, affinity_key);
+        let outbound = self.outbound_request(head, fingerprint, credentials, body, deadline);
+        let end = self.run(&outbound).await;
         if let Some(workspace) = &access.workspace {
             let is_limited = end.outcome == Outcome::Limited;
             self.shared.meters.workspace(&workspace.name, is_limited);
@@ -273,6 +258,7 @@
     fn outbound_request(
         &self,
         head: Parts,
+        fingerprint: Fingerprint,
         credentials: Credentials,
         body: Bytes,
         deadline: Instant,
@@ -283,6 +269,7 @@
         headers.remove(header::EXPECT);
         OutboundRequest {
             id,
+            fingerprint,
             method: head.method,
             uri: head.uri,
             headers,
@@ -294,12 +281,8 @@
     }
 
     /// Sends a request to targets until one answers or it must be given up.
-    async fn run(
-        self: &Rc<Front>,
-        outbound: &OutboundRequest,
-        fingerprint: Fingerprint,
-    ) -> RequestEnd {
-        let mut state = RetryState::open(fingerprint);
+    async fn run(self: &Rc<Front>, outbound: &OutboundRequest) -> RequestEnd {
+        let mut state = RetryState::default();
         loop {
             // The view may have changed since the last attempt, and with it the route.
             let freshness = self.key_freshness();
@@ -322,6 +305,7 @@
             if let Some(end) = ended {
                 let tried: Vec<_> = state.tried.iter().map(|id| &**id).collect();
                 return RequestEnd {
+                    fingerprint: Some(outbound.fingerprint),
                     tried: tried.join(","),
                     unlogged: outbound.unlogged.take(),
                     ..end
@@ -330,7 +314,8 @@
         }
     }
 
-    /// Makes one attempt, if the workspace's rate limit admits the request. A request that may have
+    /// Makes one attempt, unless the request is in quarantine, and if the workspace's rate limit
+    /// admits it. A request that may have
     /// run was admitted before.
     async fn attempt_if_admitted(
         self: &Rc<Front>,
@@ -339,6 +324,15 @@
         outbound: &OutboundRequest,
         state: &mut RetryState,
     ) -> Option<RequestEnd> {
+        self.sync_quarantine(view);
+        if let Some(remaining) = self.quarantined_for(outbound.fingerprint) {
+            self.shared.meters.count("quarantine_refused");
+            let cause = format!(
+                "{} is in quarantine: it crashes targets",
+                outbound.fingerprint
+            );
+            return Some(state.give_up(&cause, remaining));
+        }
         let workspace = access.workspace.as_ref().filter(|w| w.is_limited());
         if let Some(workspace) = workspace.filter(|_| !state.may_have_run) {
             match self.admit(view, workspace, state.token.take()).await {
@@ -351,7 +345,7 @@
 
     /// Makes one attempt; returns `None` if another may follow.
     async fn step(
-        &self,
+        self: &Rc<Front>,
         view: &View,
         access: &Access,
         outbound: &OutboundRequest,
@@ -429,7 +423,7 @@
         if !is_shed || !self.failures_common(&target.service) {
             state.excluded.insert(Arc::clone(&target.id));
         }
-        self.log_failed_attempt(outbound, state.fingerprint, &cause, state.delivered);
+        self.log_failed_attempt(outbound, &cause, state.delivered);
         let ended = state.delivered >= route.attempts || !has_time(outbound);
         let once = state.may_have_run && !route.repeatable;
         (ended || once).then(|| state.give_up(&cause, MIN_BACKOFF))
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -1,14 +1,14 @@
 //! Log lines and metrics of requests, and the counters that decisions need.
 
-use std::{cell::RefMut, sync::Arc, time::Duration};
+use std::{cell::RefMut, fmt, sync::Arc, time::Duration};
 
 use dunlinrock_decide::admit::direct::{Evidence, LatencyEstimator, RetryBudget};
 use dunlinrock_node::clock::millis;
 use tokio::time::Instant;
 
 use super::{
-    Front, access::Access, attempt::OutboundRequest, fingerprint::Fingerprint,
-    response::RequestEnd, select::SelectedTarget, targets::TargetHandle,
+    Front, access::Access, attempt::OutboundRequest, response::RequestEnd, select::SelectedTarget,
+    targets::TargetHandle,
 };
 use crate::{
     model::Workspace,
@@ -127,6 +127,18 @@
     }
 }
 
+/// Shows a value, or a dash if there is none.
+struct OrDash<T>(Option<T>);
+
+impl<T: fmt::Display> fmt::Display for OrDash<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(f),
+            None => f.write_str("-"),
+        }
+    }
+}
+
 impl Front {
     pub(super) fn may_log(&self, kind: Kind) -> bool {
         self.request_log.reserve_line(kind, self.shared.now())
@@ -171,7 +183,6 @@
     pub(super) fn log_failed_attempt(
         &self,
         outbound: &OutboundRequest,
-        fingerprint: Fingerprint,
         cause: &str,
         delivered: u32,
     ) {
@@ -180,7 +191,7 @@
         if self.may_log(Kind::Failure) {
             log::info!(
                 target: "request", event = "attempt_failed", id = &*outbound.id, cause = cause,
-                arrived = delivered, fingerprint:% = fingerprint; "an attempt failed"
+                arrived = delivered, fingerprint:% = outbound.fingerprint; "an attempt failed"
             );
         }
     }
@@ -214,7 +225,7 @@
         if self.may_log(kind) {
             log::info!(
                 target: "request", event = end.outcome.name(), id = &**id, cause = &*end.cause,
-                tried = &*end.tried,
+                tried = &*end.tried, fingerprint:% = OrDash(end.fingerprint),
                 status = end.response.status().as_u16(), time_ms = millis(time),
                 belief_age_ms = millis(self.shared.age()); "ended"
             );
--- a/crates/edge/src/front/response.rs
+++ b/crates/edge/src/front/response.rs
@@ -10,6 +10,7 @@
 use super::{
     access::AccessError,
     connection::{BufferedResponse, into_response},
+    fingerprint::Fingerprint,
     request_log::Sent,
 };
 use crate::trace::Outcome;
@@ -19,6 +20,8 @@
 pub(super) struct RequestEnd {
     pub(super) outcome: Outcome,
     pub(super) cause: String,
+    /// Identity of the request across its repeats, if it was read.
+    pub(super) fingerprint: Option<Fingerprint>,
     /// Targets that were tried, in the order of their ids.
     pub(super) tried: String,
     /// Attempts that are not in a log line yet.
@@ -77,6 +80,7 @@
     RequestEnd {
         outcome,
         cause,
+        fingerprint: None,
         tried: String::new(),
         unlogged: Vec::new(),
         response: into_response(buffered),
@@ -90,6 +94,7 @@
     RequestEnd {
         outcome,
         cause,
+        fingerprint: None,
         tried: String::new(),
         unlogged: Vec::new(),
         response,
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -9,13 +9,17 @@
 };
 
 use dunlinrock_decide::{
-    admit::direct::{ColdStartLimiter, Ejection},
+    admit::{
+        CrashedRun, RunTicket, TargetRuns,
+        direct::{ColdStartLimiter, Ejection},
+    },
     steer::hash,
 };
 
+use dunlinrock_node::clock::Clock;
 use tokio::sync::Notify;
 
-use super::{connection::TargetConnection, idle::IdleConnection};
+use super::{connection::TargetConnection, fingerprint::Fingerprint, idle::IdleConnection};
 use crate::{
     model::{ReportedLoad, Target},
     replica::View,
@@ -43,6 +47,12 @@
     /// Requests of other hosts in flight at the target, and when that was reported.
     reported_load: Cell<(u32, Duration)>,
     idle: RefCell<Vec<IdleConnection>>,
+    /// Requests of this host that the target runs or has left without a response.
+    runs: RefCell<TargetRuns>,
+    /// Whether a check is in progress whether the target lives.
+    is_checked: Cell<bool>,
+    /// Notifies those that wait for the end of the check.
+    check_notify: Notify,
 }
 
 impl TargetHandle {
@@ -56,6 +66,9 @@
             in_flight: Cell::new(0),
             reported_load: Cell::new((0, Duration::ZERO)),
             idle: RefCell::default(),
+            runs: RefCell::default(),
+            is_checked: Cell::new(false),
+            check_notify: Notify::new(),
         }
     }
 
@@ -91,6 +104,47 @@
         InFlightGuard(Rc::clone(self))
     }
 
+    /// Records that a request is sent to the target.
+    pub(super) fn start_run(
+        self: &Rc<TargetHandle>,
+        fingerprint: Fingerprint,
+        clock: Clock,
+    ) -> RunGuard {
+        let ticket = self.runs.borrow_mut().start(fingerprint.0, clock.now());
+        RunGuard {
+            handle: Rc::clone(self),
+            ticket: Some(ticket),
+            clock,
+        }
+    }
+
+    /// Takes the requests that the end of the target's process left without a response, and the
+    /// time of the first of them.
+    pub(super) fn take_ended(&self, now: Duration) -> (Vec<CrashedRun>, Duration) {
+        self.runs.borrow_mut().crash(now)
+    }
+
+    /// Records that the target's process lives.
+    pub(super) fn confirm_alive(&self, now: Duration) {
+        self.runs.borrow_mut().confirm_alive(now);
+    }
+
+    /// Whether the target has sent no response for this long.
+    pub(super) fn is_silent(&self, time: Duration, now: Duration) -> bool {
+        self.runs.borrow().is_silent(time, now)
+    }
+
+    /// Starts a check whether the target lives, unless one is in progress.
+    pub(super) fn start_check(self: &Rc<TargetHandle>) -> Option<CheckGuard> {
+        let is_idle = !self.is_checked.replace(true);
+        is_idle.then(|| CheckGuard(Rc::clone(self)))
+    }
+
+    /// Waits for the end of the check in progress.
+    pub(super) async fn check_ended(&self) {
+        self.check_notify.notified().await;
+    }
+
     /// Takes an idle connection that can be reused.
     pub(super) fn take_idle(&self) -> Option<TargetConnection> {
         let mut idle = self.idle.borrow_mut();
@@ -127,6 +181,52 @@
     }
 }
 
+/// A request that a target runs. Dropped without a result, it ended without a response.
+#[derive(Debug)]
+pub(super) struct RunGuard {
+    handle: Rc<TargetHandle>,
+    ticket: Option<RunTicket>,
+    clock: Clock,
+}
+
+impl RunGuard {
+    /// Records a complete response.
+    pub(super) fn finish(mut self) {
+        let ticket = self.ticket.take();
+        let mut runs = self.handle.runs.borrow_mut();
+        ticket
+            .into_iter()
+            .for_each(|t| runs.finish(t, self.clock.now()));
+    }
+
+    /// Records that the target never got the request.
+    pub(super) fn withdraw(mut self) {
+        let ticket = self.ticket.take();
+        let mut runs = self.handle.runs.borrow_mut();
+        ticket.into_iter().for_each(|t| runs.withdraw(t));
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let now = self.clock.now();
+            self.handle.runs.borrow_mut().abandon(ticket, now);
+        }
+    }
+}
+
+/// Marks a target as being checked until it is dropped.
+#[derive(Debug)]
+pub(super) struct CheckGuard(Rc<TargetHandle>);
+
+impl Drop for CheckGuard {
+    fn drop(&mut self) {
+        self.0.is_checked.set(false);
+        self.0.check_notify.notify_waiters();
+    }
+}
+
 /// Handles of all targets.
 #[derive(Debug, Default)]
 pub(super) struct TargetTable {
--- a/crates/edge/src/host/mod.rs
+++ b/crates/edge/src/host/mod.rs
@@ -61,9 +61,9 @@
                 .map(|a| bind("metrics", a))
                 .transpose()?,
         };
-        let shared = Shared::open(settings, store, dialect);
+        let (shared, quarantine) = Shared::open(settings, store, dialect);
         let front = front::spawn(Arc::clone(&shared), callers)?;
-        let control = control::spawn(Arc::clone(&shared), listeners)?;
+        let control = control::spawn(Arc::clone(&shared), listeners, quarantine)?;
         let (name, domain) = (&*shared.settings.name, &*shared.settings.domain);
         log::info!(target: "host", event = "start", host = name, domain = domain, first = shared.settings.first_start, callers:% = shared.settings.listen.callers; "host started");
         Ok(Host {
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -9,10 +9,11 @@
 use arc_swap::ArcSwap;
 use dunlinrock_decide::admit::direct::{RecentHosts, TokenGrant};
 use dunlinrock_node::clock::Clock;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use super::freshness::{Freshness, max_key_age};
 use crate::{
+    control::QuarantineChange,
     limits::{GrantError, TokenIssuer, TokenRequest},
     meters::Meters,
     model::{Config, Dialect, HostEntry, Item, PlatformStore},
@@ -20,6 +21,10 @@
     settings::{ReloadableSettings, Settings},
 };
 
+/// Changes of the quarantine that wait to be announced; a crash makes one for each request that the
+/// target ran.
+const MAX_QUARANTINE_CHANGES: usize = 64;
+
 /// Phase of the host's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -65,6 +70,10 @@
     history: Mutex<ViewHistory>,
     /// When the store last confirmed the replica.
     pub freshness: Freshness,
+    /// Changes of the quarantine for the other hosts.
+    pub(crate) quarantine_changes: mpsc::Sender<QuarantineChange>,
+    /// Requests that this host has announced, with the revisions of their entries.
+    announced: Mutex<BTreeMap<u64, u64>>,
     /// Tokens of the limit shares that this host owns.
     pub(crate) token_issuer: TokenIssuer,
 }
@@ -78,8 +87,15 @@
 }
 
 impl Shared {
-    pub(super) fn open(settings: Settings, store: PlatformStore, dialect: Dialect) -> Arc<Shared> {
-        Arc::new(Shared {
+    /// Opens the state; also returns the changes of the quarantine to announce.
+    pub(super) fn open(
+        settings: Settings,
+        store: PlatformStore,
+        dialect: Dialect,
+    ) -> (Arc<Shared>, mpsc::Receiver<QuarantineChange>) {
+        let (quarantine_changes, changes) = mpsc::channel(MAX_QUARANTINE_CHANGES);
+        let shared = Arc::new(Shared {
+            quarantine_changes,
             reloadable: ArcSwap::from_pointee(settings.reloadable.clone()),
             settings,
             store,
@@ -92,8 +108,17 @@
             replica: Mutex::new(Replica::open()),
             history: Mutex::default(),
             freshness: Freshness::default(),
+            announced: Mutex::default(),
             token_issuer: TokenIssuer::open(),
-        })
+        });
+        (shared, changes)
+    }
+
+    /// Locks the announced requests.
+    pub(crate) fn announced(&self) -> MutexGuard<'_, BTreeMap<u64, u64>> {
+        self.announced
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Locks the replica.
--- a/crates/edge/src/model/item.rs
+++ b/crates/edge/src/model/item.rs
@@ -46,6 +46,8 @@
     Target(Arc<Target>),
     /// An entry host.
     Host(Arc<HostEntry>),
+    /// A request that is in quarantine.
+    Quarantined(QuarantineEntry),
 }
 
 /// A target as it announces itself.
@@ -71,6 +73,16 @@
     pub born: u64,
 }
 
+/// A request in quarantine, as one host announces it to all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct QuarantineEntry {
+    /// Hash over what the request asks of a target.
+    pub fingerprint: u64,
+    /// Whether it is refused; otherwise it is a suspect.
+    pub is_confirmed: bool,
+}
+
 /// An entry host as it announces itself.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -16,11 +16,13 @@
 pub use self::{
     config::{Config, Limits, Route, Service, WeightedService},
     dialect::{Credentials, Dialect, LookupQuery, ReportedLoad},
-    item::{DeferredRemoval, Entry, HostEntry, Item, Target},
+    item::{DeferredRemoval, Entry, HostEntry, Item, QuarantineEntry, Target},
     keys::KeyIndex,
     packed::Packed,
     patch::{Patch, VersionMismatch},
-    platform_store::{Batch, LeaseId, PlatformStore, PlatformStoreError, Snapshot, StoreCall},
+    platform_store::{
+        Batch, LeaseId, PlatformStore, PlatformStoreError, QuarantineWrite, Snapshot, StoreCall,
+    },
     routes::RouteIndex,
     workspace::{KeyDigest, Workspace},
 };
--- a/crates/edge/src/model/platform_store.rs
+++ b/crates/edge/src/model/platform_store.rs
@@ -4,7 +4,7 @@
 
 use futures::future::BoxFuture;
 
-use super::{HostEntry, Item};
+use super::{HostEntry, Item, QuarantineEntry};
 
 /// Why a call to the store failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +19,9 @@
     /// The lease has expired; the host must announce itself again.
     #[error("the lease has expired")]
     LeaseExpired,
+    /// The item is not at the expected revision.
+    #[error("another host has changed the item")]
+    Conflict,
     /// The response cannot be read.
     #[error("unreadable response: {0}")]
     Unreadable(String),
@@ -42,6 +45,17 @@
     pub items: Vec<Item>,
 }
 
+/// A change of the entry of a request in quarantine.
+#[derive(Clone, Copy, Debug)]
+pub struct QuarantineWrite {
+    /// The new entry.
+    pub entry: QuarantineEntry,
+    /// Revision of the entry that it replaces; 0 if there is none.
+    pub expected: u64,
+    /// How long the store keeps it.
+    pub ttl: Duration,
+}
+
 /// Id of the lease under which this host is announced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseId(pub u64);
@@ -64,6 +78,10 @@
     pub renew: StoreCall<LeaseId, ()>,
     /// Ends the lease, and the entry with it.
     pub withdraw: StoreCall<LeaseId, ()>,
+    /// Announces a request in quarantine to all hosts; returns the revision of its entry.
+    pub quarantine: StoreCall<QuarantineWrite, u64>,
+    /// Ends the quarantine of the request with this fingerprint, if its entry has this revision.
+    pub release: StoreCall<(u64, u64), ()>,
 }
 
 impl std::fmt::Debug for PlatformStore {
--- a/crates/edge/src/replica/view.rs
+++ b/crates/edge/src/replica/view.rs
@@ -12,7 +12,7 @@
 use super::Replica;
 use crate::{
     limits::LimitOwners,
-    model::{Config, Entry, HostEntry, KeyIndex, RouteIndex, Target},
+    model::{Config, Entry, HostEntry, KeyIndex, QuarantineEntry, RouteIndex, Target},
 };
 
 /// A target that may receive requests.
@@ -31,6 +31,8 @@
 pub struct View {
     /// Number of the last change in it.
     pub change: u64,
+    /// Store's revision up to which no change is missing.
+    pub revision: u64,
     /// The active configuration.
     pub config: Option<Arc<Config>>,
     /// Its workspaces by their keys.
@@ -48,6 +50,8 @@
     pub sharer_hashes: Vec<u64>,
     /// Owners of the limit shares.
     pub limit_owners: LimitOwners,
+    /// Requests in quarantine by fingerprint, with the store's revision of the entry.
+    pub quarantined: BTreeMap<u64, (QuarantineEntry, u64)>,
     /// Entry hosts by name.
     pub hosts: BTreeMap<Arc<str>, Arc<HostEntry>>,
 }
@@ -65,6 +69,7 @@
         let mut listed = Vec::new();
         let mut view = View {
             change: replica.change_count,
+            revision: replica.synced_revision,
             config: replica.config().cloned(),
             keys: replica.keys().clone(),
             routes: replica.routes().clone(),
@@ -79,6 +84,10 @@
                     view.hosts.insert(Arc::clone(&host.name), Arc::clone(host));
                     listed.push((Arc::clone(host), stored.item.created));
                 }
+                Some(Entry::Quarantined(entry)) => {
+                    let listed = (*entry, stored.item.rev);
+                    view.quarantined.insert(entry.fingerprint, listed);
+                }
                 _ => {}
             }
         }
--- a/crates/edge/src/trace/mod.rs
+++ b/crates/edge/src/trace/mod.rs
@@ -39,6 +39,8 @@
     );
     log_set_change("hosts", &names(before), &names(after), after.change);
     log_set_change("targets", &targets(before), &targets(after), after.change);
+    let (was, is) = (quarantined(before), quarantined(after));
+    log_set_change("quarantine", &was, &is, after.change);
 }
 
 fn names(view: &View) -> BTreeSet<Arc<str>> {
@@ -51,6 +53,15 @@
     all.map(|known| Arc::clone(&known.target.id)).collect()
 }
 
+/// Returns the fingerprints of requests that are refused.
+fn quarantined(view: &View) -> BTreeSet<Arc<str>> {
+    let entries = view.quarantined.values().map(|(entry, _)| entry);
+    let confirmed = entries.filter(|entry| entry.is_confirmed);
+    confirmed
+        .map(|entry| format!("{:016x}", entry.fingerprint).into())
+        .collect()
+}
+
 fn log_set_change(
     event: &str,
     before: &BTreeSet<Arc<str>>,
--- a/crates/edge/tests/support/memory_store.rs
+++ b/crates/edge/tests/support/memory_store.rs
@@ -99,6 +99,7 @@
     /// Returns the calls of the store for a host.
     pub fn platform_store(&self) -> PlatformStore {
         let (read, wait, announce) = (self.clone(), self.clone(), self.clone());
+        let (quarantine, release) = (self.clone(), self.clone());
         PlatformStore {
             list: Arc::new(move |()| {
                 let batch = read.changes_after(0);
@@ -118,9 +119,54 @@
             }),
             renew: Arc::new(|_| async { Ok(()) }.boxed()),
             withdraw: Arc::new(|_| async { Ok(()) }.boxed()),
+            quarantine: Arc::new(move |write| {
+                let entry = Entry::Quarantined(write.entry);
+                let fingerprint = write.entry.fingerprint;
+                let written = quarantine.replace(fingerprint, write.expected, Some(entry));
+                let revision = quarantine.revision();
+                async move { written.map(|()| revision) }.boxed()
+            }),
+            release: Arc::new(move |(fingerprint, revision)| {
+                let removed = release.replace(fingerprint, revision, None);
+                async move { removed }.boxed()
+            }),
         }
     }
 
+    /// Changes the entry of a request in quarantine, if it is at the expected revision.
+    fn replace(
+        &self,
+        fingerprint: u64,
+        expected: u64,
+        entry: Option<Entry>,
+    ) -> Result<(), PlatformStoreError> {
+        let key = format!("quarantine/{fingerprint:016x}");
+        let revision = {
+            let state = self.state.lock().unwrap();
+            if state.is_unavailable {
+                let text = "made unavailable by the test".to_owned();
+                return Err(PlatformStoreError::Unavailable(text));
+            }
+            let present = state.items.get(&*key).filter(|i| i.entry.is_some());
+            present.map_or(0, |item| item.rev)
+        };
+        if revision != expected {
+            return Err(PlatformStoreError::Conflict);
+        }
+        self.change(&key, entry);
+        Ok(())
+    }
+
+    /// Returns the requests in quarantine: their fingerprints, and whether they are confirmed.
+    pub fn quarantined(&self) -> Vec<(u64, bool)> {
+        let state = self.state.lock().unwrap();
+        let entries = state.items.values().filter_map(|item| match &item.entry {
+            Some(Entry::Quarantined(e)) => Some((e.fingerprint, e.is_confirmed)),
+            _ => None,
+        });
+        entries.collect()
+    }
+
     /// Returns the same for a host that does not list itself: the test writes the host entries.
     pub fn platform_store_unlisted(&self) -> PlatformStore {
         PlatformStore {
