--- a/crates/admit/src/direct/cold_start.rs
+++ b/crates/admit/src/direct/cold_start.rs
@@ -35,17 +35,23 @@
     /// the target is coldest.
     pub fn host_rate(&self, me: u64, hosts: &[u64], target: u64) -> u32 {
         let limit = ((self.rate * self.factor + self.slack) * UTILIZATION).max(1.0) as usize;
-        let per_host = limit / hosts.len().max(1);
-        if per_host > 0 {
-            return u32::try_from(per_host).unwrap_or(u32::MAX);
-        }
-        let mine = mix(me, target);
-        let ranked_before = hosts
-            .iter()
-            .filter(|host| mix(**host, target) < mine)
-            .count();
-        u32::from(ranked_before < limit)
+        share_of(limit, me, hosts, target)
+    }
+}
+
+/// Returns one host's share of `limit` requests to a target: the same number for each host, or one
+/// request each for as many hosts as there are requests.
+pub(super) fn share_of(limit: usize, me: u64, hosts: &[u64], target: u64) -> u32 {
+    let per_host = limit / hosts.len().max(1);
+    if per_host > 0 {
+        return u32::try_from(per_host).unwrap_or(u32::MAX);
     }
+    let mine = mix(me, target);
+    let ranked_before = hosts
+        .iter()
+        .filter(|host| mix(**host, target) < mine)
+        .count();
+    u32::from(ranked_before < limit)
 }
 
 /// Mixes a pair of hashes into 64 bits (the finalizer of `SplitMix64`).
--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -14,6 +14,7 @@
 mod ranks;
 mod recent_hosts;
 mod retry_budget;
+mod target_rate;
 
 pub use self::{
     body_budget::BodyBudget,
@@ -25,4 +26,5 @@
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryLimits},
+    target_rate::{RateHosts, TargetRate},
 };
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -22,7 +22,7 @@
     select::SelectedTarget,
     targets::TargetHandle,
 };
-use crate::model::{Credentials, Route};
+use crate::model::{Credentials, ReportedRate, Route};
 
 /// How long a target must have been silent for a timeout to be a sign that it is gone. A target
 /// that answers others is slow.
@@ -97,7 +97,18 @@
             Ok(Err(ExchangeError::Unreachable(cause))) => {
                 (AttemptResult::Lost(cause), Some(Evidence::Down))
             }
-            Ok(Ok(response)) => self.classify(handle, outbound, response),
+            Ok(Ok(response)) => {
+                let rate = (self.shared.dialect.parse_rate)(&response.headers);
+                let (result, evidence) = self.classify(handle, outbound, response);
+                let is_own = matches!(
+                    result,
+                    AttemptResult::Answered(_) | AttemptResult::NotRun(_)
+                );
+                if is_own && evidence != Some(Evidence::Down) {
+                    self.record_rate(handle, rate);
+                }
+                (result, evidence)
+            }
         };
         let mut evidence = evidence;
         if matches!(result, AttemptResult::Answered(_)) {
@@ -141,6 +152,27 @@
         }
     }
 
+    /// Records the rate that a target's own response names.
+    fn record_rate(&self, handle: &TargetHandle, reported: ReportedRate) {
+        let rate = match reported {
+            ReportedRate::Absent => None,
+            ReportedRate::Rate(rate) => Some(rate),
+            ReportedRate::Malformed => {
+                self.shared.meters.count("rate_malformed");
+                return;
+            }
+        };
+        let hosts = self.shared.view.load().sharer_count();
+        let (mut known, now) = (handle.rate.borrow_mut(), self.shared.now());
+        let before = known.rate();
+        if known.record(rate, hosts, rand::random(), now) {
+            log::info!(
+                target: "belief", event = "target_rate", to = &*handle.target.id, from:? = before,
+                rate:? = rate, hosts = hosts; "the target names another rate for all hosts"
+            );
+        }
+    }
+
     /// Returns what a timeout indicates about the target: nothing, unless the attempt had as much
     /// time as a healthy target needs.
     ///
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -369,14 +369,18 @@
         let selected = match self.select_target(view, access, service, hash, &state.excluded) {
             Ok(selected) => selected,
             Err(NoTarget::Absent) => return Some(state.give_up("no target is left", MAX_BACKOFF)),
+            Err(NoTarget::Limited) => {
+                let cause = "all targets are at the rates that they named";
+                return Some(state.give_up(cause, MAX_BACKOFF));
+            }
             Err(NoTarget::Cold) => return Some(state.give_up("all targets are cold", MAX_BACKOFF)),
         };
         if let Some((cause, retry)) = self.shed_cause(access, service, &selected, outbound) {
-            selected.handle.ejection.borrow_mut().cancel_probe();
+            selected.handle.cancel_selection();
             return Some(state.give_up(&cause, retry));
         }
         if state.delivered > 0 && !self.try_retry(service, view.sharer_count(), access.priority()) {
-            selected.handle.ejection.borrow_mut().cancel_probe();
+            selected.handle.cancel_selection();
             return Some(state.give_up("the retry budget is spent", MIN_BACKOFF));
         }
         state.set_spent(true);
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use dunlinrock_decide::{
-    admit::direct::ColdStartLimits,
+    admit::direct::{ColdStartLimits, RateHosts},
     steer::{
         affinity::{self, Candidate, Choice},
         hash::{hash_str, mix64, to_unit_f64},
@@ -33,6 +33,8 @@
     /// All remaining targets are cold (they started recently or had no requests for a while), and
     /// this host has used up its share of their cold-start rate.
     Cold,
+    /// All remaining targets name rates, and this host has used up its part of them.
+    Limited,
 }
 
 /// A selected target, and the inputs of the decision.
@@ -93,15 +95,22 @@
             .zip(&handles)
             .map(|(known, handle)| self.candidate(route, known, handle, now))
             .collect();
-        let mut rate_limited: Vec<usize> = Vec::new();
+        let (mut rate_limited, mut is_limited) = (Vec::<usize>::new(), false);
         let hash = if route.sticky {
             affinity_hash
         } else {
             rand::random()
         };
         while let Some(Choice { index, rank }) = pick(route, hash, &candidates, &rate_limited) {
+            if !self.admits_rate(view, &handles[index], now) {
+                is_limited = true;
+                rate_limited.push(index);
+                candidates[index].healthy = false;
+                continue;
+            }
             let cold = known[index].cold_until > now;
             if cold && !self.admits_cold(view, service, &handles[index], now) {
+                handles[index].rate.borrow_mut().cancel();
                 rate_limited.push(index);
                 candidates[index].healthy = false;
                 continue;
@@ -117,10 +126,10 @@
                 change: view.change,
             });
         }
-        Err(if rate_limited.is_empty() {
-            NoTarget::Absent
-        } else {
-            NoTarget::Cold
+        Err(match (is_limited, rate_limited.is_empty()) {
+            (true, _) => NoTarget::Limited,
+            (false, true) => NoTarget::Absent,
+            (false, false) => NoTarget::Cold,
         })
     }
 
@@ -143,6 +152,21 @@
         }
     }
 
+    /// Whether the rate that a target names for all hosts allows one more request of this host now.
+    fn admits_rate(&self, view: &View, handle: &TargetHandle, now: Duration) -> bool {
+        let hosts = RateHosts {
+            me: self.name_hash,
+            all: &view.sharer_hashes,
+            target: handle.id_hash,
+            is_partial: now < START_CAUTION_TIME,
+        };
+        let is_admitted = handle.rate.borrow_mut().try_admit(&hosts, now);
+        if !is_admitted {
+            self.shared.meters.count("rate_passed_over");
+        }
+        is_admitted
+    }
+
     /// Whether this host's share of a cold target's rate allows one more request now.
     fn admits_cold(
         &self,
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -11,7 +11,7 @@
 use dunlinrock_decide::{
     admit::{
         CrashedRun, RunTicket, TargetRuns,
-        direct::{ColdStartLimiter, Ejection},
+        direct::{ColdStartLimiter, Ejection, TargetRate},
     },
     steer::hash,
 };
@@ -40,6 +40,8 @@
     pub(super) id_hash: u64,
     pub(super) ejection: RefCell<Ejection>,
     pub(super) cold_limiter: RefCell<ColdStartLimiter>,
+    /// Rate that the target names for all hosts together.
+    pub(super) rate: RefCell<TargetRate>,
     /// Notifies requests in flight at the target that it is down.
     pub(super) down_notify: Notify,
     /// Requests of this host in flight at the target.
@@ -62,6 +64,7 @@
             target,
             ejection: RefCell::new(Ejection::open()),
             cold_limiter: RefCell::new(ColdStartLimiter::open()),
+            rate: RefCell::new(TargetRate::open()),
             down_notify: Notify::new(),
             in_flight: Cell::new(0),
             reported_load: Cell::new((0, Duration::ZERO)),
@@ -90,6 +93,12 @@
         now.saturating_sub(self.reported_load.get().1)
     }
 
+    /// Takes back a selection of the target: the request is not sent.
+    pub(super) fn cancel_selection(&self) {
+        self.ejection.borrow_mut().cancel_probe();
+        self.rate.borrow_mut().cancel();
+    }
+
     /// Records the load that a response reports; the answered request still counts among this
     /// host's own.
     pub(super) fn record_load(&self, load: ReportedLoad, now: Duration) {
--- a/crates/edge/src/model/dialect.rs
+++ b/crates/edge/src/model/dialect.rs
@@ -25,6 +25,28 @@
     pub waiting: u32,
 }
 
+/// Rate that a target names with a response, for all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ReportedRate {
+    /// The response names none.
+    Absent,
+    /// Requests a second.
+    Rate(f64),
+    /// The response names one that cannot be read.
+    Malformed,
+}
+
+/// Highest rate that is taken for one; beyond it, a number is an error of the target's.
+const MAX_RATE: f64 = 1e9;
+
+/// Parses a rate as a decimal number of requests a second; `None` if it is not one.
+pub fn decimal_rate(text: &str) -> Option<f64> {
+    let text = text.trim();
+    let is_decimal = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let rate: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    (rate <= MAX_RATE).then_some(rate)
+}
+
 /// Credentials that a caller sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Credentials {
@@ -61,6 +83,8 @@
     pub affinity_key: fn(&HeaderMap) -> Option<&str>,
     /// Reads the load that a response reports.
     pub parse_load: fn(&HeaderMap) -> Option<ReportedLoad>,
+    /// Reads the rate that a response names.
+    pub parse_rate: fn(&HeaderMap) -> ReportedRate,
     /// Path of the readiness check.
     pub ready_path: &'static str,
     /// Path of lookups.
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -15,7 +15,7 @@
 
 pub use self::{
     config::{Config, Limits, Route, Service, WeightedService},
-    dialect::{Credentials, Dialect, LookupQuery, ReportedLoad},
+    dialect::{Credentials, Dialect, LookupQuery, ReportedLoad, ReportedRate, decimal_rate},
     item::{DeferredRemoval, Entry, HostEntry, Item, QuarantineEntry, Target},
     keys::KeyIndex,
     packed::Packed,
--- a/crates/edge/tests/target_rate.rs
+++ b/crates/edge/tests/target_rate.rs
@@ -8,7 +8,9 @@
 };
 
 use dunlinrock_edge::{host::Host, model::Entry};
-use support::{Deployment, Head, Script, ScriptedTarget, config, dialect, host_entry, settings};
+use support::{
+    Deployment, Head, Script, ScriptedTarget, config, dialect, get, host_entry, settings,
+};
 
 /// Span over which the requests that a target gets are counted.
 const SPAN: Duration = Duration::from_secs(4);
@@ -83,3 +85,47 @@
     );
     assert!(most > 0, "the target gets a part of what it takes");
 }
+
+/// A request that no target may get is rejected at once, with a promise that it has not run.
+#[test]
+fn a_request_above_the_rates_of_all_targets_is_rejected_at_once() {
+    let (target, _) = limited("0.5");
+    let hosts = two_hosts(&[&target]);
+    let answers = (0..24).map(|n| hosts[n % 2].call("GET", "/read/a", &format!("r{n}")));
+    let answers: Vec<_> = answers.collect();
+    let rejected = answers.iter().find(|a| a.starts_with("HTTP/1.1 503"));
+    let rejected = rejected.expect("the rate is used up");
+    assert!(rejected.contains("retry-after: "), "{rejected}");
+    let answered = answers.iter().filter(|a| a.starts_with("HTTP/1.1 200"));
+    assert!(
+        answered.count() <= 4,
+        "one for each host that knows no rate yet, and two"
+    );
+}
+
+/// Guards against a rate that outlives the need, and against one that cannot be read and stops all
+/// requests.
+#[test]
+fn a_rate_ends_with_the_first_response_without_it_and_a_malformed_one_is_ignored() {
+    for (rate, is_limited) in [
+        ("2.0", true),
+        ("many", false),
+        ("-1", false),
+        ("inf", false),
+    ] {
+        let target = ScriptedTarget::open(move |head: &Head| {
+            let limit = match head.number {
+                0 => format!("Stamp: s\r\nLimit: {rate}\r\n"),
+                _ => "Stamp: s\r\n".to_owned(),
+            };
+            Script::Write(head.answer_with("200 OK", &limit, "run"))
+        });
+        let deployment = Deployment::open(config(1), &[&target]);
+        let answers = (0..12).map(|n| deployment.call("GET", "/read/a", &format!("r{n}")));
+        let served = answers.filter(|a| a.starts_with("HTTP/1.1 200")).count();
+        assert_eq!(served, 12, "{rate}");
+        let metrics = deployment.host.shared().settings.listen.metrics;
+        let metrics = get(metrics.expect("metrics are served"), "/metrics");
+        assert_eq!(metrics.contains("rate_malformed"), !is_limited, "{rate}");
+    }
+}
