--- a/crates/cli/src/soak/callers.rs
+++ b/crates/cli/src/soak/callers.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -30,6 +30,13 @@
 /// Number of concurrent callers.
 const CALLERS: u64 = 12;
 
+/// Name of the caller whose requests crash targets.
+const CRASHER: u64 = CALLERS;
+
+/// Pause between two requests that crash targets, and how many have the same path.
+const CRASH_PAUSE: Duration = Duration::from_millis(500);
+const SAME_CRASHES: u64 = 20;
+
 /// Pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(15);
 
@@ -68,6 +75,8 @@
     /// Requests that may run at most once.
     pub(super) once: Mutex<BTreeSet<String>>,
     pub(super) violations: Mutex<Vec<String>>,
+    /// Number of the last request that crashes targets.
+    pub(super) crashers: AtomicU64,
 }
 
 impl Observations {
@@ -129,12 +138,15 @@
                 let mut number = 0;
                 while !stop.load(Ordering::Relaxed) {
                     number += 1;
-                    caller.call(number).await;
+                    match name {
+                        CRASHER => caller.crash(number).await,
+                        _ => caller.call(number).await,
+                    }
                     tokio::time::sleep(PAUSE).await;
                 }
             })
         };
-        let tasks = (0..CALLERS).map(spawn).collect();
+        let tasks = (0..=CRASHER).map(spawn).collect();
         Callers {
             observations,
             host_faults,
@@ -156,6 +168,15 @@
 }
 
 impl Caller {
+    /// Sends requests that crash their targets: a few under the same path, then the next path.
+    async fn crash(&mut self, number: u64) {
+        self.observations.crashers.store(number, Ordering::Relaxed);
+        let id = Arc::<str>::from(crasher_id(number));
+        let path = format!("/read/crash-{}", crasher_path(number));
+        self.send(&id, &path, false, 0).await;
+        tokio::time::sleep(CRASH_PAUSE).await;
+    }
+
     /// Sends one request and checks the response.
     async fn call(&mut self, number: u64) {
         let (id, object) = (
@@ -167,12 +188,16 @@
         if is_once {
             lock(&self.observations.once).insert(id.to_string());
         }
+        self.send(&id, &path, is_once, object).await;
+    }
+
+    async fn send(&mut self, id: &Arc<str>, path: &str, is_once: bool, object: u32) {
         let Some((host, mut sender)) = self.connect().await else {
             return;
         };
         let before = self.host_faults[host].quiet_epoch();
-        let key = self.keys.draw(&id, &mut self.rng);
-        let sent = sender.send_request(request(&id, &path, is_once, object, &key));
+        let key = self.keys.draw(id, &mut self.rng);
+        let sent = sender.send_request(request(id, path, is_once, object, &key));
         let answer = async {
             let response = sent.await?;
             let (head, body) = response.into_parts();
@@ -181,9 +206,9 @@
         match tokio::time::timeout(RESPONSE_TIMEOUT, answer).await {
             Ok(Ok((head, body))) => {
                 self.connection = Some((host, sender));
-                self.check_response(&id, &path, &key, &head, &body);
+                self.check_response(id, path, &key, &head, &body);
             }
-            Ok(Err(e)) => self.check_disconnect(&id, host, before, &e),
+            Ok(Err(e)) => self.check_disconnect(id, host, before, &e),
             // The caller closes the connection, so there is no response to check.
             Err(_) => self.count(false),
         }
@@ -248,6 +273,16 @@
     }
 }
 
+/// Returns the id of a request that crashes targets.
+pub(super) fn crasher_id(number: u64) -> String {
+    format!("x-{number}")
+}
+
+/// Returns the number of the path of a request that crashes targets.
+pub(super) fn crasher_path(number: u64) -> u64 {
+    number / SAME_CRASHES
+}
+
 /// Returns whether a response says that the request has not run and never will.
 fn confirms_not_run(status: StatusCode, key: &Key) -> bool {
     let is_unknown = status == StatusCode::UNAUTHORIZED && key.may_be_unknown();
--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -190,6 +190,7 @@
         is_down: false,
         drops_responses: false,
         sheds_all: false,
+        rate: None,
     }
 }
 
--- a/crates/cli/src/soak/proxy.rs
+++ b/crates/cli/src/soak/proxy.rs
@@ -23,11 +23,16 @@
     Reset,
     /// Discards bytes towards the client.
     Mute,
+    /// Resets open connections and refuses new ones, as where no process listens.
+    Down,
 }
 
 /// Delay of bytes in [`Mode::Slow`].
 const DELAY: Duration = Duration::from_millis(150);
 
+/// Interval between two attempts to bind the address again after [`Mode::Down`].
+const REBIND_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Size of the copy buffer, in bytes.
 const CHUNK: usize = 16 << 10;
 
@@ -57,7 +62,24 @@
 }
 
 /// Accepts connections until the proxy is dropped.
-async fn accept(listener: TcpListener, modes: watch::Receiver<Mode>, to: SocketAddr) {
+async fn accept(listener: TcpListener, mut modes: watch::Receiver<Mode>, to: SocketAddr) {
+    let address = listener.local_addr();
+    let mut next = Some(listener);
+    while let Some(listener) = next.take() {
+        accept_until_down(listener, modes.clone(), to).await;
+        if modes.wait_for(|mode| *mode != Mode::Down).await.is_err() {
+            return;
+        }
+        let Ok(address) = address else { return };
+        while next.is_none() {
+            next = TcpListener::bind(address).await.ok();
+            tokio::time::sleep(REBIND_INTERVAL).await;
+        }
+    }
+}
+
+/// Accepts connections until the mode is [`Mode::Down`] or the proxy is dropped.
+async fn accept_until_down(listener: TcpListener, modes: watch::Receiver<Mode>, to: SocketAddr) {
     let mut open = modes.clone();
     let accept = async {
         // Accepting fails only if the process runs out of descriptors, which fails the soak.
@@ -67,7 +89,7 @@
     };
     tokio::select! {
         () = accept => {}
-        _ = open.wait_for(|_| false) => {}
+        _ = open.wait_for(|mode| *mode == Mode::Down) => {}
     }
 }
 
@@ -99,7 +121,7 @@
     };
     tokio::select! {
         () = both => {}
-        _ = modes.wait_for(|mode| *mode == Mode::Reset) => {}
+        _ = modes.wait_for(|mode| matches!(mode, Mode::Reset | Mode::Down)) => {}
     }
 }
 
@@ -119,7 +141,7 @@
         match mode {
             Mode::Slow => tokio::time::sleep(DELAY).await,
             Mode::Mute if is_answer => continue,
-            Mode::Pass | Mode::Reset | Mode::Mute => {}
+            Mode::Pass | Mode::Reset | Mode::Mute | Mode::Down => {}
         }
         if to.write_all(&chunk[..n]).await.is_err() {
             return;
--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -11,10 +11,11 @@
 use nix::sys::signal::Signal;
 
 use super::{
-    callers::{Callers, lock},
+    callers::{Callers, crasher_id, crasher_path, lock},
     deployment::Deployment,
     faults,
-    plan::{Fault, Plan},
+    plan::{Fault, Plan, TARGETS},
+    proxy::Mode,
 };
 
 /// Interval at which processes and their dumps are checked.
@@ -28,6 +29,18 @@
 /// recover within seconds, and a busy machine may take ten times as long.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Targets that one request may crash: three, and three more while hosts learn of it.
+const MAX_CRASHES: u32 = 6;
+
+/// Time for which a crashed target is down.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(1500);
+
+/// Rate that a target names, in requests a second, the time in which hosts learn of it, and the span
+/// over which its requests are counted then.
+const RATE: f64 = 1.0;
+const RATE_LEARNING_TIME: Duration = Duration::from_secs(3);
+const RATE_SPAN: Duration = Duration::from_secs(4);
+
 /// Limits on a host's resident memory and open descriptors, as the platform sets them.
 const MAX_MEMORY_BYTES: u64 = 260 << 20;
 const MAX_DESCRIPTORS: usize = 4100;
@@ -76,6 +89,10 @@
     versions: BTreeMap<(usize, u32), u64>,
     /// Leaving targets: their id, and their request count at the time when no host listed them.
     leaving: BTreeMap<usize, (String, Option<u32>)>,
+    /// Crashes of each target that were acted on.
+    crashes: Vec<u32>,
+    /// Crashed targets, and when they start again.
+    crashed: BTreeMap<usize, Instant>,
 }
 
 /// Runs a plan and returns its result.
@@ -93,6 +110,8 @@
         active_faults: Vec::new(),
         versions: BTreeMap::new(),
         leaving: BTreeMap::new(),
+        crashes: vec![0; TARGETS],
+        crashed: BTreeMap::new(),
     };
     runner.wait_recovered("at the start").await?;
     for step in &plan.steps {
@@ -103,6 +122,7 @@
         runner.monitor_for(POLL_INTERVAL).await?;
     }
     runner.wait_recovered("after the last fault").await?;
+    runner.check_calm().await?;
     runner.callers.stop().await;
     runner.stop_all().await?;
     Ok(runner.result())
@@ -154,6 +174,7 @@
         let end = Instant::now() + time;
         loop {
             self.end_due()?;
+            self.restart_crashed();
             self.check_hosts().await?;
             let left = end.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -163,6 +184,65 @@
         }
     }
 
+    /// Takes down the addresses of targets that crashed, and starts them again as other
+    /// incarnations.
+    fn restart_crashed(&mut self) {
+        let now = Instant::now();
+        for n in 0..TARGETS {
+            let crashes = self.deployment.targets[n].target.crashes();
+            if crashes != std::mem::replace(&mut self.crashes[n], crashes) {
+                self.deployment.targets[n].proxy.set(Mode::Down);
+                self.crashed.insert(n, now + CRASH_DOWNTIME);
+            }
+            if self.crashed.get(&n).is_some_and(|end| *end <= now) {
+                self.crashed.remove(&n);
+                self.deployment.replace_target(n);
+                self.deployment.targets[n].proxy.set(Mode::Pass);
+            }
+        }
+    }
+
+    /// Checks what holds only without other faults: the rate that a target names, and the number of
+    /// targets that one request crashes.
+    async fn check_calm(&mut self) -> anyhow::Result<()> {
+        let first = self.callers.observations.crashers.load(Ordering::Relaxed);
+        while !self.check_rate().await? {}
+        let last = self.callers.observations.crashers.load(Ordering::Relaxed);
+        let mut crashes: BTreeMap<u64, u32> = BTreeMap::new();
+        for number in first + 1..last {
+            let runs = self.deployment.ledger.runs(&crasher_id(number));
+            *crashes.entry(crasher_path(number)).or_default() += runs;
+        }
+        for (path, count) in crashes {
+            if count > MAX_CRASHES {
+                self.record_violation(format!("crash-{path} crashed {count} targets"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that a target gets no more than it names for all hosts together, once they know.
+    /// Returns false if the target crashed meanwhile, so that nothing was checked.
+    async fn check_rate(&mut self) -> anyhow::Result<bool> {
+        let target = self.deployment.targets[0].target.clone();
+        let id = target.options().id;
+        target.set(|rules| rules.rate = Some(RATE));
+        self.monitor_for(RATE_LEARNING_TIME).await?;
+        let before = target.arrivals();
+        self.monitor_for(RATE_SPAN).await?;
+        let count = target.arrivals() - before;
+        if target.options().id != id || self.crashed.contains_key(&0) {
+            return Ok(false);
+        }
+        target.set(|rules| rules.rate = None);
+        let allowed = 1.5 * RATE * RATE_SPAN.as_secs_f64() + 5.0;
+        if f64::from(count) > allowed {
+            let text = format!("a target got {count} requests in {RATE_SPAN:?}, {allowed} allowed");
+            self.record_violation(text);
+        }
+        Ok(true)
+    }
+
     fn end_due(&mut self) -> anyhow::Result<()> {
         let now = Instant::now();
         let (due, active_faults) = self
