--- a/crates/admit/src/direct/target_rate.rs
+++ b/crates/admit/src/direct/target_rate.rs
@@ -86,9 +86,12 @@
         is_admitted
     }
 
-    /// Takes back the last admission: the request is not sent.
+    /// Takes back the last admission: the request is not sent. Without a rate, admissions are not
+    /// counted.
     pub fn cancel(&mut self) {
-        self.sent.pop_back();
+        if self.rate.is_some() {
+            self.sent.pop_back();
+        }
     }
 }
 
--- a/crates/admit/tests/target_rate.rs
+++ b/crates/admit/tests/target_rate.rs
@@ -109,3 +109,23 @@
     assert!(!known.try_admit(&hosts, ms(4000)));
     assert!(known.try_admit(&hosts, ms(4400)));
 }
+
+/// Guards against a request that a target without a rate did not get, and that takes back one which
+/// it got before.
+#[test]
+fn a_request_cancelled_without_a_rate_takes_nothing_back() {
+    let hosts = RateHosts {
+        me: 1,
+        all: &[1],
+        target: 7,
+        is_partial: false,
+    };
+    let mut known = TargetRate::open();
+    known.record(Some(0.25), 1, 0.5, ms(0));
+    assert!(known.try_admit(&hosts, ms(0)));
+    known.record(None, 1, 0.5, ms(10));
+    assert!(known.try_admit(&hosts, ms(20)));
+    known.cancel();
+    known.record(Some(0.25), 1, 0.5, ms(30));
+    assert!(!known.try_admit(&hosts, ms(40)));
+}
