--- a/crates/cli/src/soak/callers.rs
+++ b/crates/cli/src/soak/callers.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -75,8 +75,6 @@
     /// Requests that may run at most once.
     pub(super) once: Mutex<BTreeSet<String>>,
     pub(super) violations: Mutex<Vec<String>>,
-    /// Number of the last request that crashes targets.
-    pub(super) crashers: AtomicU64,
 }
 
 impl Observations {
@@ -170,9 +168,8 @@
 impl Caller {
     /// Sends requests that crash their targets: a few under the same path, then the next path.
     async fn crash(&mut self, number: u64) {
-        self.observations.crashers.store(number, Ordering::Relaxed);
-        let id = Arc::<str>::from(crasher_id(number));
-        let path = format!("/read/crash-{}", crasher_path(number));
+        let id = Arc::<str>::from(format!("x-{number}"));
+        let path = format!("/read/crash-{}", number / SAME_CRASHES);
         self.send(&id, &path, false, 0).await;
         tokio::time::sleep(CRASH_PAUSE).await;
     }
@@ -273,14 +270,10 @@
     }
 }
 
-/// Returns the id of a request that crashes targets.
-pub(super) fn crasher_id(number: u64) -> String {
-    format!("x-{number}")
-}
-
-/// Returns the number of the path of a request that crashes targets.
-pub(super) fn crasher_path(number: u64) -> u64 {
-    number / SAME_CRASHES
+/// Returns the number of the path of a request that crashes targets; `None` for other requests.
+pub(super) fn crasher_path(id: &str) -> Option<u64> {
+    let number: u64 = id.strip_prefix("x-")?.parse().ok()?;
+    Some(number / SAME_CRASHES)
 }
 
 /// Returns whether a response says that the request has not run and never will.
--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -17,11 +17,12 @@
     unistd::Pid,
 };
 use serde_json::Value;
+use tokio::sync::watch;
 
 use super::{
     keys::{Keys, LIMIT_SLACK, REVOKE_DELAY, SharedKeys},
     plan::TARGETS,
-    proxy::Proxy,
+    proxy::{Mode, Proxy},
 };
 use crate::signals::is_in_mask;
 
@@ -118,6 +119,7 @@
         let target = Target::bind(SocketAddr::new(local, 0), rules, self.ledger.clone());
         let target = target.context("a target")?;
         let proxy = Proxy::bind(local, target.address()).await?;
+        tokio::spawn(take_down(target.crashes(), proxy.switch()));
         self.targets.push(ProxiedTarget {
             target,
             proxy,
@@ -182,6 +184,14 @@
     }
 }
 
+/// Takes a target's address down when a request crashes it, and starts it again as another
+/// incarnation is up to the runner.
+async fn take_down(mut crashes: watch::Receiver<u32>, proxy: watch::Sender<Mode>) {
+    while crashes.changed().await.is_ok() {
+        proxy.send_replace(Mode::Down);
+    }
+}
+
 fn rules(n: usize, start: u32) -> TargetOptions {
     TargetOptions {
         id: format!("t{n}-{start}"),
--- a/crates/cli/src/soak/proxy.rs
+++ b/crates/cli/src/soak/proxy.rs
@@ -55,6 +55,11 @@
         Ok(Proxy { address, mode })
     }
 
+    /// Returns the sender that changes the mode.
+    pub(super) fn switch(&self) -> watch::Sender<Mode> {
+        self.mode.clone()
+    }
+
     /// Changes the mode, also for open connections.
     pub(super) fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -11,7 +11,7 @@
 use nix::sys::signal::Signal;
 
 use super::{
-    callers::{Callers, crasher_id, crasher_path, lock},
+    callers::{Callers, crasher_path, lock},
     deployment::Deployment,
     faults,
     plan::{Fault, Plan, TARGETS},
@@ -29,8 +29,10 @@
 /// recover within seconds, and a busy machine may take ten times as long.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// Targets that one request may crash: three, and three more while hosts learn of it.
-const MAX_CRASHES: u32 = 6;
+/// Time after its third crash in which hosts learn of a request, and the crashes that it may cause
+/// later.
+const CRASH_LEARNING_TIME: Duration = Duration::from_secs(3);
+const MAX_LATE_CRASHES: usize = 3;
 
 /// Time for which a crashed target is down.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1500);
@@ -184,14 +186,12 @@
         }
     }
 
-    /// Takes down the addresses of targets that crashed, and starts them again as other
-    /// incarnations.
+    /// Starts crashed targets again, as other incarnations.
     fn restart_crashed(&mut self) {
         let now = Instant::now();
         for n in 0..TARGETS {
-            let crashes = self.deployment.targets[n].target.crashes();
+            let crashes = *self.deployment.targets[n].target.crashes().borrow();
             if crashes != std::mem::replace(&mut self.crashes[n], crashes) {
-                self.deployment.targets[n].proxy.set(Mode::Down);
                 self.crashed.insert(n, now + CRASH_DOWNTIME);
             }
             if self.crashed.get(&n).is_some_and(|end| *end <= now) {
@@ -205,17 +205,22 @@
     /// Checks what holds only without other faults: the rate that a target names, and the number of
     /// targets that one request crashes.
     async fn check_calm(&mut self) -> anyhow::Result<()> {
-        let first = self.callers.observations.crashers.load(Ordering::Relaxed);
+        let start = Instant::now();
         while !self.check_rate().await? {}
-        let last = self.callers.observations.crashers.load(Ordering::Relaxed);
-        let mut crashes: BTreeMap<u64, u32> = BTreeMap::new();
-        for number in first + 1..last {
-            let runs = self.deployment.ledger.runs(&crasher_id(number));
-            *crashes.entry(crasher_path(number)).or_default() += runs;
+        let mut crashes: BTreeMap<u64, Vec<Instant>> = BTreeMap::new();
+        for (id, runs) in self.deployment.ledger.all() {
+            if let Some(path) = crasher_path(&id) {
+                let at = runs.iter().map(|run| run.at);
+                crashes.entry(path).or_default().extend(at);
+            }
         }
-        for (path, count) in crashes {
-            if count > MAX_CRASHES {
-                self.record_violation(format!("crash-{path} crashed {count} targets"));
+        for (path, mut at) in crashes {
+            at.sort();
+            let Some(third) = at.get(2) else { continue };
+            let known = start.max(*third) + CRASH_LEARNING_TIME;
+            let late = at.iter().filter(|at| **at > known).count();
+            if late > MAX_LATE_CRASHES {
+                self.record_violation(format!("crash-{path} crashed {late} targets too late"));
             }
         }
         Ok(())
