--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -184,8 +184,7 @@
     }
 }
 
-/// Takes a target's address down when a request crashes it, and starts it again as another
-/// incarnation is up to the runner.
+/// Takes a target's address down when a request crashes it. The runner starts the target again.
 async fn take_down(mut crashes: watch::Receiver<u32>, proxy: watch::Sender<Mode>) {
     while crashes.changed().await.is_ok() {
         proxy.send_replace(Mode::Down);
--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -207,20 +207,25 @@
     async fn check_calm(&mut self) -> anyhow::Result<()> {
         let start = Instant::now();
         while !self.check_rate().await? {}
-        let mut crashes: BTreeMap<u64, Vec<Instant>> = BTreeMap::new();
+        // The same path of another workspace is another request.
+        let mut crashes: BTreeMap<_, Vec<Instant>> = BTreeMap::new();
         for (id, runs) in self.deployment.ledger.all() {
-            if let Some(path) = crasher_path(&id) {
-                let at = runs.iter().map(|run| run.at);
-                crashes.entry(path).or_default().extend(at);
+            let Some(path) = crasher_path(&id) else {
+                continue;
+            };
+            for run in runs {
+                let request = (path, run.workspace);
+                crashes.entry(request).or_default().push(run.at);
             }
         }
-        for (path, mut at) in crashes {
+        for ((path, workspace), mut at) in crashes {
             at.sort();
             let Some(third) = at.get(2) else { continue };
             let known = start.max(*third) + CRASH_LEARNING_TIME;
             let late = at.iter().filter(|at| **at > known).count();
             if late > MAX_LATE_CRASHES {
-                self.record_violation(format!("crash-{path} crashed {late} targets too late"));
+                let text = format!("crash-{path} of {workspace:?} crashed {late} targets too late");
+                self.record_violation(text);
             }
         }
         Ok(())
