--- a/crates/cli/tests/causes.rs
+++ b/crates/cli/tests/causes.rs
@@ -189,7 +189,7 @@
 }
 
 /// A caller sends a failed request again under another id. The log must show that both are the same
-/// request, or nobody can tell which one takes the targets down.
+/// request.
 #[tokio::test]
 async fn a_repeat_under_another_id_has_the_same_fingerprint() {
     let logged = LoggedHost::open(17481).await;
--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -15,6 +15,7 @@
 use super::{quarantine, tokens};
 use crate::{
     host::Shared,
+    model::Fingerprint,
     replica::{Changes, ConfigUpdate},
 };
 
@@ -199,8 +200,11 @@
     });
     let targets: serde_json::Map<String, serde_json::Value> = targets.collect();
     let quarantined = view.quarantined.iter().map(|(fingerprint, (entry, _))| {
-        let status = ["suspect", "confirmed"][usize::from(entry.is_confirmed)];
-        (format!("{fingerprint:016x}"), json!(status))
+        let status = match entry.is_confirmed {
+            true => "confirmed",
+            false => "suspect",
+        };
+        (Fingerprint(*fingerprint).to_string(), json!(status))
     });
     let text = json!({
         "name": shared.settings.name,
--- a/crates/edge/src/control/quarantine.rs
+++ b/crates/edge/src/control/quarantine.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     host::Shared,
-    model::{PlatformStoreError, QuarantineEntry, QuarantineWrite},
+    model::{Fingerprint, PlatformStoreError, QuarantineEntry, QuarantineWrite},
 };
 
 /// Path of an entry, followed by its fingerprint.
@@ -101,19 +101,19 @@
 
 async fn release(shared: &Shared, request: &viz::Request) -> Response {
     let name = request.uri().path().rsplit('/').next().unwrap_or_default();
-    let Ok(fingerprint) = u64::from_str_radix(name, 16) else {
+    let Ok(fingerprint) = u64::from_str_radix(name, 16).map(Fingerprint) else {
         let text = format!("{name} is no fingerprint: 16 hexadecimal digits");
         return (StatusCode::BAD_REQUEST, text).into_response();
     };
-    let listed = shared.view.load().quarantined.get(&fingerprint).copied();
+    let listed = shared.view.load().quarantined.get(&fingerprint.0).copied();
     let Some((_, revision)) = listed else {
-        let text = format!("{fingerprint:016x} is not in quarantine");
+        let text = format!("{fingerprint} is not in quarantine");
         return (StatusCode::NOT_FOUND, text).into_response();
     };
-    match (shared.store.release)((fingerprint, revision)).await {
+    match (shared.store.release)((fingerprint.0, revision)).await {
         Ok(()) => {
-            log::info!(target: "belief", event = "released", fingerprint:% = format!("{fingerprint:016x}"); "released by an operator");
-            format!("{fingerprint:016x} is released").into_response()
+            log::info!(target: "belief", event = "released", fingerprint:% = fingerprint; "released by an operator");
+            format!("{fingerprint} is released").into_response()
         }
         Err(e) => (StatusCode::SERVICE_UNAVAILABLE, e.to_string()).into_response(),
     }
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -17,12 +17,11 @@
     Front,
     access::Access,
     connection::{BufferedResponse, ExchangeError, TargetConnection},
-    fingerprint::Fingerprint,
     request_log::Sent,
     select::SelectedTarget,
     targets::TargetHandle,
 };
-use crate::model::{Credentials, ReportedRate, Route};
+use crate::model::{Credentials, Fingerprint, ReportedRate, Route};
 
 /// How long a target must have been silent for a timeout to be a sign that it is gone. A target
 /// that answers others is slow.
--- a/crates/edge/src/front/quarantine.rs
+++ b/crates/edge/src/front/quarantine.rs
@@ -8,10 +8,12 @@
 };
 
 use super::{
-    Front, connection::ExchangeError, connection::TargetConnection, fingerprint::Fingerprint,
-    request_log::Kind, targets::TargetHandle,
+    Front,
+    connection::{ExchangeError, TargetConnection},
+    request_log::Kind,
+    targets::TargetHandle,
 };
-use crate::{control::QuarantineChange, replica::View};
+use crate::{control::QuarantineChange, model::Fingerprint, replica::View};
 
 /// Times to live of records. The store keeps an entry for ten minutes at most.
 const TTLS: QuarantineTtls = QuarantineTtls {
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -20,14 +20,14 @@
     attempt::{AttemptResult, OutboundRequest},
     caller_stream::CallerStream,
     connection::strip_hop_by_hop,
-    fingerprint::Fingerprint,
+    fingerprint::fingerprint,
     pipeline::Pipeline,
     response::{RequestEnd, answered, late, lost, read_body, refuse},
     select::{self, NoTarget, SelectedTarget},
     tokens::Token,
 };
 use crate::{
-    model::{Credentials, Route},
+    model::{Credentials, Fingerprint, Route},
     replica::View,
     trace::Outcome,
 };
@@ -226,7 +226,7 @@
             Err(end) => return end,
         };
         let affinity_key = (self.shared.dialect.affinity_key)(&head.headers).unwrap_or_default();
-        let fingerprint = Fingerprint::of(&head, &body, &access, affinity_key);
+        let fingerprint = fingerprint(&head, &body, &access, affinity_key);
         let outbound = self.outbound_request(head, fingerprint, credentials, body, deadline);
         let end = self.run(&outbound).await;
         if let Some(workspace) = &access.workspace {
--- a/crates/edge/src/front/response.rs
+++ b/crates/edge/src/front/response.rs
@@ -10,10 +10,9 @@
 use super::{
     access::AccessError,
     connection::{BufferedResponse, into_response},
-    fingerprint::Fingerprint,
     request_log::Sent,
 };
-use crate::trace::Outcome;
+use crate::{model::Fingerprint, trace::Outcome};
 
 /// Result of a request, with what logs and metrics need.
 #[derive(Debug)]
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -19,9 +19,9 @@
 use dunlinrock_node::clock::Clock;
 use tokio::sync::Notify;
 
-use super::{connection::TargetConnection, fingerprint::Fingerprint, idle::IdleConnection};
+use super::{connection::TargetConnection, idle::IdleConnection};
 use crate::{
-    model::{ReportedLoad, Target},
+    model::{Fingerprint, ReportedLoad, Target},
     replica::View,
 };
 
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod dialect;
+mod fingerprint;
 mod item;
 mod keys;
 mod packed;
@@ -16,6 +17,7 @@
 pub use self::{
     config::{Config, Limits, Route, Service, WeightedService},
     dialect::{Credentials, Dialect, LookupQuery, ReportedLoad, ReportedRate, decimal_rate},
+    fingerprint::Fingerprint,
     item::{DeferredRemoval, Entry, HostEntry, Item, QuarantineEntry, Target},
     keys::KeyIndex,
     packed::Packed,
--- a/crates/edge/src/trace/mod.rs
+++ b/crates/edge/src/trace/mod.rs
@@ -15,7 +15,7 @@
     outcome::Outcome,
 };
 use crate::{
-    model::{Config, KeyIndex},
+    model::{Config, Fingerprint, KeyIndex},
     replica::View,
 };
 
@@ -58,7 +58,7 @@
     let entries = view.quarantined.values().map(|(entry, _)| entry);
     let confirmed = entries.filter(|entry| entry.is_confirmed);
     confirmed
-        .map(|entry| format!("{:016x}", entry.fingerprint).into())
+        .map(|entry| Fingerprint(entry.fingerprint).to_string().into())
         .collect()
 }
 
--- a/crates/steer/src/hash/mod.rs
+++ b/crates/steer/src/hash/mod.rs
@@ -13,7 +13,12 @@
         bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
         bytes.extend_from_slice(part);
     }
-    rapidhash_v3(&bytes)
+    hash_bytes(&bytes)
+}
+
+/// Hashes bytes.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    rapidhash_v3(bytes)
 }
 
 /// Hashes a string (FNV-1a, finished by [`mix64`]).
