--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -7,6 +7,8 @@
     reason = "each test file uses a part of it"
 )]
 
+mod fleet;
+mod link;
 mod memory_store;
 mod relay;
 mod routes;
@@ -33,6 +35,8 @@
 use http::{HeaderMap, HeaderName, Uri};
 
 pub use self::{
+    fleet::Fleet,
+    link::{Cut, Link},
     memory_store::MemoryStore,
     relay::Relay,
     routes::{large, reweighted},
