--- a/crates/admit/src/direct/ejection.rs
+++ b/crates/admit/src/direct/ejection.rs
@@ -160,6 +160,13 @@
         self.probing = false;
     }
 
+    /// Forgets that the target was not reached: the link to it was lost, not the target.
+    pub fn forget_unreachable(&mut self) {
+        if self.unreachable > 0 {
+            *self = Ejection::open();
+        }
+    }
+
     fn eject(&mut self, now: Duration) -> bool {
         // Requests in flight end together; only the first of them lengthens the backoff.
         if self
--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -11,6 +11,7 @@
 mod ejection;
 mod latency;
 mod limit;
+mod link;
 mod ranks;
 mod recent_hosts;
 mod retry_budget;
@@ -23,6 +24,7 @@
     ejection::{Ejection, Evidence, FailureRate},
     latency::LatencyEstimator,
     limit::{LimitShare, RateLimitConfig, TokenBucket, TokenCache, TokenGrant},
+    link::{Link, LinkCheck, LinkStatus},
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryLimits},
--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -212,6 +212,7 @@
         "version": view.config.as_ref().map(|c| c.version),
         "change": view.change,
         "age_ms": millis(shared.age()),
+        "links": shared.links.describe(),
         "evacuated": view.evacuated,
         "quarantined": quarantined.collect::<serde_json::Map<_, _>>(),
         "hosts": view.hosts.keys().collect::<Vec<_>>(),
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -28,6 +28,7 @@
 };
 use crate::{
     host::{Phase, Shared},
+    links::{self, LocalHost, NeighborsFn},
     lookup, meters,
 };
 
@@ -81,7 +82,12 @@
         tokio::spawn(listen(listener, router, connections, stopped.clone()));
     };
     open(listeners.lookup, lookup::router(&shared), LOOKUP_FRACTION);
-    open(listeners.peers, changes::router(&shared), PEERS_FRACTION);
+    let neighbors: NeighborsFn = {
+        let shared = Arc::clone(&shared);
+        Arc::new(move || shared.neighbors())
+    };
+    let peers = links::routes(changes::router(&shared), &shared.links, &neighbors);
+    open(listeners.peers, peers, PEERS_FRACTION);
     if let Some(listener) = listeners.ready {
         open(listener, lookup::readiness(&shared), READY_FRACTION);
     }
@@ -91,6 +97,7 @@
     tokio::spawn(follow::follow(Arc::clone(&shared)));
     tokio::spawn(deferred::apply_when_due(Arc::clone(&shared)));
     tokio::spawn(quarantine::announce(Arc::clone(&shared), quarantine));
+    tokio::spawn(watch_links(Arc::clone(&shared), neighbors));
     let announcer = tokio::spawn(announce::announce(Arc::clone(&shared)));
     let mut phase = shared.phase.subscribe();
     // The sender is in `shared`, which this thread holds.
@@ -99,6 +106,27 @@
     stop.send_replace(true);
 }
 
+/// Checks this host's links to the targets for as long as the host runs.
+async fn watch_links(shared: Arc<Shared>, neighbors: NeighborsFn) {
+    let settings = &shared.settings;
+    let local = LocalHost {
+        name: Arc::clone(&settings.name),
+        domain: Arc::clone(&settings.domain),
+        region: Arc::clone(&settings.region),
+        peers: settings.listen.peers.ip(),
+    };
+    let region_of = |domain: &str| shared.reloadable.load().domains.get(domain).cloned();
+    let count_check = || shared.meters.count("link_checks");
+    links::watch(
+        Arc::clone(&shared.links),
+        local,
+        neighbors,
+        region_of,
+        count_check,
+    )
+    .await;
+}
+
 async fn listen(
     listener: TcpListener,
     router: Router,
--- a/crates/edge/src/front/admit.rs
+++ b/crates/edge/src/front/admit.rs
@@ -1,4 +1,4 @@
-//! Admission of a request, by its caller's access and its workspace's rate limit.
+//! Admission of a request, by its caller's access, the quarantine and its workspace's rate limit.
 
 use std::rc::Rc;
 
@@ -6,9 +6,10 @@
 
 use super::{
     Front,
-    access::AccessError,
-    request::{MAX_BACKOFF, MIN_BACKOFF, OTHER_HOST_RETRY_AFTER},
-    response::{RequestEnd, limited, no_route, refuse, unauthorized},
+    access::{Access, AccessError},
+    attempt::OutboundRequest,
+    request::{MAX_BACKOFF, MIN_BACKOFF, OTHER_HOST_RETRY_AFTER, RetryState},
+    response::{RequestEnd, decline, limited, no_route, unauthorized},
     tokens::{NoToken, Token},
 };
 use crate::{model::Workspace, replica::View};
@@ -18,7 +19,7 @@
     pub(super) fn access_denied(&self, cause: &AccessError, uri: &Uri) -> RequestEnd {
         match cause {
             AccessError::NoConfig | AccessError::StaleKeys { .. } => {
-                refuse(&cause.to_string(), OTHER_HOST_RETRY_AFTER)
+                decline(&cause.to_string(), OTHER_HOST_RETRY_AFTER)
             }
             AccessError::NoRoute => no_route(uri),
             AccessError::MissingKey
@@ -27,6 +28,39 @@
         }
     }
 
+    /// Makes one attempt, unless the request is in quarantine, and if the workspace's rate limit
+    /// admits it. A request that may have run was admitted before, and one that is forwarded is
+    /// admitted by the other host.
+    pub(super) async fn attempt_if_admitted(
+        self: &Rc<Front>,
+        view: &View,
+        access: &Access,
+        outbound: &OutboundRequest,
+        state: &mut RetryState,
+    ) -> Option<RequestEnd> {
+        self.sync_quarantine(view);
+        if let Some(remaining) = self.quarantined_for(outbound.fingerprint) {
+            self.shared.meters.count("quarantine_refused");
+            let cause = format!(
+                "{} is in quarantine: it crashes targets",
+                outbound.fingerprint
+            );
+            return Some(state.give_up(&cause, remaining));
+        }
+        if self.shared.links.is_lost() {
+            state.token = None;
+            return self.forward(view, access, outbound, state).await;
+        }
+        let workspace = access.workspace.as_ref().filter(|w| w.is_limited());
+        if let Some(workspace) = workspace.filter(|_| !state.may_have_run) {
+            match self.admit(view, workspace, state.token.take()).await {
+                Ok(token) => state.token = Some(token),
+                Err(end) => return Some(end),
+            }
+        }
+        self.step(view, access, outbound, state).await
+    }
+
     /// Whether callers with keys are refused because the known keys are stale; another host may
     /// serve them.
     pub(super) fn keys_are_stale(&self) -> bool {
@@ -55,7 +89,7 @@
                 }
                 NoToken::NoOwner => {
                     let cause = format!("nobody counts the limit of {}", workspace.name);
-                    refuse(&cause, MIN_BACKOFF)
+                    decline(&cause, MIN_BACKOFF)
                 }
             })
     }
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt to run a request at one target.
+//! One attempt to run a request at one target, or through another host.
 
 use std::{
     cell::{Cell, RefCell},
@@ -17,11 +17,24 @@
     Front,
     access::Access,
     connection::{BufferedResponse, ExchangeError, TargetConnection},
+    forward::{ForwardResult, Forwarded},
+    request::RetryState,
     request_log::Sent,
+    response::{self, RequestEnd, late, lost},
     select::SelectedTarget,
     targets::TargetHandle,
 };
-use crate::model::{Credentials, Fingerprint, ReportedRate, Route};
+use crate::{
+    model::{Credentials, Fingerprint, HostEntry, ReportedRate, Route},
+    replica::View,
+    trace::Outcome,
+};
+
+/// Maximum number of hosts to which a request is forwarded, one after the other.
+const MAX_FORWARDS: u32 = 3;
+
+/// Fraction of the callers' idle timeout for which a connection to another host is reused.
+const PEER_IDLE_FRACTION: f64 = 0.8;
 
 /// How long a target must have been silent for a timeout to be a sign that it is gone. A target
 /// that answers others is slow.
@@ -39,6 +52,8 @@
     /// Credentials of the caller.
     pub(super) credentials: Credentials,
     pub(super) body: Bytes,
+    /// What the host that forwarded the request tells; `None` if it comes from a caller.
+    pub(super) forwarded: Option<Forwarded>,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
     /// Attempts that are not in a log line yet.
@@ -134,20 +149,20 @@
         handle: &Rc<TargetHandle>,
         exchanged: Result<Result<&BufferedResponse, &ExchangeError>, &Elapsed>,
     ) {
-        let is_gone = match exchanged {
-            Ok(Ok(response)) => response.status == StatusCode::MISDIRECTED_REQUEST,
-            Ok(Err(ExchangeError::Refused(_) | ExchangeError::Unreachable(_))) => true,
-            Ok(Err(ExchangeError::Rerouted | ExchangeError::NotSent(_))) => false,
-            Ok(Err(ExchangeError::Sent(_))) => return self.check_target(handle).await,
+        match exchanged {
+            // Another process answers at the address, over links that work.
+            Ok(Ok(response)) if response.status == StatusCode::MISDIRECTED_REQUEST => {
+                self.record_gone(handle);
+            }
+            Ok(Err(ExchangeError::Refused(_) | ExchangeError::Unreachable(_))) => {
+                self.confirm_gone(handle).await;
+            }
+            Ok(Err(ExchangeError::Sent(_))) => self.check_target(handle).await,
             Err(_) if handle.is_silent(SILENCE, self.shared.now()) => {
                 let (front, handle) = (Rc::clone(self), Rc::clone(handle));
                 tokio::task::spawn_local(async move { front.check_target(&handle).await });
-                false
             }
-            Err(_) => false,
-        };
-        if is_gone {
-            self.record_gone(handle);
+            Ok(Ok(_) | Err(ExchangeError::Rerouted | ExchangeError::NotSent(_))) | Err(_) => {}
         }
     }
 
@@ -236,9 +251,7 @@
     /// counts: longer ones include lost packets and delays of the target or of this host.
     async fn connect(&self, selected: &SelectedTarget) -> Result<TargetConnection, ExchangeError> {
         let start = Instant::now();
-        let connection =
-            TargetConnection::open(selected.handle.target.address, &self.target_connections)
-                .await?;
+        let connection = self.open_connection(&selected.handle).await?;
         let time = start.elapsed();
         let mut rtts = self.region_rtts.borrow_mut();
         let rtt = rtts.entry(Arc::clone(&selected.region)).or_insert(time);
@@ -246,6 +259,20 @@
         Ok(connection)
     }
 
+    /// Opens a connection to a target, and records whether this host's links work.
+    pub(super) async fn open_connection(
+        &self,
+        handle: &TargetHandle,
+    ) -> Result<TargetConnection, ExchangeError> {
+        let (links, begun) = (&self.shared.links, self.shared.now());
+        let opened = TargetConnection::open(handle.target.address, &self.target_connections).await;
+        match &opened {
+            Ok(_) => links.record_open(),
+            Err(_) => links.record_failure(begun),
+        }
+        opened
+    }
+
     /// Whether the current view would still send the request to the selected target.
     ///
     /// Opening a connection between regions takes some hundred milliseconds. Without this check, a
@@ -383,8 +410,10 @@
         rates.get(service).is_some_and(FailureRate::is_high)
     }
 
-    fn record_evidence(&self, handle: &TargetHandle, evidence: Option<Evidence>) {
+    fn record_evidence(self: &Rc<Front>, handle: &Rc<TargetHandle>, evidence: Option<Evidence>) {
         let mut ejection = handle.ejection.borrow_mut();
+        // Failures over lost links say nothing about the target.
+        let evidence = evidence.filter(|e| *e == Evidence::Good || !self.shared.links.is_lost());
         let Some(evidence) = evidence else {
             ejection.cancel_probe();
             return;
@@ -397,9 +426,13 @@
         let is_down = ejection.is_down();
         drop(ejection);
         if is_down && evidence == Evidence::Down {
-            self.record_gone(handle);
-            handle.close_idle();
-            handle.down_notify.notify_waiters();
+            let (front, handle) = (Rc::clone(self), Rc::clone(handle));
+            tokio::task::spawn_local(async move {
+                if front.confirm_gone(&handle).await {
+                    handle.close_idle();
+                    handle.down_notify.notify_waiters();
+                }
+            });
         }
         if is_new {
             self.log_ejected(handle, evidence);
@@ -407,6 +440,119 @@
     }
 }
 
+impl Front {
+    /// Follows a change of this host's links. Connections over lost links may hang; targets that
+    /// were not reached meanwhile need no backoff once the links are restored.
+    pub(super) fn sync_links(&self) {
+        let is_lost = self.shared.links.is_lost();
+        match (self.was_lost.replace(is_lost), is_lost) {
+            (false, true) => self.targets.close_idle(),
+            (true, false) => {
+                self.targets.forget_unreachable();
+                self.forwarder.clear();
+            }
+            _ => {}
+        }
+    }
+
+    /// Forwards a request to a host that reaches targets; returns `None` if another attempt may
+    /// follow.
+    pub(super) async fn forward(
+        &self,
+        view: &View,
+        access: &Access,
+        outbound: &OutboundRequest,
+        state: &mut RetryState,
+    ) -> Option<RequestEnd> {
+        let cause = "this host's links to the targets are lost";
+        if outbound.forwarded.is_some() || state.forwards >= MAX_FORWARDS {
+            return Some(state.give_to_others(cause));
+        }
+        let Some(host) = self.choose_helper(access) else {
+            return Some(state.give_to_others(cause));
+        };
+        state.forwards += 1;
+        state.tried.insert(Arc::clone(&host.name));
+        self.log_forwarded(access, &host, outbound, state.delivered);
+        let forwarded = Forwarded {
+            region: Arc::clone(&self.shared.settings.region),
+            delivered: state.delivered,
+            in_budget: state.in_budget,
+        };
+        let idle_time = view
+            .config
+            .as_ref()
+            .map_or(Duration::ZERO, |c| c.limits.idle);
+        let sent = self.forwarder.send(
+            &host,
+            || self.forwarded_request(outbound, &forwarded),
+            idle_time.mul_f64(PEER_IDLE_FRACTION),
+            self.shared.now(),
+        );
+        let cause = match tokio::time::timeout_at(outbound.deadline, sent).await {
+            Err(_) => return Some(late()),
+            Ok(ForwardResult::Answered(response)) => {
+                return Some(self.after_forward(response, state));
+            }
+            Ok(ForwardResult::NotRun(cause)) => cause,
+            Ok(ForwardResult::Lost(cause)) => {
+                state.delivered += 1;
+                state.may_have_run = true;
+                cause
+            }
+        };
+        self.shared.meters.count("forward_failed");
+        self.log_failed_attempt(outbound, &cause, state.delivered);
+        self.after_failure(&access.route, outbound, state, &cause)
+    }
+
+    /// Returns the result of a request that another host has answered. Its refusal promises that the
+    /// request has not run, but it may have run before.
+    fn after_forward(&self, response: BufferedResponse, state: &RetryState) -> RequestEnd {
+        let is_signed = response
+            .headers
+            .contains_key(&self.shared.dialect.signature);
+        let end = response::forwarded(response, is_signed);
+        let is_refused = matches!(end.outcome, Outcome::Refused | Outcome::Limited);
+        match is_refused && state.may_have_run {
+            true => lost(end.cause),
+            false => end,
+        }
+    }
+
+    /// Draws a host that reaches targets, in a region where the request may run.
+    fn choose_helper(&self, access: &Access) -> Option<Arc<HostEntry>> {
+        let live = self.shared.reloadable.load();
+        let mut helpers = self.shared.links.helpers();
+        helpers.retain(|helper| {
+            let region = live.domains.get(&helper.host.domain);
+            region.is_some_and(|region| access.allows(region))
+        });
+        self.forwarder.choose(helpers, self.shared.now())
+    }
+
+    fn forwarded_request(
+        &self,
+        outbound: &OutboundRequest,
+        forwarded: &Forwarded,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(outbound.body.clone()));
+        *request.method_mut() = outbound.method.clone();
+        *request.uri_mut() = outbound.uri.clone();
+        *request.headers_mut() = outbound.headers.clone();
+        let headers = request.headers_mut();
+        let remaining = outbound
+            .deadline
+            .saturating_duration_since(Instant::now())
+            .as_millis();
+        if let Ok(remaining) = HeaderValue::try_from(remaining.to_string()) {
+            headers.insert(&self.shared.dialect.time_left, remaining);
+        }
+        forwarded.insert(headers);
+        request
+    }
+}
+
 /// Waits until the target is known to be down, if the request may then be retried elsewhere. A
 /// request that is not idempotent keeps waiting: the target may still answer it.
 async fn wait_down(handle: &TargetHandle, route: &Route) {
--- a/crates/edge/src/front/connection.rs
+++ b/crates/edge/src/front/connection.rs
@@ -126,6 +126,11 @@
         self.was_used && self.sender.is_ready() && Instant::now() < self.reusable_until
     }
 
+    /// Limits how long the connection may be reused.
+    pub(super) fn limit_reuse(&mut self, time: Duration) {
+        self.reusable_until = self.reusable_until.min(Instant::now() + time);
+    }
+
     /// Whether the connection was used before, so that its end is no evidence about the target.
     pub(super) fn is_used(&self) -> bool {
         self.was_used
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod caller_stream;
 mod connection;
 mod fingerprint;
+mod forward;
 mod idle;
 mod idle_callers;
 mod pipeline;
@@ -44,6 +45,7 @@
 
 pub use self::caller_stream::CallerStream;
 use self::{
+    forward::Forwarder,
     idle::ConnectionCounter,
     idle_callers::{ConnectionUsage, IdleTracker},
     pipeline::Pipeline,
@@ -133,6 +135,10 @@
     target_connections: Rc<ConnectionCounter>,
     /// Requests that crash their targets.
     quarantine: KnownQuarantine,
+    /// Connections to other hosts for forwarded requests.
+    forwarder: Forwarder,
+    /// Whether the links to the targets were lost when they were last looked at.
+    was_lost: Cell<bool>,
     /// Memory for request bodies.
     body_budget: RefCell<BodyBudget>,
     /// Whether the number of connections was near the limit at the last check.
@@ -157,11 +163,14 @@
             return;
         }
     };
+    let target_connections = ConnectionCounter::open(shared.settings.connections.max_idle());
     let front = Rc::new(Front {
+        forwarder: Forwarder::open(Rc::clone(&target_connections)),
+        was_lost: Cell::new(false),
         name_hash: hash::hash_str(&shared.settings.name),
         targets: TargetTable::default(),
         idle_callers: Rc::default(),
-        target_connections: ConnectionCounter::open(shared.settings.connections.max_idle()),
+        target_connections,
         tokens: RefCell::default(),
         pruned_version: Cell::new(0),
         client: Client::open_from(Some(shared.settings.listen.peers.ip()), MAX_TOKEN_BYTES),
--- a/crates/edge/src/front/pipeline.rs
+++ b/crates/edge/src/front/pipeline.rs
@@ -111,10 +111,9 @@
             .path_and_query()
             .map_or_else(String::new, ToString::to_string);
         let running = Rc::clone(front);
-        let task =
-            tokio::task::spawn_local(
-                async move { running.answer(head, None, Duration::ZERO).await },
-            );
+        let task = tokio::task::spawn_local(async move {
+            running.answer(head, None, None, Duration::ZERO).await
+        });
         let (front, request_id) = (Rc::clone(front), Arc::clone(&id));
         let started = PipelinedRequest {
             method,
--- a/crates/edge/src/front/quarantine.rs
+++ b/crates/edge/src/front/quarantine.rs
@@ -7,12 +7,7 @@
     Quarantine, QuarantineStatus, QuarantineTtls, QuarantineUpdate, RecentSuccesses,
 };
 
-use super::{
-    Front,
-    connection::{ExchangeError, TargetConnection},
-    request_log::Kind,
-    targets::TargetHandle,
-};
+use super::{Front, connection::ExchangeError, request_log::Kind, targets::TargetHandle};
 use crate::{control::QuarantineChange, model::Fingerprint, replica::View};
 
 /// Times to live of records. The store keeps an entry for ten minutes at most.
@@ -131,6 +126,17 @@
         }
     }
 
+    /// Records that a target's process is gone if this host's own links work; returns whether they
+    /// do. Over lost links every target looks gone, and what ran there has crashed none.
+    pub(super) async fn confirm_gone(&self, handle: &TargetHandle) -> bool {
+        let is_linked = self.shared.links.confirm().await;
+        match is_linked {
+            true => self.record_gone(handle),
+            false => drop(handle.take_ended(self.shared.now())),
+        }
+        is_linked
+    }
+
     /// Checks whether a target that ended an exchange without a response still accepts connections.
     pub(super) async fn check_target(&self, handle: &Rc<TargetHandle>) {
         let Some(_checking) = handle.start_check() else {
@@ -138,14 +144,13 @@
         };
         self.shared.meters.count("target_checks");
         for _ in 0..CHECKS {
-            let address = handle.target.address;
-            match TargetConnection::open(address, &self.target_connections).await {
+            match self.open_connection(handle).await {
                 Ok(_) => return handle.confirm_alive(self.shared.now()),
                 Err(ExchangeError::Refused(_)) => break,
                 Err(_) => {}
             }
         }
-        self.record_gone(handle);
+        self.confirm_gone(handle).await;
     }
 
     fn announce_quarantine(&self, change: QuarantineChange) {
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -21,9 +21,10 @@
     caller_stream::CallerStream,
     connection::strip_hop_by_hop,
     fingerprint::fingerprint,
+    forward::{DECLINED, Forwarded},
     pipeline::Pipeline,
-    response::{RequestEnd, answered, late, lost, read_body, refuse},
-    select::{self, NoTarget, SelectedTarget},
+    response::{RequestEnd, answered, decline, late, lost, read_body, refuse},
+    select::{self, Criteria, NoTarget, SelectedTarget},
     tokens::Token,
 };
 use crate::{
@@ -61,22 +62,33 @@
 
 /// State of a request over its attempts.
 #[derive(Debug, Default)]
-struct RetryState {
-    /// Targets that the request was sent to.
-    tried: BTreeSet<Arc<str>>,
-    /// Those of them that are excluded from further attempts.
+pub(super) struct RetryState {
+    /// Targets and hosts that the request was sent to.
+    pub(super) tried: BTreeSet<Arc<str>>,
+    /// Targets that are excluded from further attempts.
     excluded: BTreeSet<Arc<str>>,
     /// Attempts that reached a target.
-    delivered: u32,
+    pub(super) delivered: u32,
     /// Whether one of them may have run the request.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// Token for the request, if its workspace has a rate limit.
-    token: Option<Token>,
+    pub(super) token: Option<Token>,
     /// Whether the retry budget has counted the request.
-    in_budget: bool,
+    pub(super) in_budget: bool,
+    /// Times that the request was forwarded to another host.
+    pub(super) forwards: u32,
 }
 
 impl RetryState {
+    /// Returns the state of a request that may have been forwarded by another host.
+    fn open(forwarded: Option<&Forwarded>) -> RetryState {
+        RetryState {
+            delivered: forwarded.map_or(0, |f| f.delivered),
+            in_budget: forwarded.is_some_and(|f| f.in_budget),
+            ..RetryState::default()
+        }
+    }
+
     /// Records whether the request's token is consumed.
     fn set_spent(&self, is_spent: bool) {
         if let Some(token) = &self.token {
@@ -86,12 +98,20 @@
 
     /// Returns the result of a request that is given up. It is refused, which promises that it
     /// never runs, only if it certainly has not run.
-    fn give_up(&self, cause: &str, retry: Duration) -> RequestEnd {
+    pub(super) fn give_up(&self, cause: &str, retry: Duration) -> RequestEnd {
         match self.may_have_run {
             true => lost(cause.to_owned()),
             false => refuse(cause, retry),
         }
     }
+
+    /// Returns the result of a request that this host cannot serve and another may.
+    pub(super) fn give_to_others(&self, cause: &str) -> RequestEnd {
+        match self.may_have_run {
+            true => lost(cause.to_owned()),
+            false => decline(cause, OTHER_HOST_RETRY_AFTER),
+        }
+    }
 }
 
 /// Counts a request while it is served.
@@ -137,7 +157,9 @@
     let _running = RunningGuard(front);
     let start = front.shared.now();
     let id = front.id_of(request.headers());
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let forwarded = Forwarded::take(&mut head.headers);
+    let is_forwarded = forwarded.is_some();
     let waited = connection.waited.take();
     // A caller that disconnected while its request lay unread needs no response, and a run for it
     // would take a slot from another request.
@@ -148,14 +170,14 @@
     let at_request_start = body.is_end_stream();
     let answer = async {
         if connection.is_full {
-            return refuse(
+            return decline(
                 "the host holds all connections that it may",
                 FULL_RETRY_AFTER,
             );
         }
         match connection.pipeline.take(&id, &head).await {
             Some(end) => end,
-            None => front.answer(head, Some(body), waited).await,
+            None => front.answer(head, Some(body), forwarded, waited).await,
         }
     };
     let answered = tokio::select! {
@@ -167,10 +189,14 @@
         Ok(end) => {
             front.log_end(&id, &end, time);
             let mut response = end.response;
+            if !is_forwarded {
+                response.headers_mut().remove(DECLINED);
+            }
             let closes = front.closes_connections()
                 || connection.is_full
                 || front.is_near_limit()
-                || front.keys_are_stale();
+                || front.keys_are_stale()
+                || front.shared.links.is_isolated();
             if closes && connection.pipeline.is_empty() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -197,14 +223,16 @@
         self: &Rc<Front>,
         head: Parts,
         body: Option<Incoming>,
+        forwarded: Option<Forwarded>,
         waited: Duration,
     ) -> RequestEnd {
+        self.sync_links();
         let freshness = self.key_freshness();
         let view = self.shared.view.load_full();
         self.targets.prune(&view);
         self.prune_tokens(&view);
         if self.rejects_new() {
-            return refuse("this host is about to end", Duration::ZERO);
+            return decline("this host is about to end", Duration::ZERO);
         }
         let credentials = (self.shared.dialect.parse_credentials)(&head.headers);
         let access = match self.authorize(&view, freshness, &head.headers, &head.uri, credentials) {
@@ -219,7 +247,7 @@
         let deadline = Instant::now() + remaining;
         let max_bytes = view.config.as_ref().map_or(0, |c| c.limits.body);
         let Some(_permit) = self.reserve_body(body.as_ref(), max_bytes) else {
-            return refuse("the host holds all bodies that it may", FULL_RETRY_AFTER);
+            return decline("the host holds all bodies that it may", FULL_RETRY_AFTER);
         };
         let body = match read_body(body, max_bytes).await {
             Ok(body) => body,
@@ -227,7 +255,10 @@
         };
         let affinity_key = (self.shared.dialect.affinity_key)(&head.headers).unwrap_or_default();
         let fingerprint = fingerprint(&head, &body, &access, affinity_key);
-        let outbound = self.outbound_request(head, fingerprint, credentials, body, deadline);
+        let outbound = OutboundRequest {
+            forwarded,
+            ..self.outbound_request(head, fingerprint, credentials, body, deadline)
+        };
         let end = self.run(&outbound).await;
         if let Some(workspace) = &access.workspace {
             let is_limited = end.outcome == Outcome::Limited;
@@ -276,13 +307,14 @@
             credentials,
             body,
             deadline,
+            forwarded: None,
             unlogged: RefCell::default(),
         }
     }
 
     /// Sends a request to targets until one answers or it must be given up.
     async fn run(self: &Rc<Front>, outbound: &OutboundRequest) -> RequestEnd {
-        let mut state = RetryState::default();
+        let mut state = RetryState::open(outbound.forwarded.as_ref());
         loop {
             // The view may have changed since the last attempt, and with it the route.
             let freshness = self.key_freshness();
@@ -314,37 +346,8 @@
         }
     }
 
-    /// Makes one attempt, unless the request is in quarantine, and if the workspace's rate limit
-    /// admits it. A request that may have
-    /// run was admitted before.
-    async fn attempt_if_admitted(
-        self: &Rc<Front>,
-        view: &View,
-        access: &Access,
-        outbound: &OutboundRequest,
-        state: &mut RetryState,
-    ) -> Option<RequestEnd> {
-        self.sync_quarantine(view);
-        if let Some(remaining) = self.quarantined_for(outbound.fingerprint) {
-            self.shared.meters.count("quarantine_refused");
-            let cause = format!(
-                "{} is in quarantine: it crashes targets",
-                outbound.fingerprint
-            );
-            return Some(state.give_up(&cause, remaining));
-        }
-        let workspace = access.workspace.as_ref().filter(|w| w.is_limited());
-        if let Some(workspace) = workspace.filter(|_| !state.may_have_run) {
-            match self.admit(view, workspace, state.token.take()).await {
-                Ok(token) => state.token = Some(token),
-                Err(end) => return Some(end),
-            }
-        }
-        self.step(view, access, outbound, state).await
-    }
-
     /// Makes one attempt; returns `None` if another may follow.
-    async fn step(
+    pub(super) async fn step(
         self: &Rc<Front>,
         view: &View,
         access: &Access,
@@ -366,8 +369,19 @@
         if !std::mem::replace(&mut state.in_budget, true) {
             self.note_first_attempt(service);
         }
-        let selected = match self.select_target(view, access, service, hash, &state.excluded) {
+        let origin = outbound.forwarded.as_ref().map(|f| &f.region);
+        let criteria = Criteria {
+            service,
+            affinity_hash: hash,
+            region: origin.unwrap_or(&self.shared.settings.region),
+            excluded: &state.excluded,
+        };
+        let selected = match self.select_target(view, access, &criteria) {
             Ok(selected) => selected,
+            // None was reached so far: the check may find that the links are lost.
+            Err(NoTarget::Absent) if state.delivered == 0 && self.finds_loss(state).await => {
+                return None;
+            }
             Err(NoTarget::Absent) => return Some(state.give_up("no target is left", MAX_BACKOFF)),
             Err(NoTarget::Limited) => {
                 let cause = "all targets are at the rates that they named";
@@ -428,9 +442,25 @@
             state.excluded.insert(Arc::clone(&target.id));
         }
         self.log_failed_attempt(outbound, &cause, state.delivered);
+        self.after_failure(route, outbound, state, &cause)
+    }
+
+    /// Returns the result of a request whose last attempt failed, unless another may follow.
+    pub(super) fn after_failure(
+        &self,
+        route: &Route,
+        outbound: &OutboundRequest,
+        state: &RetryState,
+        cause: &str,
+    ) -> Option<RequestEnd> {
         let ended = state.delivered >= route.attempts || !has_time(outbound);
         let once = state.may_have_run && !route.repeatable;
-        (ended || once).then(|| state.give_up(&cause, MIN_BACKOFF))
+        (ended || once).then(|| state.give_up(cause, MIN_BACKOFF))
+    }
+
+    /// Whether targets were tried in vain because this host's own links are lost.
+    async fn finds_loss(&self, state: &RetryState) -> bool {
+        !state.tried.is_empty() && !self.shared.links.confirm().await
     }
 
     /// Returns why a request is shed, if it cannot be answered in time or would take queue capacity
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -11,7 +11,7 @@
     targets::TargetHandle,
 };
 use crate::{
-    model::Workspace,
+    model::{HostEntry, Workspace},
     trace::{LineBudget, LineDecision, Outcome},
 };
 
@@ -179,6 +179,25 @@
         }
     }
 
+    /// Records that a request is forwarded to another host.
+    pub(super) fn log_forwarded(
+        &self,
+        access: &Access,
+        host: &HostEntry,
+        outbound: &OutboundRequest,
+        delivered: u32,
+    ) {
+        self.shared.meters.count("forwarded");
+        if self.may_log(Kind::Usual) {
+            let left = outbound.deadline.saturating_duration_since(Instant::now());
+            log::info!(
+                target: "request", event = "forwarded", id = &*outbound.id, route = &*access.route.name,
+                host = &*host.name, arrived = delivered, left_ms = millis(left);
+                "forwarded: this host's links to the targets are lost"
+            );
+        }
+    }
+
     /// Records that an attempt failed, before the request is retried or given up.
     pub(super) fn log_failed_attempt(
         &self,
--- a/crates/edge/src/front/response.rs
+++ b/crates/edge/src/front/response.rs
@@ -10,6 +10,7 @@
 use super::{
     access::AccessError,
     connection::{BufferedResponse, into_response},
+    forward::DECLINED,
     request_log::Sent,
 };
 use crate::{model::Fingerprint, trace::Outcome};
@@ -116,6 +117,33 @@
     end
 }
 
+/// The result for a request that this host cannot serve and another may. It has not run and never
+/// will.
+pub(super) fn decline(cause: &str, retry: Duration) -> RequestEnd {
+    let mut end = refuse(cause, retry);
+    let headers = end.response.headers_mut();
+    headers.insert(DECLINED, HeaderValue::from_static("1"));
+    end
+}
+
+/// The result for a request that another host has answered for this one.
+pub(super) fn forwarded(buffered: BufferedResponse, is_signed: bool) -> RequestEnd {
+    let outcome = match buffered.status {
+        status if is_signed && status.is_success() => Outcome::Answered,
+        _ if is_signed => Outcome::FailedAtTarget,
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Refused,
+        StatusCode::TOO_MANY_REQUESTS => Outcome::Limited,
+        StatusCode::GATEWAY_TIMEOUT => Outcome::Late,
+        StatusCode::NOT_FOUND => Outcome::NoRoute,
+        StatusCode::UNAUTHORIZED => Outcome::Unauthorized,
+        _ => Outcome::Lost,
+    };
+    RequestEnd {
+        outcome,
+        ..answered(buffered)
+    }
+}
+
 /// The result for a request above its workspace's rate limit: it has not run and never will.
 pub(super) fn limited(workspace: &str, retry_after: Duration) -> RequestEnd {
     let mut end = refuse(&format!("{workspace} is at its limit"), retry_after);
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -51,6 +51,17 @@
     pub(super) change: u64,
 }
 
+/// What a target is selected for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Criteria<'a> {
+    pub(super) service: &'a Arc<str>,
+    pub(super) affinity_hash: u64,
+    /// Region whose targets are preferred.
+    pub(super) region: &'a Arc<str>,
+    /// Targets that are left out.
+    pub(super) excluded: &'a BTreeSet<Arc<str>>,
+}
+
 /// Hashes an affinity key together with its route, since a request on one route does not warm a
 /// target for another. Without a key, the hash is random.
 pub(super) fn affinity_hash(route: &Route, key: Option<&str>) -> u64 {
@@ -76,16 +87,20 @@
 }
 
 impl Front {
-    /// Selects a target of a service for an affinity hash; targets in `excluded` are left out.
+    /// Selects a target.
     pub(super) fn select_target(
         &self,
         view: &View,
         access: &Access,
-        service: &Arc<str>,
-        affinity_hash: u64,
-        excluded: &BTreeSet<Arc<str>>,
+        criteria: &Criteria<'_>,
     ) -> Result<SelectedTarget, NoTarget> {
         let route = &*access.route;
+        let Criteria {
+            service,
+            affinity_hash,
+            region,
+            excluded,
+        } = *criteria;
         let now = self.shared.now();
         let all = view.services.get(service).map_or(&[][..], Vec::as_slice);
         let known: Vec<_> = all.iter().filter(|k| allows(access, k, excluded)).collect();
@@ -93,7 +108,7 @@
         let mut candidates: Vec<_> = known
             .iter()
             .zip(&handles)
-            .map(|(known, handle)| self.candidate(route, known, handle, now))
+            .map(|(known, handle)| self.candidate(route, known, handle, region, now))
             .collect();
         let (mut rate_limited, mut is_limited) = (Vec::<usize>::new(), false);
         let hash = if route.sticky {
@@ -138,6 +153,7 @@
         route: &Route,
         known: &KnownTarget,
         handle: &TargetHandle,
+        region: &Arc<str>,
         now: Duration,
     ) -> Candidate {
         let rtt = self.region_rtts.borrow().get(&known.region).copied();
@@ -146,7 +162,7 @@
             rtt_ratio: rtt / route.objective.as_secs_f64().max(f64::MIN_POSITIVE),
             name_hash: handle.id_hash,
             slots: known.target.slots,
-            is_local: known.region == self.shared.settings.region,
+            is_local: known.region == *region,
             busy: handle.busy(now),
             healthy: handle.ejection.borrow().is_usable(now),
         }
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -263,6 +263,19 @@
         Rc::clone(handle)
     }
 
+    /// Closes the idle connections to all targets.
+    pub(super) fn close_idle(&self) {
+        let handles = self.handles.borrow();
+        handles.values().for_each(|handle| handle.close_idle());
+    }
+
+    /// Forgets which targets were not reached, after lost links are restored.
+    pub(super) fn forget_unreachable(&self) {
+        for handle in self.handles.borrow().values() {
+            handle.ejection.borrow_mut().forget_unreachable();
+        }
+    }
+
     /// Removes targets that get no more requests, and closes their idle connections.
     pub(super) fn prune(&self, view: &View) {
         if self.change.replace(view.change) == view.change {
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -15,6 +15,7 @@
 use crate::{
     control::QuarantineChange,
     limits::{GrantError, TokenIssuer, TokenRequest},
+    links::{Links, Neighbors},
     meters::Meters,
     model::{Config, Dialect, HostEntry, Item, PlatformStore},
     replica::{Changes, ConfigUpdate, ConfigUpdateError, Replica, View},
@@ -76,6 +77,8 @@
     announced: Mutex<BTreeMap<u64, u64>>,
     /// Tokens of the limit shares that this host owns.
     pub(crate) token_issuer: TokenIssuer,
+    /// This host's links to the targets.
+    pub links: Arc<Links>,
 }
 
 /// What a view takes over from earlier ones.
@@ -94,13 +97,15 @@
         dialect: Dialect,
     ) -> (Arc<Shared>, mpsc::Receiver<QuarantineChange>) {
         let (quarantine_changes, changes) = mpsc::channel(MAX_QUARANTINE_CHANGES);
+        let clock = Clock::open();
         let shared = Arc::new(Shared {
+            links: Arc::new(Links::open(clock)),
             quarantine_changes,
             reloadable: ArcSwap::from_pointee(settings.reloadable.clone()),
             settings,
             store,
             dialect,
-            clock: Clock::open(),
+            clock,
             view: ArcSwap::from_pointee(View::default()),
             changed: watch::channel(Watermark::default()).0,
             phase: watch::channel(Phase::Serving).0,
@@ -135,7 +140,9 @@
     pub fn is_ready(&self) -> bool {
         let view = self.view.load();
         let serves = |config: &Arc<Config>| config.workspaces.is_empty() || self.keys_are_fresh();
-        *self.phase.borrow() == Phase::Serving && view.config.as_ref().is_some_and(serves)
+        *self.phase.borrow() == Phase::Serving
+            && view.config.as_ref().is_some_and(serves)
+            && !self.links.is_isolated()
     }
 
     /// Advances to a later phase.
@@ -241,6 +248,20 @@
         );
     }
 
+    /// Returns the targets, and the other hosts, to check this host's links with.
+    pub(crate) fn neighbors(&self) -> Neighbors {
+        let view = self.view.load();
+        let targets = view.services.values().flatten();
+        let hosts = view.hosts.values();
+        Neighbors {
+            targets: targets.map(|known| Arc::clone(&known.target)).collect(),
+            hosts: hosts
+                .filter(|host| host.name != self.settings.name)
+                .cloned()
+                .collect(),
+        }
+    }
+
     /// Returns this host's entry for the store.
     pub fn host_entry(&self, distance: u32) -> HostEntry {
         HostEntry {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod front;
 pub mod host;
 pub mod limits;
+pub mod links;
 pub mod lookup;
 pub mod meters;
 pub mod model;
--- /dev/null
+++ b/crates/edge/src/links/ask.rs
@@ -0,0 +1,103 @@
+//! Asks other hosts whether they reach targets, and answers them.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use dunlinrock_node::wire::{Client, pack, unpack};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Mutex;
+use viz::{IntoResponse, RequestExt, Response, Router};
+
+use super::{
+    Links, NeighborsFn,
+    probe::{probe, sample},
+};
+
+/// Path of the question.
+const PATH: &str = "/peer/v1/links";
+
+/// Timeout of a question: the other host may have to try targets first.
+pub(super) const ASK_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Maximum size of an answer, in bytes.
+pub(super) const MAX_ANSWER_BYTES: usize = 1 << 10;
+
+/// How recently a host must have opened a connection to a target to answer without trying one.
+const RECENT: Duration = Duration::from_secs(1);
+
+/// A host that reaches no target asks whether another does.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct LinkQuestion {
+    /// Name of the host that asks.
+    pub(super) host: Arc<str>,
+    /// Whether it knows that its own links are lost.
+    pub(super) is_lost: bool,
+}
+
+/// The other host's answer.
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize, Serialize)]
+struct LinkAnswer {
+    reaches: bool,
+}
+
+/// Asks a host whether it reaches targets; `None` if it does not answer.
+pub(super) async fn ask(
+    client: &Client,
+    address: SocketAddr,
+    question: &LinkQuestion,
+) -> Option<bool> {
+    let body = pack(question).ok()?;
+    let answer = client.post(address, PATH, body, ASK_TIMEOUT).await.ok()?;
+    let is_known = answer.status == StatusCode::OK;
+    let answer: LinkAnswer = unpack(&answer.body).ok().filter(|_| is_known)?;
+    Some(answer.reaches)
+}
+
+/// Adds the endpoint that answers other hosts.
+pub(crate) fn routes(router: Router, links: &Arc<Links>, neighbors: &NeighborsFn) -> Router {
+    let (links, neighbors) = (Arc::clone(links), Arc::clone(neighbors));
+    // Hosts that ask at the same time share one probe.
+    let probing = Arc::new(Mutex::new(()));
+    router.post(PATH, move |request: viz::Request| {
+        let (links, neighbors) = (Arc::clone(&links), Arc::clone(&neighbors));
+        let probing = Arc::clone(&probing);
+        async move { Ok(respond(&links, &neighbors, &probing, request).await) }
+    })
+}
+
+async fn respond(
+    links: &Links,
+    neighbors: &NeighborsFn,
+    probing: &Mutex<()>,
+    mut request: viz::Request,
+) -> Response {
+    let question = request.bytes().await.ok();
+    let Some(Ok(question)) = question.map(|body| unpack::<LinkQuestion>(&body)) else {
+        return (StatusCode::BAD_REQUEST, "unreadable question").into_response();
+    };
+    links.record_report(question.host, question.is_lost);
+    let reaches = reaches_targets(links, neighbors, probing).await;
+    match pack(&LinkAnswer { reaches }) {
+        Ok(bytes) => bytes.into_response(),
+        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
+    }
+}
+
+/// Whether this host itself reaches targets. It never asks others for this, so that no question
+/// causes another.
+async fn reaches_targets(links: &Links, neighbors: &NeighborsFn, probing: &Mutex<()>) -> bool {
+    if links.is_lost() {
+        return false;
+    }
+    let _one = probing.lock().await;
+    if links.was_open_within(RECENT) {
+        return true;
+    }
+    let is_reached = probe(&sample(&neighbors().targets)).await.reached > 0;
+    if is_reached {
+        links.record_open();
+    }
+    is_reached
+}
--- a/crates/edge/src/lookup/mod.rs
+++ b/crates/edge/src/lookup/mod.rs
@@ -5,7 +5,10 @@
 use http::{HeaderValue, StatusCode, header};
 use viz::{IntoResponse, Request, Response, Router};
 
-use crate::{host::Shared, model::LookupQuery};
+use crate::{
+    host::Shared,
+    model::{HostEntry, LookupQuery},
+};
 
 /// Maximum number of hosts in one response.
 const MAX_HOSTS: usize = 64;
@@ -79,14 +82,27 @@
     let in_region: Vec<_> = hosts
         .iter()
         .filter(|h| region_of(&h.domain) == Some(&query.region))
-        .map(|h| h.callers)
         .collect();
-    let all = hosts.iter().map(|h| h.callers);
-    let mut addresses = if in_region.is_empty() {
+    let all = hosts.iter();
+    let named = if in_region.is_empty() {
         all.collect()
     } else {
         in_region
     };
-    addresses.truncate(MAX_HOSTS);
-    addresses
+    let named = prefer_linked(shared, named).into_iter();
+    named.take(MAX_HOSTS).map(|h| h.callers).collect()
+}
+
+/// Leaves out hosts that have lost their links to the targets, unless fewer than half would remain:
+/// these would get all callers at once, while the others still serve through them.
+fn prefer_linked<'a>(shared: &Shared, hosts: Vec<&'a Arc<HostEntry>>) -> Vec<&'a Arc<HostEntry>> {
+    let is_lost = |h: &HostEntry| match h.name == shared.settings.name {
+        true => shared.links.is_lost(),
+        false => shared.links.is_lost_at(&h.name),
+    };
+    let linked: Vec<_> = hosts.iter().copied().filter(|h| !is_lost(h)).collect();
+    match linked.len() * 2 >= hosts.len() {
+        true => linked,
+        false => hosts,
+    }
 }
