--- a/crates/edge/tests/lost_links.rs
+++ b/crates/edge/tests/lost_links.rs
@@ -8,8 +8,11 @@
     sync::{Arc, Mutex, mpsc::channel},
 };
 
+use dunlinrock_edge::model::Config;
 use rstest::rstest;
-use support::{Cut, Fleet, Head, Script, ScriptedTarget, config, read_all, request};
+use support::{
+    Cut, Fleet, Head, Script, ScriptedTarget, config, get, read_all, request, wait_until,
+};
 
 /// Targets of a deployment, in two failure domains.
 const TARGETS: usize = 4;
@@ -122,3 +125,195 @@
     assert!(!metrics.contains("suspects"), "{metrics}");
     assert_eq!(fleet.hosts[0].store.quarantined(), []);
 }
+
+/// Cuts the links of the first host, and waits until it knows.
+fn cut_first(fleet: &Fleet, cut: Cut) {
+    fleet.cut(0, cut);
+    let links = &fleet.hosts[0].host.shared().links;
+    let mut n = 0;
+    while !links.is_lost() {
+        call_short(fleet, &format!("cut{n}"));
+        n += 1;
+    }
+}
+
+/// Returns a configuration whose requests may run in one region only.
+fn only_in(region: &str) -> Config {
+    let mut config = config(1);
+    for route in &mut config.routes {
+        let mut homed = (**route).clone();
+        homed.homes = BTreeSet::from([region.into()]);
+        *route = Arc::new(homed);
+    }
+    config
+}
+
+/// Guards against a request that goes to a host in a region where it may not run.
+#[rstest]
+#[case::in_the_home("south", 1)]
+#[case::elsewhere("north", 0)]
+fn a_request_is_forwarded_only_to_hosts_in_its_homes(#[case] home: &str, #[case] expected: usize) {
+    let targets = healthy();
+    let fleet = Fleet::open(&["north-1", "south-1"], &only_in(home), &targets);
+    cut_first(&fleet, Cut::RefuseNew);
+    let answer = fleet.hosts[0].call("GET", "/read/a", "r");
+    assert_eq!(runs(&targets, "r"), expected, "{answer}");
+    let status = if expected == 1 { "200" } else { "503" };
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status}")),
+        "{answer}"
+    );
+}
+
+/// Guards against requests that go round between hosts none of which reaches a target.
+#[test]
+fn a_request_is_forwarded_once_where_the_other_host_has_lost_its_links_too() {
+    let targets = healthy();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    cut_first(&fleet, Cut::RefuseNew);
+    fleet.cut(1, Cut::RefuseNew);
+    let answer = fleet.hosts[0].call("POST", "/once/a", "r");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(!answer.contains("dunlinrock-declined"), "{answer}");
+    assert_eq!(runs(&targets, "r"), 0);
+    let metrics = fleet.metrics(1);
+    assert!(!metrics.contains("edge.forwarded"), "{metrics}");
+}
+
+/// Guards against a second run of a request that may run once, after the target of the other host
+/// broke its connection.
+#[test]
+fn a_forwarded_request_that_may_run_once_is_sent_once() {
+    let targets: Vec<_> = (0..TARGETS)
+        .map(|_| {
+            ScriptedTarget::open(|head| match head.text.starts_with("POST") {
+                true => Script::Close(String::new()),
+                false => Script::Write(head.answer("run")),
+            })
+        })
+        .collect();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    cut_first(&fleet, Cut::Reset);
+    let answer = fleet.hosts[0].call("POST", "/once/a", "r");
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(runs(&targets, "r"), 1);
+}
+
+/// Guards against a target that works for a caller that has left, behind two hosts.
+#[test]
+fn a_caller_that_leaves_ends_the_run_behind_the_other_host() {
+    let (sender, closed) = channel();
+    let sender = Mutex::new(sender);
+    let targets: Vec<_> = (0..1)
+        .map(|_| {
+            let sender = sender.lock().unwrap().clone();
+            ScriptedTarget::open(move |head| match head.id() {
+                "r" => Script::UntilClosed(sender.clone()),
+                _ => Script::Write(head.answer("run")),
+            })
+        })
+        .collect();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    cut_first(&fleet, Cut::RefuseNew);
+    let stream = fleet.hosts[0].send(&request("GET", "/read/a", "r", ""));
+    while runs(&targets, "r") == 0 {
+        std::thread::yield_now();
+    }
+    drop(stream);
+    closed.recv().expect("the run ends");
+}
+
+/// Guards against a target that is given more time than the caller has left.
+#[test]
+fn a_forwarded_request_has_the_time_that_its_caller_has_left() {
+    let targets = healthy();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    cut_first(&fleet, Cut::RefuseNew);
+    let text = request("GET", "/read/a", "r", "Connection: close\r\n").replace("20000", "5000");
+    let answer = read_all(&mut fleet.hosts[0].send(&text));
+    assert!(answer.ends_with("run"), "{answer}");
+    let heads = targets.iter().flat_map(ScriptedTarget::heads);
+    let head = heads.into_iter().find(|head| head.id() == "r").unwrap();
+    let left: u64 = head.get("left").unwrap().parse().unwrap();
+    assert!(left <= 5000, "{left}");
+    assert!(!head.text.contains("dunlinrock-forwarded"), "{}", head.text);
+}
+
+/// Guards against a host that goes on through others when its links are back, or that leaves its
+/// targets ejected.
+#[rstest]
+#[case::hang(Cut::Hang)]
+#[case::reset(Cut::Reset)]
+fn a_host_whose_links_are_restored_sends_by_itself(#[case] cut: Cut) {
+    let targets = healthy();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    cut_first(&fleet, cut);
+    fleet.restore(0);
+    let links = &fleet.hosts[0].host.shared().links;
+    wait_until(|| !links.is_lost());
+    let count = |text: &str| {
+        let lines = text.lines().find(|line| line.contains("edge.forwarded "));
+        lines.map(str::to_owned)
+    };
+    let before = count(&fleet.metrics(0));
+    for n in 0..4 {
+        let id = format!("r{n}");
+        let answer = fleet.hosts[0].call("GET", &format!("/read/{n}"), &id);
+        assert!(answer.ends_with("run"), "{answer}");
+        assert_eq!(runs(&targets, &id), 1, "{id}");
+    }
+    assert_eq!(count(&fleet.metrics(0)), before);
+}
+
+/// Guards against a host that takes the end of all targets for a loss of its own links.
+#[test]
+fn targets_that_no_host_reaches_are_not_a_loss_of_links() {
+    let targets = healthy();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    fleet.cut(0, Cut::RefuseNew);
+    fleet.cut(1, Cut::RefuseNew);
+    for n in 0..LEARNING {
+        call_short(&fleet, &format!("l{n}"));
+    }
+    let metrics = fleet.metrics(0);
+    assert!(metrics.contains("edge.link_checks"), "{metrics}");
+    assert!(!metrics.contains("edge.forwarded"), "{metrics}");
+    assert!(fleet.hosts[0].host.shared().is_ready());
+}
+
+/// Guards against callers that are sent to a host without links while another one of their region
+/// has them.
+#[test]
+fn lookups_leave_out_a_host_that_lost_its_links() {
+    let targets = healthy();
+    let domains = ["north-1", "north-1"];
+    let fleet = Fleet::open(&domains, &config(1), &targets);
+    cut_first(&fleet, Cut::RefuseNew);
+    let first = fleet.hosts[0].callers().to_string();
+    let names_first = |host: usize| {
+        let lookup = fleet.hosts[host].host.shared().settings.listen.lookup;
+        get(lookup, "/hosts?region=north").contains(&first)
+    };
+    wait_until(|| (0..domains.len()).all(|host| !names_first(host)));
+    assert!(fleet.hosts[0].host.shared().is_ready());
+    fleet.restore(0);
+    wait_until(|| (0..domains.len()).all(names_first));
+}
+
+/// Guards against callers that wait for a host that nobody can help: it says at once that it has
+/// not run their request, and that it is not ready.
+#[test]
+fn a_host_that_nobody_can_help_refuses_and_is_not_ready() {
+    let targets = healthy();
+    let mut fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    let other = fleet.hosts.pop().expect("two hosts");
+    other.host.start_shutdown();
+    other.host.join().expect("the host stops");
+    cut_first(&fleet, Cut::RefuseNew);
+    let answer = fleet.hosts[0].call("POST", "/once/a", "r");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    let shared = fleet.hosts[0].host.shared();
+    wait_until(|| !shared.is_ready());
+    fleet.restore(0);
+    wait_until(|| shared.is_ready());
+}
--- a/crates/edge/tests/support/fleet.rs
+++ b/crates/edge/tests/support/fleet.rs
@@ -13,7 +13,7 @@
 pub const DOMAINS: [&str; 2] = ["north-1", "south-1"];
 
 /// Running hosts. Each has a store of its own, in which the targets' addresses are those of its
-/// links.
+/// links. There are two at most: a third would follow the others instead of its store.
 pub struct Fleet {
     pub hosts: Vec<Deployment>,
     links: Vec<Vec<Link>>,
