--- a/crates/edge/src/front/connection.rs
+++ b/crates/edge/src/front/connection.rs
@@ -25,7 +25,8 @@
 /// interval is one second.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
-/// Unanswered probes after which a connection counts as broken.
+/// Unanswered probes after which a connection counts as broken. Linux gives up earlier: once the
+/// user timeout is set, the first probe that is unanswered for that long is enough.
 const PROBES: u32 = 2;
 
 /// Maximum size of an accepted response, in bytes. Responses are buffered completely before they
--- a/crates/edge/src/links/ask.rs
+++ b/crates/edge/src/links/ask.rs
@@ -42,7 +42,8 @@
     reaches: bool,
 }
 
-/// Asks a host whether it reaches targets; `None` if it does not answer.
+/// Asks a host whether it reaches targets; `None` if it does not answer. A host of an older release
+/// answers that it does not know the question, and cannot help.
 pub(super) async fn ask(
     client: &Client,
     address: SocketAddr,
@@ -51,8 +52,8 @@
     let body = pack(question).ok()?;
     let answer = client.post(address, PATH, body, ASK_TIMEOUT).await.ok()?;
     let is_known = answer.status == StatusCode::OK;
-    let answer: LinkAnswer = unpack(&answer.body).ok().filter(|_| is_known)?;
-    Some(answer.reaches)
+    let answer = unpack::<LinkAnswer>(&answer.body);
+    Some(is_known && answer.is_ok_and(|answer| answer.reaches))
 }
 
 /// Adds the endpoint that answers other hosts.
--- a/crates/edge/src/links/mod.rs
+++ b/crates/edge/src/links/mod.rs
@@ -136,10 +136,11 @@
     }
 
     /// Has the links checked, and returns whether they work, as of a check that began after this
-    /// call.
+    /// call. While no target is reached, the last check decides: they follow each other then.
     pub(crate) async fn confirm(&self) -> bool {
-        if self.is_lost() {
-            return false;
+        let status = self.finding.load().status;
+        if status != LinkStatus::Up {
+            return status != LinkStatus::Lost;
         }
         let mut checks = self.checks.subscribe();
         let before = checks.borrow().started;
