--- a/crates/edge/src/front/access.rs
+++ b/crates/edge/src/front/access.rs
@@ -1,13 +1,14 @@
 //! Access of a request under the active configuration: its route, its workspace, and the regions in
-//! which it may run.
+//! which it may run; and its identity across repeats, of which the workspace is a part.
 
 use std::{sync::Arc, time::Duration};
 
-use http::{HeaderMap, Uri};
+use dunlinrock_decide::steer::hash::{hash_bytes, hash_parts};
+use http::{HeaderMap, Uri, header, request::Parts};
 
 use super::{Front, select};
 use crate::{
-    model::{Credentials, Route, Workspace},
+    model::{Credentials, Fingerprint, Route, Workspace},
     replica::View,
 };
 
@@ -138,3 +139,24 @@
     }
     AccessError::UnknownKey { version }
 }
+
+/// Hashes what a target acts on: method, host, path with query, workspace, affinity key and body.
+pub(super) fn fingerprint(
+    head: &Parts,
+    body: &[u8],
+    access: &Access,
+    affinity_key: &str,
+) -> Fingerprint {
+    let host = head.headers.get(header::HOST);
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let workspace = access.workspace.as_ref().map_or("", |w| &*w.name);
+    Fingerprint(hash_parts(&[
+        head.method.as_str().as_bytes(),
+        host.map_or(&[], |v| v.as_bytes()),
+        path.as_bytes(),
+        workspace.as_bytes(),
+        affinity_key.as_bytes(),
+        // Hashed apart: the parts are copied, and a body may be large.
+        &hash_bytes(body).to_be_bytes(),
+    ]))
+}
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt to run a request at one target, or through another host.
+//! One attempt to run a request at one target.
 
 use std::{
     cell::{Cell, RefCell},
@@ -17,24 +17,12 @@
     Front,
     access::Access,
     connection::{BufferedResponse, ExchangeError, TargetConnection},
-    forward::{ForwardResult, Forwarded},
-    request::RetryState,
+    forward::Forwarded,
     request_log::Sent,
-    response::{self, RequestEnd, late, lost},
     select::SelectedTarget,
     targets::TargetHandle,
 };
-use crate::{
-    model::{Credentials, Fingerprint, HostEntry, ReportedRate, Route},
-    replica::View,
-    trace::Outcome,
-};
-
-/// Maximum number of hosts to which a request is forwarded, one after the other.
-const MAX_FORWARDS: u32 = 3;
-
-/// Fraction of the callers' idle timeout for which a connection to another host is reused.
-const PEER_IDLE_FRACTION: f64 = 0.8;
+use crate::model::{Credentials, Fingerprint, ReportedRate, Route};
 
 /// How long a target must have been silent for a timeout to be a sign that it is gone. A target
 /// that answers others is slow.
@@ -310,14 +298,7 @@
         outbound: &OutboundRequest,
     ) -> Request<Full<Bytes>> {
         let dialect = &self.shared.dialect;
-        let mut request = Request::new(Full::new(outbound.body.clone()));
-        *request.method_mut() = outbound.method.clone();
-        *request.uri_mut() = outbound.uri.clone();
-        *request.headers_mut() = outbound.headers.clone();
-        let remaining = outbound
-            .deadline
-            .saturating_duration_since(Instant::now())
-            .as_millis();
+        let mut request = self.with_time_left(outbound);
         let headers = request.headers_mut();
         if access.requires_key {
             headers.remove(&dialect.credentials);
@@ -330,15 +311,29 @@
         if let Some(Ok(name)) = name {
             headers.insert(&dialect.workspace, name);
         }
-        if let Ok(remaining) = HeaderValue::try_from(remaining.to_string()) {
-            headers.insert(&dialect.time_left, remaining);
-        }
         if let Ok(id) = HeaderValue::try_from(&*handle.target.id) {
             headers.insert(&dialect.expected_target, id);
         }
         request
     }
 
+    /// Returns the request as the caller sent it, with the time that is left.
+    pub(super) fn with_time_left(&self, outbound: &OutboundRequest) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(outbound.body.clone()));
+        *request.method_mut() = outbound.method.clone();
+        *request.uri_mut() = outbound.uri.clone();
+        *request.headers_mut() = outbound.headers.clone();
+        let remaining = outbound
+            .deadline
+            .saturating_duration_since(Instant::now())
+            .as_millis();
+        if let Ok(remaining) = HeaderValue::try_from(remaining.to_string()) {
+            let headers = request.headers_mut();
+            headers.insert(&self.shared.dialect.time_left, remaining);
+        }
+        request
+    }
+
     /// Whether a response belongs to the request. A target may answer twice, and the second
     /// response comes where that of the next request is expected.
     fn matches_request(&self, outbound: &OutboundRequest, response: &BufferedResponse) -> bool {
@@ -440,119 +435,6 @@
     }
 }
 
-impl Front {
-    /// Follows a change of this host's links. Connections over lost links may hang; targets that
-    /// were not reached meanwhile need no backoff once the links are restored.
-    pub(super) fn sync_links(&self) {
-        let is_lost = self.shared.links.is_lost();
-        match (self.was_lost.replace(is_lost), is_lost) {
-            (false, true) => self.targets.close_idle(),
-            (true, false) => {
-                self.targets.forget_unreachable();
-                self.forwarder.clear();
-            }
-            _ => {}
-        }
-    }
-
-    /// Forwards a request to a host that reaches targets; returns `None` if another attempt may
-    /// follow.
-    pub(super) async fn forward(
-        &self,
-        view: &View,
-        access: &Access,
-        outbound: &OutboundRequest,
-        state: &mut RetryState,
-    ) -> Option<RequestEnd> {
-        let cause = "this host's links to the targets are lost";
-        if outbound.forwarded.is_some() || state.forwards >= MAX_FORWARDS {
-            return Some(state.give_to_others(cause));
-        }
-        let Some(host) = self.choose_helper(access) else {
-            return Some(state.give_to_others(cause));
-        };
-        state.forwards += 1;
-        state.tried.insert(Arc::clone(&host.name));
-        self.log_forwarded(access, &host, outbound, state.delivered);
-        let forwarded = Forwarded {
-            region: Arc::clone(&self.shared.settings.region),
-            delivered: state.delivered,
-            in_budget: state.in_budget,
-        };
-        let idle_time = view
-            .config
-            .as_ref()
-            .map_or(Duration::ZERO, |c| c.limits.idle);
-        let sent = self.forwarder.send(
-            &host,
-            || self.forwarded_request(outbound, &forwarded),
-            idle_time.mul_f64(PEER_IDLE_FRACTION),
-            self.shared.now(),
-        );
-        let cause = match tokio::time::timeout_at(outbound.deadline, sent).await {
-            Err(_) => return Some(late()),
-            Ok(ForwardResult::Answered(response)) => {
-                return Some(self.after_forward(response, state));
-            }
-            Ok(ForwardResult::NotRun(cause)) => cause,
-            Ok(ForwardResult::Lost(cause)) => {
-                state.delivered += 1;
-                state.may_have_run = true;
-                cause
-            }
-        };
-        self.shared.meters.count("forward_failed");
-        self.log_failed_attempt(outbound, &cause, state.delivered);
-        self.after_failure(&access.route, outbound, state, &cause)
-    }
-
-    /// Returns the result of a request that another host has answered. Its refusal promises that the
-    /// request has not run, but it may have run before.
-    fn after_forward(&self, response: BufferedResponse, state: &RetryState) -> RequestEnd {
-        let is_signed = response
-            .headers
-            .contains_key(&self.shared.dialect.signature);
-        let end = response::forwarded(response, is_signed);
-        let is_refused = matches!(end.outcome, Outcome::Refused | Outcome::Limited);
-        match is_refused && state.may_have_run {
-            true => lost(end.cause),
-            false => end,
-        }
-    }
-
-    /// Draws a host that reaches targets, in a region where the request may run.
-    fn choose_helper(&self, access: &Access) -> Option<Arc<HostEntry>> {
-        let live = self.shared.reloadable.load();
-        let mut helpers = self.shared.links.helpers();
-        helpers.retain(|helper| {
-            let region = live.domains.get(&helper.host.domain);
-            region.is_some_and(|region| access.allows(region))
-        });
-        self.forwarder.choose(helpers, self.shared.now())
-    }
-
-    fn forwarded_request(
-        &self,
-        outbound: &OutboundRequest,
-        forwarded: &Forwarded,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(outbound.body.clone()));
-        *request.method_mut() = outbound.method.clone();
-        *request.uri_mut() = outbound.uri.clone();
-        *request.headers_mut() = outbound.headers.clone();
-        let headers = request.headers_mut();
-        let remaining = outbound
-            .deadline
-            .saturating_duration_since(Instant::now())
-            .as_millis();
-        if let Ok(remaining) = HeaderValue::try_from(remaining.to_string()) {
-            headers.insert(&self.shared.dialect.time_left, remaining);
-        }
-        forwarded.insert(headers);
-        request
-    }
-}
-
 /// Waits until the target is known to be down, if the request may then be retried elsewhere. A
 /// request that is not idempotent keeps waiting: the target may still answer it.
 async fn wait_down(handle: &TargetHandle, route: &Route) {
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -16,11 +16,10 @@
 
 use super::{
     Front,
-    access::Access,
+    access::{Access, fingerprint},
     attempt::{AttemptResult, OutboundRequest},
     caller_stream::CallerStream,
     connection::strip_hop_by_hop,
-    fingerprint::fingerprint,
     forward::{DECLINED, Forwarded},
     pipeline::Pipeline,
     response::{RequestEnd, answered, decline, late, lost, read_body, refuse},
@@ -458,11 +457,6 @@
         (ended || once).then(|| state.give_up(cause, MIN_BACKOFF))
     }
 
-    /// Whether targets were tried in vain because this host's own links are lost.
-    async fn finds_loss(&self, state: &RetryState) -> bool {
-        !state.tried.is_empty() && !self.shared.links.confirm().await
-    }
-
     /// Returns why a request is shed, if it cannot be answered in time or would take queue capacity
     /// reserved for higher priorities. Run all the same, it would take a slot from a request that
     /// can be answered.
--- a/crates/edge/src/front/response.rs
+++ b/crates/edge/src/front/response.rs
@@ -77,13 +77,16 @@
         _ => Outcome::FailedAtTarget,
     };
     let cause = buffered.status.as_u16().to_string();
+    let mut response = into_response(buffered);
+    // Only hosts decline; a target that claims to must not have its run taken for none.
+    response.headers_mut().remove(DECLINED);
     RequestEnd {
         outcome,
         cause,
         fingerprint: None,
         tried: String::new(),
         unlogged: Vec::new(),
-        response: into_response(buffered),
+        response,
     }
 }
 
--- a/crates/edge/tests/lost_links.rs
+++ b/crates/edge/tests/lost_links.rs
@@ -317,3 +317,18 @@
     fleet.restore(0);
     wait_until(|| shared.is_ready());
 }
+
+/// Guards against a second run of a request whose target answers as if a host had declined it.
+#[test]
+fn a_target_cannot_decline_a_request_in_the_name_of_a_host() {
+    let answer = |head: &Head| {
+        let fields = "Stamp: s\r\nConnection: close\r\nDunlinrock-Declined: 1\r\n";
+        Script::Close(head.answer_with("200 OK", fields, "run"))
+    };
+    let targets: Vec<_> = (0..TARGETS).map(|_| ScriptedTarget::open(answer)).collect();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    cut_first(&fleet, Cut::RefuseNew);
+    let answer = fleet.hosts[0].call("POST", "/once/a", "r");
+    assert!(answer.ends_with("run"), "{answer}");
+    assert_eq!(runs(&targets, "r"), 1);
+}
