--- a/crates/edge/src/links/mod.rs
+++ b/crates/edge/src/links/mod.rs
@@ -2,9 +2,9 @@
 //! meanwhile.
 //!
 //! A host whose links are cut sees what it would see if all targets had gone. The front end reports
-//! connections that it could not open; [`watch`] then tries targets of several failure domains and
-//! asks other hosts. While the links are lost, requests run through the hosts that reach targets,
-//! nothing is concluded about targets, and lookups name other hosts.
+//! connections that it could not open; the control thread then tries targets of several failure
+//! domains and asks other hosts. While the links are lost, requests run through the hosts that reach
+//! targets, nothing is concluded about targets, and lookups name other hosts.
 
 mod ask;
 mod probe;
