--- a/crates/edge/src/links/ask.rs
+++ b/crates/edge/src/links/ask.rs
@@ -8,10 +8,7 @@
 use tokio::sync::Mutex;
 use viz::{IntoResponse, RequestExt, Response, Router};
 
-use super::{
-    Links, NeighborsFn,
-    probe::{probe, sample},
-};
+use super::{Links, NeighborsFn, probe::probe};
 
 /// Path of the question.
 const PATH: &str = "/peer/v1/links";
@@ -22,9 +19,13 @@
 /// Maximum size of an answer, in bytes.
 pub(super) const MAX_ANSWER_BYTES: usize = 1 << 10;
 
-/// How recently a host must have opened a connection to a target to answer without trying one.
+/// How recently a host must have opened a connection to a target to help another one without trying
+/// again.
 const RECENT: Duration = Duration::from_secs(1);
 
+/// Maximum number of targets that are tried for another host.
+const MAX_TARGETS: usize = 8;
+
 /// A host that reaches no target asks whether another does.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
@@ -33,6 +34,9 @@
     pub(super) host: Arc<str>,
     /// Whether it knows that its own links are lost.
     pub(super) is_lost: bool,
+    /// Ids of the targets that it has tried. Others must reach one of these: that they reach another
+    /// one would prove nothing while single targets are down.
+    pub(super) targets: Vec<Arc<str>>,
 }
 
 /// The other host's answer.
@@ -59,7 +63,7 @@
 /// Adds the endpoint that answers other hosts.
 pub(crate) fn routes(router: Router, links: &Arc<Links>, neighbors: &NeighborsFn) -> Router {
     let (links, neighbors) = (Arc::clone(links), Arc::clone(neighbors));
-    // Hosts that ask at the same time share one probe.
+    // Hosts whose links are lost share one probe.
     let probing = Arc::new(Mutex::new(()));
     router.post(PATH, move |request: viz::Request| {
         let (links, neighbors) = (Arc::clone(&links), Arc::clone(&neighbors));
@@ -78,8 +82,8 @@
     let Some(Ok(question)) = question.map(|body| unpack::<LinkQuestion>(&body)) else {
         return (StatusCode::BAD_REQUEST, "unreadable question").into_response();
     };
-    links.record_report(question.host, question.is_lost);
-    let reaches = reaches_targets(links, neighbors, probing).await;
+    links.record_report(Arc::clone(&question.host), question.is_lost);
+    let reaches = reaches_targets(links, neighbors, probing, &question).await;
     match pack(&LinkAnswer { reaches }) {
         Ok(bytes) => bytes.into_response(),
         Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
@@ -88,15 +92,23 @@
 
 /// Whether this host itself reaches targets. It never asks others for this, so that no question
 /// causes another.
-async fn reaches_targets(links: &Links, neighbors: &NeighborsFn, probing: &Mutex<()>) -> bool {
+async fn reaches_targets(
+    links: &Links,
+    neighbors: &NeighborsFn,
+    probing: &Mutex<()>,
+    question: &LinkQuestion,
+) -> bool {
     if links.is_lost() {
         return false;
     }
     let _one = probing.lock().await;
-    if links.was_open_within(RECENT) {
+    if question.is_lost && links.was_open_within(RECENT) {
         return true;
     }
-    let is_reached = probe(&sample(&neighbors().targets)).await.reached > 0;
+    let mut targets = neighbors().targets;
+    targets.retain(|target| question.targets.contains(&target.id));
+    targets.truncate(MAX_TARGETS);
+    let is_reached = probe(&targets).await.reached > 0;
     if is_reached {
         links.record_open();
     }
--- a/crates/edge/src/links/probe.rs
+++ b/crates/edge/src/links/probe.rs
@@ -27,7 +27,7 @@
 }
 
 /// Draws the targets to try.
-pub(super) fn sample(targets: &[Arc<Target>]) -> Vec<SocketAddr> {
+pub(super) fn sample(targets: &[Arc<Target>]) -> Vec<Arc<Target>> {
     let mut all: Vec<_> = targets.iter().collect();
     all.shuffle(&mut rand::rng());
     let mut domains = BTreeSet::new();
@@ -36,21 +36,22 @@
         .partition(|target| domains.insert(&target.domain));
     chosen.extend(others);
     chosen.truncate(SAMPLE);
-    chosen.iter().map(|target| target.address).collect()
+    chosen.into_iter().cloned().collect()
 }
 
-/// Tries the addresses until one of them accepts a connection.
-pub(super) async fn probe(sample: &[SocketAddr]) -> Probe {
+/// Tries the targets until one of them accepts a connection.
+pub(super) async fn probe(sample: &[Arc<Target>]) -> Probe {
     let tried = sample.len();
     let Some((first, rest)) = sample.split_first() else {
         return Probe { tried, reached: 0 };
     };
     let mut opens = FuturesUnordered::new();
-    opens.push(opens_connection(*first));
+    opens.push(opens_connection(first.address));
     let alone = timeout(FIRST_TIME, opens.next()).await;
     let mut is_reached = alone == Ok(Some(true));
     if !is_reached {
-        opens.extend(rest.iter().copied().map(opens_connection));
+        let addresses = rest.iter().map(|target| target.address);
+        opens.extend(addresses.map(opens_connection));
     }
     while !is_reached && let Some(is_open) = opens.next().await {
         is_reached = is_open;
--- a/crates/edge/src/links/watch.rs
+++ b/crates/edge/src/links/watch.rs
@@ -60,9 +60,10 @@
         let question = LinkQuestion {
             host: Arc::clone(&local.name),
             is_lost: link.status() == LinkStatus::Lost,
+            targets: Vec::new(),
         };
         let (begun, before) = (links.clock.now(), link.status());
-        let (check, helpers) = check(&client, &question, neighbors(), &rank).await;
+        let (check, helpers) = check(&client, question, neighbors(), &rank).await;
         let status = link.record(check);
         if check.reached > 0 {
             links.record_open();
@@ -91,11 +92,13 @@
 /// Tries targets and, unless one accepts soon, asks other hosts.
 async fn check(
     client: &Client,
-    question: &LinkQuestion,
+    mut question: LinkQuestion,
     neighbors: Neighbors,
     rank: &impl Fn(&HostEntry) -> u8,
 ) -> (LinkCheck, Vec<Helper>) {
     let sample = sample(&neighbors.targets);
+    question.targets = sample.iter().map(|t| Arc::clone(&t.id)).collect();
+    let question = &question;
     let mut probing = std::pin::pin!(probe(&sample));
     let early = tokio::time::timeout(SOON, &mut probing).await;
     if let Ok(Probe { tried, reached }) = early
--- a/crates/edge/tests/lost_links.rs
+++ b/crates/edge/tests/lost_links.rs
@@ -332,3 +332,18 @@
     assert!(answer.ends_with("run"), "{answer}");
     assert_eq!(runs(&targets, "r"), 1);
 }
+
+/// Guards against a host that takes single targets, which happen to be all that a check tried, for
+/// a loss of its own links: other hosts reach other targets.
+#[test]
+fn targets_that_are_down_for_all_hosts_are_not_a_loss_of_links() {
+    let targets: Vec<_> = (0..2).flat_map(|_| healthy()).collect();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
+    (1..targets.len()).for_each(|target| fleet.cut_target(target, Cut::RefuseNew));
+    for n in 0..40 {
+        call_short(&fleet, &format!("l{n}"));
+    }
+    let metrics = fleet.metrics(0);
+    assert!(metrics.contains("edge.link_checks"), "{metrics}");
+    assert!(!metrics.contains("edge.forwarded"), "{metrics}");
+}
--- a/crates/edge/tests/support/fleet.rs
+++ b/crates/edge/tests/support/fleet.rs
@@ -83,6 +83,11 @@
         links.iter().for_each(|link| link.cut(cut));
     }
 
+    /// Cuts the links of all hosts to one target, as if it were down.
+    pub fn cut_target(&self, target: usize, cut: Cut) {
+        self.links.iter().for_each(|links| links[target].cut(cut));
+    }
+
     /// Restores the links of a host to all targets.
     pub fn restore(&self, host: usize) {
         self.links[host].iter().for_each(Link::restore);
