--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -43,9 +43,6 @@
 const RATE_LEARNING_TIME: Duration = Duration::from_secs(3);
 const RATE_SPAN: Duration = Duration::from_secs(4);
 
-/// Number of tries to check the rate in a span in which the target does not crash.
-const RATE_CHECKS: usize = 8;
-
 /// Limits on a host's resident memory and open descriptors, as the platform sets them.
 const MAX_MEMORY_BYTES: u64 = 260 << 20;
 const MAX_DESCRIPTORS: usize = 4100;
@@ -209,24 +206,7 @@
     /// targets that one request crashes.
     async fn check_calm(&mut self) -> anyhow::Result<()> {
         let start = Instant::now();
-        let mut is_rate_checked = false;
-        for _ in 0..RATE_CHECKS {
-            is_rate_checked = self.check_rate().await?;
-            if is_rate_checked {
-                break;
-            }
-        }
-        if !is_rate_checked {
-            let text = format!("a target crashed in each of {RATE_CHECKS} spans without faults");
-            self.record_violation(text);
-        }
-        self.check_crashes(start);
-        Ok(())
-    }
-
-    /// Checks that no request crashes more targets than it may, once hosts know of it; before
-    /// `start` other faults may have kept them from learning.
-    fn check_crashes(&self, start: Instant) {
+        while !self.check_rate().await? {}
         // The same path of another workspace is another request.
         let mut crashes: BTreeMap<_, Vec<Instant>> = BTreeMap::new();
         for (id, runs) in self.deployment.ledger.all() {
@@ -248,6 +228,7 @@
                 self.record_violation(text);
             }
         }
+        Ok(())
     }
 
     /// Checks that a target gets no more than it names for all hosts together, once they know.
