--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -16,7 +16,7 @@
 pub use load::{Demo, Load, Plot};
 pub use operator::{Apply, Check, Dump, History, Hosts, HostsFrom, Plan, Release, Show, Store};
 pub use serve::Serve;
-pub use soak::Soak;
+pub use soak::{Series, Soak};
 
 use crate::exit::Exit;
 
--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -53,6 +53,33 @@
 /// outgoing connection could otherwise occupy a port while its host is down.
 const PORTS: [u16; 5] = [17101, 17102, 17103, 17104, 17105];
 
+/// How the host processes are run.
+#[derive(Clone, Debug)]
+pub(super) struct HostOptions {
+    pub(super) program: PathBuf,
+    /// Lines of the section `bounds` of their settings.
+    pub(super) bounds: String,
+    /// Whether their settings say that no host ran before.
+    pub(super) first_start: bool,
+    /// Whether the configuration has workspaces.
+    pub(super) has_keys: bool,
+}
+
+impl HostOptions {
+    /// Returns the options of a soak: this program, and all limits.
+    pub(super) fn open() -> anyhow::Result<HostOptions> {
+        Ok(HostOptions {
+            program: std::env::current_exe().context("this program's path")?,
+            bounds: format!(
+                "grace = \"6s\"\nretry_slack = 1000\nrevoke = \"{}s\"\nlimit_slack = {LIMIT_SLACK}\n",
+                REVOKE_DELAY.as_secs()
+            ),
+            first_start: false,
+            has_keys: true,
+        })
+    }
+}
+
 /// A host's process and the proxies around it.
 #[derive(Debug)]
 pub(super) struct HostProcess {
@@ -62,6 +89,7 @@
     ip: IpAddr,
     child: Option<Child>,
     dir: PathBuf,
+    options: HostOptions,
     /// Number of starts, which also names the log file.
     pub(super) start_count: u32,
 }
@@ -85,11 +113,30 @@
     /// Number of active faults that make the store unavailable to all hosts.
     pub(super) store_outages: usize,
     pub(super) keys: SharedKeys,
+    options: HostOptions,
 }
 
 impl Deployment {
     /// Starts the fakes and the hosts.
-    pub(super) async fn spawn(dir: &Path, hosts: usize) -> anyhow::Result<Deployment> {
+    pub(super) async fn spawn(
+        dir: &Path,
+        hosts: usize,
+        options: HostOptions,
+    ) -> anyhow::Result<Deployment> {
+        let mut deployment = Deployment::open(dir, hosts, options).await?;
+        deployment
+            .hosts
+            .iter_mut()
+            .try_for_each(HostProcess::start)?;
+        Ok(deployment)
+    }
+
+    /// Starts the fakes; the hosts are still to be started.
+    pub(super) async fn open(
+        dir: &Path,
+        hosts: usize,
+        options: HostOptions,
+    ) -> anyhow::Result<Deployment> {
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let store = Store::bind(SocketAddr::new(local, 0)).context("the store")?;
         let mut deployment = Deployment {
@@ -100,15 +147,16 @@
             version: 0,
             store_outages: 0,
             keys: SharedKeys::default(),
+            options,
         };
         for n in 0..TARGETS {
             deployment.add_target(n).await?;
         }
         deployment.apply_next_config();
         for n in 0..hosts {
-            let host = HostProcess::open(n, dir, deployment.store.address()).await?;
+            let (store, options) = (deployment.store.address(), deployment.options.clone());
+            let host = HostProcess::open(n, dir, store, options).await?;
             deployment.hosts.push(host);
-            deployment.hosts[n].start()?;
         }
         Ok(deployment)
     }
@@ -172,13 +220,17 @@
     /// Writes the next version of the configuration.
     pub(super) fn apply_next_config(&mut self) {
         self.version += 3;
+        let workspaces = match self.options.has_keys {
+            true => &Keys::workspaces(self.version)[..],
+            false => &[],
+        };
         self.store.write_config(&ConfigDraft {
             version: self.version,
             host: NAME,
             service: SERVICE,
             routes: &[("/read/", true), ("/once/", false)],
             timeout: TIMEOUT + Duration::from_millis(self.version),
-            workspaces: &Keys::workspaces(self.version),
+            workspaces,
         });
         self.keys.mark_active(self.version);
     }
@@ -199,6 +251,7 @@
         is_down: false,
         drops_responses: false,
         sheds_all: false,
+        is_silent: false,
         rate: None,
     }
 }
@@ -209,10 +262,16 @@
     rules.is_down = false;
     rules.drops_responses = false;
     rules.sheds_all = false;
+    rules.is_silent = false;
 }
 
 impl HostProcess {
-    async fn open(n: usize, dir: &Path, store: SocketAddr) -> anyhow::Result<HostProcess> {
+    async fn open(
+        n: usize,
+        dir: &Path,
+        store: SocketAddr,
+        options: HostOptions,
+    ) -> anyhow::Result<HostProcess> {
         let last = FIRST_IP + u8::try_from(n).context("at most 200 hosts")?;
         let [.., high, low] = std::process::id().to_be_bytes();
         // 127.0.x.x is left to other programs on the machine.
@@ -225,6 +284,7 @@
             ip,
             child: None,
             dir: dir.to_owned(),
+            options,
             start_count: 0,
         })
     }
@@ -238,8 +298,7 @@
             .dir
             .join(format!("{}-{}.log", self.name, self.start_count));
         let out = File::create(&log).with_context(|| format!("making {}", log.display()))?;
-        let program = std::env::current_exe().context("this program's path")?;
-        let child = Command::new(program)
+        let child = Command::new(&self.options.program)
             .arg("edge")
             .arg("--settings")
             .arg(&settings)
@@ -263,14 +322,14 @@
             .collect();
         let domains = DOMAINS.map(|d| format!("{d} = \"{}\"", d.split('-').next().unwrap_or("")));
         format!(
-            "name = \"{}\"\nregion = \"{region}\"\ndomain = \"{domain}\"\n[domains]\n{}\n\
-             [listen]\n{}\n[store]\naddress = \"{}\"\n[bounds]\ngrace = \"6s\"\nretry_slack = 1000\n\
-             revoke = \"{}s\"\nlimit_slack = {LIMIT_SLACK}\n",
+            "name = \"{}\"\nregion = \"{region}\"\ndomain = \"{domain}\"\nfirst_start = {}\n\
+             [domains]\n{}\n[listen]\n{}\n[store]\naddress = \"{}\"\n[bounds]\n{}",
             self.name,
+            self.options.first_start,
             domains.join("\n"),
             listen.join("\n"),
             self.store.address,
-            REVOKE_DELAY.as_secs(),
+            self.options.bounds,
         )
     }
 
@@ -320,6 +379,11 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Returns the address for callers that no proxy is in front of.
+    pub(super) fn direct(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PORTS[0])
+    }
+
     /// Returns the address that serves the dump.
     pub(super) fn peers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, PORTS[3])
--- a/crates/cli/src/soak/mod.rs
+++ b/crates/cli/src/soak/mod.rs
@@ -12,13 +12,18 @@
 mod keys;
 mod plan;
 mod proxy;
+mod retries;
 mod runner;
 
 use std::path::{Path, PathBuf};
 
 use anyhow::Context;
 
-use self::{deployment::Deployment, plan::Plan, runner::SoakResult};
+use self::{
+    deployment::{Deployment, HostOptions},
+    plan::Plan,
+    runner::SoakResult,
+};
 use crate::{
     args::Soak,
     exit::{CliError, Exit},
@@ -47,6 +52,9 @@
 }
 
 async fn run_plans(args: &Soak) -> Result<(), CliError> {
+    if let Some(series) = args.retries {
+        return retries::run(series, args).await;
+    }
     let mut broken = 0;
     for seed in args.seed..args.seed + args.plans {
         let plan = Plan::open(seed, args.hosts, args.faults);
@@ -75,7 +83,7 @@
 /// Runs one plan; keeps the logs if a promise was broken.
 async fn run_plan(plan: &Plan, keep: Option<&Path>) -> anyhow::Result<SoakResult> {
     let dir = log_dir(plan.seed, keep)?;
-    let deployment = Deployment::spawn(&dir, plan.hosts).await?;
+    let deployment = Deployment::spawn(&dir, plan.hosts, HostOptions::open()?).await?;
     let result = runner::run(deployment, plan).await?;
     if result.violations.is_empty() {
         std::fs::remove_dir_all(&dir).with_context(|| format!("removing {}", dir.display()))?;
--- a/crates/cli/tests/support/edge.rs
+++ b/crates/cli/tests/support/edge.rs
@@ -62,6 +62,7 @@
             is_down: false,
             drops_responses: false,
             sheds_all: false,
+            is_silent: false,
             rate: None,
         };
         let target = Target::bind(SocketAddr::new(LOCAL, 0), rules, ledger.clone()).unwrap();
