--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -27,6 +27,6 @@
     link::{Link, LinkCheck, LinkStatus},
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
-    retry_budget::{RetryBudget, RetryLimits},
+    retry_budget::{RetryBudget, RetryDecision, RetryLimits},
     target_rate::{RateHosts, TargetRate},
 };
--- a/crates/admit/src/direct/retry_budget.rs
+++ b/crates/admit/src/direct/retry_budget.rs
@@ -39,6 +39,19 @@
     pub window: Duration,
 }
 
+/// A decision on a retry, and the figures that it was made by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry may be sent.
+    pub is_granted: bool,
+    /// Retries of the last window, without this one.
+    pub used: u32,
+    /// Retries of a window that this host's share allows.
+    pub allowed: f64,
+    /// Hosts among which the slack is divided.
+    pub hosts: usize,
+}
+
 /// Retries of one priority.
 #[derive(Clone, Copy, Debug, Default)]
 struct RetryCounts {
@@ -85,8 +98,8 @@
     }
 
     /// Takes a retry for a request of priority `rank` if this host's share has one left that higher
-    /// priorities have not recently asked for. Returns false if there is none. `hosts` is the
-    /// number of hosts that share the slack; `draw` is uniform in 0 to 1.
+    /// priorities have not recently asked for. `hosts` is the number of hosts that share the slack;
+    /// `draw` is uniform in 0 to 1.
     pub fn try_retry(
         &mut self,
         limits: &RetryLimits,
@@ -94,9 +107,9 @@
         rank: u8,
         draw: f64,
         now: Duration,
-    ) -> bool {
+    ) -> RetryDecision {
         self.counts_of(limits, rank, now).requested += 1;
-        let max_retries = self.max_retries(limits, hosts, now);
+        let allowed = self.max_retries(limits, hosts, now);
         let granted_total = self.sum(|_, retries| retries.granted);
         let reserved = self.sum(|other, retries| match other < rank {
             true => retries.requested,
@@ -107,11 +120,14 @@
         } else {
             reserved
         };
-        if f64::from(taken + 1) > max_retries {
-            return false;
+        let is_granted = f64::from(taken + 1) <= allowed;
+        self.counts_of(limits, rank, now).granted += u32::from(is_granted);
+        RetryDecision {
+            is_granted,
+            used: granted_total,
+            allowed,
+            hosts,
         }
-        self.counts_of(limits, rank, now).granted += 1;
-        true
     }
 
     /// Returns the number of retries in the window that this host's share allows.
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use dunlinrock_decide::admit::direct::RetryDecision;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request::Parts};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -392,9 +393,13 @@
             selected.handle.cancel_selection();
             return Some(state.give_up(&cause, retry));
         }
-        if state.delivered > 0 && !self.try_retry(service, view.sharer_count(), access.priority()) {
-            selected.handle.cancel_selection();
-            return Some(state.give_up("the retry budget is spent", MIN_BACKOFF));
+        if state.delivered > 0 {
+            let hosts = view.sharer_count();
+            let retry = self.try_retry(service, outbound, hosts, access.priority());
+            if !retry.is_granted {
+                selected.handle.cancel_selection();
+                return Some(state.give_up(&spent_cause(&retry), MIN_BACKOFF));
+            }
         }
         state.set_spent(true);
         let result = self.attempt(access, &selected, outbound).await;
@@ -509,6 +514,16 @@
     }
 }
 
+fn spent_cause(retry: &RetryDecision) -> String {
+    let RetryDecision {
+        used,
+        allowed,
+        hosts,
+        ..
+    } = retry;
+    format!("the retry budget is spent: {used} of {allowed:.1}, one of {hosts} hosts")
+}
+
 fn has_time(outbound: &OutboundRequest) -> bool {
     outbound.deadline.saturating_duration_since(Instant::now()) > MIN_ATTEMPT_TIME
 }
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefMut, fmt, sync::Arc, time::Duration};
 
-use dunlinrock_decide::admit::direct::{Evidence, LatencyEstimator, RetryBudget};
+use dunlinrock_decide::admit::direct::{Evidence, LatencyEstimator, RetryBudget, RetryDecision};
 use dunlinrock_node::clock::millis;
 use tokio::time::Instant;
 
@@ -303,11 +303,34 @@
             .record_request(&rules, self.shared.now());
     }
 
-    pub(super) fn try_retry(&self, service: &Arc<str>, hosts: usize, priority: u8) -> bool {
+    /// Takes a retry from the budget of a service, and records the decision. A refused one is in the
+    /// line of the request's end.
+    pub(super) fn try_retry(
+        &self,
+        service: &Arc<str>,
+        outbound: &OutboundRequest,
+        hosts: usize,
+        priority: u8,
+    ) -> RetryDecision {
         let rules = self.shared.reloadable.load().budget;
         let now = self.shared.now();
-        self.budget(service)
-            .try_retry(&rules, hosts, priority, rand::random(), now)
+        let decision = self
+            .budget(service)
+            .try_retry(&rules, hosts, priority, rand::random(), now);
+        self.shared.meters.gauge("retry_hosts", hosts as u64);
+        if !decision.is_granted {
+            self.shared.meters.count("retries_refused");
+            return decision;
+        }
+        self.shared.meters.count("retries");
+        if self.may_log(Kind::Failure) {
+            log::info!(
+                target: "request", event = "retry", id = &*outbound.id, service = &**service,
+                priority = priority, used = decision.used, allowed = decision.allowed,
+                hosts = decision.hosts; "sent again, within the retry budget"
+            );
+        }
+        decision
     }
 
     fn budget(&self, service: &Arc<str>) -> RefMut<'_, RetryBudget> {
