--- a/crates/admit/src/direct/retry_budget.rs
+++ b/crates/admit/src/direct/retry_budget.rs
@@ -17,15 +17,21 @@
 /// Buckets of the sliding window; an attempt leaves the window at most one bucket late.
 const WINDOW_BUCKETS: u32 = 10;
 
-/// Fraction of the limit that is used: other hosts learn of a new host a little later, and until
-/// then the shares of all add up to more than the limit.
+/// Buckets for which a request allows retries, counting its own.
+///
+/// Retries of one window are then allowed by the requests of 1.2 windows at most, whichever hosts
+/// they reached: with [`UTILIZATION`] they stay below the ratio. If a request allowed retries for a
+/// whole window, callers that move to other hosts would have them allowed twice.
+const CREDIT_BUCKETS: u32 = 2;
+
+/// Fraction of the limit that is used. The rest covers requests of just before a window whose
+/// retries are in it.
 const UTILIZATION: f64 = 0.8;
 
-/// Fraction of the limit that a host may use within one window after its start.
+/// Fraction of its share of the slack that a host may use within one window after its start.
 ///
 /// A host that was killed may have used its whole share a moment before, and its successor does not
-/// know: when hosts were killed while targets shed, all hosts together made up to 1.2 times the
-/// retries allowed. What a killed host may have used and this fraction add up to the whole limit.
+/// know. What a killed host may have used and this fraction add up to the whole share.
 const RESTARTED_UTILIZATION: f64 = 1.0 - UTILIZATION;
 
 /// Limits on the retries of all hosts together.
@@ -46,8 +52,8 @@
     pub is_granted: bool,
     /// Retries of the last window, without this one.
     pub used: u32,
-    /// Retries of a window that this host's share allows.
-    pub allowed: f64,
+    /// Retries that this host's share allows now; some of them may be left to higher priorities.
+    pub left: f64,
     /// Hosts among which the slack is divided.
     pub hosts: usize,
 }
@@ -65,10 +71,17 @@
 struct Bucket {
     start: Duration,
     requests: u32,
+    /// Retries that the requests allow and that were not made yet.
+    credit: f64,
+    /// Retries that were made from the slack.
+    slack_used: f64,
     retries: BTreeMap<u8, RetryCounts>,
 }
 
 /// Retry budget of one service at one host: its requests and retries in the last window.
+///
+/// Invariant: each retry was allowed by requests of the last [`CREDIT_BUCKETS`], each of which allows
+/// `ratio` retries once, or by this host's share of the slack.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     /// When the host started, if an earlier process may have used its share before.
@@ -94,7 +107,9 @@
 
     /// Records a request from a caller.
     pub fn record_request(&mut self, limits: &RetryLimits, now: Duration) {
-        self.bucket(limits, now).requests += 1;
+        let bucket = self.bucket(limits, now);
+        bucket.requests += 1;
+        bucket.credit += UTILIZATION * limits.ratio;
     }
 
     /// Takes a retry for a request of priority `rank` if this host's share has one left that higher
@@ -109,7 +124,10 @@
         now: Duration,
     ) -> RetryDecision {
         self.counts_of(limits, rank, now).requested += 1;
-        let allowed = self.max_retries(limits, hosts, now);
+        let slack = self.slack(limits, hosts, now);
+        let credit = self.credits(limits, now).map(|credit| *credit).sum::<f64>();
+        let slack_used: f64 = self.buckets.iter().map(|b| b.slack_used).sum();
+        let left = credit + (slack - slack_used).max(0.0);
         let granted_total = self.sum(|_, retries| retries.granted);
         let reserved = self.sum(|other, retries| match other < rank {
             true => retries.requested,
@@ -120,28 +138,50 @@
         } else {
             reserved
         };
-        let is_granted = f64::from(taken + 1) <= allowed;
-        self.counts_of(limits, rank, now).granted += u32::from(is_granted);
+        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
+        let in_window = UTILIZATION * limits.ratio * f64::from(requests) + slack;
+        let is_granted = left >= 1.0 && f64::from(taken + 1) <= in_window;
+        if is_granted {
+            self.spend(limits, now);
+            self.counts_of(limits, rank, now).granted += 1;
+        }
         RetryDecision {
             is_granted,
             used: granted_total,
-            allowed,
+            left,
             hosts,
         }
     }
 
-    /// Returns the number of retries in the window that this host's share allows.
-    fn max_retries(&self, limits: &RetryLimits, hosts: usize, now: Duration) -> f64 {
-        let requests: u32 = self.buckets.iter().map(|s| s.requests).sum();
-        let slack = limits.slack / hosts.max(1) as f64;
-        let ratio = f64::from(requests) * limits.ratio;
+    /// Takes one retry from the credit of the oldest requests, and what is missing from the slack.
+    fn spend(&mut self, limits: &RetryLimits, now: Duration) {
+        let mut missing = 1.0_f64;
+        for credit in self.credits(limits, now) {
+            let taken = credit.min(missing);
+            *credit -= taken;
+            missing -= taken;
+        }
+        self.bucket(limits, now).slack_used += missing;
+    }
+
+    /// Returns the credit of the requests that still allow retries, oldest first.
+    fn credits(&mut self, limits: &RetryLimits, now: Duration) -> impl Iterator<Item = &mut f64> {
+        let time = limits.window / WINDOW_BUCKETS * CREDIT_BUCKETS;
+        let usable = self
+            .buckets
+            .iter_mut()
+            .filter(move |b| b.start + time > now);
+        usable.map(|b| &mut b.credit)
+    }
+
+    /// Returns this host's share of the slack.
+    fn slack(&self, limits: &RetryLimits, hosts: usize, now: Duration) -> f64 {
+        let share = limits.slack / hosts.max(1) as f64;
         match self.age_if_restarted(limits, now) {
-            None => UTILIZATION * (ratio + slack),
-            // The slack grows with the age: a host that is killed repeatedly uses no more of it in
-            // total than one that keeps running.
-            Some(age) => {
-                RESTARTED_UTILIZATION * (ratio + slack * age.div_duration_f64(limits.window))
-            }
+            None => UTILIZATION * share,
+            // Grows with the age: a host that is killed repeatedly uses no more of it in total than
+            // one that keeps running.
+            Some(age) => RESTARTED_UTILIZATION * share * age.div_duration_f64(limits.window),
         }
     }
 
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -516,12 +516,9 @@
 
 fn spent_cause(retry: &RetryDecision) -> String {
     let RetryDecision {
-        used,
-        allowed,
-        hosts,
-        ..
+        used, left, hosts, ..
     } = retry;
-    format!("the retry budget is spent: {used} of {allowed:.1}, one of {hosts} hosts")
+    format!("the retry budget is spent: {used} used, {left:.1} left, one of {hosts} hosts")
 }
 
 fn has_time(outbound: &OutboundRequest) -> bool {
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -326,7 +326,7 @@
         if self.may_log(Kind::Failure) {
             log::info!(
                 target: "request", event = "retry", id = &*outbound.id, service = &**service,
-                priority = priority, used = decision.used, allowed = decision.allowed,
+                priority = priority, used = decision.used, left = decision.left,
                 hosts = decision.hosts; "sent again, within the retry budget"
             );
         }
