--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod latency;
 mod limit;
 mod link;
+mod own_share;
 mod ranks;
 mod recent_hosts;
 mod retry_budget;
@@ -25,6 +26,7 @@
     latency::LatencyEstimator,
     limit::{LimitShare, RateLimitConfig, TokenBucket, TokenCache, TokenGrant},
     link::{Link, LinkCheck, LinkStatus},
+    own_share::{HostShare, OwnShare},
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryDecision, RetryLimits},
--- a/crates/admit/src/direct/retry_budget.rs
+++ b/crates/admit/src/direct/retry_budget.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use super::ranks::EQUAL_FRACTION;
+use super::{own_share::HostShare, ranks::EQUAL_FRACTION};
 
 /// Buckets of the sliding window; an attempt leaves the window at most one bucket late.
 const WINDOW_BUCKETS: u32 = 10;
@@ -54,8 +54,8 @@
     pub used: u32,
     /// Retries that this host's share allows now; some of them may be left to higher priorities.
     pub left: f64,
-    /// Hosts among which the slack is divided.
-    pub hosts: usize,
+    /// This host's share of the slack.
+    pub share: HostShare,
 }
 
 /// Retries of one priority.
@@ -113,18 +113,18 @@
     }
 
     /// Takes a retry for a request of priority `rank` if this host's share has one left that higher
-    /// priorities have not recently asked for. `hosts` is the number of hosts that share the slack;
-    /// `draw` is uniform in 0 to 1.
+    /// priorities have not recently asked for. `share` is its share of the slack; `draw` is uniform in
+    /// 0 to 1.
     pub fn try_retry(
         &mut self,
         limits: &RetryLimits,
-        hosts: usize,
+        share: &HostShare,
         rank: u8,
         draw: f64,
         now: Duration,
     ) -> RetryDecision {
         self.counts_of(limits, rank, now).requested += 1;
-        let slack = self.slack(limits, hosts, now);
+        let slack = self.slack(limits, share, now);
         let credit = self.credits(limits, now).map(|credit| *credit).sum::<f64>();
         let slack_used: f64 = self.buckets.iter().map(|b| b.slack_used).sum();
         let left = credit + (slack - slack_used).max(0.0);
@@ -149,7 +149,7 @@
             is_granted,
             used: granted_total,
             left,
-            hosts,
+            share: *share,
         }
     }
 
@@ -175,8 +175,11 @@
     }
 
     /// Returns this host's share of the slack.
-    fn slack(&self, limits: &RetryLimits, hosts: usize, now: Duration) -> f64 {
-        let share = limits.slack / hosts.max(1) as f64;
+    fn slack(&self, limits: &RetryLimits, share: &HostShare, now: Duration) -> f64 {
+        if share.since.is_none() {
+            return 0.0;
+        }
+        let share = limits.slack / share.hosts.max(1) as f64;
         match self.age_if_restarted(limits, now) {
             None => UTILIZATION * share,
             // Grows with the age: a host that is killed repeatedly uses no more of it in total than
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -394,8 +394,7 @@
             return Some(state.give_up(&cause, retry));
         }
         if state.delivered > 0 {
-            let hosts = view.sharer_count();
-            let retry = self.try_retry(service, outbound, hosts, access.priority());
+            let retry = self.try_retry(service, outbound, access.priority());
             if !retry.is_granted {
                 selected.handle.cancel_selection();
                 return Some(state.give_up(&spent_cause(&retry), MIN_BACKOFF));
@@ -516,9 +515,16 @@
 
 fn spent_cause(retry: &RetryDecision) -> String {
     let RetryDecision {
-        used, left, hosts, ..
+        used, left, share, ..
     } = retry;
-    format!("the retry budget is spent: {used} used, {left:.1} left, one of {hosts} hosts")
+    let hosts = share.hosts;
+    let slack = match share.since {
+        Some(_) => "with",
+        None => "without",
+    };
+    format!(
+        "the retry budget is spent: {used} used, {left:.1} left, one of {hosts} hosts, {slack} slack"
+    )
 }
 
 fn has_time(outbound: &OutboundRequest) -> bool {
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -309,14 +309,14 @@
         &self,
         service: &Arc<str>,
         outbound: &OutboundRequest,
-        hosts: usize,
         priority: u8,
     ) -> RetryDecision {
         let rules = self.shared.reloadable.load().budget;
-        let now = self.shared.now();
-        let decision = self
-            .budget(service)
-            .try_retry(&rules, hosts, priority, rand::random(), now);
+        let (now, share) = (self.shared.now(), self.shared.host_share());
+        let decision =
+            self.budget(service)
+                .try_retry(&rules, &share, priority, rand::random(), now);
+        let hosts = share.since.map_or(0, |_| share.hosts);
         self.shared.meters.gauge("retry_hosts", hosts as u64);
         if !decision.is_granted {
             self.shared.meters.count("retries_refused");
@@ -327,7 +327,7 @@
             log::info!(
                 target: "request", event = "retry", id = &*outbound.id, service = &**service,
                 priority = priority, used = decision.used, left = decision.left,
-                hosts = decision.hosts; "sent again, within the retry budget"
+                hosts = hosts; "sent again, within the retry budget"
             );
         }
         decision
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -7,14 +7,14 @@
 };
 
 use arc_swap::ArcSwap;
-use dunlinrock_decide::admit::direct::{RecentHosts, TokenGrant};
+use dunlinrock_decide::admit::direct::{HostShare, OwnShare, RecentHosts, TokenGrant};
 use dunlinrock_node::clock::Clock;
 use tokio::sync::{mpsc, watch};
 
 use super::freshness::{Freshness, max_key_age};
 use crate::{
     control::QuarantineChange,
-    limits::{GrantError, TokenIssuer, TokenRequest},
+    limits::{GrantError, JOIN_DELAY, TokenIssuer, TokenRequest},
     links::{Links, Neighbors},
     meters::Meters,
     model::{Config, Dialect, HostEntry, Item, PlatformStore},
@@ -82,11 +82,22 @@
 }
 
 /// What a view takes over from earlier ones.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ViewHistory {
     /// Until when the targets of formerly evacuated domains count as cold.
     cold_until: BTreeMap<Arc<str>, Duration>,
     sharers: RecentHosts,
+    own_share: OwnShare,
+}
+
+impl ViewHistory {
+    fn open() -> ViewHistory {
+        ViewHistory {
+            cold_until: BTreeMap::new(),
+            sharers: RecentHosts::open(),
+            own_share: OwnShare::open(JOIN_DELAY),
+        }
+    }
 }
 
 impl Shared {
@@ -111,7 +122,7 @@
             phase: watch::channel(Phase::Serving).0,
             meters: Meters::open(),
             replica: Mutex::new(Replica::open()),
-            history: Mutex::default(),
+            history: Mutex::new(ViewHistory::open()),
             freshness: Freshness::default(),
             announced: Mutex::default(),
             token_issuer: TokenIssuer::open(),
@@ -212,6 +223,12 @@
         self.freshness.age()
     }
 
+    /// Returns this host's share of the limits that hosts divide.
+    pub fn host_share(&self) -> HostShare {
+        let age = self.age();
+        self.view.load().host_share(age, self.now())
+    }
+
     /// Whether the known keys are fresh enough to serve callers by.
     pub fn keys_are_fresh(&self) -> bool {
         let revoke = self.reloadable.load().revoke;
@@ -297,6 +314,9 @@
         view.sharer_hashes = history
             .sharers
             .update(&before.host_hashes, &view.host_hashes, now);
+        let own = view.limit_owners.created(&self.settings.name);
+        history.own_share.update(own, now);
+        view.share_from = history.own_share.usable_from();
         crate::trace::log_view_change(&before, &view);
         self.view.store(Arc::new(view));
         self.changed.send_replace(Watermark {
--- a/crates/edge/src/limits/owners.rs
+++ b/crates/edge/src/limits/owners.rs
@@ -132,6 +132,12 @@
         self.stable_since
     }
 
+    /// Returns the store's revision at which the entry of a host was created, if it is listed.
+    pub fn created(&self, name: &str) -> Option<u64> {
+        let mut all = self.shares.values().flatten();
+        all.find(|m| &*m.entry.name == name).map(|m| m.created)
+    }
+
     fn owned(&self, me: &str, workspace: &str, now: Duration) -> Option<(&Member, &[Member])> {
         let mut all = self.shares.values();
         let members = all.find(|members| members.iter().any(|m| &*m.entry.name == me))?;
--- a/crates/edge/src/replica/view.rs
+++ b/crates/edge/src/replica/view.rs
@@ -6,12 +6,12 @@
     time::Duration,
 };
 
-use dunlinrock_decide::steer::hash;
+use dunlinrock_decide::{admit::direct::HostShare, steer::hash};
 use dunlinrock_node::clock::since_boot;
 
 use super::Replica;
 use crate::{
-    limits::LimitOwners,
+    limits::{LimitOwners, MAX_GRANT_AGE},
     model::{Config, Entry, HostEntry, KeyIndex, QuarantineEntry, RouteIndex, Target},
 };
 
@@ -48,6 +48,8 @@
     /// Hashes of the names of all hosts that share limits: the listed ones, and those that may
     /// still be serving although their entries vanished.
     pub sharer_hashes: Vec<u64>,
+    /// From when on this host may use its share of limits, while its replica is fresh.
+    pub share_from: Option<Duration>,
     /// Owners of the limit shares.
     pub limit_owners: LimitOwners,
     /// Requests in quarantine by fingerprint, with the store's revision of the entry.
@@ -113,6 +115,16 @@
         view
     }
 
+    /// Returns this host's share of the limits that hosts divide. `age` is the age of this view, and
+    /// must be read before it.
+    pub fn host_share(&self, age: Duration, now: Duration) -> HostShare {
+        let is_fresh = age <= MAX_GRANT_AGE;
+        HostShare {
+            hosts: self.sharer_count(),
+            since: self.share_from.filter(|from| is_fresh && *from <= now),
+        }
+    }
+
     /// Returns the number of entry hosts that share limits; this host counts even while it is not
     /// listed.
     pub fn sharer_count(&self) -> usize {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -213,6 +213,8 @@
     }
 }
 
+/// Returns settings whose retry budget allows retries from the first request on: a host that has
+/// just started has no slack yet.
 pub fn settings() -> Settings {
     let text = r#"
         name = "h1"
@@ -230,6 +232,8 @@
         metrics = "127.0.0.1:0"
         [store]
         address = "127.0.0.1:9"
+        [bounds]
+        retry_ratio = 10.0
     "#;
     settings::parse(text).expect("the settings are valid")
 }
