--- a/crates/admit/src/direct/own_share.rs
+++ b/crates/admit/src/direct/own_share.rs
@@ -14,6 +14,9 @@
     pub hosts: usize,
     /// Since when this host may use its share; `None` while it may not.
     pub since: Option<Duration>,
+    /// Whether certainly nobody has used it before: neither a predecessor under this host's name,
+    /// nor the other hosts while they divided the limit without this one.
+    pub is_unused: bool,
 }
 
 /// This host's entry in the list, as it was last seen.
@@ -25,33 +28,52 @@
 }
 
 /// Tracks since when this host is listed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct OwnShare {
     join_delay: Duration,
+    is_unused: bool,
+    is_read: bool,
     listing: Option<Listing>,
 }
 
 impl OwnShare {
     /// Opens the share of a host that is not listed. After `join_delay` in the list, every other
     /// host knows it or has a list that is too old to use its own share.
-    pub fn open(join_delay: Duration) -> OwnShare {
+    ///
+    /// `first_start` states that no host ran before. Settings may still say so when a process is
+    /// started again, so it counts only if the first list that is read lacks this host.
+    pub fn open(join_delay: Duration, first_start: bool) -> OwnShare {
         OwnShare {
             join_delay,
+            is_unused: first_start,
+            is_read: false,
             listing: None,
         }
     }
 
-    /// Records a new list: `created` identifies this host's entry in it.
-    pub fn update(&mut self, created: Option<u64>, now: Duration) {
-        let known = self.listing.filter(|l| Some(l.created) == created);
-        self.listing = known.or(created.map(|created| Listing {
+    /// Records a list: `created` identifies this host's entry in it, and `is_read` tells whether
+    /// any list was read at all.
+    pub fn update(&mut self, created: Option<u64>, is_read: bool, now: Duration) {
+        let is_first = is_read && !self.is_read;
+        self.is_read |= is_read;
+        let is_same = self.listing.map(|l| l.created) == created;
+        if is_same {
+            return;
+        }
+        self.is_unused &= !is_first && self.listing.is_none();
+        self.listing = created.map(|created| Listing {
             created,
             since: now,
-        }));
+        });
     }
 
-    /// Returns from when on this host may use its share while its list is fresh.
-    pub fn usable_from(&self) -> Option<Duration> {
-        self.listing.map(|l| l.since + self.join_delay)
+    /// Returns this host's share among `hosts`.
+    pub fn share(&self, hosts: usize, is_fresh: bool, now: Duration) -> HostShare {
+        let since = self.listing.map(|l| l.since + self.join_delay);
+        HostShare {
+            hosts,
+            since: since.filter(|since| is_fresh && *since <= now),
+            is_unused: self.is_unused,
+        }
     }
 }
--- a/crates/admit/src/direct/retry_budget.rs
+++ b/crates/admit/src/direct/retry_budget.rs
@@ -28,11 +28,13 @@
 /// retries are in it.
 const UTILIZATION: f64 = 0.8;
 
-/// Fraction of its share of the slack that a host may use within one window after its start.
+/// Fraction of its share of the slack that a host may use within one window after the share became
+/// usable, unless it is certainly unused.
 ///
-/// A host that was killed may have used its whole share a moment before, and its successor does not
-/// know. What a killed host may have used and this fraction add up to the whole share.
-const RESTARTED_UTILIZATION: f64 = 1.0 - UTILIZATION;
+/// A predecessor that was killed may have used the whole share a moment before, or the other hosts,
+/// who divided the slack without this one. What they may have used and this fraction add up to the
+/// whole.
+const NEW_UTILIZATION: f64 = 1.0 - UTILIZATION;
 
 /// Limits on the retries of all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -84,8 +86,6 @@
 /// `ratio` retries once, or by this host's share of the slack.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
-    /// When the host started, if an earlier process may have used its share before.
-    restarted_at: Option<Duration>,
     /// Oldest first.
     buckets: VecDeque<Bucket>,
 }
@@ -96,15 +96,6 @@
         RetryBudget::default()
     }
 
-    /// Opens the budget of a host that started at `restarted_at`, and may be the successor of one
-    /// that was killed.
-    pub fn open_restarted(restarted_at: Duration) -> RetryBudget {
-        RetryBudget {
-            restarted_at: Some(restarted_at),
-            ..RetryBudget::default()
-        }
-    }
-
     /// Records a request from a caller.
     pub fn record_request(&mut self, limits: &RetryLimits, now: Duration) {
         let bucket = self.bucket(limits, now);
@@ -176,15 +167,16 @@
 
     /// Returns this host's share of the slack.
     fn slack(&self, limits: &RetryLimits, share: &HostShare, now: Duration) -> f64 {
-        if share.since.is_none() {
+        let Some(since) = share.since else {
             return 0.0;
-        }
-        let share = limits.slack / share.hosts.max(1) as f64;
-        match self.age_if_restarted(limits, now) {
-            None => UTILIZATION * share,
+        };
+        let part = limits.slack / share.hosts.max(1) as f64;
+        let age = now.saturating_sub(since);
+        match share.is_unused || age >= limits.window {
+            true => UTILIZATION * part,
             // Grows with the age: a host that is killed repeatedly uses no more of it in total than
             // one that keeps running.
-            Some(age) => RESTARTED_UTILIZATION * share * age.div_duration_f64(limits.window),
+            false => NEW_UTILIZATION * part * age.div_duration_f64(limits.window),
         }
     }
 
@@ -194,13 +186,6 @@
         all.map(|(rank, retries)| count(*rank, retries)).sum()
     }
 
-    /// Returns the age of a host that may be the successor of a killed one, while the retries of
-    /// that one may still be in the window.
-    fn age_if_restarted(&self, limits: &RetryLimits, now: Duration) -> Option<Duration> {
-        let age = now.saturating_sub(self.restarted_at?);
-        (age < limits.window).then_some(age)
-    }
-
     /// Returns the counts of a priority in the bucket of `now`.
     fn counts_of(&mut self, limits: &RetryLimits, rank: u8, now: Duration) -> &mut RetryCounts {
         self.bucket(limits, now).retries.entry(rank).or_default()
--- a/crates/admit/tests/ranks.rs
+++ b/crates/admit/tests/ranks.rs
@@ -125,6 +125,7 @@
     let share = HostShare {
         hosts: 1,
         since: Some(Duration::ZERO),
+        is_unused: true,
     };
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut budget = RetryBudget::open();
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -27,9 +27,6 @@
 /// workspace above its limit, writes the same line for every request.
 const REFUSAL_LINES: u32 = 200;
 
-/// Start of the process, on its own clock.
-const START: Duration = Duration::ZERO;
-
 /// Line budgets of the kinds of log lines.
 #[derive(Debug)]
 pub(super) struct RequestLog {
@@ -336,10 +333,7 @@
     fn budget(&self, service: &Arc<str>) -> RefMut<'_, RetryBudget> {
         RefMut::map(self.retry_budgets.borrow_mut(), |retry_budgets| {
             let budget = retry_budgets.entry(Arc::clone(service));
-            budget.or_insert_with(|| match self.shared.settings.first_start {
-                true => RetryBudget::open(),
-                false => RetryBudget::open_restarted(START),
-            })
+            budget.or_insert_with(RetryBudget::open)
         })
     }
 }
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -91,11 +91,11 @@
 }
 
 impl ViewHistory {
-    fn open() -> ViewHistory {
+    fn open(first_start: bool) -> ViewHistory {
         ViewHistory {
             cold_until: BTreeMap::new(),
             sharers: RecentHosts::open(),
-            own_share: OwnShare::open(JOIN_DELAY),
+            own_share: OwnShare::open(JOIN_DELAY, first_start),
         }
     }
 }
@@ -109,6 +109,7 @@
     ) -> (Arc<Shared>, mpsc::Receiver<QuarantineChange>) {
         let (quarantine_changes, changes) = mpsc::channel(MAX_QUARANTINE_CHANGES);
         let clock = Clock::open();
+        let history = ViewHistory::open(settings.first_start);
         let shared = Arc::new(Shared {
             links: Arc::new(Links::open(clock)),
             quarantine_changes,
@@ -122,7 +123,7 @@
             phase: watch::channel(Phase::Serving).0,
             meters: Meters::open(),
             replica: Mutex::new(Replica::open()),
-            history: Mutex::new(ViewHistory::open()),
+            history: Mutex::new(history),
             freshness: Freshness::default(),
             announced: Mutex::default(),
             token_issuer: TokenIssuer::open(),
@@ -315,8 +316,9 @@
             .sharers
             .update(&before.host_hashes, &view.host_hashes, now);
         let own = view.limit_owners.created(&self.settings.name);
-        history.own_share.update(own, now);
-        view.share_from = history.own_share.usable_from();
+        let is_read = replica.synced_revision() > 0;
+        history.own_share.update(own, is_read, now);
+        view.own_share = history.own_share;
         crate::trace::log_view_change(&before, &view);
         self.view.store(Arc::new(view));
         self.changed.send_replace(Watermark {
--- a/crates/edge/src/replica/view.rs
+++ b/crates/edge/src/replica/view.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use dunlinrock_decide::{admit::direct::HostShare, steer::hash};
+use dunlinrock_decide::{
+    admit::direct::{HostShare, OwnShare},
+    steer::hash,
+};
 use dunlinrock_node::clock::since_boot;
 
 use super::Replica;
@@ -48,8 +51,8 @@
     /// Hashes of the names of all hosts that share limits: the listed ones, and those that may
     /// still be serving although their entries vanished.
     pub sharer_hashes: Vec<u64>,
-    /// From when on this host may use its share of limits, while its replica is fresh.
-    pub share_from: Option<Duration>,
+    /// This host's place among them.
+    pub own_share: OwnShare,
     /// Owners of the limit shares.
     pub limit_owners: LimitOwners,
     /// Requests in quarantine by fingerprint, with the store's revision of the entry.
@@ -119,10 +122,7 @@
     /// must be read before it.
     pub fn host_share(&self, age: Duration, now: Duration) -> HostShare {
         let is_fresh = age <= MAX_GRANT_AGE;
-        HostShare {
-            hosts: self.sharer_count(),
-            since: self.share_from.filter(|from| is_fresh && *from <= now),
-        }
+        self.own_share.share(self.sharer_count(), is_fresh, now)
     }
 
     /// Returns the number of entry hosts that share limits; this host counts even while it is not
