--- a/crates/admit/src/direct/target_rate.rs
+++ b/crates/admit/src/direct/target_rate.rs
@@ -39,7 +39,7 @@
     pub all: &'a [u64],
     /// Hash of the target's id.
     pub target: u64,
-    /// Whether `all` may still lack hosts, so that this host takes the smallest part.
+    /// Whether `all` may lack hosts, so that this host takes the smallest part.
     pub is_partial: bool,
 }
 
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -19,12 +19,6 @@
     replica::{KnownTarget, View},
 };
 
-/// Time after the start of the process during which this host sends at most one request per second
-/// to a cold target. Hosts that start together know only of themselves at first, and each would use
-/// the full cold-start rate; within this time their entries are in the store and have been read
-/// back.
-const START_CAUTION_TIME: Duration = Duration::from_secs(3);
-
 /// Reason why no target can be selected now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NoTarget {
@@ -174,7 +168,7 @@
             me: self.name_hash,
             all: &view.sharer_hashes,
             target: handle.id_hash,
-            is_partial: now < START_CAUTION_TIME,
+            is_partial: self.shared.host_share().since.is_none(),
         };
         let is_admitted = handle.rate.borrow_mut().try_admit(&hosts, now);
         if !is_admitted {
@@ -201,10 +195,11 @@
             ..self.shared.reloadable.load().cold
         };
         let host_rate = limits.host_rate(self.name_hash, &view.sharer_hashes, handle.id_hash);
-        let host_rate = if now < START_CAUTION_TIME {
-            host_rate.min(1)
-        } else {
-            host_rate
+        // Without a usable share, this host may not know the others: one request may be too many
+        // already, but a cold target that gets none from anybody never becomes warm.
+        let host_rate = match self.shared.host_share().since {
+            Some(_) => host_rate,
+            None => host_rate.min(1),
         };
         handle.cold_limiter.borrow_mut().try_admit(host_rate, now)
     }
