--- a/crates/cli/src/soak/callers.rs
+++ b/crates/cli/src/soak/callers.rs
@@ -7,7 +7,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -70,6 +70,8 @@
 pub(super) struct Observations {
     pub(super) answered: AtomicU32,
     pub(super) failed: AtomicU32,
+    /// When each request was sent.
+    pub(super) sent: Mutex<Vec<Instant>>,
     /// Requests whose response says that they have not run.
     pub(super) refused: Mutex<BTreeSet<String>>,
     /// Requests that may run at most once.
@@ -194,6 +196,7 @@
         };
         let before = self.host_faults[host].quiet_epoch();
         let key = self.keys.draw(id, &mut self.rng);
+        lock(&self.observations.sent).push(Instant::now());
         let sent = sender.send_request(request(id, path, is_once, object, &key));
         let answer = async {
             let response = sent.await?;
--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -23,6 +23,7 @@
     keys::{Keys, LIMIT_SLACK, REVOKE_DELAY, SharedKeys},
     plan::TARGETS,
     proxy::{Mode, Proxy},
+    retries::bound_settings,
 };
 use crate::signals::is_in_mask;
 
@@ -71,7 +72,8 @@
         Ok(HostOptions {
             program: std::env::current_exe().context("this program's path")?,
             bounds: format!(
-                "grace = \"6s\"\nretry_slack = 1000\nrevoke = \"{}s\"\nlimit_slack = {LIMIT_SLACK}\n",
+                "grace = \"6s\"\n{}revoke = \"{}s\"\nlimit_slack = {LIMIT_SLACK}\n",
+                bound_settings(),
                 REVOKE_DELAY.as_secs()
             ),
             first_start: false,
--- a/crates/cli/src/soak/faults.rs
+++ b/crates/cli/src/soak/faults.rs
@@ -61,6 +61,10 @@
             .target
             .set(|rules| rules.drops_responses = true),
         Fault::TargetSheds(n) => fleet.targets[n].target.set(|rules| rules.sheds_all = true),
+        Fault::AllShed => fleet
+            .targets
+            .iter()
+            .for_each(|proxied| proxied.target.set(|rules| rules.sheds_all = true)),
         Fault::TargetSlow(n) => fleet.targets[n].target.set(|rules| rules.work *= SLOWDOWN),
         Fault::TargetMute(n) => fleet.targets[n].proxy.set(Mode::Mute),
         Fault::TargetLeaves(n) => fleet.announce(n, true),
@@ -89,6 +93,10 @@
         Fault::TargetDown(n) | Fault::TargetLoses(n) | Fault::TargetSheds(n) => {
             fleet.targets[n].target.set(clear_faults);
         }
+        Fault::AllShed => fleet
+            .targets
+            .iter()
+            .for_each(|proxied| proxied.target.set(clear_faults)),
         Fault::TargetSlow(n) => fleet.targets[n].target.set(clear_faults),
         Fault::TargetMute(n) => fleet.targets[n].proxy.set(Mode::Pass),
         Fault::TargetLeaves(n) => fleet.replace_target(n),
--- a/crates/cli/src/soak/plan.rs
+++ b/crates/cli/src/soak/plan.rs
@@ -20,6 +20,12 @@
 /// Fraction of the plans that contain a store outage of this kind.
 const OUTAGE_FRACTION: f64 = 0.5;
 
+/// Fraction of the plans that end with all targets shedding, the duration of that, and the number of
+/// further faults meanwhile.
+const ALL_SHED_FRACTION: f64 = 0.5;
+const ALL_SHED_MS: std::ops::Range<u64> = 5000..10_000;
+const ALL_SHED_FAULTS: usize = 4;
+
 /// A fault that is injected into a deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -57,6 +63,8 @@
     TargetLoses(usize),
     /// A target sheds every request.
     TargetSheds(usize),
+    /// All targets shed every request, so that hosts would retry each of them.
+    AllShed,
     /// A target's runs take ten times as long.
     TargetSlow(usize),
     /// Connections to a target go silent.
@@ -92,12 +100,7 @@
     /// Generates the plan of a seed.
     pub(super) fn open(seed: u64, hosts: usize, faults: usize) -> Plan {
         let mut rng = StdRng::seed_from_u64(seed);
-        let steps = (0..faults).map(|_| Step {
-            pause: Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)),
-            lasts: Duration::from_millis(rng.random_range(LASTS_MS)),
-            fault: draw(&mut rng, hosts),
-        });
-        let mut steps: Vec<_> = steps.collect();
+        let mut steps: Vec<_> = (0..faults).map(|_| step(&mut rng, hosts)).collect();
         if rng.random_bool(OUTAGE_FRACTION) {
             let outage = Step {
                 pause: Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)),
@@ -106,10 +109,26 @@
             };
             steps.insert(rng.random_range(0..=steps.len()), outage);
         }
+        if rng.random_bool(ALL_SHED_FRACTION) {
+            steps.push(Step {
+                pause: Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)),
+                lasts: Duration::from_millis(rng.random_range(ALL_SHED_MS)),
+                fault: Fault::AllShed,
+            });
+            steps.extend((0..ALL_SHED_FAULTS).map(|_| step(&mut rng, hosts)));
+        }
         Plan { seed, hosts, steps }
     }
 }
 
+fn step(rng: &mut StdRng, hosts: usize) -> Step {
+    Step {
+        pause: Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)),
+        lasts: Duration::from_millis(rng.random_range(LASTS_MS)),
+        fault: draw(rng, hosts),
+    }
+}
+
 fn draw(rng: &mut StdRng, hosts: usize) -> Fault {
     let (host, target) = (rng.random_range(0..hosts), rng.random_range(0..TARGETS));
     match rng.random_range(0..22) {
--- a/crates/cli/src/soak/retries.rs
+++ b/crates/cli/src/soak/retries.rs
@@ -40,12 +40,21 @@
 };
 
 /// The bound, as in the hosts' settings.
-const BOUND: RetryBound = RetryBound {
+pub(super) const BOUND: RetryBound = RetryBound {
     ratio: 0.2,
     slack: 60.0,
     window: Duration::from_secs(10),
 };
 
+/// Returns the bound as lines of the section `bounds` of a host's settings.
+pub(super) fn bound_settings() -> String {
+    let window = BOUND.window.as_secs();
+    format!(
+        "retry_ratio = {:?}\nretry_slack = {:?}\nretry_window = \"{window}s\"\n",
+        BOUND.ratio, BOUND.slack
+    )
+}
+
 /// Deadline that callers state, after which they close the connection.
 const DEADLINE: Duration = Duration::from_secs(3);
 
@@ -114,12 +123,7 @@
         let own = HostOptions::open()?;
         let options = HostOptions {
             program: args.program.clone().map_or(own.program, absolute),
-            bounds: format!(
-                "grace = \"6s\"\nretry_ratio = {:?}\nretry_slack = {:?}\nretry_window = \"{}s\"\n",
-                BOUND.ratio,
-                BOUND.slack,
-                BOUND.window.as_secs()
-            ),
+            bounds: format!("grace = \"6s\"\n{}", bound_settings()),
             first_start: args.first,
             has_keys: false,
         };
--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -16,6 +16,7 @@
     faults,
     plan::{Fault, Plan, TARGETS},
     proxy::Mode,
+    retries::BOUND,
 };
 
 /// Interval at which processes and their dumps are checked.
@@ -58,14 +59,16 @@
     failed: u32,
     refused: usize,
     ran: usize,
+    /// Second arrivals at targets in the worst period, as a fraction of those allowed.
+    budget_used: f64,
 }
 
 impl fmt::Display for SoakResult {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} answered, {} failed, {} of them refused, {} ran; ",
-            self.answered, self.failed, self.refused, self.ran
+            "{} answered, {} failed, {} of them refused, {} ran, {:.2} of the retry budget; ",
+            self.answered, self.failed, self.refused, self.ran, self.budget_used
         )?;
         if self.violations.is_empty() {
             return f.write_str("every promise kept");
@@ -404,6 +407,14 @@
         {
             self.record_violation(format!("{id} ran {} times", ledger.runs(id)));
         }
+        let worst = BOUND.worst(&lock(&observations.sent), &ledger.repeats());
+        let budget_used = worst.map_or(0.0, |worst| worst.fraction());
+        if let Some(worst) = worst.filter(|_| budget_used > 1.0) {
+            self.record_violation(format!(
+                "{} second arrivals in {:?}, {:.0} allowed",
+                worst.repeats, BOUND.window, worst.allowed
+            ));
+        }
         for text in self.deployment.keys.violations(ledger) {
             self.record_violation(text);
         }
@@ -417,6 +428,7 @@
             failed: observations.failed.load(Ordering::Relaxed),
             refused: refused.len(),
             ran: ledger.count(),
+            budget_used,
         }
     }
 }
