--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -323,7 +323,7 @@
         if self.may_log(Kind::Failure) {
             log::info!(
                 target: "request", event = "retry", id = &*outbound.id, service = &**service,
-                priority = priority, used = decision.used, left = decision.left,
+                priority = priority, used = decision.used, left = (decision.left * 10.0).round() / 10.0,
                 hosts = hosts; "sent again, within the retry budget"
             );
         }
--- a/crates/edge/tests/lost_links.rs
+++ b/crates/edge/tests/lost_links.rs
@@ -8,7 +8,7 @@
     sync::{Arc, Mutex, mpsc::channel},
 };
 
-use dunlinrock_edge::model::Config;
+use dunlinrock_edge::model::{Config, KeyDigest, Workspace};
 use rstest::rstest;
 use support::{
     Cut, Fleet, Head, Script, ScriptedTarget, config, get, read_all, request, wait_until,
@@ -347,3 +347,66 @@
     assert!(metrics.contains("edge.link_checks"), "{metrics}");
     assert!(!metrics.contains("edge.forwarded"), "{metrics}");
 }
+
+/// Guards against a key that reaches the targets through another host, or a workspace that is lost
+/// on the way: the other host authenticates the caller itself.
+#[test]
+fn a_forwarded_request_keeps_its_workspace_and_hides_its_key() {
+    let workspace = Workspace {
+        name: "club".into(),
+        keys: BTreeSet::from([KeyDigest::of(b"planted-key-77aa")]),
+        rate: 0.0,
+        burst: 0.0,
+        rank: None,
+        homes: BTreeSet::new(),
+    };
+    let config = Config {
+        workspaces: vec![Arc::new(workspace)],
+        ..config(1)
+    };
+    let targets = healthy();
+    let fleet = Fleet::open(&["north-1", "south-1"], &config, &targets);
+    fleet.cut(0, Cut::Reset);
+    let call = |id: &str, key: &str| {
+        let more = format!("Authorization: Key {key}\r\nConnection: close\r\n");
+        let text = request("GET", &format!("/read/{id}"), id, &more);
+        read_all(&mut fleet.hosts[0].send(&text))
+    };
+    while !fleet.hosts[0].host.shared().links.is_lost() {
+        call("cut", "planted-key-77aa");
+    }
+    let answer = call("known", "planted-key-77aa");
+    assert!(answer.ends_with("run"), "{answer}");
+    let answer = call("unknown", "planted-key-0000");
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    let heads: Vec<_> = targets.iter().flat_map(ScriptedTarget::heads).collect();
+    let known = heads.iter().find(|head| head.id() == "known");
+    let known = known.expect("it ran through the other host");
+    assert_eq!(known.get("workspace"), Some("club"));
+    assert_eq!(known.get("authorization"), None);
+    assert!(heads.iter().all(|head| head.id() != "unknown"));
+}
+
+/// Guards against repeats that no host pays for: a request that had reached a target is sent on only
+/// within the retry budget of the host that it is forwarded to.
+#[test]
+fn a_forwarded_request_is_sent_again_only_within_the_other_hosts_budget() {
+    let shedding = |head: &Head| {
+        let fields = "Unrun: 1\r\nRunning: 0\r\nConnection: close\r\n";
+        Script::Close(head.answer_with("503 Busy", fields, ""))
+    };
+    let targets: Vec<_> = (0..TARGETS)
+        .map(|_| ScriptedTarget::open(shedding))
+        .collect();
+    let fleet = Fleet::open_with(&["north-1", "south-1"], &config(1), &targets, |settings| {
+        settings.reloadable.budget.ratio = 0.2;
+    });
+    cut_first(&fleet, Cut::Reset);
+    for n in 0..20 {
+        let answer = fleet.hosts[0].call("GET", &format!("/read/{n}"), &format!("r{n}"));
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+    let arrivals: usize = (0..20).map(|n| runs(&targets, &format!("r{n}"))).sum();
+    // A host that has just started has no slack, and the ratio allows four repeats of twenty requests.
+    assert!((20..=24).contains(&arrivals), "{arrivals}");
+}
