--- a/crates/admit/src/direct/own_share.rs
+++ b/crates/admit/src/direct/own_share.rs
@@ -2,8 +2,8 @@
 //!
 //! Each host divides a limit by the hosts that it knows. The shares add up to at most the limit only
 //! if every host that uses one is known to all others that do. So a host uses its share once it has
-//! been listed long enough, and only while its list is fresh. A host that never learned of the others
-//! would take the whole limit otherwise, as would a host that is cut off when others join.
+//! been listed long enough, and only while its list is fresh. Otherwise a host that knows no others
+//! would take the whole limit, and one that is cut off while others join would take too much.
 
 use std::time::Duration;
 
--- a/crates/admit/src/direct/retry_budget.rs
+++ b/crates/admit/src/direct/retry_budget.rs
@@ -119,15 +119,10 @@
         let credit = self.credits(limits, now).map(|credit| *credit).sum::<f64>();
         let slack_used: f64 = self.buckets.iter().map(|b| b.slack_used).sum();
         let left = credit + (slack - slack_used).max(0.0);
-        let granted_total = self.sum(|_, retries| retries.granted);
-        let reserved = self.sum(|other, retries| match other < rank {
-            true => retries.requested,
-            false => retries.granted,
-        });
-        let taken = if draw < EQUAL_FRACTION {
-            granted_total
-        } else {
-            reserved
+        let used = self.sum(|_, retries| retries.granted);
+        let taken = match draw < EQUAL_FRACTION {
+            true => used,
+            false => self.used_or_reserved(rank),
         };
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let in_window = UTILIZATION * limits.ratio * f64::from(requests) + slack;
@@ -138,12 +133,20 @@
         }
         RetryDecision {
             is_granted,
-            used: granted_total,
+            used,
             left,
             share: *share,
         }
     }
 
+    /// Returns the retries of the window, with all that priorities above `rank` asked for.
+    fn used_or_reserved(&self, rank: u8) -> u32 {
+        self.sum(|other, retries| match other < rank {
+            true => retries.requested,
+            false => retries.granted,
+        })
+    }
+
     /// Takes one retry from the credit of the oldest requests, and what is missing from the slack.
     fn spend(&mut self, limits: &RetryLimits, now: Duration) {
         let mut missing = 1.0_f64;
--- a/crates/cli/src/soak/mod.rs
+++ b/crates/cli/src/soak/mod.rs
@@ -14,6 +14,7 @@
 mod proxy;
 mod retries;
 mod runner;
+mod steady_callers;
 
 use std::path::{Path, PathBuf};
 
--- a/crates/cli/src/soak/retries.rs
+++ b/crates/cli/src/soak/retries.rs
@@ -5,33 +5,19 @@
 //! period of each series is compared with the bound that the hosts' settings state.
 
 use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
     path::{Path, PathBuf},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
     time::{Duration, Instant},
 };
 
-use dunlinrock_platform::standin::{RetryBound, StoreFault, TargetOptions, caller_headers};
-use http::Request;
-use http_body_util::{BodyExt, Full};
-use hyper::{
-    body::Bytes,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use dunlinrock_platform::standin::{RetryBound, StoreFault, TargetOptions};
 use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use tokio::{net::TcpStream, task::JoinHandle};
 
 use super::{
-    callers::lock,
-    deployment::{Deployment, HostOptions, HostProcess, NAME, clear_faults},
+    deployment::{Deployment, HostOptions, HostProcess, clear_faults},
     log_dir,
     proxy::Mode,
+    steady_callers::SteadyCallers,
 };
 use crate::{
     args::{Series, Soak},
@@ -55,15 +41,16 @@
     )
 }
 
-/// Deadline that callers state, after which they close the connection.
-const DEADLINE: Duration = Duration::from_secs(3);
-
 /// Time that hosts need to start and to learn of each other.
 const START_TIME: Duration = Duration::from_secs(4);
 
 /// Range of the time between the start of the hosts and the end of the store's answers.
 const CUT_AFTER_MS: std::ops::Range<u64> = 30..600;
 
+/// Time for which hosts are suspended, and time between two kills.
+const FREEZE_TIME: Duration = Duration::from_millis(1200);
+const KILL_INTERVAL: Duration = Duration::from_millis(1900);
+
 /// Time after which hosts that the store does not answer are no longer listed.
 const LEASE_TIME: Duration = Duration::from_secs(6);
 
@@ -113,7 +100,7 @@
 /// Hosts, targets and callers of one series.
 struct Rig {
     deployment: Deployment,
-    callers: Callers,
+    callers: SteadyCallers,
     start: Instant,
     rng: StdRng,
 }
@@ -130,7 +117,7 @@
         let deployment = Deployment::open(dir, args.hosts, options).await?;
         let hosts = deployment.hosts.iter().map(HostProcess::direct).collect();
         Ok(Rig {
-            callers: Callers::spawn(hosts, args.rate, seed),
+            callers: SteadyCallers::spawn(hosts, args.rate, seed),
             deployment,
             start: Instant::now(),
             rng: StdRng::seed_from_u64(seed),
@@ -138,98 +125,131 @@
     }
 
     async fn play(&mut self, series: Series) -> anyhow::Result<()> {
-        let hosts = self.deployment.hosts.len();
         match series {
-            Series::All => {}
-            Series::Start => {
-                self.set_targets(|target| target.sheds_all = true);
-                self.start_hosts(0..hosts)?;
-                sleep_s(20).await;
-            }
-            Series::StartCut => {
-                self.set_targets(|target| target.sheds_all = true);
-                self.start_hosts(0..hosts)?;
-                let cut_after = Duration::from_millis(self.rng.random_range(CUT_AFTER_MS));
-                tokio::time::sleep(cut_after).await;
-                self.deployment.store_down(StoreFault::Closed);
-                sleep_s(20).await;
-            }
-            Series::KillEach => {
-                self.start_and_shed().await?;
-                for n in 0..hosts {
-                    self.kill(n..=n)?;
-                    tokio::time::sleep(Duration::from_millis(1900)).await;
-                }
-                sleep_s(5).await;
-            }
-            Series::KillAll => {
-                self.start_and_shed().await?;
-                for _ in 0..2 {
-                    sleep_s(3).await;
-                    self.kill(0..=hosts - 1)?;
-                }
-                sleep_s(12).await;
-            }
-            Series::Freeze => {
-                self.start_and_shed().await?;
-                for n in 0..8 {
-                    let (half, all) = (hosts / 2, hosts);
-                    let frozen = if n % 2 == 0 { 0..half } else { half..all };
-                    self.signal(frozen.clone(), Signal::SIGSTOP)?;
-                    tokio::time::sleep(Duration::from_millis(1200)).await;
-                    self.signal(frozen, Signal::SIGCONT)?;
-                    let close = n % 4 < 2;
-                    self.set_targets(|target| {
-                        target.sheds_all = !close;
-                        target.is_down = close;
-                    });
-                }
-                sleep_s(8).await;
-            }
-            Series::Move => {
-                let half = hosts / 2;
-                self.start_hosts(0..hosts)?;
-                self.callers.use_hosts(0..half);
-                sleep_s(13).await;
-                self.set_targets(|target| target.sheds_all = true);
-                sleep_s(1).await;
-                self.signal(0..half, Signal::SIGSTOP)?;
-                self.callers.use_hosts(half..hosts);
-                sleep_s(12).await;
-                self.signal(0..half, Signal::SIGCONT)?;
-            }
-            Series::Join => {
-                let first = (hosts / 6).max(1);
-                self.start_hosts(0..first)?;
-                sleep_s(12).await;
-                self.set_store(0..first, Mode::Reset);
-                self.start_hosts(first..hosts)?;
-                tokio::time::sleep(START_TIME).await;
-                sleep_s(10).await;
-                self.set_targets(|target| target.sheds_all = true);
-                sleep_s(12).await;
-            }
-            Series::Split => {
-                self.start_hosts(0..hosts)?;
-                sleep_s(12).await;
-                self.set_store(0..hosts / 2, Mode::Reset);
-                tokio::time::sleep(LEASE_TIME).await;
-                self.set_targets(|target| target.sheds_all = true);
-                sleep_s(10).await;
-                self.kill(hosts / 2..=hosts - 1)?;
-                sleep_s(10).await;
-            }
-            Series::Targets => {
-                self.start_and_shed().await?;
-                for n in 0..8 {
-                    self.set_targets(|target| {
-                        target.sheds_all = n % 4 == 0;
-                        target.is_down = n % 4 == 1;
-                        target.is_silent = n % 4 == 2;
-                    });
-                    sleep_s(3).await;
-                }
-            }
+            Series::All => Ok(()),
+            Series::Start => self.start_together().await,
+            Series::StartCut => self.start_cut().await,
+            Series::KillEach => self.kill_each().await,
+            Series::KillAll => self.kill_all().await,
+            Series::Freeze => self.freeze().await,
+            Series::Move => self.move_callers().await,
+            Series::Join => self.join().await,
+            Series::Split => self.split().await,
+            Series::Targets => self.vary_targets().await,
+        }
+    }
+
+    async fn start_together(&mut self) -> anyhow::Result<()> {
+        let hosts = self.deployment.hosts.len();
+        self.set_targets(|target| target.sheds_all = true);
+        self.start_hosts(0..hosts)?;
+        sleep_s(20).await;
+        Ok(())
+    }
+
+    async fn start_cut(&mut self) -> anyhow::Result<()> {
+        let hosts = self.deployment.hosts.len();
+        self.set_targets(|target| target.sheds_all = true);
+        self.start_hosts(0..hosts)?;
+        let cut_after = Duration::from_millis(self.rng.random_range(CUT_AFTER_MS));
+        tokio::time::sleep(cut_after).await;
+        self.deployment.store_down(StoreFault::Closed);
+        sleep_s(20).await;
+        Ok(())
+    }
+
+    async fn kill_each(&mut self) -> anyhow::Result<()> {
+        let hosts = self.deployment.hosts.len();
+        self.start_and_shed().await?;
+        for n in 0..hosts {
+            self.kill(n..=n)?;
+            tokio::time::sleep(KILL_INTERVAL).await;
+        }
+        sleep_s(5).await;
+        Ok(())
+    }
+
+    async fn kill_all(&mut self) -> anyhow::Result<()> {
+        let hosts = self.deployment.hosts.len();
+        self.start_and_shed().await?;
+        for _ in 0..2 {
+            sleep_s(3).await;
+            self.kill(0..=hosts - 1)?;
+        }
+        sleep_s(12).await;
+        Ok(())
+    }
+
+    async fn freeze(&mut self) -> anyhow::Result<()> {
+        let hosts = self.deployment.hosts.len();
+        self.start_and_shed().await?;
+        for n in 0..8 {
+            let (half, all) = (hosts / 2, hosts);
+            let frozen = if n % 2 == 0 { 0..half } else { half..all };
+            self.signal(frozen.clone(), Signal::SIGSTOP)?;
+            tokio::time::sleep(FREEZE_TIME).await;
+            self.signal(frozen, Signal::SIGCONT)?;
+            let close = n % 4 < 2;
+            self.set_targets(|target| {
+                target.sheds_all = !close;
+                target.is_down = close;
+            });
+        }
+        sleep_s(8).await;
+        Ok(())
+    }
+
+    async fn move_callers(&mut self) -> anyhow::Result<()> {
+        let hosts = self.deployment.hosts.len();
+        let half = hosts / 2;
+        self.start_hosts(0..hosts)?;
+        self.callers.use_hosts(0..half);
+        sleep_s(13).await;
+        self.set_targets(|target| target.sheds_all = true);
+        sleep_s(1).await;
+        self.signal(0..half, Signal::SIGSTOP)?;
+        self.callers.use_hosts(half..hosts);
+        sleep_s(12).await;
+        self.signal(0..half, Signal::SIGCONT)?;
+        Ok(())
+    }
+
+    async fn join(&mut self) -> anyhow::Result<()> {
+        let hosts = self.deployment.hosts.len();
+        let first = (hosts / 6).max(1);
+        self.start_hosts(0..first)?;
+        sleep_s(12).await;
+        self.set_store(0..first, Mode::Reset);
+        self.start_hosts(first..hosts)?;
+        tokio::time::sleep(START_TIME).await;
+        sleep_s(10).await;
+        self.set_targets(|target| target.sheds_all = true);
+        sleep_s(12).await;
+        Ok(())
+    }
+
+    async fn split(&mut self) -> anyhow::Result<()> {
+        let hosts = self.deployment.hosts.len();
+        self.start_hosts(0..hosts)?;
+        sleep_s(12).await;
+        self.set_store(0..hosts / 2, Mode::Reset);
+        tokio::time::sleep(LEASE_TIME).await;
+        self.set_targets(|target| target.sheds_all = true);
+        sleep_s(10).await;
+        self.kill(hosts / 2..=hosts - 1)?;
+        sleep_s(10).await;
+        Ok(())
+    }
+
+    async fn vary_targets(&mut self) -> anyhow::Result<()> {
+        self.start_and_shed().await?;
+        for n in 0..8 {
+            self.set_targets(|target| {
+                target.sheds_all = n % 4 == 0;
+                target.is_down = n % 4 == 1;
+                target.is_silent = n % 4 == 2;
+            });
+            sleep_s(3).await;
         }
         Ok(())
     }
@@ -284,16 +304,18 @@
     /// Ends the callers and returns the worst period.
     async fn stop(self) -> Option<Worst> {
         let sent = self.callers.stop().await;
-        let worst = BOUND.worst(&sent, &self.deployment.ledger.repeats())?;
+        let repeats = self.deployment.ledger.repeats();
+        let worst = BOUND.worst(&sent, &repeats)?;
         let at = worst.start.saturating_duration_since(self.start);
         Some(Worst {
             fraction: worst.fraction(),
             text: format!(
-                "{} second arrivals, {:.0} allowed, {:.2}, from {:.1} s, {} requests",
+                "{} second arrivals, {:.0} allowed, {:.2}, from {:.1} s; {} of {} requests in all",
                 worst.repeats,
                 worst.allowed,
                 worst.fraction(),
                 at.as_secs_f64(),
+                repeats.len(),
                 sent.len()
             ),
         })
@@ -307,104 +329,3 @@
 fn absolute(path: PathBuf) -> PathBuf {
     path.canonicalize().unwrap_or(path)
 }
-
-/// An idle connection to a host.
-type Idle = SendRequest<Full<Bytes>>;
-
-/// What the callers of a series share.
-#[derive(Debug)]
-struct Shared {
-    hosts: Mutex<Vec<SocketAddr>>,
-    idle: Mutex<BTreeMap<SocketAddr, Vec<Idle>>>,
-    /// When each request was sent.
-    sent: Mutex<Vec<Instant>>,
-    is_stopped: AtomicBool,
-}
-
-/// Callers that send requests at a steady rate, each once, over kept connections.
-#[derive(Debug)]
-struct Callers {
-    all: Vec<SocketAddr>,
-    shared: Arc<Shared>,
-    task: JoinHandle<()>,
-}
-
-impl Callers {
-    fn spawn(all: Vec<SocketAddr>, rate: u32, seed: u64) -> Callers {
-        let shared = Arc::new(Shared {
-            hosts: Mutex::new(all.clone()),
-            idle: Mutex::default(),
-            sent: Mutex::default(),
-            is_stopped: AtomicBool::new(false),
-        });
-        let interval = Duration::from_secs(1) / rate.max(1);
-        let task = tokio::spawn(send_all(Arc::clone(&shared), interval, seed));
-        Callers { all, shared, task }
-    }
-
-    /// Sends later requests to these hosts only.
-    fn use_hosts(&self, which: std::ops::Range<usize>) {
-        *lock(&self.shared.hosts) = self.all[which].to_vec();
-    }
-
-    /// Ends the callers and returns when they sent their requests.
-    async fn stop(self) -> Vec<Instant> {
-        self.shared.is_stopped.store(true, Ordering::Relaxed);
-        // A panic of the task was reported by its thread.
-        let _ = self.task.await;
-        std::mem::take(&mut lock(&self.shared.sent))
-    }
-}
-
-async fn send_all(shared: Arc<Shared>, interval: Duration, seed: u64) {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut ticks = tokio::time::interval(interval);
-    let mut number = 0_u64;
-    while !shared.is_stopped.load(Ordering::Relaxed) {
-        ticks.tick().await;
-        number += 1;
-        let host = {
-            let hosts = lock(&shared.hosts);
-            hosts[rng.random_range(0..hosts.len())]
-        };
-        let (shared, object) = (Arc::clone(&shared), rng.random_range(0..200));
-        tokio::spawn(async move {
-            // A request that fails has no more to show: the targets record what arrived.
-            let call = call(&shared, host, number, object);
-            let _ = tokio::time::timeout(DEADLINE, call).await;
-        });
-    }
-}
-
-/// Sends one request and reads its response; `None` if the connection fails.
-async fn call(shared: &Shared, host: SocketAddr, number: u64, object: u32) -> Option<()> {
-    let mut sender = connect(shared, host).await?;
-    let id = Arc::<str>::from(format!("r-{number}"));
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = format!("/read/{number}").parse().ok()?;
-    *request.headers_mut() = caller_headers(NAME, &id, object, DEADLINE, None);
-    lock(&shared.sent).push(Instant::now());
-    let response = sender.send_request(request).await.ok()?;
-    response.into_body().collect().await.ok()?;
-    let mut idle = lock(&shared.idle);
-    idle.entry(host).or_default().push(sender);
-    Some(())
-}
-
-async fn connect(shared: &Shared, host: SocketAddr) -> Option<Idle> {
-    loop {
-        let idle = lock(&shared.idle).get_mut(&host).and_then(Vec::pop);
-        let Some(mut sender) = idle else { break };
-        if sender.ready().await.is_ok() {
-            return Some(sender);
-        }
-    }
-    let stream = TcpStream::connect(host).await.ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(async move {
-        if let Err(e) = connection.await {
-            log::debug!(error:% = e; "caller connection closed with an error");
-        }
-    });
-    Some(sender)
-}
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -164,6 +164,9 @@
 
     /// Whether the rate that a target names for all hosts allows one more request of this host now.
     fn admits_rate(&self, view: &View, handle: &TargetHandle, now: Duration) -> bool {
+        if handle.rate.borrow().rate().is_none() {
+            return true;
+        }
         let hosts = RateHosts {
             me: self.name_hash,
             all: &view.sharer_hashes,
