--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -8,6 +8,7 @@
 };
 
 use anyhow::Context;
+use dunlinrock_platform::standin::ATTEMPTS;
 use nix::sys::signal::Signal;
 
 use super::{
@@ -407,6 +408,9 @@
         {
             self.record_violation(format!("{id} ran {} times", ledger.runs(id)));
         }
+        for id in ledger.arrived_over(ATTEMPTS as usize) {
+            self.record_violation(format!("{id} arrived more than {ATTEMPTS} times"));
+        }
         let worst = BOUND.worst(&lock(&observations.sent), &ledger.repeats());
         let budget_used = worst.map_or(0.0, |worst| worst.fraction());
         if let Some(worst) = worst.filter(|_| budget_used > 1.0) {
