--- a/crates/admit/src/direct/retry_budget.rs
+++ b/crates/admit/src/direct/retry_budget.rs
@@ -82,7 +82,7 @@
 
 /// Retry budget of one service at one host: its requests and retries in the last window.
 ///
-/// Invariant: each retry was allowed by requests of the last [`CREDIT_BUCKETS`], each of which allows
+/// Invariant: each retry was allowed by requests of the last fifth of a window, each of which allows
 /// `ratio` retries once, or by this host's share of the slack.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
