--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod latency;
 mod limit;
 mod link;
+mod notices;
 mod own_share;
 mod ranks;
 mod recent_hosts;
@@ -26,6 +27,7 @@
     latency::LatencyEstimator,
     limit::{LimitShare, RateLimitConfig, TokenBucket, TokenCache, TokenGrant},
     link::{Link, LinkCheck, LinkStatus},
+    notices::{Admission, Notices, Process},
     own_share::{HostShare, OwnShare},
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -20,6 +20,9 @@
     "time", "level", "of", "event", "id", "text", "source", "held_ms",
 ];
 
+/// Events of lines that tell what a target said about itself.
+const NOTICES: [&str; 2] = ["target_leaving", "target_backoff"];
+
 /// A log line about the request.
 struct Line {
     time: f64,
@@ -34,6 +37,7 @@
         read(path, &args.id, &mut matches)?;
     }
     matches.add_quarantine();
+    matches.add_notices();
     if matches.lines.is_empty() {
         let text = format!(
             "no line names request {}; {} lines were read",
@@ -57,8 +61,23 @@
 }
 
 impl Line {
+    fn text(&self, name: &str) -> Option<&str> {
+        self.fields.get(name)?.as_str()
+    }
+
     fn fingerprint(&self) -> Option<&str> {
-        self.fields.get("fingerprint")?.as_str()
+        self.text("fingerprint")
+    }
+
+    /// Whether this line tells what a target said about itself to the host of the other line, in
+    /// time for that line.
+    fn is_notice_before(&self, sent: &Line) -> bool {
+        let same = |name| self.text(name) == sent.text(name);
+        let age = sent.time - self.time;
+        // A notice without a time holds until the target ends.
+        let time = self.fields.get("time_ms").and_then(Value::as_f64);
+        let holds = time.is_none_or(|time| age <= time / 1000.0);
+        same("to") && self.source == sent.source && age >= 0.0 && holds
     }
 }
 
@@ -68,6 +87,8 @@
     lines: Vec<Line>,
     /// Lines about the quarantine of requests, of any fingerprint.
     quarantine: Vec<Line>,
+    /// Lines that tell what targets said about themselves.
+    notices: Vec<Line>,
     read: u64,
     /// Number of lines that are not valid log lines, such as truncated ones.
     malformed: u64,
@@ -111,16 +132,19 @@
         let is_request = fields.get("id").and_then(Value::as_str) == Some(id);
         let is_belief = fields.get("of").and_then(Value::as_str) == Some("belief");
         let is_quarantine = is_belief && fields.contains_key("fingerprint");
-        if !is_request && !is_quarantine {
+        let event = fields.get("event").and_then(Value::as_str);
+        let is_notice = is_belief && event.is_some_and(|event| NOTICES.contains(&event));
+        if !is_request && !is_quarantine && !is_notice {
             return;
         }
         let number = |name| fields.get(name).and_then(Value::as_f64).unwrap_or_default();
         // A line may be written some time after its event.
         let time = number("time") - number("held_ms") / 1000.0;
         let source = before.split_whitespace().last().unwrap_or(name).to_owned();
-        let lines = match is_request {
-            true => &mut self.lines,
-            false => &mut self.quarantine,
+        let lines = match () {
+            () if is_request => &mut self.lines,
+            () if is_quarantine => &mut self.quarantine,
+            () => &mut self.notices,
         };
         lines.push(Line {
             time,
@@ -140,6 +164,13 @@
         let same = |line: &Line| line.fingerprint() == Some(&*fingerprint);
         self.lines.extend(quarantine.into_iter().filter(same));
     }
+
+    /// Adds what the targets that the request was sent to had said about themselves.
+    fn add_notices(&mut self) {
+        let mut notices = std::mem::take(&mut self.notices);
+        notices.retain(|notice| self.lines.iter().any(|sent| notice.is_notice_before(sent)));
+        self.lines.extend(notices);
+    }
 }
 
 fn show(line: &Line, start: f64) -> String {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -135,3 +135,34 @@
     assert_eq!(events, [Some(0), Some(1), Some(2)], "{}", out.out);
     assert!(!out.out.contains("t3"), "{}", out.out);
 }
+
+/// A request got no answer from a target that had told its host, before, that it is leaving; what
+/// the target told other hosts, or later, or for a time that was over, explains nothing.
+#[test]
+fn a_request_is_followed_to_what_its_target_said_before() {
+    let dir = tempfile::tempdir().unwrap();
+    let a = log(
+        &dir,
+        "a.log",
+        &[
+            r#"{"time":1.0,"of":"belief","event":"target_leaving","to":"t1"}"#,
+            r#"{"time":2.0,"of":"belief","event":"target_backoff","to":"t1","time_ms":3000}"#,
+            r#"{"time":9.0,"of":"belief","event":"target_backoff","to":"t1","time_ms":2500}"#,
+            r#"{"time":9.1,"of":"belief","event":"target_leaving","to":"t2"}"#,
+            r#"{"time":10.0,"of":"request","event":"sent","id":"r1","to":"t1"}"#,
+            r#"{"time":10.5,"of":"belief","event":"target_backoff","to":"t1","time_ms":400}"#,
+        ],
+    );
+    let b = log(
+        &dir,
+        "b.log",
+        &[r#"{"time":9.5,"of":"belief","event":"target_leaving","to":"t1"}"#],
+    );
+    let out = run(&["explain", "r1", &a, &b]);
+    assert_eq!(out.code, 0, "{}", out.err);
+    let lines: Vec<_> = out.out.lines().collect();
+    assert_eq!(lines.len(), 3, "{}", out.out);
+    assert!(lines[0].contains("target_leaving"), "{}", out.out);
+    assert!(lines[1].contains("time_ms=2500"), "{}", out.out);
+    assert!(lines[2].contains("sent"), "{}", out.out);
+}
--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -213,6 +213,7 @@
         "change": view.change,
         "age_ms": millis(shared.age()),
         "links": shared.links.describe(),
+        "closed_targets": shared.notices.describe(shared.now()),
         "evacuated": view.evacuated,
         "quarantined": quarantined.collect::<serde_json::Map<_, _>>(),
         "hosts": view.hosts.keys().collect::<Vec<_>>(),
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -22,7 +22,7 @@
     select::SelectedTarget,
     targets::TargetHandle,
 };
-use crate::model::{Credentials, Fingerprint, ReportedRate, Route};
+use crate::model::{Credentials, Fingerprint, Reported, Route};
 
 /// How long a target must have been silent for a timeout to be a sign that it is gone. A target
 /// that answers others is slow.
@@ -155,11 +155,11 @@
     }
 
     /// Records the rate that a target's own response names.
-    fn record_rate(&self, handle: &TargetHandle, reported: ReportedRate) {
+    fn record_rate(&self, handle: &TargetHandle, reported: Reported<f64>) {
         let rate = match reported {
-            ReportedRate::Absent => None,
-            ReportedRate::Rate(rate) => Some(rate),
-            ReportedRate::Malformed => {
+            Reported::Absent => None,
+            Reported::Value(rate) => Some(rate),
+            Reported::Malformed => {
                 self.shared.meters.count("rate_malformed");
                 return;
             }
@@ -205,8 +205,10 @@
             let was_used = connection.is_used();
             sent.set(true);
             let run = handle.start_run(outbound.fingerprint, self.shared.clock);
+            let on_head =
+                |status, headers: &HeaderMap| self.record_notices(handle, status, headers);
             let exchanged = tokio::select! {
-                exchanged = connection.exchange(self.request(access, handle, outbound)) => exchanged,
+                exchanged = connection.exchange(self.request(access, handle, outbound), on_head) => exchanged,
                 () = wait_down(handle, &access.route) => Err(ExchangeError::Sent("the target is down".to_owned())),
             };
             match exchanged {
--- a/crates/edge/src/front/connection.rs
+++ b/crates/edge/src/front/connection.rs
@@ -137,11 +137,12 @@
         self.was_used
     }
 
-    /// Sends a request and waits for the complete response. Also returns whether the connection may
-    /// be reused.
+    /// Sends a request and waits for the complete response; `on_head` gets its head as soon as that
+    /// has arrived. Also returns whether the connection may be reused.
     pub(super) async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        on_head: impl FnOnce(StatusCode, &HeaderMap),
     ) -> Result<(BufferedResponse, bool), ExchangeError> {
         if let Err(e) = self.sender.ready().await {
             return Err(ExchangeError::NotSent(e.to_string()));
@@ -160,6 +161,7 @@
             }
         };
         let (head, body) = response.into_parts();
+        on_head(head.status, &head.headers);
         let closes = closes(&head.headers);
         self.reusable_until = Instant::now() + idle_time(&head.headers);
         let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
--- a/crates/edge/src/front/forward.rs
+++ b/crates/edge/src/front/forward.rs
@@ -152,7 +152,7 @@
             };
             let exchanged = match opened {
                 Ok(mut connection) => {
-                    let exchanged = connection.exchange(request()).await;
+                    let exchanged = connection.exchange(request(), |_, _| {}).await;
                     exchanged.map(|(response, is_reusable)| {
                         if is_reusable {
                             connection.limit_reuse(idle_time);
--- /dev/null
+++ b/crates/edge/src/front/notices.rs
@@ -0,0 +1,63 @@
+//! Reads what the responses of targets say about the targets.
+
+use std::time::Duration;
+
+use http::{HeaderMap, StatusCode};
+
+use super::{Front, request_log::Kind, targets::TargetHandle};
+use crate::model::Reported;
+
+impl Front {
+    /// Records what the head of a response says about its target, before the body is read: it holds
+    /// even if the response breaks off.
+    pub(super) fn record_notices(
+        &self,
+        handle: &TargetHandle,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
+        // Another process answers, at the address of the expected one.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let dialect = &self.shared.dialect;
+        match (dialect.parse_leaving)(headers) {
+            Reported::Value(true) => self.record_leaving(handle),
+            Reported::Malformed => self.shared.meters.count("leaving_malformed"),
+            Reported::Value(false) | Reported::Absent => {}
+        }
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        match (dialect.parse_backoff)(headers) {
+            Reported::Value(time) => self.record_backoff(handle, time),
+            Reported::Malformed => self.shared.meters.count("backoff_malformed"),
+            Reported::Absent => {}
+        }
+    }
+
+    fn record_leaving(&self, handle: &TargetHandle) {
+        let (target, now) = (&handle.target, self.shared.now());
+        if self.shared.notices.record_leaving(target, now) {
+            self.shared.meters.count("targets_leaving");
+            log::info!(
+                target: "belief", event = "target_leaving", to = &*target.id;
+                "the target says that it is leaving"
+            );
+        }
+    }
+
+    fn record_backoff(&self, handle: &TargetHandle, time: Duration) {
+        let (target, now) = (&handle.target, self.shared.now());
+        if !self.shared.notices.record_backoff(target, time, now) {
+            return;
+        }
+        self.shared.meters.count("target_backoffs");
+        if self.may_log(Kind::Failure) {
+            log::info!(
+                target: "belief", event = "target_backoff", to = &*target.id,
+                time_ms = time.as_millis() as u64; "the target wants no requests for a time"
+            );
+        }
+    }
+}
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -18,6 +18,7 @@
     links::{Links, Neighbors},
     meters::Meters,
     model::{Config, Dialect, HostEntry, Item, PlatformStore},
+    notices::TargetNotices,
     replica::{Changes, ConfigUpdate, ConfigUpdateError, Replica, View},
     settings::{ReloadableSettings, Settings},
 };
@@ -79,6 +80,8 @@
     pub(crate) token_issuer: TokenIssuer,
     /// This host's links to the targets.
     pub links: Arc<Links>,
+    /// What targets have said about themselves to this host.
+    pub notices: TargetNotices,
 }
 
 /// What a view takes over from earlier ones.
@@ -112,6 +115,7 @@
         let history = ViewHistory::open(settings.first_start);
         let shared = Arc::new(Shared {
             links: Arc::new(Links::open(clock)),
+            notices: TargetNotices::default(),
             quarantine_changes,
             reloadable: ArcSwap::from_pointee(settings.reloadable.clone()),
             settings,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod lookup;
 pub mod meters;
 pub mod model;
+pub mod notices;
 pub mod replica;
 pub mod settings;
 pub mod trace;
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -16,7 +16,9 @@
 
 pub use self::{
     config::{Config, Limits, Route, Service, WeightedService},
-    dialect::{Credentials, Dialect, LookupQuery, ReportedLoad, ReportedRate, decimal_rate},
+    dialect::{
+        Credentials, Dialect, LookupQuery, Reported, ReportedLoad, decimal_rate, decimal_seconds,
+    },
     fingerprint::Fingerprint,
     item::{DeferredRemoval, Entry, HostEntry, Item, QuarantineEntry, Target},
     keys::KeyIndex,
