--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -263,7 +263,8 @@
         opened
     }
 
-    /// Whether the current view would still send the request to the selected target.
+    /// Whether the current view, and what the selected target has said since, would still send the
+    /// request to it.
     ///
     /// Opening a connection between regions takes some hundred milliseconds. Without this check, a
     /// host that was cut off and has just received a newer configuration would send a request under
@@ -275,6 +276,9 @@
         selected: &SelectedTarget,
         outbound: &OutboundRequest,
     ) -> bool {
+        if self.is_leaving(&selected.handle) {
+            return false;
+        }
         let freshness = self.key_freshness();
         let view = self.shared.view.load();
         if view.change == selected.change {
--- a/crates/edge/src/front/forward.rs
+++ b/crates/edge/src/front/forward.rs
@@ -1,8 +1,8 @@
 //! Forwards requests to another host while this host's links to the targets are lost.
 //!
 //! The other host serves a forwarded request like one of a caller, with its own replica, limits and
-//! budgets, on its callers' address. Two headers are for hosts alone: [`FORWARDED`] on the request,
-//! and [`DECLINED`] on the response. A forwarded request is never forwarded again, so it passes
+//! budgets, on its callers' address. Three headers are for hosts alone: [`FORWARDED`] on the request,
+//! and [`DECLINED`] and [`LEAVING`] on the response. A forwarded request is never forwarded again, so it passes
 //! through two hosts at most.
 
 use std::{
@@ -11,17 +11,21 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD_NO_PAD};
 use bytes::Bytes;
+use dunlinrock_decide::admit::direct::Process;
 use dunlinrock_node::wire::{pack, unpack};
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 use http_body_util::Full;
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{
     connection::{BufferedResponse, ExchangeError, TargetConnection},
     idle::{ConnectionCounter, IdleConnection},
 };
-use crate::{links::Helper, model::HostEntry};
+use crate::{
+    links::Helper,
+    model::{HostEntry, Target},
+};
 
 /// Header of a forwarded request: a [`Forwarded`].
 const FORWARDED: HeaderName = HeaderName::from_static("dunlinrock-forwarded");
@@ -30,6 +34,9 @@
 /// host may serve it.
 pub(super) const DECLINED: HeaderName = HeaderName::from_static("dunlinrock-declined");
 
+/// Header of a response to a forwarded request: a [`LeavingTarget`].
+pub(super) const LEAVING: HeaderName = HeaderName::from_static("dunlinrock-leaving");
+
 /// Idle connections kept to one host.
 const MAX_IDLE: usize = 32;
 
@@ -52,19 +59,58 @@
 impl Forwarded {
     /// Takes the header from a request; `None` if it comes from a caller.
     pub(super) fn take(headers: &mut HeaderMap) -> Option<Forwarded> {
-        let value = headers.remove(FORWARDED)?;
-        let bytes = BASE64_STANDARD_NO_PAD.decode(value.as_bytes()).ok()?;
-        unpack(&bytes).ok()
+        decode(&headers.remove(FORWARDED)?)
     }
 
     /// Adds the header to a request.
     pub(super) fn insert(&self, headers: &mut HeaderMap) {
-        let bytes = pack(self).unwrap_or_default();
-        let text = BASE64_STANDARD_NO_PAD.encode(bytes);
-        if let Ok(value) = HeaderValue::try_from(text) {
-            headers.insert(FORWARDED, value);
+        headers.extend(encode(self).map(|value| (FORWARDED, value)));
+    }
+}
+
+/// The target that answered a forwarded request and said that it is leaving. The host that passes
+/// the answer on is bound by it too.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct LeavingTarget {
+    id: Arc<str>,
+    born: u64,
+}
+
+impl LeavingTarget {
+    pub(super) fn of(target: &Target) -> LeavingTarget {
+        LeavingTarget {
+            id: Arc::clone(&target.id),
+            born: target.born,
         }
     }
+
+    /// Reads the header of another host's response.
+    pub(super) fn read(headers: &HeaderMap) -> Option<LeavingTarget> {
+        decode(headers.get(LEAVING)?)
+    }
+
+    /// Adds the header to a response.
+    pub(super) fn insert(&self, headers: &mut HeaderMap) {
+        headers.extend(encode(self).map(|value| (LEAVING, value)));
+    }
+
+    pub(super) fn into_process(self) -> Process {
+        Process {
+            id: self.id,
+            born: self.born,
+        }
+    }
+}
+
+fn encode(content: &impl Serialize) -> Option<HeaderValue> {
+    let text = BASE64_STANDARD_NO_PAD.encode(pack(content).ok()?);
+    HeaderValue::try_from(text).ok()
+}
+
+fn decode<T: DeserializeOwned>(value: &HeaderValue) -> Option<T> {
+    let bytes = BASE64_STANDARD_NO_PAD.decode(value.as_bytes()).ok()?;
+    unpack(&bytes).ok()
 }
 
 /// How a forwarded request ended.
--- a/crates/edge/src/front/lost_links.rs
+++ b/crates/edge/src/front/lost_links.rs
@@ -7,7 +7,7 @@
     access::Access,
     attempt::OutboundRequest,
     connection::BufferedResponse,
-    forward::{ForwardResult, Forwarded},
+    forward::{ForwardResult, Forwarded, LeavingTarget},
     request::RetryState,
     response::{RequestEnd, forwarded, late, lost},
 };
@@ -92,6 +92,9 @@
     /// Returns the result of a request that another host has answered. Its refusal promises that the
     /// request has not run, but it may have run before.
     fn after_forward(&self, response: BufferedResponse, state: &RetryState) -> RequestEnd {
+        if let Some(leaving) = LeavingTarget::read(&response.headers) {
+            self.record_leaving(leaving.into_process());
+        }
         let is_signed = response
             .headers
             .contains_key(&self.shared.dialect.signature);
--- a/crates/edge/src/front/notices.rs
+++ b/crates/edge/src/front/notices.rs
@@ -1,11 +1,12 @@
 //! Reads what the responses of targets say about the targets.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
+use dunlinrock_decide::admit::direct::{Admission, Process};
 use http::{HeaderMap, StatusCode};
 
 use super::{Front, request_log::Kind, targets::TargetHandle};
-use crate::model::Reported;
+use crate::{model::Reported, notices::process};
 
 impl Front {
     /// Records what the head of a response says about its target, before the body is read: it holds
@@ -22,7 +23,7 @@
         }
         let dialect = &self.shared.dialect;
         match (dialect.parse_leaving)(headers) {
-            Reported::Value(true) => self.record_leaving(handle),
+            Reported::Value(true) => self.record_leaving(process(&handle.target)),
             Reported::Malformed => self.shared.meters.count("leaving_malformed"),
             Reported::Value(false) | Reported::Absent => {}
         }
@@ -36,17 +37,29 @@
         }
     }
 
-    fn record_leaving(&self, handle: &TargetHandle) {
-        let (target, now) = (&handle.target, self.shared.now());
-        if self.shared.notices.record_leaving(target, now) {
+    /// Records that a process has said that it is leaving, to this host or to the one at the other
+    /// end of a forwarded request.
+    pub(super) fn record_leaving(&self, process: Process) {
+        let id = Arc::clone(&process.id);
+        if self
+            .shared
+            .notices
+            .record_leaving(process, self.shared.now())
+        {
             self.shared.meters.count("targets_leaving");
             log::info!(
-                target: "belief", event = "target_leaving", to = &*target.id;
+                target: "belief", event = "target_leaving", to = &*id;
                 "the target says that it is leaving"
             );
         }
     }
 
+    /// Whether a target has told this host that it is leaving.
+    pub(super) fn is_leaving(&self, handle: &TargetHandle) -> bool {
+        let now = self.shared.now();
+        self.shared.notices.admission(&handle.target, 0, now) == Admission::Leaving
+    }
+
     fn record_backoff(&self, handle: &TargetHandle, time: Duration) {
         let (target, now) = (&handle.target, self.shared.now());
         if !self.shared.notices.record_backoff(target, time, now) {
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -21,7 +21,7 @@
     attempt::{AttemptResult, OutboundRequest},
     caller_stream::CallerStream,
     connection::strip_hop_by_hop,
-    forward::{DECLINED, Forwarded},
+    forward::{DECLINED, Forwarded, LeavingTarget},
     pipeline::Pipeline,
     response::{RequestEnd, answered, decline, late, lost, read_body, refuse},
     select::{self, Criteria, NoTarget, SelectedTarget},
@@ -383,6 +383,9 @@
                 return None;
             }
             Err(NoTarget::Absent) => return Some(state.give_up("no target is left", MAX_BACKOFF)),
+            Err(NoTarget::Leaving) => {
+                return Some(state.give_up("all targets are leaving", MAX_BACKOFF));
+            }
             Err(NoTarget::Limited) => {
                 let cause = "all targets are at the rates that they named";
                 return Some(state.give_up(cause, MAX_BACKOFF));
@@ -425,7 +428,13 @@
         }
         let is_shed = matches!(result, AttemptResult::NotRun(_));
         let cause = match result {
-            AttemptResult::Answered(response) => return Some(answered(response)),
+            AttemptResult::Answered(response) => {
+                let mut end = answered(response);
+                if outbound.forwarded.is_some() && self.is_leaving(&selected.handle) {
+                    LeavingTarget::of(target).insert(end.response.headers_mut());
+                }
+                return Some(end);
+            }
             AttemptResult::TimedOut => return Some(late()),
             AttemptResult::Rerouted => return None,
             AttemptResult::NotSent(cause) => cause,
--- a/crates/edge/src/front/response.rs
+++ b/crates/edge/src/front/response.rs
@@ -10,7 +10,7 @@
 use super::{
     access::AccessError,
     connection::{BufferedResponse, into_response},
-    forward::DECLINED,
+    forward::{DECLINED, LEAVING},
     request_log::Sent,
 };
 use crate::{model::Fingerprint, trace::Outcome};
@@ -80,6 +80,7 @@
     let mut response = into_response(buffered);
     // Only hosts decline; a target that claims to must not have its run taken for none.
     response.headers_mut().remove(DECLINED);
+    response.headers_mut().remove(LEAVING);
     RequestEnd {
         outcome,
         cause,
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -24,6 +24,8 @@
 pub(super) enum NoTarget {
     /// No target is known in the regions that may run the request.
     Absent,
+    /// All targets there have told this host that they are leaving.
+    Leaving,
     /// All remaining targets are cold (they started recently or had no requests for a while), and
     /// this host has used up its share of their cold-start rate.
     Cold,
@@ -97,8 +99,16 @@
         } = *criteria;
         let now = self.shared.now();
         let all = view.services.get(service).map_or(&[][..], Vec::as_slice);
-        let known: Vec<_> = all.iter().filter(|k| allows(access, k, excluded)).collect();
-        let handles: Vec<_> = known.iter().map(|k| self.targets.get(&k.target)).collect();
+        let allowed = all.iter().filter(|known| access.allows(&known.region));
+        let allowed = allowed.map(|known| (known, self.targets.get(&known.target)));
+        let (leaving, staying): (Vec<_>, Vec<_>) =
+            allowed.partition(|(_, handle)| self.is_leaving(handle));
+        if staying.is_empty() && !leaving.is_empty() {
+            return Err(NoTarget::Leaving);
+        }
+        let usable = staying.into_iter();
+        let usable = usable.filter(|(known, _)| !excluded.contains(&known.target.id));
+        let (known, handles): (Vec<_>, Vec<_>) = usable.unzip();
         let mut candidates: Vec<_> = known
             .iter()
             .zip(&handles)
@@ -224,10 +234,6 @@
     (!rate_limited.contains(&choice.index)).then_some(choice)
 }
 
-fn allows(access: &Access, known: &KnownTarget, excluded: &BTreeSet<Arc<str>>) -> bool {
-    access.allows(&known.region) && !excluded.contains(&known.target.id)
-}
-
 /// Returns the route that matches the request's host name and path.
 pub(super) fn find_route<'a>(
     view: &'a View,
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -274,9 +274,10 @@
     pub(crate) fn neighbors(&self) -> Neighbors {
         let view = self.view.load();
         let targets = view.services.values().flatten();
+        let targets = targets.map(|known| Arc::clone(&known.target));
         let hosts = view.hosts.values();
         Neighbors {
-            targets: targets.map(|known| Arc::clone(&known.target)).collect(),
+            targets: self.notices.prefer_open(targets.collect(), self.now()),
             hosts: hosts
                 .filter(|host| host.name != self.settings.name)
                 .cloned()
