--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -123,6 +123,9 @@
             }
             self.record_time(&route.name, time, selected);
             self.record_success(outbound.fingerprint);
+            self.shared
+                .notices
+                .record_answer(&handle.target, self.shared.now());
         }
         self.record_evidence(handle, evidence);
         result
@@ -276,7 +279,7 @@
         selected: &SelectedTarget,
         outbound: &OutboundRequest,
     ) -> bool {
-        if self.is_leaving(&selected.handle) {
+        if self.is_closed(&selected.handle) {
             return false;
         }
         let freshness = self.key_freshness();
--- a/crates/edge/src/front/lost_links.rs
+++ b/crates/edge/src/front/lost_links.rs
@@ -8,7 +8,7 @@
     attempt::OutboundRequest,
     connection::BufferedResponse,
     forward::{ForwardResult, Forwarded, LeavingTarget},
-    request::RetryState,
+    request::{MIN_BACKOFF, RetryState},
     response::{RequestEnd, forwarded, late, lost},
 };
 use crate::{model::HostEntry, replica::View, trace::Outcome};
@@ -86,7 +86,7 @@
         };
         self.shared.meters.count("forward_failed");
         self.log_failed_attempt(outbound, &cause, state.delivered);
-        self.after_failure(&access.route, outbound, state, &cause)
+        self.after_failure(&access.route, outbound, state, (&cause, MIN_BACKOFF))
     }
 
     /// Returns the result of a request that another host has answered. Its refusal promises that the
--- a/crates/edge/src/front/notices.rs
+++ b/crates/edge/src/front/notices.rs
@@ -60,6 +60,19 @@
         self.shared.notices.admission(&handle.target, 0, now) == Admission::Leaving
     }
 
+    /// Whether a target takes another request of this host now, going by what it has said.
+    pub(super) fn admission(&self, handle: &TargetHandle) -> Admission {
+        let (in_flight, now) = (handle.in_flight(), self.shared.now());
+        let notices = &self.shared.notices;
+        notices.admission(&handle.target, in_flight, now)
+    }
+
+    /// Whether a request that was selected for a target must not be sent to it any more.
+    pub(super) fn is_closed(&self, handle: &TargetHandle) -> bool {
+        let now = self.shared.now();
+        self.shared.notices.admission(&handle.target, 0, now) != Admission::Open
+    }
+
     fn record_backoff(&self, handle: &TargetHandle, time: Duration) {
         let (target, now) = (&handle.target, self.shared.now());
         if !self.shared.notices.record_backoff(target, time, now) {
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -382,15 +382,7 @@
             Err(NoTarget::Absent) if state.delivered == 0 && self.finds_loss(state).await => {
                 return None;
             }
-            Err(NoTarget::Absent) => return Some(state.give_up("no target is left", MAX_BACKOFF)),
-            Err(NoTarget::Leaving) => {
-                return Some(state.give_up("all targets are leaving", MAX_BACKOFF));
-            }
-            Err(NoTarget::Limited) => {
-                let cause = "all targets are at the rates that they named";
-                return Some(state.give_up(cause, MAX_BACKOFF));
-            }
-            Err(NoTarget::Cold) => return Some(state.give_up("all targets are cold", MAX_BACKOFF)),
+            Err(none) => return Some(state.give_up(&none.to_string(), none.retry_after())),
         };
         if let Some((cause, retry)) = self.shed_cause(access, service, &selected, outbound) {
             selected.handle.cancel_selection();
@@ -410,13 +402,13 @@
             AttemptResult::Rerouted | AttemptResult::NotSent(_) | AttemptResult::NotRun(_)
         );
         state.set_spent(may_have_run || state.may_have_run);
-        self.after_attempt(route, &selected, outbound, state, result)
+        self.after_attempt(access, &selected, outbound, state, result)
     }
 
     /// Updates the state after an attempt, and returns the result if the request is complete.
     fn after_attempt(
         &self,
-        route: &Route,
+        access: &Access,
         selected: &SelectedTarget,
         outbound: &OutboundRequest,
         state: &mut RetryState,
@@ -454,20 +446,22 @@
             state.excluded.insert(Arc::clone(&target.id));
         }
         self.log_failed_attempt(outbound, &cause, state.delivered);
-        self.after_failure(route, outbound, state, &cause)
+        let retry = self.retry_after(access, &target.service);
+        self.after_failure(&access.route, outbound, state, (&cause, retry))
     }
 
-    /// Returns the result of a request whose last attempt failed, unless another may follow.
+    /// Returns the result of a request whose last attempt failed, for this cause, unless another may
+    /// follow. Its caller may come back after `retry`.
     pub(super) fn after_failure(
         &self,
         route: &Route,
         outbound: &OutboundRequest,
         state: &RetryState,
-        cause: &str,
+        (cause, retry): (&str, Duration),
     ) -> Option<RequestEnd> {
         let ended = state.delivered >= route.attempts || !has_time(outbound);
         let once = state.may_have_run && !route.repeatable;
-        (ended || once).then(|| state.give_up(cause, MIN_BACKOFF))
+        (ended || once).then(|| state.give_up(cause, retry))
     }
 
     /// Returns why a request is shed, if it cannot be answered in time or would take queue capacity
--- a/crates/edge/src/front/response.rs
+++ b/crates/edge/src/front/response.rs
@@ -112,7 +112,9 @@
         Outcome::Refused,
         cause.to_owned(),
     );
-    let seconds = format!("{:.2}", retry.as_secs_f64());
+    // Rounded up: a caller must not come back too early.
+    let hundredths = retry.as_micros().div_ceil(10_000);
+    let seconds = format!("{}.{:02}", hundredths / 100, hundredths % 100);
     if let Ok(value) = HeaderValue::try_from(seconds) {
         end.response
             .headers_mut()
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -1,10 +1,10 @@
 //! Selects the target of one attempt, from the current view and from what this host itself has
 //! measured (load, round-trip times, failures).
 
-use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, fmt, rc::Rc, sync::Arc, time::Duration};
 
 use dunlinrock_decide::{
-    admit::direct::{ColdStartLimits, RateHosts},
+    admit::direct::{Admission, ColdStartLimits, RateHosts},
     steer::{
         affinity::{self, Candidate, Choice},
         hash::{hash_str, mix64, to_unit_f64},
@@ -13,12 +13,20 @@
 
 use http::{HeaderMap, Uri, header};
 
-use super::{Front, access::Access, targets::TargetHandle};
+use super::{
+    Front,
+    access::Access,
+    request::{MAX_BACKOFF, MIN_BACKOFF},
+    targets::TargetHandle,
+};
 use crate::{
     model::Route,
     replica::{KnownTarget, View},
 };
 
+/// Maximum `Retry-After` of a caller for which all targets want no requests.
+const MAX_TARGET_BACKOFF: Duration = Duration::from_secs(3600);
+
 /// Reason why no target can be selected now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NoTarget {
@@ -26,6 +34,10 @@
     Absent,
     /// All targets there have told this host that they are leaving.
     Leaving,
+    /// All targets there want no requests of this host, the first of them for this time.
+    Backoff(Duration),
+    /// The first target there whose backoff has ended is answering another request of this host.
+    Ramping,
     /// All remaining targets are cold (they started recently or had no requests for a while), and
     /// this host has used up its share of their cold-start rate.
     Cold,
@@ -33,6 +45,48 @@
     Limited,
 }
 
+impl NoTarget {
+    /// Returns why a target takes no request; `None` if it takes one.
+    fn of(admission: Admission) -> Option<NoTarget> {
+        match admission {
+            Admission::Open => None,
+            Admission::Leaving => Some(NoTarget::Leaving),
+            Admission::Backoff(time) => Some(NoTarget::Backoff(time)),
+            Admission::Ramping => Some(NoTarget::Ramping),
+        }
+    }
+
+    /// Returns the time after which a caller may come back.
+    pub(super) fn retry_after(&self) -> Duration {
+        match self {
+            NoTarget::Backoff(time) => (*time).min(MAX_TARGET_BACKOFF),
+            NoTarget::Ramping => MIN_BACKOFF,
+            NoTarget::Absent | NoTarget::Leaving | NoTarget::Cold | NoTarget::Limited => {
+                MAX_BACKOFF
+            }
+        }
+    }
+}
+
+impl fmt::Display for NoTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NoTarget::Absent => f.write_str("no target is left"),
+            NoTarget::Leaving => f.write_str("all targets are leaving"),
+            NoTarget::Backoff(time) => {
+                write!(
+                    f,
+                    "all targets want no requests, for {} ms",
+                    time.as_millis()
+                )
+            }
+            NoTarget::Ramping => f.write_str("a target whose backoff has ended is busy"),
+            NoTarget::Cold => f.write_str("all targets are cold"),
+            NoTarget::Limited => f.write_str("all targets are at the rates that they named"),
+        }
+    }
+}
+
 /// A selected target, and the inputs of the decision.
 #[derive(Debug)]
 pub(super) struct SelectedTarget {
@@ -99,16 +153,16 @@
         } = *criteria;
         let now = self.shared.now();
         let all = view.services.get(service).map_or(&[][..], Vec::as_slice);
-        let allowed = all.iter().filter(|known| access.allows(&known.region));
-        let allowed = allowed.map(|known| (known, self.targets.get(&known.target)));
-        let (leaving, staying): (Vec<_>, Vec<_>) =
-            allowed.partition(|(_, handle)| self.is_leaving(handle));
-        if staying.is_empty() && !leaving.is_empty() {
-            return Err(NoTarget::Leaving);
+        let known = all.iter().filter(|k| allows(access, k, excluded));
+        let known = known.map(|known| (known, self.targets.get(&known.target)));
+        let (known, handles): (Vec<_>, Vec<_>) = known
+            .filter(|(_, handle)| self.admission(handle) == Admission::Open)
+            .unzip();
+        if known.is_empty()
+            && let Some(closed) = self.all_closed(view, access, service)
+        {
+            return Err(closed);
         }
-        let usable = staying.into_iter();
-        let usable = usable.filter(|(known, _)| !excluded.contains(&known.target.id));
-        let (known, handles): (Vec<_>, Vec<_>) = usable.unzip();
         let mut candidates: Vec<_> = known
             .iter()
             .zip(&handles)
@@ -152,6 +206,25 @@
         })
     }
 
+    /// Returns why none of the targets that may run a request takes it now, going by what they have
+    /// said; `None` if one does, or if there are none.
+    fn all_closed(&self, view: &View, access: &Access, service: &Arc<str>) -> Option<NoTarget> {
+        let all = view.services.get(service).into_iter().flatten();
+        let allowed = all.filter(|known| access.allows(&known.region));
+        let closed = allowed.map(|k| NoTarget::of(self.admission(&self.targets.get(&k.target))));
+        let closed: Option<Vec<_>> = closed.collect();
+        // One that is leaving takes none later either.
+        let when = |closed: &NoTarget| (*closed == NoTarget::Leaving, closed.retry_after());
+        closed?.into_iter().min_by_key(when)
+    }
+
+    /// Returns when a caller whose request got no answer should come back: at once, unless no target
+    /// takes requests.
+    pub(super) fn retry_after(&self, access: &Access, service: &Arc<str>) -> Duration {
+        let closed = self.all_closed(&self.shared.view.load(), access, service);
+        closed.map_or(MIN_BACKOFF, |closed| closed.retry_after())
+    }
+
     fn candidate(
         &self,
         route: &Route,
@@ -234,6 +307,10 @@
     (!rate_limited.contains(&choice.index)).then_some(choice)
 }
 
+fn allows(access: &Access, known: &KnownTarget, excluded: &BTreeSet<Arc<str>>) -> bool {
+    access.allows(&known.region) && !excluded.contains(&known.target.id)
+}
+
 /// Returns the route that matches the request's host name and path.
 pub(super) fn find_route<'a>(
     view: &'a View,
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -80,6 +80,11 @@
         (self.target.born, self.target.address) == (target.born, target.address)
     }
 
+    /// Returns the number of this host's requests in flight at the target.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
     /// Returns the estimated number of requests that the target runs or queues.
     pub(super) fn busy(&self, now: Duration) -> u32 {
         let (reported_load, at) = self.reported_load.get();
--- a/crates/edge/src/notices/mod.rs
+++ b/crates/edge/src/notices/mod.rs
@@ -24,6 +24,14 @@
         self.lock().record_backoff(process(target), time, now)
     }
 
+    /// Records that a target has answered a request.
+    pub(crate) fn record_answer(&self, target: &Target, now: Duration) {
+        let mut notices = self.lock();
+        if !notices.is_empty() {
+            notices.record_answer(&process(target), target.slots, now);
+        }
+    }
+
     /// Returns whether a target takes a request now, while it has `in_flight` requests of this
     /// host.
     pub(crate) fn admission(&self, target: &Target, in_flight: u32, now: Duration) -> Admission {
