--- a/crates/admit/src/pool/admit.rs
+++ b/crates/admit/src/pool/admit.rs
@@ -178,7 +178,7 @@
 
     /// Refuses requests at the end of a queue that can no longer start in time because others were
     /// admitted ahead of them: they are refused now and not when their time is up.
-    fn evict_late(&mut self, class: Class, now: Duration) {
+    pub(super) fn evict_late(&mut self, class: Class, now: Duration) {
         while let Some((rank, ticket)) = self.queues[class as usize].last() {
             let Some(request) = self.tickets.get(&ticket) else {
                 return;
--- a/crates/admit/src/pool/mod.rs
+++ b/crates/admit/src/pool/mod.rs
@@ -137,6 +137,16 @@
         self.targets.report(target, report, &self.config, now);
     }
 
+    /// Records that a target rejected a request and wants no others for a time. Requests in the
+    /// queue that can no longer start in time are refused. Call [`Pool::poll`] after it.
+    pub fn back_off(&mut self, target: &str, time: Duration, now: Duration) {
+        self.targets.back_off(target, time, now);
+        self.targets.refresh(&self.config, now);
+        for class in [Class::Short, Class::Long] {
+            self.evict_late(class, now);
+        }
+    }
+
     /// Merges a quarantine update from a peer.
     pub fn apply_update(&mut self, update: QuarantineUpdate, now: Duration) {
         self.quarantine.apply_update(update, now);
--- a/crates/admit/src/target/health.rs
+++ b/crates/admit/src/target/health.rs
@@ -118,10 +118,21 @@
     pub(crate) fn back_off(&mut self, now: Duration) -> Duration {
         let back_off = (CRASH_BACKOFF * 2_u32.pow(self.crashes.min(8))).min(MAX_CRASH_BACKOFF);
         self.crashes += 1;
-        self.down_until = now + back_off;
+        self.close_until(now + back_off)
+    }
+
+    /// Closes the target until a time, or until the end of an earlier, longer closure; returns its
+    /// end.
+    pub(crate) fn close_until(&mut self, end: Duration) -> Duration {
+        self.down_until = self.down_until.max(end);
         self.down_until
     }
 
+    /// Ends a closure.
+    pub(crate) fn reopen(&mut self) {
+        self.down_until = Duration::ZERO;
+    }
+
     /// Returns whether the target is slow or fails, where `median_ratio` is the usual ratio among the
     /// pool's targets.
     pub(crate) fn is_bad(&self, slow: f64, median_ratio: f64) -> bool {
--- a/crates/admit/src/target/target_set.rs
+++ b/crates/admit/src/target/target_set.rs
@@ -221,6 +221,15 @@
         }
     }
 
+    /// Closes a target for a time, after which it gets one request at first.
+    pub(crate) fn back_off(&mut self, name: &str, time: Duration, now: Duration) {
+        if let Some(t) = self.list.iter_mut().find(|t| &*t.name == name) {
+            let returns_at = t.health.close_until(now.saturating_add(time));
+            t.limits.ramp(returns_at);
+            self.stale = true;
+        }
+    }
+
     /// Records that a run has lasted `ratio` times as long as expected and has not ended.
     pub(crate) fn record_late_run(&mut self, at: usize, ratio: f64) {
         self.list[at].health.record(ratio, false);
@@ -269,6 +278,8 @@
     /// Records a crash of the process: the target backs off, and returns cold.
     pub(crate) fn record_crash(&mut self, at: usize, now: Duration) {
         let t = &mut self.list[at];
+        // What the process wanted ended with it.
+        t.health.reopen();
         let returns_at = t.health.back_off(now);
         t.limits.ramp(returns_at);
         self.stale = true;
--- a/crates/admit/tests/pool.rs
+++ b/crates/admit/tests/pool.rs
@@ -152,6 +152,29 @@
     ));
 }
 
+/// Guards against a queue that waits for targets that want no requests for longer than it may wait,
+/// and against requests that all start at the end of that time.
+#[test]
+fn a_pool_whose_targets_want_no_requests_refuses_at_once_and_starts_slowly() {
+    let mut p = pool(1, 4);
+    let first = start(&mut p, 1, ms(0));
+    p.back_off(&first, ms(3000), ms(10));
+    p.back_off(&first, ms(100), ms(10));
+    p.finish(1, &first, Outcome::Refused, ms(10));
+    assert!(started(&p.poll(ms(10))).is_empty());
+    let Decision::Refused { retry_after, .. } = p.offer(offer(2, ms(20)), ms(20)) else {
+        panic!("the request cannot start in time");
+    };
+    assert!(retry_after > ms(500), "{retry_after:?}");
+    assert!(matches!(
+        p.offer(offer(3, ms(3009)), ms(3009)),
+        Decision::Queued
+    ));
+    p.offer(offer(4, ms(3009)), ms(3009));
+    assert!(started(&p.poll(ms(3009))).is_empty());
+    assert_eq!(started(&p.poll(ms(3010))).len(), 1);
+}
+
 #[test]
 fn a_target_that_is_removed_finishes_its_runs() {
     let mut p = pool(2, 1);
--- a/crates/fakes/src/target/mod.rs
+++ b/crates/fakes/src/target/mod.rs
@@ -157,6 +157,11 @@
         self.shared.lock().shed_next = requests;
     }
 
+    /// Adds a `Retry-After` in seconds to the responses to shed requests, or none with `None`.
+    pub fn set_shed_backoff(&self, seconds: Option<f64>) {
+        self.shared.lock().shed_backoff = seconds;
+    }
+
     /// Truncates the bodies of the next `answers` responses.
     pub fn truncate_next(&self, answers: u64) {
         self.shared.lock().truncate_next = answers;
--- a/crates/fakes/src/target/state.rs
+++ b/crates/fakes/src/target/state.rs
@@ -21,6 +21,8 @@
     warmup_left: u64,
     pub(super) slowdown: f64,
     pub(super) shed_next: u64,
+    /// `Retry-After` of shed requests, in seconds.
+    pub(super) shed_backoff: Option<f64>,
     pub(super) truncate_next: u64,
     pub(super) reported_override: Option<TargetReport>,
     /// Number of requests that hold a slot.
@@ -43,6 +45,7 @@
             warmup_left: options.warmup_requests,
             slowdown: 1.0,
             shed_next: 0,
+            shed_backoff: None,
             truncate_next: 0,
             reported_override: None,
             busy: 0,
--- a/crates/node/src/duties/pools/input.rs
+++ b/crates/node/src/duties/pools/input.rs
@@ -35,6 +35,8 @@
         outcome: Outcome,
         /// Load that the target reported, if its response contains it.
         report: Option<LoadReport>,
+        /// Time for which the target wants no requests, if it rejected this one and named a time.
+        backoff: Option<Duration>,
     },
     /// The task of a request has ended: the request leaves the queue, and its runs have been
     /// aborted. Full channel: sent later.
--- a/crates/node/src/duties/pools/mod.rs
+++ b/crates/node/src/duties/pools/mod.rs
@@ -94,9 +94,10 @@
             target,
             outcome,
             report,
+            backoff,
         } => {
             if let Some(owned) = pools.get_mut(&pool) {
-                owned.finish(ticket, &target, (outcome, report), now);
+                owned.finish(ticket, &target, (outcome, report), backoff, now);
             }
         }
         Input::Cancel { pool, ticket } => {
--- a/crates/node/src/duties/pools/pool.rs
+++ b/crates/node/src/duties/pools/pool.rs
@@ -118,8 +118,12 @@
         ticket: u64,
         target: &str,
         (outcome, report): (Outcome, Option<LoadReport>),
+        backoff: Option<Duration>,
         now: Duration,
     ) {
+        if let Some(time) = backoff {
+            self.pool.back_off(target, time, now);
+        }
         if let Some(report) = report {
             self.pool.report(target, report, now);
         }
--- a/crates/node/src/run/in_pool.rs
+++ b/crates/node/src/run/in_pool.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dunlinrock_decide::admit::{Completion, LoadReport, Offer, Outcome, RefusalReason};
+use dunlinrock_decide::admit::{Completion, Offer, Outcome, RefusalReason};
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use tokio::time::{Instant, sleep_until};
 
@@ -54,13 +54,14 @@
 }
 
 impl CancelGuard<'_> {
-    fn finish(&self, target: &Arc<str>, outcome: Outcome, report: Option<LoadReport>) {
+    fn finish(&self, target: &Arc<str>, ran: &AttemptResult) {
         self.shared.pools.send_retrying(Input::Finish {
             pool: Arc::clone(&self.pool),
             ticket: self.ticket,
             target: Arc::clone(target),
-            outcome,
-            report,
+            outcome: ran.outcome,
+            report: ran.report,
+            backoff: ran.backoff,
         });
     }
 }
@@ -111,7 +112,7 @@
                     continue; // aborted meanwhile
                 }
                 running.retain(|other| *other != name);
-                guard.finish(&name, ran.outcome, ran.report);
+                guard.finish(&name, &ran);
                 let local = call.region == shared.me.region;
                 shared.traffic.record_run(&route.id.service, ran.time, local);
                 if ran.outcome == Outcome::Ok && let Some(answer) = ran.answer {
@@ -146,9 +147,8 @@
                 }
             },
             () = sleep_until(call.deadline) => {
-                for name in &running {
-                    guard.finish(name, Outcome::TimedOut, None);
-                }
+                let timeout = target::failed(Outcome::TimedOut, String::new());
+                running.iter().for_each(|name| guard.finish(name, &timeout));
                 return PoolOutcome::Error(deadline_passed(started));
             }
         }
@@ -167,13 +167,10 @@
         let mut ran = match address {
             Some(address) => target::send(&clients.targets, call, address).await,
             // The pools worker already has a newer configuration than this request's view.
-            None => AttemptResult {
-                outcome: Outcome::Refused,
-                answer: None,
-                detail: format!("target {name} is not in the configuration at hand"),
-                report: None,
-                time: Duration::ZERO,
-            },
+            None => target::failed(
+                Outcome::Refused,
+                format!("target {name} is not in the configuration at hand"),
+            ),
         };
         ran.time = since.elapsed();
         (name, ran)
--- a/crates/node/src/run/target.rs
+++ b/crates/node/src/run/target.rs
@@ -4,7 +4,7 @@
 
 use dunlinrock_decide::admit::{LoadReport, Outcome};
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
+use hyper::{HeaderMap, Request, StatusCode, header, header::HeaderValue};
 use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
@@ -32,6 +32,8 @@
     pub detail: String,
     /// Load that the target reported.
     pub report: Option<LoadReport>,
+    /// Time for which the target wants no requests, if it rejected this one and named a time.
+    pub backoff: Option<Duration>,
     /// Duration of the attempt.
     pub time: Duration,
 }
@@ -106,23 +108,35 @@
     let detail = format!("the target answered {}", answer.status);
     AttemptResult {
         outcome,
-        answer: (!shed).then_some(answer),
         detail,
         report,
+        backoff: shed.then(|| backoff(&answer.headers)).flatten(),
+        answer: (!shed).then_some(answer),
         time: Duration::ZERO,
     }
 }
 
-fn failed(outcome: Outcome, detail: String) -> AttemptResult {
+/// Returns the result of an attempt without a response.
+pub(super) fn failed(outcome: Outcome, detail: String) -> AttemptResult {
     AttemptResult {
         outcome,
         answer: None,
         detail,
         report: None,
+        backoff: None,
         time: Duration::ZERO,
     }
 }
 
+/// Reads for how many seconds a target that rejects a request wants no others. A malformed number
+/// is ignored.
+fn backoff(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?.trim();
+    let is_decimal = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let seconds = text.parse().ok().filter(|_| is_decimal)?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Parses `busy/slots;leaving;cold`, the format of targets in their responses. A malformed field is
 /// ignored: the host's own counts are exact without it.
 pub(crate) fn load_report(headers: &HeaderMap) -> Option<LoadReport> {
--- a/crates/node/tests/shedding.rs
+++ b/crates/node/tests/shedding.rs
@@ -66,3 +66,36 @@
     assert_eq!(problem(&again).run, Run::No, "{again:?}");
     assert!(d.runs().is_empty(), "{:?}", d.runs());
 }
+
+/// Longer than a pool leaves a target alone after it has shed a request and named no time.
+const SHED_BACKOFF: Duration = Duration::from_millis(1200);
+
+/// Guards against a pool that goes on sending requests to targets that want none for a time.
+#[tokio::test]
+async fn targets_that_want_no_requests_for_a_time_get_none() {
+    let mut d = Deployment::open("cursuri", Duration::ZERO);
+    d.start().await;
+    for target in d.targets.iter() {
+        target.shed_next(MANY);
+        target.set_shed_backoff(Some(3600.0));
+    }
+    let bound = d.binding("catalogue").await;
+    let mut shed = Vec::new();
+    for n in 0..60 {
+        let key = format!("{}.n{n}", bound.prefix);
+        let path = "/v1/call/catalogue/reserve/4";
+        let answer = d.post(bound.owner, path, &key, FIRST_ATTEMPT).await;
+        assert_eq!(problem(&answer).run, Run::No, "{answer:?}");
+        if n % 20 == 19 {
+            shed.push(
+                d.targets
+                    .iter()
+                    .map(|target| target.counts().shed)
+                    .sum::<u64>(),
+            );
+            tokio::time::sleep(SHED_BACKOFF).await;
+        }
+    }
+    assert!(shed[0] > 0);
+    assert_eq!(shed, [shed[0]; 3], "a target got another request");
+}
