--- a/crates/cli/src/soak/callers.rs
+++ b/crates/cli/src/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Callers of a soak: HTTP clients with persistent connections that check each response.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -11,11 +11,12 @@
 };
 
 use bytes::Bytes;
+use dunlinrock_edge::model::Reported;
 use dunlinrock_platform::{
     dialect,
-    standin::{self, RunLog},
+    standin::{self, HOST_HEADER, RunLog},
 };
-use http::{Request, StatusCode, response::Parts};
+use http::{HeaderValue, Request, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -65,13 +66,23 @@
     }
 }
 
+/// A response that a host has passed on.
+#[derive(Clone, Debug)]
+pub(super) struct PassedOn {
+    pub(super) host: String,
+    pub(super) id: String,
+    pub(super) at: Instant,
+}
+
 /// Results of all callers' requests.
 #[derive(Debug, Default)]
 pub(super) struct Observations {
     pub(super) answered: AtomicU32,
     pub(super) failed: AtomicU32,
     /// When each request was sent.
-    pub(super) sent: Mutex<Vec<Instant>>,
+    pub(super) sent: Mutex<BTreeMap<String, Instant>>,
+    /// Responses in which a target said that it is leaving.
+    pub(super) leaving: Mutex<Vec<PassedOn>>,
     /// Requests whose response says that they have not run.
     pub(super) refused: Mutex<BTreeSet<String>>,
     /// Requests that may run at most once.
@@ -196,8 +207,11 @@
         };
         let before = self.host_faults[host].quiet_epoch();
         let key = self.keys.draw(id, &mut self.rng);
-        lock(&self.observations.sent).push(Instant::now());
-        let sent = sender.send_request(request(id, path, is_once, object, &key));
+        lock(&self.observations.sent).insert(id.to_string(), Instant::now());
+        let mut request = request(id, path, is_once, object, &key);
+        let name = HeaderValue::from(host);
+        request.headers_mut().insert(HOST_HEADER, name);
+        let sent = sender.send_request(request);
         let answer = async {
             let response = sent.await?;
             let (head, body) = response.into_parts();
@@ -207,6 +221,7 @@
             Ok(Ok((head, body))) => {
                 self.connection = Some((host, sender));
                 self.check_response(id, path, &key, &head, &body);
+                self.record_leaving(id, host, &head);
             }
             Ok(Err(e)) => self.check_disconnect(id, host, before, &e),
             // The caller closes the connection, so there is no response to check.
@@ -251,6 +266,18 @@
         }
     }
 
+    /// Records a response in which a target says that it is leaving.
+    fn record_leaving(&self, id: &str, host: usize, head: &Parts) {
+        if (dialect::open().parse_leaving)(&head.headers) == Reported::Value(true) {
+            let passed_on = PassedOn {
+                host: host.to_string(),
+                id: id.to_owned(),
+                at: Instant::now(),
+            };
+            lock(&self.observations.leaving).push(passed_on);
+        }
+    }
+
     /// Handles a connection that closed without a response. On a host without an active fault this
     /// must not happen to a request that a target ran.
     fn check_disconnect(&self, id: &str, host: usize, before: Option<u32>, error: &hyper::Error) {
--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -255,6 +255,8 @@
         sheds_all: false,
         is_silent: false,
         rate: None,
+        says_leaving: false,
+        backoff: None,
     }
 }
 
--- a/crates/cli/src/soak/faults.rs
+++ b/crates/cli/src/soak/faults.rs
@@ -1,8 +1,8 @@
 //! Starts and ends faults.
 
-use std::sync::atomic::Ordering;
+use std::{sync::atomic::Ordering, time::Duration};
 
-use dunlinrock_platform::standin::StoreFault;
+use dunlinrock_platform::standin::{StoreFault, TargetOptions};
 use nix::sys::signal::Signal;
 
 use super::{
@@ -15,6 +15,9 @@
 /// Factor by which runs take longer at a slow target.
 const SLOWDOWN: u32 = 10;
 
+/// Time for which a target that backs off wants no requests.
+const BACKOFF: Duration = Duration::from_secs(2);
+
 /// Number of writes whose responses the store drops.
 const LOST_RESPONSES: u32 = 3;
 
@@ -28,6 +31,10 @@
     }
 }
 
+fn back_off(rules: &mut TargetOptions) {
+    rules.backoff = Some(BACKOFF);
+}
+
 /// Starts a fault.
 pub(super) fn begin(
     fleet: &mut Deployment,
@@ -68,6 +75,14 @@
         Fault::TargetSlow(n) => fleet.targets[n].target.set(|rules| rules.work *= SLOWDOWN),
         Fault::TargetMute(n) => fleet.targets[n].proxy.set(Mode::Mute),
         Fault::TargetLeaves(n) => fleet.announce(n, true),
+        Fault::TargetSaysLeaving(n) => fleet.targets[n]
+            .target
+            .set(|rules| rules.says_leaving = true),
+        Fault::TargetBacksOff(n) => fleet.targets[n].target.set(back_off),
+        Fault::AllBackOff => {
+            let targets = fleet.targets.iter();
+            targets.for_each(|proxied| proxied.target.set(back_off));
+        }
         Fault::TargetReplaced(n) => fleet.replace_target(n),
         Fault::Configure => fleet.apply_next_config(),
         Fault::Evacuate(n) => fleet.store.evacuate(DOMAINS[n % DOMAINS.len()], true),
@@ -99,7 +114,12 @@
             .for_each(|proxied| proxied.target.set(clear_faults)),
         Fault::TargetSlow(n) => fleet.targets[n].target.set(clear_faults),
         Fault::TargetMute(n) => fleet.targets[n].proxy.set(Mode::Pass),
-        Fault::TargetLeaves(n) => fleet.replace_target(n),
+        Fault::TargetLeaves(n) | Fault::TargetSaysLeaving(n) => fleet.replace_target(n),
+        Fault::TargetBacksOff(n) => fleet.targets[n].target.set(|rules| rules.backoff = None),
+        Fault::AllBackOff => {
+            let targets = fleet.targets.iter();
+            targets.for_each(|proxied| proxied.target.set(|rules| rules.backoff = None));
+        }
         Fault::Evacuate(n) => fleet.store.evacuate(DOMAINS[n % DOMAINS.len()], false),
         Fault::Stop(_)
         | Fault::Reload(_)
--- a/crates/cli/src/soak/mod.rs
+++ b/crates/cli/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod deployment;
 mod faults;
 mod keys;
+mod notices;
 mod plan;
 mod proxy;
 mod retries;
--- a/crates/cli/src/soak/plan.rs
+++ b/crates/cli/src/soak/plan.rs
@@ -26,6 +26,11 @@
 const ALL_SHED_MS: std::ops::Range<u64> = 5000..10_000;
 const ALL_SHED_FAULTS: usize = 4;
 
+/// Number of faults of a plan in which targets say something about themselves, and the range of
+/// their duration.
+const NOTICES: usize = 4;
+const NOTICE_MS: std::ops::Range<u64> = 1500..5000;
+
 /// A fault that is injected into a deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -73,6 +78,13 @@
     TargetLeaves(usize),
     /// A target is replaced at once by another incarnation at the same address.
     TargetReplaced(usize),
+    /// A target says in its responses that it is leaving, and is replaced at the end; its entry in
+    /// the store stays as it is.
+    TargetSaysLeaving(usize),
+    /// A target rejects every request, and wants no others of the same host for two seconds.
+    TargetBacksOff(usize),
+    /// All targets do.
+    AllBackOff,
     /// A newer configuration becomes active.
     Configure,
     /// A failure domain is evacuated: its targets get no traffic.
@@ -117,10 +129,31 @@
             });
             steps.extend((0..ALL_SHED_FAULTS).map(|_| step(&mut rng, hosts)));
         }
+        add_notices(seed, &mut steps);
         Plan { seed, hosts, steps }
     }
 }
 
+/// Adds faults in which targets say something about themselves, beside others. The faults that the
+/// seed gives without them, and their times, stay the same.
+fn add_notices(seed: u64, steps: &mut Vec<Step>) {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    for _ in 0..NOTICES {
+        let target = rng.random_range(0..TARGETS);
+        let fault = match rng.random_range(0..5) {
+            0 | 1 => Fault::TargetSaysLeaving(target),
+            2 | 3 => Fault::TargetBacksOff(target),
+            _ => Fault::AllBackOff,
+        };
+        let step = Step {
+            pause: Duration::ZERO,
+            lasts: Duration::from_millis(rng.random_range(NOTICE_MS)),
+            fault,
+        };
+        steps.insert(rng.random_range(0..=steps.len()), step);
+    }
+}
+
 fn step(rng: &mut StdRng, hosts: usize) -> Step {
     Step {
         pause: Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)),
--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -15,6 +15,7 @@
     callers::{Callers, crasher_path, lock},
     deployment::Deployment,
     faults,
+    notices::{Excuse, Observed},
     plan::{Fault, Plan, TARGETS},
     proxy::Mode,
     retries::BOUND,
@@ -99,6 +100,8 @@
     crashes: Vec<u32>,
     /// Crashed targets, and when they start again.
     crashed: BTreeMap<usize, Instant>,
+    /// Disturbances of hosts and of their links to targets so far.
+    excuses: Vec<Excuse>,
 }
 
 /// Runs a plan and returns its result.
@@ -118,6 +121,7 @@
         leaving: BTreeMap::new(),
         crashes: vec![0; TARGETS],
         crashed: BTreeMap::new(),
+        excuses: Vec::new(),
     };
     runner.wait_recovered("at the start").await?;
     for step in &plan.steps {
@@ -158,11 +162,24 @@
             }
             _ => {}
         }
+        self.excuse(fault);
         faults::begin(&mut self.deployment, &self.callers.host_faults, fault)?;
         self.active_faults.push((Instant::now() + lasts, fault));
         Ok(())
     }
 
+    /// Records the start or the end of a fault that keeps a host from learning what a target says,
+    /// or makes it forget that.
+    fn excuse(&mut self, fault: Fault) {
+        let (host, target) = match fault {
+            Fault::Kill(host) | Fault::Pause(host) | Fault::Stop(host) => (Some(host), None),
+            Fault::TargetMute(target) => (None, Some(target)),
+            _ => return,
+        };
+        let at = Instant::now();
+        self.excuses.push(Excuse { host, target, at });
+    }
+
     /// Waits until a host's process is prepared for a signal, or has ended.
     async fn wait_prepared(&mut self, host: usize, signal: Signal) -> anyhow::Result<()> {
         while self.deployment.hosts[host].id().is_some()
@@ -270,6 +287,7 @@
                 self.check_leaving(n);
             }
             faults::end(&mut self.deployment, &self.callers.host_faults, fault)?;
+            self.excuse(fault);
         }
         Ok(())
     }
@@ -308,6 +326,11 @@
         if !(killed || in_order) {
             self.record_violation(format!("h{n} exited unexpectedly with {code:?}"));
         }
+        self.excuses.push(Excuse {
+            host: Some(n),
+            target: None,
+            at: Instant::now(),
+        });
         if stopped || !killed {
             self.deployment.hosts[n].ensure_running()?;
         }
@@ -411,7 +434,8 @@
         for id in ledger.arrived_over(ATTEMPTS as usize) {
             self.record_violation(format!("{id} arrived more than {ATTEMPTS} times"));
         }
-        let worst = BOUND.worst(&lock(&observations.sent), &ledger.repeats());
+        let sent: Vec<_> = lock(&observations.sent).values().copied().collect();
+        let worst = BOUND.worst(&sent, &ledger.repeats());
         let budget_used = worst.map_or(0.0, |worst| worst.fraction());
         if let Some(worst) = worst.filter(|_| budget_used > 1.0) {
             self.record_violation(format!(
@@ -419,6 +443,15 @@
                 worst.repeats, BOUND.window, worst.allowed
             ));
         }
+        let observed = Observed {
+            arrivals: &ledger.at_targets(),
+            leaving: &lock(&observations.leaving),
+            sent: &lock(&observations.sent),
+            excuses: &self.excuses,
+        };
+        for text in observed.violations() {
+            self.record_violation(text);
+        }
         for text in self.deployment.keys.violations(ledger) {
             self.record_violation(text);
         }
--- a/crates/cli/tests/support/edge.rs
+++ b/crates/cli/tests/support/edge.rs
@@ -64,6 +64,8 @@
             sheds_all: false,
             is_silent: false,
             rate: None,
+            says_leaving: false,
+            backoff: None,
         };
         let target = Target::bind(SocketAddr::new(LOCAL, 0), rules, ledger.clone()).unwrap();
         fill(&store, target.address());
