--- a/crates/node/src/run/in_pool.rs
+++ b/crates/node/src/run/in_pool.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::{
-    Clients,
+    Clients, probe,
     target::{self, AttemptResult},
 };
 use crate::{
@@ -125,7 +125,7 @@
                 Some(Event::Start(name)) => {
                     started = true;
                     running.push(Arc::clone(&name));
-                    attempts.push(start_attempt(clients, route, call, name));
+                    attempts.push(start_attempt(shared, clients, route, call, name));
                 }
                 Some(Event::Abort(name)) => running.retain(|other| *other != name),
                 Some(Event::Ended(Completion::Final { ran })) => {
@@ -156,6 +156,7 @@
 }
 
 fn start_attempt<'a>(
+    shared: &'a Shared,
     clients: &'a Clients,
     route: &PoolRoute,
     call: &'a Call,
@@ -165,7 +166,10 @@
     let since = Instant::now();
     async move {
         let mut ran = match address {
-            Some(address) => target::send(&clients.targets, call, address).await,
+            Some(address) => {
+                let witnesses = || probe::witnesses(&shared.view.load(), address);
+                target::send(&clients.targets, call, address, witnesses).await
+            }
             // The pools worker already has a newer configuration than this request's view.
             None => target::failed(
                 Outcome::Refused,
--- a/crates/node/src/run/mod.rs
+++ b/crates/node/src/run/mod.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod in_pool;
 mod keyed;
+mod probe;
 mod relay;
 mod target;
 mod ungranted;
--- a/crates/node/src/run/target.rs
+++ b/crates/node/src/run/target.rs
@@ -5,22 +5,15 @@
 use dunlinrock_decide::admit::{LoadReport, Outcome};
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, header, header::HeaderValue};
-use tokio::{net::TcpStream, time::Instant};
+use tokio::time::Instant;
 
+use super::probe;
 use crate::{
     call::Call,
     clock::millis,
     wire::{self, Answer, Client, ClientError, Stage},
 };
 
-/// Timeout for connecting to a target that closed a connection early; a target that accepts within
-/// it counts as alive.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-
-/// Time for which the new connection must stay open. A process takes some milliseconds to exit;
-/// only the request whose connection broke waits for this.
-const PROBE_HOLD_TIME: Duration = Duration::from_millis(50);
-
 /// Result of one attempt at a target.
 #[derive(Debug)]
 pub(super) struct AttemptResult {
@@ -39,7 +32,13 @@
 }
 
 /// Sends `call` to the target at `address` and waits for its complete response until the deadline.
-pub(super) async fn send(client: &Client, call: &Call, address: SocketAddr) -> AttemptResult {
+/// `witnesses` returns other targets to compare it with, if it breaks off.
+pub(super) async fn send(
+    client: &Client,
+    call: &Call,
+    address: SocketAddr,
+    witnesses: impl FnOnce() -> Vec<SocketAddr>,
+) -> AttemptResult {
     let time = call.deadline.saturating_duration_since(Instant::now());
     let request = match request(call, address, time) {
         Ok(request) => request,
@@ -55,27 +54,7 @@
                 part: Stage::Body, ..
             },
         ) => failed(Outcome::Failed, e.to_string()),
-        Err(e) => failed(probe_target(address).await, e.to_string()),
-    }
-}
-
-/// Distinguishes a target that crashed from one that only closed a connection.
-///
-/// A kept-alive connection that a live target closes just as a request is sent looks the same as a
-/// crash. If it counted as a crash, an innocent request would become a suspect. A crashed target
-/// does not accept a new connection, so one attempt to connect distinguishes the two. While a
-/// process exits, its listener may outlive its connections for a moment and accept the attempt:
-/// then the new connection breaks too, and only a live target's connection stays open for
-/// [`PROBE_HOLD_TIME`].
-async fn probe_target(address: SocketAddr) -> Outcome {
-    let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    let Ok(Ok(stream)) = connected else {
-        return Outcome::Died;
-    };
-    let mut byte = [0];
-    match tokio::time::timeout(PROBE_HOLD_TIME, stream.peek(&mut byte)).await {
-        Ok(Ok(0) | Err(_)) => Outcome::Died,
-        Ok(Ok(_)) | Err(_) => Outcome::Failed,
+        Err(e) => failed(probe::outcome(address, &witnesses()).await, e.to_string()),
     }
 }
 
--- a/crates/node/tests/quarantine.rs
+++ b/crates/node/tests/quarantine.rs
@@ -64,3 +64,34 @@
     }
     assert_eq!(kind(&problem(&answer)), "quarantined");
 }
+
+/// Time of a run, in which links are cut, and of a cut.
+const WORK: Duration = Duration::from_millis(400);
+const CUT: Duration = Duration::from_millis(800);
+
+/// Guards against links that are lost for a moment, twice, and taken for the end of all targets by a
+/// request that ran on them: the targets live.
+#[tokio::test]
+async fn lost_links_to_all_targets_quarantine_no_popular_request() {
+    let mut d = Deployment::open("cursuri", WORK);
+    d.start().await;
+    let (host, path) = (d.hosts[0].callers_addr(), "/v1/call/catalogue/courses");
+    let is_running = || d.targets.iter().any(|target| target.load().busy > 0);
+    for _ in 0..2 {
+        let calls = futures::future::join_all((0..6).map(|_| d.get(host, path)));
+        let cut = async {
+            while !is_running() {
+                tokio::task::yield_now().await;
+            }
+            d.targets.iter().for_each(|target| target.down());
+            tokio::time::sleep(CUT).await;
+            d.targets.iter().for_each(|target| target.up());
+        };
+        tokio::join!(calls, cut);
+    }
+    let mut answer = d.get(host, path).await;
+    while answer.status == 503 {
+        answer = d.get(host, path).await;
+    }
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
