--- a/crates/edge/tests/lost_links.rs
+++ b/crates/edge/tests/lost_links.rs
@@ -70,6 +70,8 @@
 #[case::hang(Cut::Hang)]
 #[case::reset(Cut::Reset)]
 #[case::refuse_new(Cut::RefuseNew)]
+#[case::accept_silent(Cut::AcceptSilent)]
+#[case::accept_close(Cut::AcceptClose)]
 fn a_host_that_lost_its_links_serves_through_another(#[case] cut: Cut) {
     let targets = healthy();
     let fleet = Fleet::open(&["north-1", "south-1"], &config(1), &targets);
