--- a/crates/cli/src/soak/callers.rs
+++ b/crates/cli/src/soak/callers.rs
@@ -69,8 +69,11 @@
 /// A response that a host has passed on.
 #[derive(Clone, Debug)]
 pub(super) struct PassedOn {
+    /// Index of the host, as text.
     pub(super) host: String,
+    /// The request.
     pub(super) id: String,
+    /// When its caller had the whole response.
     pub(super) at: Instant,
 }
 
--- a/crates/cli/src/soak/mod.rs
+++ b/crates/cli/src/soak/mod.rs
@@ -3,8 +3,8 @@
 //! The fakes of the platform's store and targets run in this process. Each host is a separate
 //! process behind two loopback proxies, one towards its callers and one towards the store; each
 //! target is behind a proxy too. A plan follows from its seed alone. The checks compare what
-//! callers and targets observe and never measure durations, so a busy machine does not change the
-//! result.
+//! callers and targets observe. The only duration in them is the time that a host has to learn of a
+//! target's backoff, so a busy machine hardly changes the result.
 
 mod callers;
 mod deployment;
--- a/crates/cli/src/soak/notices.rs
+++ b/crates/cli/src/soak/notices.rs
@@ -9,9 +9,10 @@
 
 use super::callers::PassedOn;
 
-/// Time in which a host learns that a target has rejected a request, and the requests of one host
-/// that a target in backoff may get later.
+/// Time in which a host learns that a target has rejected a request.
 const LEARNING_TIME: Duration = Duration::from_millis(500);
+
+/// Requests of one host that a target in backoff may get after that time.
 const MAX_LATE: usize = 2;
 
 /// A disturbance of a host or of its links to a target, which excuses what a host did not learn or
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -422,6 +422,7 @@
         let cause = match result {
             AttemptResult::Answered(response) => {
                 let mut end = answered(response);
+                // The host that passes it on is bound by what the target says, too.
                 if outbound.forwarded.is_some() && self.is_leaving(&selected.handle) {
                     LeavingTarget::of(target).insert(end.response.headers_mut());
                 }
