--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -10,6 +10,7 @@
 mod idle;
 mod idle_callers;
 mod lost_links;
+mod no_target;
 mod notices;
 mod pipeline;
 mod quarantine;
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -22,9 +22,10 @@
     caller_stream::CallerStream,
     connection::strip_hop_by_hop,
     forward::{DECLINED, Forwarded, LeavingTarget},
+    no_target::NoTarget,
     pipeline::Pipeline,
     response::{RequestEnd, answered, decline, late, lost, read_body, refuse},
-    select::{self, Criteria, NoTarget, SelectedTarget},
+    select::{self, Criteria, SelectedTarget},
     tokens::Token,
 };
 use crate::{
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -1,7 +1,7 @@
 //! Selects the target of one attempt, from the current view and from what this host itself has
 //! measured (load, round-trip times, failures).
 
-use std::{collections::BTreeSet, fmt, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use dunlinrock_decide::{
     admit::direct::{Admission, ColdStartLimits, RateHosts},
@@ -14,79 +14,13 @@
 use http::{HeaderMap, Uri, header};
 
 use super::{
-    Front,
-    access::Access,
-    request::{MAX_BACKOFF, MIN_BACKOFF},
-    targets::TargetHandle,
+    Front, access::Access, no_target::NoTarget, request::MIN_BACKOFF, targets::TargetHandle,
 };
 use crate::{
     model::Route,
     replica::{KnownTarget, View},
 };
 
-/// Maximum `Retry-After` of a caller for which all targets want no requests.
-const MAX_TARGET_BACKOFF: Duration = Duration::from_secs(3600);
-
-/// Reason why no target can be selected now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum NoTarget {
-    /// No target is known in the regions that may run the request.
-    Absent,
-    /// All targets there have told this host that they are leaving.
-    Leaving,
-    /// All targets there want no requests of this host, the first of them for this time.
-    Backoff(Duration),
-    /// The first target there whose backoff has ended is answering another request of this host.
-    Ramping,
-    /// All remaining targets are cold (they started recently or had no requests for a while), and
-    /// this host has used up its share of their cold-start rate.
-    Cold,
-    /// All remaining targets name rates, and this host has used up its part of them.
-    Limited,
-}
-
-impl NoTarget {
-    /// Returns why a target takes no request; `None` if it takes one.
-    fn of(admission: Admission) -> Option<NoTarget> {
-        match admission {
-            Admission::Open => None,
-            Admission::Leaving => Some(NoTarget::Leaving),
-            Admission::Backoff(time) => Some(NoTarget::Backoff(time)),
-            Admission::Ramping => Some(NoTarget::Ramping),
-        }
-    }
-
-    /// Returns the time after which a caller may come back.
-    pub(super) fn retry_after(&self) -> Duration {
-        match self {
-            NoTarget::Backoff(time) => (*time).min(MAX_TARGET_BACKOFF),
-            NoTarget::Ramping => MIN_BACKOFF,
-            NoTarget::Absent | NoTarget::Leaving | NoTarget::Cold | NoTarget::Limited => {
-                MAX_BACKOFF
-            }
-        }
-    }
-}
-
-impl fmt::Display for NoTarget {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            NoTarget::Absent => f.write_str("no target is left"),
-            NoTarget::Leaving => f.write_str("all targets are leaving"),
-            NoTarget::Backoff(time) => {
-                write!(
-                    f,
-                    "all targets want no requests, for {} ms",
-                    time.as_millis()
-                )
-            }
-            NoTarget::Ramping => f.write_str("a target whose backoff has ended is busy"),
-            NoTarget::Cold => f.write_str("all targets are cold"),
-            NoTarget::Limited => f.write_str("all targets are at the rates that they named"),
-        }
-    }
-}
-
 /// A selected target, and the inputs of the decision.
 #[derive(Debug)]
 pub(super) struct SelectedTarget {
--- a/crates/edge/tests/support/scripted_target.rs
+++ b/crates/edge/tests/support/scripted_target.rs
@@ -212,6 +212,12 @@
     }
 }
 
+/// Returns how often a request arrived at targets.
+pub fn arrivals(targets: &[ScriptedTarget], id: &str) -> usize {
+    let heads = targets.iter().flat_map(ScriptedTarget::heads);
+    heads.filter(|head| head.id() == id).count()
+}
+
 fn serve(
     mut stream: TcpStream,
     script: &ScriptFn,
