--- a/crates/cli/src/soak/notices.rs
+++ b/crates/cli/src/soak/notices.rs
@@ -10,13 +10,14 @@
 use super::callers::PassedOn;
 
 /// Time in which a host learns that a target has rejected a request.
-const LEARNING_TIME: Duration = Duration::from_millis(500);
+pub(super) const LEARNING_TIME: Duration = Duration::from_millis(500);
 
 /// Requests of one host that a target in backoff may get after that time.
 const MAX_LATE: usize = 2;
 
-/// A disturbance of a host or of its links to a target, which excuses what a host did not learn or
-/// has forgotten.
+/// A disturbance of a host or of its links to targets, which excuses what the host did not learn or
+/// has forgotten. A host that has lost its links forwards requests: the target rejects the other
+/// host then, and the header still names the first one.
 #[derive(Clone, Debug)]
 pub(super) struct Excuse {
     /// Index of the host; `None` for all.
--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -10,12 +10,13 @@
 use anyhow::Context;
 use dunlinrock_platform::standin::ATTEMPTS;
 use nix::sys::signal::Signal;
+use serde_json::Value;
 
 use super::{
     callers::{Callers, crasher_path, lock},
     deployment::Deployment,
     faults,
-    notices::{Excuse, Observed},
+    notices::{Excuse, LEARNING_TIME, Observed},
     plan::{Fault, Plan, TARGETS},
     proxy::Mode,
     retries::BOUND,
@@ -46,6 +47,9 @@
 const RATE_LEARNING_TIME: Duration = Duration::from_secs(3);
 const RATE_SPAN: Duration = Duration::from_secs(4);
 
+/// Status, in a dump, of links to the targets that work.
+const LINKS_UP: &str = "Up";
+
 /// Limits on a host's resident memory and open descriptors, as the platform sets them.
 const MAX_MEMORY_BYTES: u64 = 260 << 20;
 const MAX_DESCRIPTORS: usize = 4100;
@@ -180,6 +184,20 @@
         self.excuses.push(Excuse { host, target, at });
     }
 
+    /// Records that a host's links to the targets do not work, now and until the next poll.
+    fn excuse_lost_links(&mut self, host: usize, links: &Value) {
+        if links == LINKS_UP {
+            return;
+        }
+        let now = Instant::now();
+        let excuses = [now, now + LEARNING_TIME].map(|at| Excuse {
+            host: Some(host),
+            target: None,
+            at,
+        });
+        self.excuses.extend(excuses);
+    }
+
     /// Waits until a host's process is prepared for a signal, or has ended.
     async fn wait_prepared(&mut self, host: usize, signal: Signal) -> anyhow::Result<()> {
         while self.deployment.hosts[host].id().is_some()
@@ -301,6 +319,7 @@
             let dump = self.deployment.hosts[n].dump().await;
             if let Some(dump) = &dump {
                 self.check_version(n, dump["version"].as_u64().unwrap_or_default());
+                self.excuse_lost_links(n, &dump["links"]);
             }
             lists.push(dump.map(|dump| dump["targets"].to_string()));
         }
