--- a/crates/cli/src/soak/notices.rs
+++ b/crates/cli/src/soak/notices.rs
@@ -56,9 +56,7 @@
         let target = &self.arrivals.iter().rfind(at_host)?.target;
         let mut late = self.arrivals.iter().filter(|arrival| {
             let is_same = arrival.host == told.host && arrival.target == *target;
-            is_same
-                && self.sent_after(arrival, told.at)
-                && !self.is_excused(arrival, told.at, arrival.at)
+            is_same && self.sent_after(arrival, told.at) && !self.is_host_excused(arrival, told.at)
         });
         let late = late.next()?;
         Some(format!(
@@ -90,6 +88,16 @@
         self.sent.get(&arrival.id).is_some_and(|sent| *sent > at)
     }
 
+    /// Whether the host itself was disturbed between a moment and an arrival. A response that it has
+    /// passed on binds it whatever became of its link to the target.
+    fn is_host_excused(&self, arrival: &Arrival, from: Instant) -> bool {
+        let mut of_hosts = self.excuses.iter().filter(|e| e.target.is_none());
+        of_hosts.any(|e| {
+            let is_own = e.host.is_none_or(|n| arrival.host == n.to_string());
+            is_own && (from..=arrival.at).contains(&e.at)
+        })
+    }
+
     /// Whether a host or its links to a target were disturbed between two moments.
     fn is_excused(&self, arrival: &Arrival, from: Instant, to: Instant) -> bool {
         let is_of = |index: Option<usize>, name: &str| index.is_none_or(|n| name == n.to_string());
