--- a/crates/edge/src/control/announce.rs
+++ b/crates/edge/src/control/announce.rs
@@ -34,7 +34,7 @@
     }
     shared.token_issuer.set_lease_end(Duration::ZERO);
     if let Some(lease) = lease
-        && let Err(e) = (shared.store.withdraw)(lease).await
+        && let Err(e) = shared.store.withdraw(lease).await
     {
         log::warn!(target: "store", event = "withdraw_failed", error:% = e; "other hosts see it when the lease expires");
     }
@@ -45,7 +45,7 @@
     let (sent, is_new) = (since_boot(), lease.is_none());
     let result = match *lease {
         None => announce_host(shared).await.map(|t| *lease = Some(t)),
-        Some(id) => (shared.store.renew)(id).await,
+        Some(id) => shared.store.renew(id).await,
     };
     match result {
         Ok(()) => {
@@ -72,7 +72,7 @@
 async fn announce_host(shared: &Shared) -> Result<LeaseId, PlatformStoreError> {
     let store_distance = store_distance(shared).await?;
     let me = Arc::new(shared.host_entry(store_distance));
-    (shared.store.announce)((me, LEASE_TTL)).await
+    shared.store.announce(me, LEASE_TTL).await
 }
 
 /// Measures the round-trip time to the store in steps of [`HostEntry::DISTANCE_STEP`], by renewing
@@ -81,7 +81,7 @@
     let mut time = Duration::ZERO;
     for _ in 0..2 {
         let start = shared.now();
-        match (shared.store.renew)(LeaseId(0)).await {
+        match shared.store.renew(LeaseId(0)).await {
             Ok(()) | Err(PlatformStoreError::LeaseExpired) => time = shared.now() - start,
             Err(e) => return Err(e),
         }
--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -212,6 +212,8 @@
         "version": view.config.as_ref().map(|c| c.version),
         "change": view.change,
         "age_ms": millis(shared.age()),
+        "store_era": shared.store.era(),
+        "revision": view.revision,
         "links": shared.links.describe(),
         "closed_targets": shared.notices.describe(shared.now()),
         "evacuated": view.evacuated,
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -159,10 +159,11 @@
 
     async fn read(&mut self) -> Result<WatchResult, PlatformStoreError> {
         let (start, age, sent) = (self.shared.now(), self.shared.age(), since_boot());
-        let snapshot = (self.shared.store.list)(()).await?;
+        let snapshot = self.shared.store.list().await?;
         self.shared.meters.count("store_read");
         log::info!(
             target: "store", event = "read", items = snapshot.items.len(),
+            revision = snapshot.revision, known = self.shared.replica().synced_revision(),
             took_ms = millis(self.shared.now() - start), age_ms = millis(age);
             "full read of the store"
         );
@@ -176,7 +177,7 @@
 
     async fn watch(&mut self, at: u64) -> Result<WatchResult, PlatformStoreError> {
         let sent = since_boot();
-        let batch = (self.shared.store.watch)((at, WATCH_TIME)).await?;
+        let batch = self.shared.store.watch(at, WATCH_TIME).await?;
         self.store_regained();
         let result = match batch.items.is_empty() {
             true => WatchResult::Nothing,
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -98,6 +98,7 @@
     tokio::spawn(deferred::apply_when_due(Arc::clone(&shared)));
     tokio::spawn(quarantine::announce(Arc::clone(&shared), quarantine));
     tokio::spawn(watch_links(Arc::clone(&shared), neighbors));
+    tokio::spawn(count_eras(Arc::clone(&shared)));
     let announcer = tokio::spawn(announce::announce(Arc::clone(&shared)));
     let mut phase = shared.phase.subscribe();
     // The sender is in `shared`, which this thread holds.
@@ -106,6 +107,17 @@
     stop.send_replace(true);
 }
 
+/// Counts the eras of the store.
+async fn count_eras(shared: Arc<Shared>) {
+    let mut eras = shared.store.eras();
+    // The sender is in `shared`.
+    while eras.changed().await.is_ok() {
+        let era = *eras.borrow_and_update();
+        shared.meters.count("store_eras");
+        shared.meters.gauge("store_era", era);
+    }
+}
+
 /// Checks this host's links to the targets for as long as the host runs.
 async fn watch_links(shared: Arc<Shared>, neighbors: NeighborsFn) {
     let settings = &shared.settings;
--- a/crates/edge/src/control/quarantine.rs
+++ b/crates/edge/src/control/quarantine.rs
@@ -79,12 +79,12 @@
                 expected: listed.map_or(0, |(_, revision)| *revision),
                 ttl: update.ttl,
             };
-            let revision = (shared.store.quarantine)(write).await?;
+            let revision = shared.store.quarantine(write).await?;
             shared.announced().insert(update.fingerprint, revision);
             Ok(())
         }
         QuarantineChange::Release(fingerprint) => match view.quarantined.get(&fingerprint) {
-            Some((_, revision)) => (shared.store.release)((fingerprint, *revision)).await,
+            Some((_, revision)) => shared.store.release(fingerprint, *revision).await,
             None => Ok(()),
         },
     }
@@ -110,7 +110,7 @@
         let text = format!("{fingerprint} is not in quarantine");
         return (StatusCode::NOT_FOUND, text).into_response();
     };
-    match (shared.store.release)((fingerprint.0, revision)).await {
+    match shared.store.release(fingerprint.0, revision).await {
         Ok(()) => {
             log::info!(target: "belief", event = "released", fingerprint:% = fingerprint; "released by an operator");
             format!("{fingerprint} is released").into_response()
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -21,6 +21,7 @@
     notices::TargetNotices,
     replica::{Changes, ConfigUpdate, ConfigUpdateError, Replica, View},
     settings::{ReloadableSettings, Settings},
+    store::Store,
 };
 
 /// Changes of the quarantine that wait to be announced; a crash makes one for each request that the
@@ -55,7 +56,7 @@
     /// Reloadable settings, as last read from the file.
     pub reloadable: ArcSwap<ReloadableSettings>,
     /// The platform's store.
-    pub store: PlatformStore,
+    pub store: Store,
     /// The platform's headers, paths and formats.
     pub dialect: Dialect,
     /// Time since the start.
@@ -119,7 +120,7 @@
             quarantine_changes,
             reloadable: ArcSwap::from_pointee(settings.reloadable.clone()),
             settings,
-            store,
+            store: Store::open(store),
             dialect,
             clock,
             view: ArcSwap::from_pointee(View::default()),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,4 +37,5 @@
 pub mod notices;
 pub mod replica;
 pub mod settings;
+pub mod store;
 pub mod trace;
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -25,7 +25,8 @@
     packed::Packed,
     patch::{Patch, VersionMismatch},
     platform_store::{
-        Batch, LeaseId, PlatformStore, PlatformStoreError, QuarantineWrite, Snapshot, StoreCall,
+        Answer, Batch, LeaseId, PlatformStore, PlatformStoreError, QuarantineWrite, Snapshot,
+        StoreCall,
     },
     routes::RouteIndex,
     workspace::{KeyDigest, Workspace},
--- a/crates/edge/src/model/platform_store.rs
+++ b/crates/edge/src/model/platform_store.rs
@@ -22,6 +22,9 @@
     /// The item is not at the expected revision.
     #[error("another host has changed the item")]
     Conflict,
+    /// The parts of the answer are of different eras.
+    #[error("the store has begun another era")]
+    OtherEra,
     /// The response cannot be read.
     #[error("unreadable response: {0}")]
     Unreadable(String),
@@ -60,9 +63,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseId(pub u64);
 
+/// An answer of the store, or the error that there was none.
+#[derive(Clone, Debug)]
+pub struct Answer<T> {
+    /// Era that the answer tells, whatever its status; `None` if it tells none.
+    pub era: Option<u64>,
+    /// What the call returned.
+    pub result: Result<T, PlatformStoreError>,
+}
+
 /// A call to the store with one argument.
-pub type StoreCall<A, T> =
-    Arc<dyn Fn(A) -> BoxFuture<'static, Result<T, PlatformStoreError>> + Send + Sync>;
+pub type StoreCall<A, T> = Arc<dyn Fn(A) -> BoxFuture<'static, Answer<T>> + Send + Sync>;
 
 /// Client of the platform's store, with the calls that a host needs. Clones share the connection.
 #[derive(Clone)]
