--- a/crates/admit/src/direct/own_share.rs
+++ b/crates/admit/src/direct/own_share.rs
@@ -21,28 +21,28 @@
 
 /// This host's entry in the list, as it was last seen.
 #[derive(Clone, Copy, Debug)]
-struct Listing {
+struct Listing<Id> {
     /// Identifies the entry: one that expired and was announced again is another.
-    created: u64,
+    created: Id,
     since: Duration,
 }
 
-/// Tracks since when this host is listed.
+/// Tracks since when this host is listed. `Id` identifies an entry of the list.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct OwnShare {
+pub struct OwnShare<Id> {
     join_delay: Duration,
     is_unused: bool,
     is_read: bool,
-    listing: Option<Listing>,
+    listing: Option<Listing<Id>>,
 }
 
-impl OwnShare {
+impl<Id: Copy + PartialEq> OwnShare<Id> {
     /// Opens the share of a host that is not listed. After `join_delay` in the list, every other
     /// host knows it or has a list that is too old to use its own share.
     ///
     /// `first_start` states that no host ran before. Settings may still say so when a process is
     /// started again, so it counts only if the first list that is read lacks this host.
-    pub fn open(join_delay: Duration, first_start: bool) -> OwnShare {
+    pub fn open(join_delay: Duration, first_start: bool) -> OwnShare<Id> {
         OwnShare {
             join_delay,
             is_unused: first_start,
@@ -53,7 +53,7 @@
 
     /// Records a list: `created` identifies this host's entry in it, and `is_read` tells whether
     /// any list was read at all.
-    pub fn update(&mut self, created: Option<u64>, is_read: bool, now: Duration) {
+    pub fn update(&mut self, created: Option<Id>, is_read: bool, now: Duration) {
         let is_first = is_read && !self.is_read;
         self.is_read |= is_read;
         let is_same = self.listing.map(|l| l.created) == created;
--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -15,13 +15,13 @@
 use super::{quarantine, tokens};
 use crate::{
     host::Shared,
-    model::Fingerprint,
+    model::{Fingerprint, Revision},
     replica::{Changes, ConfigUpdate},
 };
 
 /// Path of the changes request. Hosts of a release with other messages do not know it: while a
 /// fleet runs both releases, its hosts read the store themselves.
-const CHANGES_PATH: &str = "/peer/v5/changes";
+const CHANGES_PATH: &str = "/peer/v6/changes";
 
 /// Path of the dump.
 const DUMP_PATH: &str = "/peer/v1/dump";
@@ -63,7 +63,7 @@
 #[derive(Deserialize, Serialize)]
 pub(super) struct ChangesRequest {
     /// Store's revision up to which nothing is missing.
-    pub(super) reached: u64,
+    pub(super) reached: Revision,
     /// Version of the configuration; 0 for none.
     pub(super) version: u64,
 }
@@ -213,7 +213,7 @@
         "change": view.change,
         "age_ms": millis(shared.age()),
         "store_era": shared.store.era(),
-        "revision": view.revision,
+        "revision": view.revision.to_string(),
         "links": shared.links.describe(),
         "closed_targets": shared.notices.describe(shared.now()),
         "evacuated": view.evacuated,
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -12,11 +12,12 @@
         ChangesRequest, ChangesResponse, MAX_RESPONSE_BYTES, ReceivedChanges, STALE_AGE,
         request_changes,
     },
+    quarantine,
     tree::tree_position,
 };
 use crate::{
     host::{Shared, confirmed_at},
-    model::{DeferredRemoval, HostEntry, Item, PlatformStoreError},
+    model::{DeferredChange, HostEntry, Item, PlatformStoreError, Revision},
     replica::Changes,
 };
 
@@ -125,9 +126,12 @@
         // the beginning each time that its sources fail, the store would return all items instead
         // of some.
         let at = self.shared.replica().synced_revision();
-        let result = match at == 0 || self.compacted {
+        let result = match self.is_behind() || self.compacted {
             true => self.read().await,
-            false => self.watch(at).await,
+            false => match self.watch(at).await {
+                Err(PlatformStoreError::OtherEra) if self.is_behind() => self.read().await,
+                result => result,
+            },
         };
         match result {
             // The wait replaced the interval, unless the response came at once.
@@ -147,6 +151,12 @@
         }
     }
 
+    /// Whether nothing is known of the current era of the store.
+    fn is_behind(&self) -> bool {
+        let synced = self.shared.replica().synced_revision();
+        synced == Revision::NONE || synced.era != self.shared.store.era()
+    }
+
     /// Asks hosts in turn until one has a fresh replica.
     async fn poll_any(&mut self, hosts: &[Arc<HostEntry>]) -> bool {
         for host in hosts {
@@ -163,19 +173,23 @@
         self.shared.meters.count("store_read");
         log::info!(
             target: "store", event = "read", items = snapshot.items.len(),
-            revision = snapshot.revision, known = self.shared.replica().synced_revision(),
+            revision:% = snapshot.revision, known:% = self.shared.replica().synced_revision(),
             took_ms = millis(self.shared.now() - start), age_ms = millis(age);
             "full read of the store"
         );
         self.store_regained();
         self.compacted = false;
+        let era = self.shared.replica().synced_revision().era;
         self.shared
             .replace(snapshot.revision, snapshot.items, self.removal_delay());
+        if era != snapshot.revision.era {
+            quarantine::announce_lost(&self.shared);
+        }
         self.shared.freshness.confirm(sent);
         Ok(WatchResult::Items)
     }
 
-    async fn watch(&mut self, at: u64) -> Result<WatchResult, PlatformStoreError> {
+    async fn watch(&mut self, at: Revision) -> Result<WatchResult, PlatformStoreError> {
         let sent = since_boot();
         let batch = self.shared.store.watch(at, WATCH_TIME).await?;
         self.store_regained();
@@ -195,12 +209,12 @@
     }
 
     /// Defers removals of entries that vanished just after the store became available again.
-    fn defer_removals(&self, items: Vec<Item>, reached: u64) -> Changes {
+    fn defer_removals(&self, items: Vec<Item>, reached: Revision) -> Changes {
         let left = self.removal_delay();
         let (items, vanished): (_, Vec<_>) = items
             .into_iter()
             .partition(|item| left.is_zero() || item.entry.is_some());
-        let deferred = |Item { key, rev, .. }| DeferredRemoval { key, rev, left };
+        let deferred = |item| DeferredChange { item, left };
         if !vanished.is_empty() {
             log::info!(
                 target: "belief", event = "held_back", entries = vanished.len(), left_ms = millis(left);
@@ -209,7 +223,7 @@
         }
         Changes {
             items,
-            endings: vanished.into_iter().map(deferred).collect(),
+            deferred: vanished.into_iter().map(deferred).collect(),
             reached,
             ..Changes::default()
         }
@@ -221,6 +235,7 @@
                 log::info!(target: "store", event = "history_dropped"; "the store compacted its history; a full read follows");
                 self.compacted = true;
             }
+            PlatformStoreError::OtherEra => self.back_off().await,
             _ => {
                 if std::mem::replace(&mut self.is_store_reached, false) {
                     log::warn!(target: "store", event = "lost", error:% = error; "the store is unavailable");
@@ -230,12 +245,16 @@
                         break;
                     }
                 }
-                tokio::time::sleep(self.backoff).await;
-                self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+                self.back_off().await;
             }
         }
     }
 
+    async fn back_off(&mut self) {
+        tokio::time::sleep(self.backoff).await;
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+    }
+
     /// Handles a response of the store: it is available.
     fn store_regained(&mut self) {
         self.backoff = MIN_BACKOFF;
@@ -299,6 +318,7 @@
         took: Duration,
     ) -> anyhow::Result<Duration> {
         let response = self.note_cost(address, received, took);
+        self.shared.store.learn(response.changes.reached.era);
         self.shared
             .apply_update(response.news.as_ref(), response.changes)?;
         let at = confirmed_at(sent, took, response.held, response.age);
@@ -329,7 +349,7 @@
             .and_then(|w| w.keys.as_ref())
         {
             log::info!(
-                target: "peers", event = "keys_told", host:% = address, keys = keys.len(), reached = response.changes.reached;
+                target: "peers", event = "keys_told", host:% = address, keys = keys.len(), reached:% = response.changes.reached;
                 "removing all other keys: the source does not know every removal"
             );
         }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -23,7 +23,7 @@
     tree::{FAN_OUT, STORE_READERS, TreePosition, tree_position},
 };
 pub(crate) use self::{
-    quarantine::QuarantineChange,
+    quarantine::{CONFIRMED_TTL, QuarantineChange, confirmed},
     tokens::{MAX_TOKEN_BYTES, ask_tokens},
 };
 use crate::{
--- a/crates/edge/src/control/quarantine.rs
+++ b/crates/edge/src/control/quarantine.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     host::Shared,
-    model::{Fingerprint, PlatformStoreError, QuarantineEntry, QuarantineWrite},
+    model::{Fingerprint, PlatformStoreError, QuarantineEntry, QuarantineWrite, Revision},
 };
 
 /// Path of an entry, followed by its fingerprint.
@@ -27,6 +27,9 @@
 /// Interval between two attempts to announce a change.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time to live of the record of a confirmed request, as long as the store keeps an entry at most.
+pub(crate) const CONFIRMED_TTL: Duration = Duration::from_secs(600);
+
 /// How long a change is retried. By then callers have sent the request again, and its next crash
 /// makes another change.
 const RETRY_TIME: Duration = Duration::from_secs(10);
@@ -47,6 +50,26 @@
         .await;
 }
 
+/// Returns the announcement of a confirmed request.
+pub(crate) fn confirmed(fingerprint: u64) -> QuarantineChange {
+    QuarantineChange::Announce(QuarantineUpdate {
+        fingerprint,
+        status: QuarantineStatus::Convict,
+        ttl: CONFIRMED_TTL,
+    })
+}
+
+/// Announces confirmed requests again that the store has lost. Called by the hosts that read the
+/// store in full when it has returned from an older copy.
+pub(super) fn announce_lost(shared: &Shared) {
+    let view = shared.view.load();
+    let is_lost = |revision: &Revision| revision.era < view.revision.era;
+    let lost = view.quarantined.values();
+    for (entry, _) in lost.filter(|(entry, revision)| entry.is_confirmed && is_lost(revision)) {
+        shared.announce_quarantine(confirmed(entry.fingerprint));
+    }
+}
+
 async fn announce_one(shared: &Shared, change: QuarantineChange) {
     let deadline = shared.now() + RETRY_TIME;
     while let Err(e) = write(shared, change).await {
@@ -65,6 +88,8 @@
     match change {
         QuarantineChange::Announce(update) => {
             let listed = view.quarantined.get(&update.fingerprint);
+            // An entry of an earlier era is missing from the store's copy.
+            let listed = listed.filter(|(_, revision)| revision.era == view.revision.era);
             let is_confirmed = update.status == QuarantineStatus::Convict;
             let is_known = listed.is_some_and(|(entry, _)| entry.is_confirmed || !is_confirmed);
             if is_known || (!is_confirmed && view.quarantined.len() >= MAX_ENTRIES) {
@@ -76,7 +101,7 @@
             };
             let write = QuarantineWrite {
                 entry,
-                expected: listed.map_or(0, |(_, revision)| *revision),
+                expected: listed.map_or(Revision::NONE, |(_, revision)| *revision),
                 ttl: update.ttl,
             };
             let revision = shared.store.quarantine(write).await?;
--- a/crates/edge/src/front/quarantine.rs
+++ b/crates/edge/src/front/quarantine.rs
@@ -8,12 +8,16 @@
 };
 
 use super::{Front, connection::ExchangeError, request_log::Kind, targets::TargetHandle};
-use crate::{control::QuarantineChange, model::Fingerprint, replica::View};
+use crate::{
+    control::{CONFIRMED_TTL, QuarantineChange, confirmed},
+    model::{Fingerprint, Revision},
+    replica::View,
+};
 
-/// Times to live of records. The store keeps an entry for ten minutes at most.
+/// Times to live of records.
 const TTLS: QuarantineTtls = QuarantineTtls {
     suspect: Duration::from_secs(60),
-    confirmed: Duration::from_secs(600),
+    confirmed: CONFIRMED_TTL,
 };
 
 /// Connections to a target that must go unanswered before it counts as gone: the first packet of
@@ -29,7 +33,7 @@
     records: Quarantine,
     successes: RecentSuccesses,
     /// Revisions of the store's entries that `records` includes, by fingerprint.
-    listed: BTreeMap<u64, u64>,
+    listed: BTreeMap<u64, Revision>,
     /// Last change of the view that they were read from.
     change: u64,
 }
@@ -59,15 +63,18 @@
             listed,
             ..
         } = &mut *state;
+        let is_listed = |fingerprint: &u64| view.quarantined.contains_key(fingerprint);
         // What this host has announced may be listed and gone again without a request in between.
         self.shared.announced().retain(|fingerprint, revision| {
             let is_read = *revision <= view.revision;
-            if is_read {
+            let is_lost = revision.era < view.revision.era && !is_listed(fingerprint);
+            if is_lost && records.status(*fingerprint, now) == Some(QuarantineStatus::Convict) {
+                self.shared.announce_quarantine(confirmed(*fingerprint));
+            } else if is_read {
                 listed.insert(*fingerprint, *revision);
             }
             !is_read
         });
-        let is_listed = |fingerprint: &u64| view.quarantined.contains_key(fingerprint);
         let vanished = listed.keys().filter(|f| !is_listed(f));
         vanished.for_each(|f| records.forget(*f));
         listed.retain(|fingerprint, _| is_listed(fingerprint));
@@ -76,7 +83,8 @@
                 continue;
             }
             if entry.is_confirmed && successes.contains(*fingerprint, now) {
-                self.announce_quarantine(QuarantineChange::Release(*fingerprint));
+                self.shared
+                    .announce_quarantine(QuarantineChange::Release(*fingerprint));
                 continue;
             }
             let (status, ttl) = match entry.is_confirmed {
@@ -106,7 +114,8 @@
         state.successes.record(fingerprint.0, now);
         state.records.clear(fingerprint.0);
         if state.records.status(fingerprint.0, now).is_some() {
-            self.announce_quarantine(QuarantineChange::Release(fingerprint.0));
+            self.shared
+                .announce_quarantine(QuarantineChange::Release(fingerprint.0));
         }
     }
 
@@ -122,7 +131,8 @@
         drop(state);
         for update in updates {
             self.log_quarantine(handle, &update, runs.len());
-            self.announce_quarantine(QuarantineChange::Announce(update));
+            self.shared
+                .announce_quarantine(QuarantineChange::Announce(update));
         }
     }
 
@@ -153,13 +163,6 @@
         self.confirm_gone(handle).await;
     }
 
-    fn announce_quarantine(&self, change: QuarantineChange) {
-        // A full queue costs only the announcement: this host acts on its own record.
-        if self.shared.quarantine_changes.try_send(change).is_err() {
-            self.shared.meters.count("quarantine_unannounced");
-        }
-    }
-
     fn log_quarantine(&self, handle: &TargetHandle, update: &QuarantineUpdate, runs: usize) {
         let (fingerprint, to) = (Fingerprint(update.fingerprint), &*handle.target.id);
         if update.status == QuarantineStatus::Convict {
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -17,7 +17,7 @@
     limits::{GrantError, JOIN_DELAY, TokenIssuer, TokenRequest},
     links::{Links, Neighbors},
     meters::Meters,
-    model::{Config, Dialect, HostEntry, Item, PlatformStore},
+    model::{Config, Dialect, HostEntry, Item, PlatformStore, Revision},
     notices::TargetNotices,
     replica::{Changes, ConfigUpdate, ConfigUpdateError, Replica, View},
     settings::{ReloadableSettings, Settings},
@@ -43,7 +43,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Watermark {
     /// Highest revision under which a change was published.
-    pub publish_revision: u64,
+    pub publish_revision: Revision,
     /// Version of the configuration.
     pub version: u64,
 }
@@ -76,7 +76,7 @@
     /// Changes of the quarantine for the other hosts.
     pub(crate) quarantine_changes: mpsc::Sender<QuarantineChange>,
     /// Requests that this host has announced, with the revisions of their entries.
-    announced: Mutex<BTreeMap<u64, u64>>,
+    announced: Mutex<BTreeMap<u64, Revision>>,
     /// Tokens of the limit shares that this host owns.
     pub(crate) token_issuer: TokenIssuer,
     /// This host's links to the targets.
@@ -91,7 +91,7 @@
     /// Until when the targets of formerly evacuated domains count as cold.
     cold_until: BTreeMap<Arc<str>, Duration>,
     sharers: RecentHosts,
-    own_share: OwnShare,
+    own_share: OwnShare<Revision>,
 }
 
 impl ViewHistory {
@@ -136,8 +136,16 @@
         (shared, changes)
     }
 
+    /// Announces a change of the quarantine to other hosts.
+    pub(crate) fn announce_quarantine(&self, change: QuarantineChange) {
+        // A full queue costs only the announcement: this host acts on its own record.
+        if self.quarantine_changes.try_send(change).is_err() {
+            self.meters.count("quarantine_unannounced");
+        }
+    }
+
     /// Locks the announced requests.
-    pub(crate) fn announced(&self) -> MutexGuard<'_, BTreeMap<u64, u64>> {
+    pub(crate) fn announced(&self) -> MutexGuard<'_, BTreeMap<u64, Revision>> {
         self.announced
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -216,7 +224,7 @@
     }
 
     /// Applies a full read; the removal of items that are not in it is deferred by `left`.
-    pub fn replace(&self, at: u64, items: Vec<Item>, left: Duration) {
+    pub fn replace(&self, at: Revision, items: Vec<Item>, left: Duration) {
         let now = self.now();
         let mut replica = self.replica();
         if replica.replace_deferring(at, items, left, now) {
@@ -322,7 +330,7 @@
             .sharers
             .update(&before.host_hashes, &view.host_hashes, now);
         let own = view.limit_owners.created(&self.settings.name);
-        let is_read = replica.synced_revision() > 0;
+        let is_read = replica.synced_revision() > Revision::NONE;
         history.own_share.update(own, is_read, now);
         view.own_share = history.own_share;
         crate::trace::log_view_change(&before, &view);
--- a/crates/edge/src/limits/owners.rs
+++ b/crates/edge/src/limits/owners.rs
@@ -9,7 +9,7 @@
 
 use dunlinrock_decide::steer::hash::{hash_str, mix64};
 
-use crate::model::HostEntry;
+use crate::model::{HostEntry, Revision};
 
 /// How long a host must be listed before others ask it. Lists differ for about as long after a
 /// change; asked earlier, it would answer that it is not the owner.
@@ -37,7 +37,7 @@
     name_hash: u64,
     entry: Arc<HostEntry>,
     /// Store's revision at which its entry was created.
-    created: u64,
+    created: Revision,
     /// Since when it is listed, as time since the machine's start; zero if it was listed when this
     /// host first read the list.
     listed_since: Duration,
@@ -54,7 +54,7 @@
 }
 
 /// A host's entry, and the store's revision at which it was created.
-pub type ListedHost = (Arc<HostEntry>, u64);
+pub type ListedHost = (Arc<HostEntry>, Revision);
 
 impl LimitOwners {
     /// Computes the owners for the hosts that are listed at `now`; `before` applied until then. In
@@ -133,7 +133,7 @@
     }
 
     /// Returns the store's revision at which the entry of a host was created, if it is listed.
-    pub fn created(&self, name: &str) -> Option<u64> {
+    pub fn created(&self, name: &str) -> Option<Revision> {
         let mut all = self.shares.values().flatten();
         all.find(|m| &*m.entry.name == name).map(|m| m.created)
     }
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -11,6 +11,7 @@
 mod packed;
 mod patch;
 mod platform_store;
+mod revision;
 mod routes;
 mod workspace;
 
@@ -20,14 +21,15 @@
         Credentials, Dialect, LookupQuery, Reported, ReportedLoad, decimal_rate, decimal_seconds,
     },
     fingerprint::Fingerprint,
-    item::{DeferredRemoval, Entry, HostEntry, Item, QuarantineEntry, Target},
+    item::{DeferredChange, Entry, HostEntry, Item, QuarantineEntry, Target},
     keys::KeyIndex,
     packed::Packed,
     patch::{Patch, VersionMismatch},
     platform_store::{
-        Answer, Batch, LeaseId, PlatformStore, PlatformStoreError, QuarantineWrite, Snapshot,
-        StoreCall,
+        Announcement, Answer, Batch, Lease, PlatformStore, PlatformStoreError, QuarantineWrite,
+        Snapshot, StoreCall,
     },
+    revision::Revision,
     routes::RouteIndex,
     workspace::{KeyDigest, Workspace},
 };
--- a/crates/edge/src/replica/changes.rs
+++ b/crates/edge/src/replica/changes.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Replica;
-use crate::model::{DeferredRemoval, Item};
+use super::{Replica, with_remaining_cold};
+use crate::model::{DeferredChange, Item, Revision};
 
 /// Changes, and the store's revision that they are complete up to.
 #[derive(Clone, Debug, Default)]
@@ -13,12 +13,14 @@
 pub struct Changes {
     /// Items that changed.
     pub items: Vec<Item>,
-    /// Deferred removals.
-    pub endings: Vec<DeferredRemoval>,
+    /// Deferred changes.
+    pub deferred: Vec<DeferredChange>,
     /// All existing keys, if removals may be missing.
     pub whole: Option<FullKeySet>,
-    /// The revision; 0 if the changes are complete up to no revision.
-    pub reached: u64,
+    /// The revision; [`Revision::NONE`] if the changes are complete up to no revision.
+    pub reached: Revision,
+    /// Time since the era of that revision began, as far as the sender knows.
+    pub era_age: Duration,
 }
 
 /// All keys that exist. A host that makes a full read of the store misses what was created and
@@ -28,7 +30,7 @@
 #[derive(Deserialize, Serialize)]
 pub struct FullKeySet {
     /// Store's revision after which every removal is known.
-    pub since: u64,
+    pub since: Revision,
     /// The keys; left out for a host that has no items and so nothing to remove.
     pub keys: Option<BTreeSet<Arc<str>>>,
     /// How long the removal of items under other keys is deferred.
@@ -38,12 +40,13 @@
 impl Replica {
     /// Applies changes; returns whether the replica changed.
     pub fn apply_changes(&mut self, changes: Changes, now: Duration) -> bool {
+        self.note_era(changes.reached, now.saturating_sub(changes.era_age));
         let mut changed = false;
         for item in changes.items {
             changed |= self.apply_item(item, now);
         }
-        for deferred in changes.endings {
-            changed |= self.defer_removal(deferred, now);
+        for deferred in changes.deferred {
+            changed |= self.defer(deferred, now);
         }
         if let Some(whole) = changes.whole {
             changed |= self.retain_keys(whole, now);
@@ -53,14 +56,14 @@
     }
 
     /// Applies a full read: items that are not in it are removed, unless they are newer.
-    pub fn replace(&mut self, revision: u64, items: Vec<Item>, now: Duration) -> bool {
+    pub fn replace(&mut self, revision: Revision, items: Vec<Item>, now: Duration) -> bool {
         self.replace_deferring(revision, items, Duration::ZERO, now)
     }
 
     /// Like [`Replica::replace`], but defers the removals by `left`.
     pub fn replace_deferring(
         &mut self,
-        revision: u64,
+        revision: Revision,
         items: Vec<Item>,
         left: Duration,
         now: Duration,
@@ -89,53 +92,50 @@
         let Some(keys) = keys else {
             return false;
         };
-        let absent: Vec<_> = self
-            .present_items()
-            .map(|item| Arc::clone(&item.key))
-            .filter(|key| !keys.contains(key))
+        let absent = self.existing_items().filter(|i| !keys.contains(&i.key));
+        let removals: Vec<_> = absent
+            .map(|item| DeferredChange {
+                item: Item::removal(Arc::clone(&item.key), since),
+                left: left.max(self.rewrite_time(item, since, now)),
+            })
             .collect();
         let mut changed = false;
-        for key in absent {
-            let deferred = DeferredRemoval {
-                key,
-                rev: since,
-                left,
-            };
-            changed |= self.defer_removal(deferred, now);
+        for removal in removals {
+            changed |= self.defer(removal, now);
         }
         changed
     }
 
     /// Returns the changes for a host that has all up to a revision.
-    pub fn changes(&self, rev: u64, now: Duration) -> Changes {
-        let endings = self.items.values().filter_map(|stored| {
-            // A host that receives an item must receive its removal as well.
-            let deferred = stored
-                .pending
-                .filter(|e| e.publish_revision.max(stored.publish_revision) > rev)?;
-            Some(DeferredRemoval {
-                key: Arc::clone(&stored.item.key),
-                rev: deferred.rev,
-                left: deferred.due_at.saturating_sub(now),
+    pub fn changes(&self, rev: Revision, now: Duration) -> Changes {
+        let deferred = self.items.values().filter_map(|stored| {
+            // A host that receives an item must receive its deferred change as well.
+            let pending = stored.pending.as_ref();
+            let pending =
+                pending.filter(|p| p.publish_revision.max(stored.publish_revision) > rev)?;
+            Some(DeferredChange {
+                item: with_remaining_cold(&pending.item, pending.received_at, now),
+                left: pending.due_at.saturating_sub(now),
             })
         });
         Changes {
             items: self.changed_since(rev, now),
-            endings: endings.collect(),
+            deferred: deferred.collect(),
             whole: (rev < self.since).then(|| self.full_key_set(rev, now)),
             reached: self.synced_revision,
+            era_age: self.era_age(now),
         }
     }
 
-    fn full_key_set(&self, rev: u64, now: Duration) -> FullKeySet {
+    fn full_key_set(&self, rev: Revision, now: Duration) -> FullKeySet {
         let keys = || {
-            self.present_items()
+            self.existing_items()
                 .map(|item| Arc::clone(&item.key))
                 .collect()
         };
         FullKeySet {
             since: self.since,
-            keys: (rev > 0).then(keys),
+            keys: (rev > Revision::NONE).then(keys),
             left: self.defer_until.saturating_sub(now),
         }
     }
--- a/crates/edge/src/replica/view.rs
+++ b/crates/edge/src/replica/view.rs
@@ -15,7 +15,7 @@
 use super::Replica;
 use crate::{
     limits::{LimitOwners, MAX_GRANT_AGE},
-    model::{Config, Entry, HostEntry, KeyIndex, QuarantineEntry, RouteIndex, Target},
+    model::{Config, Entry, HostEntry, KeyIndex, QuarantineEntry, Revision, RouteIndex, Target},
 };
 
 /// A target that may receive requests.
@@ -35,7 +35,7 @@
     /// Number of the last change in it.
     pub change: u64,
     /// Store's revision up to which no change is missing.
-    pub revision: u64,
+    pub revision: Revision,
     /// The active configuration.
     pub config: Option<Arc<Config>>,
     /// Its workspaces by their keys.
@@ -52,11 +52,11 @@
     /// still be serving although their entries vanished.
     pub sharer_hashes: Vec<u64>,
     /// This host's place among them.
-    pub own_share: OwnShare,
+    pub own_share: OwnShare<Revision>,
     /// Owners of the limit shares.
     pub limit_owners: LimitOwners,
     /// Requests in quarantine by fingerprint, with the store's revision of the entry.
-    pub quarantined: BTreeMap<u64, (QuarantineEntry, u64)>,
+    pub quarantined: BTreeMap<u64, (QuarantineEntry, Revision)>,
     /// Entry hosts by name.
     pub hosts: BTreeMap<Arc<str>, Arc<HostEntry>>,
 }
