--- a/crates/cli/src/soak/deployment.rs
+++ b/crates/cli/src/soak/deployment.rs
@@ -2,6 +2,7 @@
 //! them.
 
 use std::{
+    collections::BTreeSet,
     fs::File,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
@@ -11,7 +12,9 @@
 
 use anyhow::Context;
 use dunlinrock_edge::model;
-use dunlinrock_platform::standin::{ConfigDraft, RunLog, Store, StoreFault, Target, TargetOptions};
+use dunlinrock_platform::standin::{
+    ConfigDraft, RunLog, Store, StoreCopy, StoreFault, Target, TargetOptions,
+};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -102,6 +105,7 @@
     pub(super) target: Target,
     pub(super) proxy: Proxy,
     pub(super) start_count: u32,
+    is_leaving: bool,
 }
 
 /// A running deployment. Its processes are killed on drop.
@@ -116,6 +120,10 @@
     pub(super) store_outages: usize,
     pub(super) keys: SharedKeys,
     options: HostOptions,
+    /// Evacuated failure domains.
+    evacuated: BTreeSet<&'static str>,
+    /// Copy that the store returns from next.
+    copy: Option<StoreCopy>,
 }
 
 impl Deployment {
@@ -150,6 +158,8 @@
             store_outages: 0,
             keys: SharedKeys::default(),
             options,
+            evacuated: BTreeSet::new(),
+            copy: None,
         };
         for n in 0..TARGETS {
             deployment.add_target(n).await?;
@@ -174,13 +184,14 @@
             target,
             proxy,
             start_count: 1,
+            is_leaving: false,
         });
-        self.announce(n, false);
+        self.announce(n);
         Ok(())
     }
 
     /// Writes a target's entry to the store.
-    pub(super) fn announce(&self, n: usize, is_leaving: bool) {
+    fn announce(&self, n: usize) {
         let proxied = &self.targets[n];
         self.store.write_target(&model::Target {
             id: proxied.target.options().id.into(),
@@ -188,21 +199,63 @@
             address: proxied.proxy.address,
             domain: DOMAINS[n % DOMAINS.len()].into(),
             slots: SLOTS,
-            leaving: is_leaving,
+            leaving: proxied.is_leaving,
             cold: Duration::ZERO,
             born: 0,
         });
     }
 
+    /// Makes a target announce that it is leaving.
+    pub(super) fn set_leaving(&mut self, n: usize) {
+        self.targets[n].is_leaving = true;
+        self.announce(n);
+    }
+
+    /// Evacuates a failure domain, or ends its evacuation.
+    pub(super) fn evacuate(&mut self, domain: &'static str, is_evacuated: bool) {
+        match is_evacuated {
+            true => self.evacuated.insert(domain),
+            false => self.evacuated.remove(domain),
+        };
+        self.store.evacuate(domain, is_evacuated);
+    }
+
+    /// Copies the store's content, which it returns from later.
+    pub(super) fn copy_store(&mut self) {
+        self.copy = Some(self.store.copy());
+    }
+
+    /// Makes the store return from the copy: it loses all writes since.
+    pub(super) fn return_store(&mut self) {
+        if let Some(copy) = self.copy.take() {
+            self.store.return_from(&copy, |_| {});
+        }
+    }
+
+    /// Writes again what the operator and the targets have written, and what they have removed.
+    pub(super) fn write_again(&mut self) {
+        self.write_config();
+        for (n, proxied) in self.targets.iter().enumerate() {
+            for start in 1..proxied.start_count {
+                self.store.remove_target(&rules(n, start).id);
+            }
+            self.announce(n);
+        }
+        for domain in DOMAINS {
+            self.store.evacuate(domain, self.evacuated.contains(domain));
+        }
+    }
+
     /// Replaces a target by its next incarnation at the same address.
     pub(super) fn replace_target(&mut self, n: usize) {
         let old = self.targets[n].target.options().id;
         self.store.remove_target(&old);
         let proxied = &mut self.targets[n];
         proxied.start_count += 1;
+        proxied.is_leaving = false;
         let next = rules(n, proxied.start_count);
         proxied.target.set(|rules| *rules = next);
-        self.announce(n, false);
+        self.announce(n);
     }
 
     /// Makes the store unavailable to all hosts.
@@ -222,6 +275,11 @@
     /// Writes the next version of the configuration.
     pub(super) fn apply_next_config(&mut self) {
         self.version += 3;
+        self.write_config();
+        self.keys.mark_active(self.version);
+    }
+
+    fn write_config(&self) {
         let workspaces = match self.options.has_keys {
             true => &Keys::workspaces(self.version)[..],
             false => &[],
@@ -234,7 +292,6 @@
             timeout: TIMEOUT + Duration::from_millis(self.version),
             workspaces,
         });
-        self.keys.mark_active(self.version);
     }
 }
 
--- a/crates/cli/src/soak/faults.rs
+++ b/crates/cli/src/soak/faults.rs
@@ -63,6 +63,8 @@
         Fault::StoreClosed => fleet.store_down(StoreFault::Closed),
         Fault::StoreForgets => fleet.store.compact(),
         Fault::StoreLoses => fleet.store.drop_responses(LOST_RESPONSES),
+        Fault::StoreReturns => fleet.copy_store(),
+        Fault::StoreLacksWrites => fleet.return_store(),
         Fault::TargetDown(n) => fleet.targets[n].target.set(|rules| rules.is_down = true),
         Fault::TargetLoses(n) => fleet.targets[n]
             .target
@@ -74,7 +76,7 @@
             .for_each(|proxied| proxied.target.set(|rules| rules.sheds_all = true)),
         Fault::TargetSlow(n) => fleet.targets[n].target.set(|rules| rules.work *= SLOWDOWN),
         Fault::TargetMute(n) => fleet.targets[n].proxy.set(Mode::Mute),
-        Fault::TargetLeaves(n) => fleet.announce(n, true),
+        Fault::TargetLeaves(n) => fleet.set_leaving(n),
         Fault::TargetSaysLeaving(n) => fleet.targets[n]
             .target
             .set(|rules| rules.says_leaving = true),
@@ -85,7 +87,7 @@
         }
         Fault::TargetReplaced(n) => fleet.replace_target(n),
         Fault::Configure => fleet.apply_next_config(),
-        Fault::Evacuate(n) => fleet.store.evacuate(DOMAINS[n % DOMAINS.len()], true),
+        Fault::Evacuate(n) => fleet.evacuate(DOMAINS[n % DOMAINS.len()], true),
     }
     Ok(())
 }
@@ -105,6 +107,7 @@
         Fault::CutStore(host) | Fault::RefuseStore(host) => fleet.hosts[host].store.set(Mode::Pass),
         Fault::StoreBusy | Fault::StoreAway | Fault::StoreClosed => fleet.store_up(),
         Fault::StoreLoses => fleet.store.drop_responses(0),
+        Fault::StoreLacksWrites => fleet.write_again(),
         Fault::TargetDown(n) | Fault::TargetLoses(n) | Fault::TargetSheds(n) => {
             fleet.targets[n].target.set(clear_faults);
         }
@@ -120,10 +123,11 @@
             let targets = fleet.targets.iter();
             targets.for_each(|proxied| proxied.target.set(|rules| rules.backoff = None));
         }
-        Fault::Evacuate(n) => fleet.store.evacuate(DOMAINS[n % DOMAINS.len()], false),
+        Fault::Evacuate(n) => fleet.evacuate(DOMAINS[n % DOMAINS.len()], false),
         Fault::Stop(_)
         | Fault::Reload(_)
         | Fault::StoreForgets
+        | Fault::StoreReturns
         | Fault::TargetReplaced(_)
         | Fault::Configure => {}
     }
--- a/crates/cli/src/soak/plan.rs
+++ b/crates/cli/src/soak/plan.rs
@@ -31,6 +31,11 @@
 const NOTICES: usize = 4;
 const NOTICE_MS: std::ops::Range<u64> = 1500..5000;
 
+/// Number of times in a plan that the store returns from an older copy, and the range of the time
+/// that it loses.
+const RETURNS: usize = 3;
+const RETURN_MS: std::ops::Range<u64> = 300..3000;
+
 /// A fault that is injected into a deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -62,6 +67,10 @@
     StoreForgets,
     /// Responses to writes to the store are lost.
     StoreLoses,
+    /// The store loses what is written during the fault, and returns from a copy of its beginning.
+    StoreReturns,
+    /// What the operator and targets wrote in that time is written again at the end.
+    StoreLacksWrites,
     /// A target is down.
     TargetDown(usize),
     /// A target runs requests and loses their responses.
@@ -130,6 +139,7 @@
             steps.extend((0..ALL_SHED_FAULTS).map(|_| step(&mut rng, hosts)));
         }
         add_notices(seed, &mut steps);
+        add_returns(seed, &mut steps);
         Plan { seed, hosts, steps }
     }
 }
@@ -154,6 +164,22 @@
     }
 }
 
+/// Adds returns of the store, beside the other faults and in a series: the first and the second may
+/// be of overlapping times.
+fn add_returns(seed: u64, steps: &mut Vec<Step>) {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut at = rng.random_range(0..=steps.len());
+    for _ in 0..RETURNS {
+        let step = Step {
+            pause: Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)),
+            lasts: Duration::from_millis(rng.random_range(RETURN_MS)),
+            fault: Fault::StoreReturns,
+        };
+        steps.insert(at, step);
+        at = rng.random_range(at + 1..=(at + 4).min(steps.len()));
+    }
+}
+
 fn step(rng: &mut StdRng, hosts: usize) -> Step {
     Step {
         pause: Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)),
--- a/crates/cli/src/soak/runner.rs
+++ b/crates/cli/src/soak/runner.rs
@@ -50,6 +50,9 @@
 /// Status, in a dump, of links to the targets that work.
 const LINKS_UP: &str = "Up";
 
+/// Time after which what a returned store has lost is written again.
+const REWRITE_TIME: Duration = Duration::from_millis(1500);
+
 /// Limits on a host's resident memory and open descriptors, as the platform sets them.
 const MAX_MEMORY_BYTES: u64 = 260 << 20;
 const MAX_DESCRIPTORS: usize = 4100;
@@ -100,6 +103,8 @@
     versions: BTreeMap<(usize, u32), u64>,
     /// Leaving targets: their id, and their request count at the time when no host listed them.
     leaving: BTreeMap<usize, (String, Option<u32>)>,
+    /// Starts of all hosts when the leaving targets were last checked.
+    starts: u32,
     /// Crashes of each target that were acted on.
     crashes: Vec<u32>,
     /// Crashed targets, and when they start again.
@@ -123,6 +128,7 @@
         active_faults: Vec::new(),
         versions: BTreeMap::new(),
         leaving: BTreeMap::new(),
+        starts: 0,
         crashes: vec![0; TARGETS],
         crashed: BTreeMap::new(),
         excuses: Vec::new(),
@@ -306,6 +312,11 @@
             }
             faults::end(&mut self.deployment, &self.callers.host_faults, fault)?;
             self.excuse(fault);
+            if fault == Fault::StoreReturns {
+                let lacks = Fault::StoreLacksWrites;
+                faults::begin(&mut self.deployment, &self.callers.host_faults, lacks)?;
+                self.active_faults.push((now + REWRITE_TIME, lacks));
+            }
         }
         Ok(())
     }
@@ -323,6 +334,7 @@
             }
             lists.push(dump.map(|dump| dump["targets"].to_string()));
         }
+        self.recheck_leaving();
         for (n, (id, arrivals)) in &mut self.leaving {
             let quoted = format!("\"{id}\"");
             let gone = lists
@@ -335,6 +347,19 @@
         Ok(())
     }
 
+    /// Begins the check of leaving targets anew if a host has started while the store lacks writes:
+    /// it may know nothing of them yet.
+    fn recheck_leaving(&mut self) {
+        let starts = self.deployment.hosts.iter().map(|host| host.start_count);
+        let starts: u32 = starts.sum();
+        let is_changed = std::mem::replace(&mut self.starts, starts) != starts;
+        let lacks_writes = |(_, fault): &(Instant, Fault)| *fault == Fault::StoreLacksWrites;
+        if is_changed && self.active_faults.iter().any(lacks_writes) {
+            let known = self.leaving.values_mut();
+            known.for_each(|(_, arrivals)| *arrivals = None);
+        }
+    }
+
     /// Checks that a process exits only after it was killed or signalled to stop.
     fn check_exit(&mut self, n: usize) -> anyhow::Result<()> {
         let Some(code) = self.deployment.hosts[n].try_wait()? else {
@@ -409,6 +434,9 @@
                 let dump = host.dump().await.unwrap_or_default();
                 recovered &= dump["ready"] == true && dump["version"] == self.deployment.version;
             }
+            // A host whose lease the store has lost must be announced again.
+            let announced = self.deployment.store.announced();
+            recovered &= announced.len() == self.deployment.hosts.len();
             if recovered {
                 return Ok(());
             }
