--- a/crates/edge/src/control/announce.rs
+++ b/crates/edge/src/control/announce.rs
@@ -25,7 +25,6 @@
 /// This host's announcement.
 struct Announcer {
     shared: Arc<Shared>,
-    /// Eras of the store; seen up to the one in which the last call was made.
     eras: watch::Receiver<u64>,
     current: Option<Announcement>,
     was_announced: bool,
@@ -59,7 +58,6 @@
 impl Announcer {
     /// Makes one call and waits until the next is due.
     async fn step(&mut self) {
-        self.eras.mark_unchanged();
         let (sent, is_new) = (since_boot(), self.current.is_none());
         let result = match self.current {
             None => self.announce().await,
@@ -68,12 +66,12 @@
         match result {
             Ok(()) => {
                 self.announced(sent, is_new);
-                self.wait(RENEWAL_INTERVAL).await;
+                self.wait_for_renewal().await;
             }
             Err(PlatformStoreError::LeaseExpired) => self.lease_ended(),
             Err(e) => {
                 log::debug!(target: "store", error:% = e; "announcement failed");
-                self.wait(BACKOFF).await;
+                tokio::time::sleep(BACKOFF).await;
             }
         }
     }
@@ -93,9 +91,12 @@
         self.current = None;
     }
 
-    /// Waits, but not beyond the beginning of another era, in which this host has no lease.
-    async fn wait(&mut self, time: Duration) {
-        let _ = tokio::time::timeout(time, self.eras.changed()).await;
+    /// Waits until the renewal is due or another era begins, in which this host has no lease.
+    async fn wait_for_renewal(&mut self) {
+        let own = self.current.map(|current| current.lease.era);
+        let other = self.eras.wait_for(|era| Some(*era) != own);
+        // The sender is in `shared`.
+        let _ = tokio::time::timeout(RENEWAL_INTERVAL, other).await;
     }
 
     async fn announce(&mut self) -> Result<(), PlatformStoreError> {
