--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -32,6 +32,18 @@
     assert!(out.out.contains("every promise kept"), "{}", out.out);
 }
 
+/// Seed 6126: leases end while the store is away, and the fake store gave out a number again in the
+/// same era. The host that had it before renewed the other one's lease and was not announced again.
+#[test]
+fn a_host_whose_lease_ended_in_an_outage_is_announced_again() {
+    let args = [
+        "soak", "--seed", "6126", "--plans", "1", "--hosts", "6", "--faults", "8",
+    ];
+    let out = run(&args);
+    assert_eq!(out.code, 0, "{}\n{}", out.out, out.err);
+    assert!(out.out.contains("every promise kept"), "{}", out.out);
+}
+
 #[test]
 fn a_soak_without_hosts_is_rejected_with_the_reason() {
     let out = run(&["soak", "--hosts", "0"]);
