--- a/crates/edge/src/replica/mod.rs
+++ b/crates/edge/src/replica/mod.rs
@@ -6,7 +6,7 @@
 //! items by revision, and the configuration by its version ([`ConfigHistory`]).
 //!
 //! A store that has returned from an older copy gives out revisions again, in its next era, and
-//! shows an earlier state for a while ([`returned`]). Revisions are ordered by their eras first.
+//! shows an earlier state for a while (module `returned`). Revisions are ordered by their eras first.
 //!
 //! A deferred change is a change like any other: it is stored and sent to followers under its
 //! revision, with the remaining delay. If a host kept it to itself and yet claimed to be complete,
