--- a/crates/edge/src/model/dialect.rs
+++ b/crates/edge/src/model/dialect.rs
@@ -23,6 +23,18 @@
     pub running: u32,
     /// Waiting requests.
     pub waiting: u32,
+    /// How long work takes on the target's machine now, in percent of the usual time; `None` if the
+    /// response does not say.
+    pub pace: Option<u32>,
+}
+
+/// Highest pace that is taken for one; beyond it, a number is an error of the target's.
+const MAX_PACE: u32 = 100_000;
+
+/// Parses a pace in percent; `None` if it is not one. Work that takes no time is an error as well.
+pub fn percent_pace(text: &str) -> Option<u32> {
+    let pace = text.trim().parse().ok()?;
+    (1..=MAX_PACE).contains(&pace).then_some(pace)
 }
 
 /// What a target says about itself in a header of a response.
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -19,6 +19,7 @@
     config::{Config, Limits, Route, Service, WeightedService},
     dialect::{
         Credentials, Dialect, LookupQuery, Reported, ReportedLoad, decimal_rate, decimal_seconds,
+        percent_pace,
     },
     fingerprint::Fingerprint,
     item::{DeferredChange, Entry, HostEntry, Item, QuarantineEntry, Target},
