--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -303,6 +303,7 @@
             peers: self.settings.listen.peers,
             distance,
             power: (self.settings.processor * 100.0).ceil() as u32,
+            link: self.settings.link,
         }
     }
 
--- a/crates/edge/src/lookup/mod.rs
+++ b/crates/edge/src/lookup/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use dunlinrock_decide::steer::host_draw::{self, HostCapacity};
 use http::{HeaderValue, StatusCode, header};
 use viz::{IntoResponse, Request, Response, Router};
 
@@ -63,8 +64,9 @@
     response
 }
 
-/// Returns the hosts of the caller's region, or all if there are none. Requests for one affinity
-/// key then come through the same few hosts, and do not cross a link between regions twice.
+/// Returns hosts of the caller's region, or of all if there are none, drawn by their capacity.
+/// Requests for one affinity key then come through the same few hosts, and do not cross a link
+/// between regions twice.
 fn choose(shared: &Shared, query: &LookupQuery) -> Vec<SocketAddr> {
     let view = shared.view.load();
     let mut hosts: Vec<_> = view.hosts.values().cloned().collect();
@@ -89,8 +91,17 @@
     } else {
         in_region
     };
-    let named = prefer_linked(shared, named).into_iter();
-    named.take(MAX_HOSTS).map(|h| h.callers).collect()
+    let named = prefer_linked(shared, named);
+    let capacities: Vec<_> = named.iter().map(|h| capacity(h)).collect();
+    let drawn = host_draw::draw(&capacities, rand::random()).into_iter();
+    drawn.take(MAX_HOSTS).map(|i| named[i].callers).collect()
+}
+
+fn capacity(host: &HostEntry) -> HostCapacity {
+    HostCapacity {
+        power: host.power,
+        link: host.link,
+    }
 }
 
 /// Leaves out hosts that have lost their links to the targets, unless fewer than half would remain:
--- a/crates/edge/src/model/item.rs
+++ b/crates/edge/src/model/item.rs
@@ -110,6 +110,9 @@
     pub distance: u32,
     /// Processor limit, in hundredths of a core.
     pub power: u32,
+    /// Rate of its link, in Mbit/s; 0 if unknown.
+    #[serde(default)]
+    pub link: u32,
 }
 
 impl HostEntry {
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -83,6 +83,8 @@
     pub processor: f64,
     /// Memory limit of the process, in bytes.
     pub memory: u64,
+    /// Rate of the machine's link, in Mbit/s; 0 if unknown.
+    pub link: u32,
     /// Settings that can be reloaded while the host runs.
     pub reloadable: ReloadableSettings,
 }
@@ -137,7 +139,9 @@
             "give more than 0",
         );
     }
+    let link = check.number("limits.link_mbps", limits.link_mbps, 0.0);
     let settings = Settings {
+        link: link.ceil() as u32,
         processor,
         connections: ConnectionLimits::for_descriptors(descriptors),
         memory: (memory * 1e6) as u64,
@@ -168,8 +172,8 @@
             ("store", self.store != other.store),
             (
                 "limits",
-                (self.connections, self.memory, self.processor)
-                    != (other.connections, other.memory, other.processor),
+                (self.connections, self.memory, self.processor, self.link)
+                    != (other.connections, other.memory, other.processor, other.link),
             ),
         ];
         let changed = changed.into_iter().filter(|(_, differs)| *differs);
--- a/crates/edge/tests/lookups.rs
+++ b/crates/edge/tests/lookups.rs
@@ -56,6 +56,36 @@
     assert!(west.ends_with("127.0.0.3:3"), "{west}");
 }
 
+/// Load: a host with much more processor and link than the others of its region. It is named at each
+/// lookup, and of the small ones only as many as make three.
+#[test]
+fn a_lookup_names_small_hosts_less_often() {
+    let scripted = ScriptedTarget::healthy("x");
+    let deployment = Deployment::open(config(1), &[&scripted]);
+    let south = |n: u16, power, link| HostEntry {
+        domain: "south-1".into(),
+        callers: ([127, 0, 0, 3], n).into(),
+        power,
+        link,
+        ..host_entry(&format!("south-{n}"), 1)
+    };
+    let hosts = (1..8).map(|n| south(n, 10, 10)).chain([south(9, 50, 200)]);
+    for host in hosts {
+        let name = Arc::clone(&host.name);
+        deployment.store.put(&name, Entry::Host(Arc::new(host)));
+    }
+    deployment.wait_until_ready();
+    let lookup = deployment.host.shared().settings.listen.lookup;
+    for _ in 0..20 {
+        let named = get(lookup, "/hosts?region=south");
+        assert!(named.contains("127.0.0.3:9"), "{named}");
+        assert!(
+            (3..=4).contains(&named.matches("127.0.0.3:").count()),
+            "{named}"
+        );
+    }
+}
+
 /// A host is not ready from the start of its shutdown, and lookups no longer list it.
 #[test]
 fn a_host_that_shuts_down_is_neither_ready_nor_listed() {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -167,6 +167,7 @@
         peers: "127.0.0.1:2".parse().unwrap(),
         distance,
         power: 100,
+        link: 0,
     }
 }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -46,7 +46,8 @@
 //!   split, which moves towards it under a cap.
 //! * [`Grantor`], [`Grantee`]: short-lived grants of the headroom of regions and links.
 //! * [`spill`]: the capacity that a host needs in other regions, and the limits of its shares.
-//! * [`hosts`]: the hosts that a lookup returns.
+//! * [`hosts`]: the hosts that a lookup returns for a block of callers.
+//! * [`host_draw`]: the hosts that a lookup returns for a region, by their capacity.
 //! * [`divide`]: algorithms that divide several scarce resources.
 //! * [`affinity`]: the target that serves a request, by affinity or by load.
 //! * [`naive`]: the baseline for comparison.
@@ -56,6 +57,7 @@
 pub mod divide;
 pub mod grants;
 pub mod hash;
+pub mod host_draw;
 pub mod hosts;
 pub mod naive;
 pub mod shift;
