--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod cold_start;
 mod connections;
 mod ejection;
+mod idle_limit;
 mod latency;
 mod limit;
 mod link;
@@ -24,6 +25,7 @@
     cold_start::{ColdStartLimiter, ColdStartLimits},
     connections::{AcceptDecision, ConnectionLimits, OpenConnections},
     ejection::{Ejection, Evidence, FailureRate},
+    idle_limit::{IdleLimitChange, IdleLimits},
     latency::LatencyEstimator,
     limit::{LimitShare, RateLimitConfig, TokenBucket, TokenCache, TokenGrant},
     link::{Link, LinkCheck, LinkStatus},
