--- a/crates/admit/src/direct/idle_limit.rs
+++ b/crates/admit/src/direct/idle_limit.rs
@@ -22,22 +22,41 @@
 /// Span in which breaks at several targets count together.
 const SPAN: Duration = Duration::from_secs(4);
 
+/// How long an exchange counts for the usual share of broken ones.
+const HISTORY: Duration = Duration::from_secs(30);
+
 /// Maximum exchanges kept for each service.
 const MAX_EXCHANGES: usize = 256;
 
-/// Targets with breaks that limit their service.
-const MIN_TARGETS: usize = 2;
+/// Minimum share of broken connections among those that rested as long or longer.
+const MIN_BROKEN: f64 = 0.3;
+
+/// What must agree for breaks to limit a service.
+#[derive(Clone, Copy, Debug)]
+struct Bar {
+    /// Minimum number of targets with breaks.
+    targets: usize,
+    /// Maximum probability of as many breaks by chance, going by the usual share: crashes and lost
+    /// responses break connections whatever their rest.
+    chance: f64,
+}
 
-/// The same while the rests of another service are limited: what forgets connections is often
-/// common to the targets of a place.
-const MIN_TARGETS_BESIDE: usize = 1;
+/// The bar while no other service is limited.
+const ALONE: Bar = Bar {
+    targets: 2,
+    chance: 0.001,
+};
 
-/// Minimum share of broken connections among those that rested as long or longer. Crashes and lost
-/// responses break a few in a hundred, whatever their rest.
-const MIN_BROKEN: f64 = 0.3;
+/// The bar while another service is: what forgets connections is often common to the targets of a
+/// place.
+const BESIDE: Bar = Bar {
+    targets: 1,
+    chance: 0.05,
+};
 
-/// Minimum ratio of that share to the share among connections that rested less.
-const MIN_RATIO: f64 = 3.0;
+/// Exchanges without a break that the usual share begins with, and half a break: without them it
+/// would be zero until the first break.
+const PRIOR: f64 = 32.0;
 
 /// Fraction of the shortest rest that broke which is still allowed. Rests spread widely, so the
 /// first that breaks may be several times as long as the shortest that would.
@@ -53,10 +72,6 @@
 /// forgotten connections.
 const PROBES: u32 = 8;
 
-/// Breaks of new connections that lift a limit, if no kept one broke in between: the rest is not
-/// what breaks them.
-const NEW_BREAKS: u32 = 2;
-
 /// An exchange on a connection, and how long that had rested before; zero for a new one.
 #[derive(Clone, Copy, Debug)]
 struct Exchange {
@@ -74,8 +89,6 @@
     until: Duration,
     /// Longer rests that have worked since the last break.
     worked: u32,
-    /// New connections that have broken since.
-    new_breaks: u32,
 }
 
 impl Limit {
@@ -84,7 +97,6 @@
             broken,
             until: now + HOLD,
             worked: 0,
-            new_breaks: 0,
         }
     }
 
@@ -195,9 +207,9 @@
         let from = self.limit(service);
         let is_limited =
             |(name, s): (&Arc<str>, &ServiceLimit)| name != service && s.is_limited(now);
-        let min_targets = match self.services.iter().any(is_limited) {
-            true => MIN_TARGETS_BESIDE,
-            false => MIN_TARGETS,
+        let bar = match self.services.iter().any(is_limited) {
+            true => BESIDE,
+            false => ALONE,
         };
         let known = self.services.entry(Arc::clone(service)).or_default();
         if known.limit.is_some_and(|limit| now >= limit.until) {
@@ -205,11 +217,10 @@
         }
         known.record(target, rest, true, now);
         if rest.is_zero() {
-            known.record_new_break();
             return self.change_from(from, service);
         }
         known.limit_target(target, rest, now);
-        let broken = known.shortest_broken(min_targets, now);
+        let broken = known.shortest_broken(bar, now);
         if let Some(broken) = broken {
             let earlier = known.limit.map_or(broken, |limit| limit.broken);
             known.limit = Some(Limit::open(broken.min(earlier), now));
@@ -235,7 +246,7 @@
     }
 
     fn record(&mut self, target: u64, rest: Duration, is_broken: bool, now: Duration) {
-        let is_old = |e: &Exchange| e.at + SPAN <= now;
+        let is_old = |e: &Exchange| e.at + HISTORY <= now;
         while self.exchanges.len() >= MAX_EXCHANGES || self.exchanges.front().is_some_and(is_old) {
             self.exchanges.pop_front();
         }
@@ -247,16 +258,6 @@
         });
     }
 
-    fn record_new_break(&mut self) {
-        let Some(limit) = &mut self.limit else {
-            return;
-        };
-        limit.new_breaks += 1;
-        if limit.new_breaks >= NEW_BREAKS {
-            self.forget();
-        }
-    }
-
     fn limit_target(&mut self, target: u64, rest: Duration, now: Duration) {
         self.targets.retain(|_, limit| now < limit.until);
         let earlier = self.targets.get(&target).map_or(rest, |limit| limit.broken);
@@ -264,34 +265,45 @@
             .insert(target, Limit::open(rest.min(earlier), now));
     }
 
-    /// Returns the shortest rest from which on connections break because they rested, if there is
-    /// one with breaks at enough targets. Only exchanges since the first break count: what worked
-    /// before says nothing about the time since.
-    fn shortest_broken(&self, min_targets: usize, now: Duration) -> Option<Duration> {
-        let recent = self.exchanges.iter().filter(|e| now < e.at + SPAN);
-        let since_first: Vec<_> = recent.skip_while(|e| !e.is_broken).collect();
-        let broken = since_first.iter().filter(|e| e.is_broken);
-        let rests: BTreeSet<_> = broken
-            .map(|e| e.rest)
-            .filter(|rest| !rest.is_zero())
-            .collect();
+    /// Returns the shortest rest from which on connections break because they rested, if breaks
+    /// there pass the bar. Only exchanges since the first recent break count as evidence: what
+    /// worked before says nothing about the time since, but how many break by chance.
+    fn shortest_broken(&self, bar: Bar, now: Duration) -> Option<Duration> {
+        let is_recent = |e: &&Exchange| e.is_broken && now < e.at + SPAN;
+        let first = self.exchanges.iter().find(is_recent)?.at;
+        let (since, before): (Vec<&Exchange>, Vec<&Exchange>) =
+            self.exchanges.iter().partition(|e| e.at >= first);
+        let kept = since.iter().filter(|e| e.is_broken && !e.rest.is_zero());
+        let rests: BTreeSet<_> = kept.map(|e| e.rest).collect();
         rests.into_iter().find(|rest| {
             let (long, short): (Vec<&Exchange>, Vec<_>) =
-                since_first.iter().partition(|e| e.rest >= *rest);
-            let targets: BTreeSet<_> = long
-                .iter()
-                .filter(|e| e.is_broken)
-                .map(|e| e.target)
-                .collect();
-            let share = broken_share(&long);
-            targets.len() >= min_targets
-                && share >= MIN_BROKEN
-                && share >= broken_share(&short) * MIN_RATIO
+                since.iter().partition(|e| e.rest >= *rest);
+            let targets: BTreeSet<_> = broken(&long).map(|e| e.target).collect();
+            let breaks = broken(&long).count();
+            let others = before.len() + short.len();
+            let by_chance = broken(&before).count() + broken(&short).count();
+            let usual = (by_chance as f64 + 0.5) / (others as f64 + PRIOR);
+            targets.len() >= bar.targets
+                && breaks as f64 >= long.len() as f64 * MIN_BROKEN
+                && chance_of(breaks, long.len(), usual) <= bar.chance
         })
     }
 }
 
-fn broken_share(exchanges: &[&Exchange]) -> f64 {
-    let broken = exchanges.iter().filter(|e| e.is_broken).count();
-    broken as f64 / exchanges.len().max(1) as f64
+fn broken<'a>(exchanges: &'a [&Exchange]) -> impl Iterator<Item = &'a Exchange> {
+    exchanges.iter().copied().filter(|e| e.is_broken)
+}
+
+/// Returns the probability of `breaks` or more breaks in `exchanges` independent exchanges, each of
+/// which breaks with probability `share`.
+fn chance_of(breaks: usize, exchanges: usize, share: f64) -> f64 {
+    let odds = share / (1.0 - share);
+    // Probability of n breaks, from that of n - 1.
+    let mut exactly = (1.0 - share).powi(exchanges as i32);
+    let mut fewer = 0.0;
+    for n in 0..breaks {
+        fewer += exactly;
+        exactly *= odds * (exchanges - n) as f64 / (n + 1) as f64;
+    }
+    1.0 - fewer
 }
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -75,13 +75,14 @@
         let handle = &selected.handle;
         let _in_flight = handle.track_request();
         self.log_sent(access, selected, outbound);
-        let (start, sent) = (Instant::now(), Cell::new(false));
+        let (start, sent) = (Instant::now(), Cell::new(None));
         let exchange = self.exchange(access, selected, outbound, &sent);
         let exchanged = tokio::time::timeout_at(outbound.deadline, exchange).await;
-        self.examine_target(handle, exchanged.as_ref().map(Result::as_ref))
+        let examined = exchanged.as_ref().map(Result::as_ref);
+        self.examine_target(handle, examined, sent.get().unwrap_or_default())
             .await;
         let (result, evidence) = match exchanged {
-            Err(_) if sent.get() => (
+            Err(_) if sent.get().is_some() => (
                 AttemptResult::TimedOut,
                 self.timeout_evidence(route, start.elapsed()),
             ),
@@ -93,6 +94,10 @@
             Ok(Err(ExchangeError::NotSent(cause) | ExchangeError::Refused(cause))) => {
                 (AttemptResult::NotSent(cause), Some(Evidence::Down))
             }
+            Ok(Err(ExchangeError::Broken(cause))) => {
+                let cause = broken_cause(&cause, sent.get().unwrap_or_default());
+                (AttemptResult::Lost(cause), Some(Evidence::Bad))
+            }
             Ok(Err(ExchangeError::Sent(cause))) => {
                 (AttemptResult::Lost(cause), Some(Evidence::Bad))
             }
@@ -134,11 +139,13 @@
     /// Looks for signs that a target's process is gone, in an exchange that may have timed out.
     ///
     /// A connection that broke is followed by a check before the request may be sent again: a retry
-    /// counts as sent after the crash only if the crash is known.
+    /// counts as sent after the crash only if the crash is known. The connection had rested for
+    /// `rest`.
     async fn examine_target(
         self: &Rc<Front>,
         handle: &Rc<TargetHandle>,
         exchanged: Result<Result<&BufferedResponse, &ExchangeError>, &Elapsed>,
+        rest: Duration,
     ) {
         match exchanged {
             // Another process answers at the address, over links that work.
@@ -148,6 +155,7 @@
             Ok(Err(ExchangeError::Refused(_) | ExchangeError::Unreachable(_))) => {
                 self.confirm_gone(handle).await;
             }
+            Ok(Err(ExchangeError::Broken(_))) => self.examine_break(handle, rest).await,
             Ok(Err(ExchangeError::Sent(_))) => self.check_target(handle).await,
             Err(_) if handle.is_silent(SILENCE, self.shared.now()) => {
                 let (front, handle) = (Rc::clone(self), Rc::clone(handle));
@@ -187,17 +195,18 @@
         (time >= route.objective).then_some(Evidence::Bad)
     }
 
-    /// Exchanges a request and a response on an idle connection, or on a new one.
+    /// Exchanges a request and a response on an idle connection, or on a new one. `sent` tells how
+    /// long the connection had rested, once something may have been sent on it.
     async fn exchange(
         &self,
         access: &Access,
         selected: &SelectedTarget,
         outbound: &OutboundRequest,
-        sent: &Cell<bool>,
+        sent: &Cell<Option<Duration>>,
     ) -> Result<BufferedResponse, ExchangeError> {
         let handle = &selected.handle;
         loop {
-            let idle = handle.take_idle();
+            let idle = self.take_kept(handle, access.route.repeatable);
             let mut connection = match idle {
                 Some(connection) => connection,
                 None => self.connect(selected).await?,
@@ -206,7 +215,8 @@
                 return Err(ExchangeError::Rerouted);
             }
             let was_used = connection.is_used();
-            sent.set(true);
+            let rest = connection.rest();
+            sent.set(Some(rest));
             let run = handle.start_run(outbound.fingerprint, self.shared.clock);
             let on_head =
                 |status, headers: &HeaderMap| self.record_notices(handle, status, headers);
@@ -216,6 +226,7 @@
             };
             match exchanged {
                 Ok((response, is_reusable)) => {
+                    self.record_rest(handle, rest);
                     match response.status {
                         // Another process than the expected one.
                         StatusCode::MISDIRECTED_REQUEST => run.withdraw(),
@@ -229,7 +240,7 @@
                 // The target closed an idle connection before anything was sent.
                 Err(ExchangeError::NotSent(_)) if was_used => {
                     run.withdraw();
-                    sent.set(false);
+                    sent.set(None);
                 }
                 Err(e @ ExchangeError::NotSent(_)) => {
                     run.withdraw();
@@ -444,6 +455,13 @@
     }
 }
 
+fn broken_cause(cause: &str, rest: Duration) -> String {
+    match rest.as_millis() {
+        0 => format!("{cause}, new connection"),
+        ms => format!("{cause}, kept connection after {ms} ms"),
+    }
+}
+
 /// Waits until the target is known to be down, if the request may then be retried elsewhere. A
 /// request that is not idempotent keeps waiting: the target may still answer it.
 async fn wait_down(handle: &TargetHandle, route: &Route) {
--- a/crates/edge/src/front/connection.rs
+++ b/crates/edge/src/front/connection.rs
@@ -52,6 +52,8 @@
     Rerouted,
     /// Something may have been sent, and no complete response came back.
     Sent(String),
+    /// Like `Sent`, and the connection ended before any byte of a response.
+    Broken(String),
     /// Like `Sent`, and the target does not answer the kernel's keep-alive probes either.
     Unreachable(String),
 }
@@ -72,8 +74,8 @@
     task: JoinHandle<()>,
     /// Until when the connection may be reused.
     reusable_until: Instant,
-    /// Whether an exchange was completed on it.
-    was_used: bool,
+    /// When the last exchange on it was completed; `None` before the first.
+    used_at: Option<Instant>,
     open: OpenGuard,
 }
 
@@ -111,7 +113,7 @@
             sender,
             task,
             reusable_until,
-            was_used: false,
+            used_at: None,
             open,
         })
     }
@@ -124,7 +126,7 @@
     /// Whether another request may be sent. False if the target has closed the connection or sent
     /// unsolicited bytes.
     pub(super) fn is_reusable(&self) -> bool {
-        self.was_used && self.sender.is_ready() && Instant::now() < self.reusable_until
+        self.is_used() && self.sender.is_ready() && Instant::now() < self.reusable_until
     }
 
     /// Limits how long the connection may be reused.
@@ -134,7 +136,12 @@
 
     /// Whether the connection was used before, so that its end is no evidence about the target.
     pub(super) fn is_used(&self) -> bool {
-        self.was_used
+        self.used_at.is_some()
+    }
+
+    /// Returns how long the connection has rested since its last exchange; zero for a new one.
+    pub(super) fn rest(&self) -> Duration {
+        self.used_at.map_or(Duration::ZERO, |at| at.elapsed())
     }
 
     /// Sends a request and waits for the complete response; `on_head` gets its head as soon as that
@@ -168,7 +175,7 @@
             Ok(body) => body.to_bytes(),
             Err(e) => return Err(ExchangeError::Sent(e.to_string())),
         };
-        self.was_used = true;
+        self.used_at = Some(Instant::now());
         let buffered = BufferedResponse {
             status: head.status,
             headers: head.headers,
@@ -186,7 +193,7 @@
     tokens.any(|token| token.trim().eq_ignore_ascii_case("close"))
 }
 
-/// Classifies an error after the first byte was sent.
+/// Classifies an error between the first sent byte and the head of a response.
 fn exchange_error(error: &hyper::Error) -> ExchangeError {
     let source = error
         .source()
@@ -195,6 +202,12 @@
         Some(io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable) => {
             ExchangeError::Unreachable(error.to_string())
         }
+        Some(
+            io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::BrokenPipe,
+        ) => ExchangeError::Broken(error.to_string()),
+        _ if error.is_incomplete_message() => ExchangeError::Broken(error.to_string()),
         _ => ExchangeError::Sent(error.to_string()),
     }
 }
--- a/crates/edge/src/front/forward.rs
+++ b/crates/edge/src/front/forward.rs
@@ -219,9 +219,11 @@
                 Err(ExchangeError::NotSent(e) | ExchangeError::Refused(e)) => {
                     ForwardResult::NotRun(e)
                 }
-                Err(ExchangeError::Sent(e) | ExchangeError::Unreachable(e)) => {
-                    ForwardResult::Lost(e)
-                }
+                Err(
+                    ExchangeError::Sent(e)
+                    | ExchangeError::Broken(e)
+                    | ExchangeError::Unreachable(e),
+                ) => ForwardResult::Lost(e),
                 Err(ExchangeError::Rerouted) => ForwardResult::NotRun("rerouted".to_owned()),
             };
         }
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod forward;
 mod idle;
 mod idle_callers;
+mod idle_limit;
 mod lost_links;
 mod no_target;
 mod notices;
@@ -32,7 +33,9 @@
 };
 
 use dunlinrock_decide::{
-    admit::direct::{BodyBudget, FailureRate, LatencyEstimator, PriorityShedder, RetryBudget},
+    admit::direct::{
+        BodyBudget, FailureRate, IdleLimits, LatencyEstimator, PriorityShedder, RetryBudget,
+    },
     steer::hash,
 };
 use dunlinrock_node::wire::Client;
@@ -115,6 +118,8 @@
     latencies: RefCell<BTreeMap<Arc<str>, LatencyEstimator>>,
     /// Failure rate of the targets of each service.
     failure_rates: RefCell<BTreeMap<Arc<str>, FailureRate>>,
+    /// How long connections to the targets of each service may rest.
+    idle_limits: RefCell<IdleLimits>,
     /// Load shedding by priority, for each service.
     shedders: RefCell<BTreeMap<Arc<str>, PriorityShedder>>,
     /// Minimum time in which a connection to a target of a region was opened: an estimate of the
@@ -183,6 +188,7 @@
         retry_budgets: RefCell::default(),
         latencies: RefCell::default(),
         failure_rates: RefCell::default(),
+        idle_limits: RefCell::new(IdleLimits::open()),
         shedders: RefCell::default(),
         region_rtts: RefCell::default(),
         request_log: RequestLog::open(),
--- a/crates/edge/src/front/quarantine.rs
+++ b/crates/edge/src/front/quarantine.rs
@@ -153,10 +153,14 @@
             return handle.check_ended().await;
         };
         self.shared.meters.count("target_checks");
+        handle.record_check(false);
         for _ in 0..CHECKS {
             match self.open_connection(handle).await {
                 Ok(_) => return handle.confirm_alive(self.shared.now()),
-                Err(ExchangeError::Refused(_)) => break,
+                Err(ExchangeError::Refused(_)) => {
+                    handle.record_check(true);
+                    break;
+                }
                 Err(_) => {}
             }
         }
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -53,6 +53,8 @@
     runs: RefCell<TargetRuns>,
     /// Whether a check is in progress whether the target lives.
     is_checked: Cell<bool>,
+    /// Whether the last check was refused: no process listens at the target's address.
+    is_refused: Cell<bool>,
     /// Notifies those that wait for the end of the check.
     check_notify: Notify,
 }
@@ -71,6 +73,7 @@
             idle: RefCell::default(),
             runs: RefCell::default(),
             is_checked: Cell::new(false),
+            is_refused: Cell::new(false),
             check_notify: Notify::new(),
         }
     }
@@ -159,12 +162,26 @@
         self.check_notify.notified().await;
     }
 
-    /// Takes an idle connection that can be reused.
-    pub(super) fn take_idle(&self) -> Option<TargetConnection> {
+    /// Records whether a check was refused.
+    pub(super) fn record_check(&self, is_refused: bool) {
+        self.is_refused.set(is_refused);
+    }
+
+    /// Whether the last check was refused.
+    pub(super) fn is_refused(&self) -> bool {
+        self.is_refused.get()
+    }
+
+    /// Takes an idle connection that can be reused after the time that it has rested, and closes
+    /// those that cannot.
+    pub(super) fn take_idle(
+        &self,
+        mut allows: impl FnMut(Duration) -> bool,
+    ) -> Option<TargetConnection> {
         let mut idle = self.idle.borrow_mut();
         while let Some(idle_connection) = idle.pop() {
             let connection = idle_connection.take();
-            if connection.is_reusable() {
+            if connection.is_reusable() && allows(connection.rest()) {
                 return Some(connection);
             }
         }
