--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -17,6 +17,7 @@
 mod ranks;
 mod recent_hosts;
 mod retry_budget;
+mod shared_load;
 mod target_rate;
 
 pub use self::{
@@ -32,5 +33,6 @@
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryDecision, RetryLimits},
+    shared_load::{LoadCollector, LoadFigure, Reporter, SaidLoad, TargetLoad, ToldLoad},
     target_rate::{RateHosts, TargetRate},
 };
--- a/crates/edge/src/control/changes.rs
+++ b/crates/edge/src/control/changes.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use viz::{IntoResponse, RequestExt, Response, Router};
 
-use super::{quarantine, tokens};
+use super::{loads, quarantine, tokens};
 use crate::{
     host::Shared,
     model::{Fingerprint, Revision},
@@ -139,7 +139,8 @@
             let shared = Arc::clone(&dump_state);
             async move { Ok(dump(&shared)) }
         });
-    quarantine::routes(tokens::routes(router, shared), shared)
+    let router = loads::routes(tokens::routes(router, shared), shared);
+    quarantine::routes(router, shared)
 }
 
 /// Reads a message of another host; the error is the response to an unreadable one.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod deferred;
 mod follow;
+mod loads;
 mod quarantine;
 mod tokens;
 mod tree;
@@ -23,6 +24,7 @@
     tree::{FAN_OUT, STORE_READERS, TreePosition, tree_position},
 };
 pub(crate) use self::{
+    loads::{LoadError, report_loads},
     quarantine::{CONFIRMED_TTL, QuarantineChange, confirmed},
     tokens::{MAX_TOKEN_BYTES, ask_tokens},
 };
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod forward;
 mod idle;
 mod idle_callers;
+mod loads;
 mod lost_links;
 mod no_target;
 mod notices;
@@ -50,6 +51,7 @@
     forward::Forwarder,
     idle::ConnectionCounter,
     idle_callers::{ConnectionUsage, IdleTracker},
+    loads::LoadExchange,
     pipeline::Pipeline,
     quarantine::KnownQuarantine,
     request::CallerConnection,
@@ -129,6 +131,8 @@
     idle_callers: Rc<IdleTracker>,
     /// Tokens for requests of workspaces with a rate limit.
     tokens: RefCell<Tokens>,
+    /// Exchange of the targets' loads with other hosts.
+    loads: LoadExchange,
     /// Version of the configuration that `tokens` was last pruned for.
     pruned_version: Cell<u64>,
     /// HTTP client for calls to other hosts.
@@ -174,6 +178,7 @@
         idle_callers: Rc::default(),
         target_connections,
         tokens: RefCell::default(),
+        loads: LoadExchange::default(),
         pruned_version: Cell::new(0),
         client: Client::open_from(Some(shared.settings.listen.peers.ip()), MAX_TOKEN_BYTES),
         body_budget: RefCell::new(BodyBudget::open(shared.settings.memory)),
@@ -190,6 +195,7 @@
         open_callers: Cell::new(0),
         draining_since: Cell::new(None),
     });
+    tokio::task::spawn_local(loads::share(Rc::clone(&front)));
     let mut phase = front.shared.phase.subscribe();
     tokio::select! {
         () = accept::accept(&front, &listener) => {}
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -88,6 +88,8 @@
     slots: u32,
     /// Age of the load that the target reported.
     load_age: Duration,
+    /// How long work took at the target, as a multiple of the usual time.
+    pace: f64,
     /// Remaining time of the request.
     time_left: Duration,
     /// Number of the view's last change.
@@ -106,7 +108,7 @@
         log::info!(
             target: "request", event = "sent", id = id, route = &*self.route, workspace = self.workspace(), to = &*self.to,
             region = &*self.region, rank = self.rank, busy = self.busy, slots = self.slots,
-            load_age_ms = millis(self.load_age), left_ms = millis(self.time_left),
+            load_age_ms = millis(self.load_age), pace = self.pace, left_ms = millis(self.time_left),
             change = self.change, belief_age_ms = millis(self.belief_age),
             held_ms = millis(now.saturating_sub(self.at)); "sent"
         );
@@ -117,7 +119,7 @@
         log::info!(
             target: "request", event = "answered", id = id, route = &*self.route, workspace = self.workspace(), to = &*self.to,
             region = &*self.region, rank = self.rank, busy = self.busy, slots = self.slots,
-            load_age_ms = millis(self.load_age), left_ms = millis(self.time_left),
+            load_age_ms = millis(self.load_age), pace = self.pace, left_ms = millis(self.time_left),
             change = self.change, belief_age_ms = millis(self.belief_age),
             status = end.response.status().as_u16(), time_ms = millis(time); "answered"
         );
@@ -164,6 +166,7 @@
             busy: selected.busy,
             slots: handle.target.slots,
             load_age: handle.load_age(now),
+            pace: handle.pace(now),
             time_left: outbound.deadline.saturating_duration_since(Instant::now()),
             change: self.shared.view.load().change,
             belief_age: self.shared.age(),
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -11,7 +11,7 @@
 use dunlinrock_decide::{
     admit::{
         CrashedRun, RunTicket, TargetRuns,
-        direct::{ColdStartLimiter, Ejection, TargetRate},
+        direct::{ColdStartLimiter, Ejection, LoadFigure, TargetLoad, TargetRate, ToldLoad},
     },
     steer::hash,
 };
@@ -29,10 +29,6 @@
 /// the target an accept.
 const MAX_IDLE_PER_TARGET: usize = 12;
 
-/// Time over which a reported load decays to nothing. Runs take some hundred milliseconds, after
-/// which others have begun.
-const LOAD_DECAY_TIME: Duration = Duration::from_secs(1);
-
 /// State of one target as this host sees it.
 #[derive(Debug)]
 pub(super) struct TargetHandle {
@@ -46,8 +42,10 @@
     pub(super) down_notify: Notify,
     /// Requests of this host in flight at the target.
     in_flight: Cell<u32>,
-    /// Requests of other hosts in flight at the target, and when that was reported.
-    reported_load: Cell<(u32, Duration)>,
+    /// What the target and other hosts report of its load.
+    load: Cell<TargetLoad>,
+    /// Hash of the target's process, by which hosts report its load.
+    process_hash: u32,
     idle: RefCell<Vec<IdleConnection>>,
     /// Requests of this host that the target runs or has left without a response.
     runs: RefCell<TargetRuns>,
@@ -61,13 +59,14 @@
     fn open(target: Arc<Target>) -> TargetHandle {
         TargetHandle {
             id_hash: hash::hash_str(&target.id),
+            process_hash: target.process_hash(),
             target,
             ejection: RefCell::new(Ejection::open()),
             cold_limiter: RefCell::new(ColdStartLimiter::open()),
             rate: RefCell::new(TargetRate::open()),
             down_notify: Notify::new(),
             in_flight: Cell::new(0),
-            reported_load: Cell::new((0, Duration::ZERO)),
+            load: Cell::new(TargetLoad::open()),
             idle: RefCell::default(),
             runs: RefCell::default(),
             is_checked: Cell::new(false),
@@ -87,15 +86,18 @@
 
     /// Returns the estimated number of requests that the target runs or queues.
     pub(super) fn busy(&self, now: Duration) -> u32 {
-        let (reported_load, at) = self.reported_load.get();
-        let age = now.saturating_sub(at).as_secs_f64() / LOAD_DECAY_TIME.as_secs_f64();
-        let remaining = f64::from(reported_load) * (1.0 - age).max(0.0);
-        self.in_flight.get() + remaining.round() as u32
+        self.in_flight.get() + self.load.get().others(now)
+    }
+
+    /// Returns how long work takes at the target at the moment, as a multiple of the usual time;
+    /// 1.0 if that is unknown.
+    pub(super) fn pace(&self, now: Duration) -> f64 {
+        self.load.get().pace(now)
     }
 
     /// Returns the age of the load that the target reported last.
     pub(super) fn load_age(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.reported_load.get().1)
+        self.load.get().own_age(now)
     }
 
     /// Takes back a selection of the target: the request is not sent.
@@ -106,10 +108,23 @@
 
     /// Records the load that a response reports; the answered request still counts among this
     /// host's own.
-    pub(super) fn record_load(&self, load: ReportedLoad, now: Duration) {
+    pub(super) fn record_load(&self, reported: ReportedLoad, now: Duration) {
         let in_flight = self.in_flight.get().saturating_sub(1);
-        let reported_load = (load.running + load.waiting).saturating_sub(in_flight);
-        self.reported_load.set((reported_load, now));
+        let total = reported.running.saturating_add(reported.waiting);
+        let mut load = self.load.get();
+        load.record_own(total, reported.pace, in_flight, now);
+        self.load.set(load);
+    }
+
+    /// Returns what this host reports of the target to others: its requests in flight, and what the
+    /// target said after `since`; `None` if there is nothing to report.
+    fn load_figure(&self, since: Duration, now: Duration) -> Option<LoadFigure> {
+        let figure = LoadFigure {
+            target: self.process_hash,
+            in_flight: u16::try_from(self.in_flight.get()).unwrap_or(u16::MAX),
+            said: self.load.get().said_since(since, now),
+        };
+        (figure.in_flight > 0 || figure.said.is_some()).then_some(figure)
     }
 
     /// Counts a request as in flight until the guard is dropped.
@@ -268,6 +283,24 @@
         Rc::clone(handle)
     }
 
+    /// Returns what this host reports of the targets' loads, with what they said after `since`.
+    pub(super) fn load_figures(&self, since: Duration, now: Duration) -> Vec<LoadFigure> {
+        let handles = self.handles.borrow();
+        let figures = handles.values();
+        figures.filter_map(|h| h.load_figure(since, now)).collect()
+    }
+
+    /// Records what the collector told in its answer to a report sent at `sent`. It tells nothing of
+    /// targets that have room.
+    pub(super) fn record_told(&self, told: &[ToldLoad], sent: Duration) {
+        let told: BTreeMap<_, _> = told.iter().map(|told| (told.target, told)).collect();
+        for handle in self.handles.borrow().values() {
+            let mut load = handle.load.get();
+            load.record_told(told.get(&handle.process_hash).copied(), sent);
+            handle.load.set(load);
+        }
+    }
+
     /// Closes the idle connections to all targets.
     pub(super) fn close_idle(&self) {
         let handles = self.handles.borrow();
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -7,7 +7,9 @@
 };
 
 use arc_swap::ArcSwap;
-use dunlinrock_decide::admit::direct::{HostShare, OwnShare, RecentHosts, TokenGrant};
+use dunlinrock_decide::admit::direct::{
+    HostShare, LoadCollector, LoadFigure, OwnShare, RecentHosts, Reporter, TokenGrant, ToldLoad,
+};
 use dunlinrock_node::clock::Clock;
 use tokio::sync::{mpsc, watch};
 
@@ -79,6 +81,8 @@
     announced: Mutex<BTreeMap<u64, Revision>>,
     /// Tokens of the limit shares that this host owns.
     pub(crate) token_issuer: TokenIssuer,
+    /// Loads of targets that other hosts report to this one.
+    loads: Mutex<LoadCollector>,
     /// This host's links to the targets.
     pub links: Arc<Links>,
     /// What targets have said about themselves to this host.
@@ -132,6 +136,7 @@
             freshness: Freshness::default(),
             announced: Mutex::default(),
             token_issuer: TokenIssuer::open(),
+            loads: Mutex::new(LoadCollector::open()),
         });
         (shared, changes)
     }
@@ -266,6 +271,39 @@
         Ok(grants)
     }
 
+    /// Records a report of targets' loads, and returns what the host that reports its own requests
+    /// is told; nothing if the report is about a region.
+    pub(crate) fn collect_loads(
+        &self,
+        reporter: Reporter,
+        sent: Duration,
+        figures: &[LoadFigure],
+    ) -> Vec<ToldLoad> {
+        let (view, now) = (self.view.load(), self.now());
+        let mut loads = self.loads();
+        if !loads.record(reporter, sent, figures, now) {
+            self.meters.count("loads_late");
+        }
+        if reporter.region.is_some() {
+            return Vec::new();
+        }
+        let targets = view.services.values().flatten();
+        let targets = targets.map(|known| (known.target.process_hash(), known.target.slots));
+        loads.answer(reporter.host, targets, now)
+    }
+
+    /// Returns the sums of this region's loads, and what its targets said after `since`.
+    pub(crate) fn region_loads(&self, since: Duration) -> Vec<LoadFigure> {
+        let (mut loads, now) = (self.loads(), self.now());
+        self.meters
+            .gauge("loads_reporters", loads.reporters(now) as u64);
+        loads.region_figures(since, now)
+    }
+
+    fn loads(&self) -> MutexGuard<'_, LoadCollector> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies the reloadable settings of a newly read file.
     pub fn reload(&self, settings: Settings) {
         let fixed = self.settings.restart_changes(&settings).join(",");
--- a/crates/edge/src/limits/owners.rs
+++ b/crates/edge/src/limits/owners.rs
@@ -2,6 +2,7 @@
 //! share's region, chosen by hash, so that all hosts with the same list agree.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
@@ -115,6 +116,28 @@
         owner_of(members, workspace, now).map(|m| &m.entry)
     }
 
+    /// Returns the limit share of a host.
+    pub fn share_of(&self, me: &str) -> Option<&Arc<str>> {
+        let is_in = |members: &[Member]| members.iter().any(|m| &*m.entry.name == me);
+        let mut shares = self.shares.iter();
+        shares.find(|(_, m)| is_in(m)).map(|(share, _)| share)
+    }
+
+    /// Returns the hosts of a limit share that may do a duty for it, in the order in which they take
+    /// it over; the first is the one that [`LimitOwners::owner`] names.
+    pub fn ranking(&self, share: &str, duty: &str, now: Duration) -> Vec<&Arc<HostEntry>> {
+        let members = self.shares.get(share).map_or(&[][..], Vec::as_slice);
+        let mut able: Vec<_> = able(members, now).collect();
+        let duty = hash_str(duty);
+        able.sort_by_key(|m| Reverse(mix64(m.name_hash ^ duty)));
+        able.into_iter().map(|m| &m.entry).collect()
+    }
+
+    /// Returns the number of hosts of a limit share.
+    pub fn share_size(&self, share: &str) -> usize {
+        self.shares.get(share).map_or(0, Vec::len)
+    }
+
     /// Whether a host owns a limit share for a workspace.
     pub fn is_owner(&self, me: &str, workspace: &str, now: Duration) -> bool {
         self.owned(me, workspace, now).is_some()
@@ -168,15 +191,18 @@
     }
 }
 
-/// Returns the owner of a share for a workspace: one of the hosts with at least half of the
-/// greatest processor power, since each request may ask it.
+/// Returns the owner of a share for a workspace.
 fn owner_of<'a>(members: &'a [Member], workspace: &str, now: Duration) -> Option<&'a Member> {
-    let settled = || members.iter().filter(|m| m.is_settled(now));
-    let max_power = settled().map(|m| m.entry.power).max()?;
     let workspace = hash_str(workspace);
-    settled()
-        .filter(|m| m.entry.power.saturating_mul(2) >= max_power)
-        .max_by_key(|m| mix64(m.name_hash ^ workspace))
+    able(members, now).max_by_key(|m| mix64(m.name_hash ^ workspace))
+}
+
+/// Returns the settled hosts with at least half of the greatest processor power: each request may
+/// ask the owner.
+fn able(members: &[Member], now: Duration) -> impl Iterator<Item = &Member> {
+    let settled = move || members.iter().filter(move |m| m.is_settled(now));
+    let max_power = settled().map(|m| m.entry.power).max().unwrap_or_default();
+    settled().filter(move |m| m.entry.power.saturating_mul(2) >= max_power)
 }
 
 fn is_mass_join(members: &[Member], now: Duration) -> bool {
--- a/crates/edge/src/model/item.rs
+++ b/crates/edge/src/model/item.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use dunlinrock_decide::steer::hash::{hash_str, mix64};
 use serde::{Deserialize, Serialize};
 
 use super::{Config, Revision};
@@ -84,6 +85,13 @@
     pub born: u64,
 }
 
+impl Target {
+    /// Returns a hash of the target's process, the same on every host.
+    pub fn process_hash(&self) -> u32 {
+        mix64(hash_str(&self.id) ^ mix64(self.born)) as u32
+    }
+}
+
 /// A request in quarantine, as one host announces it to all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -1,6 +1,6 @@
 //! Settings of an edge host, checked; all mistakes are reported together.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
 
 use anyhow::bail;
 use dunlinrock_decide::admit::direct::{
@@ -25,6 +25,11 @@
 /// store is up to a second old; with less than this the host would refuse callers all the time.
 const MIN_REVOKE: Duration = Duration::from_secs(2);
 
+/// Intervals at which loads may be shared. A shorter one costs hosts more than it tells them; with a
+/// longer one, what is told has decayed before the next report.
+const LOAD_PERIODS: RangeInclusive<Duration> =
+    Duration::from_millis(100)..=Duration::from_millis(500);
+
 /// Listen addresses of a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listen {
@@ -60,6 +65,8 @@
     /// Tolerances of workspaces' rate limits, over all hosts; the rates come from the
     /// configuration.
     pub limit: RateLimitConfig,
+    /// Interval at which hosts share what they know of the load of targets; `None` if they do not.
+    pub load_period: Option<Duration>,
 }
 
 /// Checked settings of a host.
@@ -122,6 +129,7 @@
         },
         revoke: revoke(&bounds, &mut check),
         limit: limit(&bounds, &mut check),
+        load_period: load_period(&bounds, &mut check),
     };
     let limits = raw.limits.unwrap_or_default();
     let descriptors = check.descriptors(limits.descriptors);
@@ -207,6 +215,15 @@
     rules
 }
 
+fn load_period(bounds: &EdgeBounds, check: &mut Check) -> Option<Duration> {
+    let text = bounds.load_period.as_deref()?;
+    let period = check.duration("bounds.load_period", Some(text), text);
+    if !LOAD_PERIODS.contains(&period) {
+        check.report("bounds.load_period", text, "give 100ms to 500ms");
+    }
+    Some(period)
+}
+
 /// Mistakes found in one file.
 #[derive(Debug, Default)]
 struct Check {
