--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -116,6 +116,12 @@
         self.load.set(load);
     }
 
+    fn record_told(&self, told: &BTreeMap<u32, ToldLoad>, sent: Duration) {
+        let mut load = self.load.get();
+        load.record_told(told.get(&self.process_hash), sent);
+        self.load.set(load);
+    }
+
     /// Returns what this host reports of the target to others: its requests in flight, and what the
     /// target said after `since`; `None` if there is nothing to report.
     fn load_figure(&self, since: Duration, now: Duration) -> Option<LoadFigure> {
@@ -260,6 +266,8 @@
 #[derive(Debug, Default)]
 pub(super) struct TargetTable {
     handles: RefCell<BTreeMap<Arc<str>, Rc<TargetHandle>>>,
+    /// What the collector told last, by target, and when it was asked.
+    told: RefCell<(BTreeMap<u32, ToldLoad>, Duration)>,
     /// Last change of the view that the handles were pruned for.
     change: Cell<u64>,
 }
@@ -274,15 +282,22 @@
         let mut handles = self.handles.borrow_mut();
         let handle = handles
             .entry(Arc::clone(&target.id))
-            .or_insert_with(|| Rc::new(TargetHandle::open(Arc::clone(target))));
+            .or_insert_with(|| self.open_handle(target));
         if !handle.matches(target) {
-            let old = std::mem::replace(handle, Rc::new(TargetHandle::open(Arc::clone(target))));
+            let old = std::mem::replace(handle, self.open_handle(target));
             old.close_idle();
             old.down_notify.notify_waiters();
         }
         Rc::clone(handle)
     }
 
+    fn open_handle(&self, target: &Arc<Target>) -> Rc<TargetHandle> {
+        let handle = TargetHandle::open(Arc::clone(target));
+        let (told, sent) = &*self.told.borrow();
+        handle.record_told(told, *sent);
+        Rc::new(handle)
+    }
+
     /// Returns what this host reports of the targets' loads, with what they said after `since`.
     pub(super) fn load_figures(&self, since: Duration, now: Duration) -> Vec<LoadFigure> {
         let handles = self.handles.borrow();
@@ -293,12 +308,11 @@
     /// Records what the collector told in its answer to a report sent at `sent`. It tells nothing of
     /// targets that have room.
     pub(super) fn record_told(&self, told: &[ToldLoad], sent: Duration) {
-        let told: BTreeMap<_, _> = told.iter().map(|told| (told.target, told)).collect();
+        let told: BTreeMap<_, _> = told.iter().map(|told| (told.target, *told)).collect();
         for handle in self.handles.borrow().values() {
-            let mut load = handle.load.get();
-            load.record_told(told.get(&handle.process_hash).copied(), sent);
-            handle.load.set(load);
+            handle.record_told(&told, sent);
         }
+        self.told.replace((told, sent));
     }
 
     /// Closes the idle connections to all targets.
--- a/crates/edge/src/host/shared.rs
+++ b/crates/edge/src/host/shared.rs
@@ -295,8 +295,8 @@
     /// Returns the sums of this region's loads, and what its targets said after `since`.
     pub(crate) fn region_loads(&self, since: Duration) -> Vec<LoadFigure> {
         let (mut loads, now) = (self.loads(), self.now());
-        self.meters
-            .gauge("loads_reporters", loads.reporters(now) as u64);
+        let (meters, reporters) = (&self.meters, loads.reporters(now));
+        meters.gauge("loads_reporters", reporters as u64);
         loads.region_figures(since, now)
     }
 
