--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -17,6 +17,8 @@
 mod ranks;
 mod recent_hosts;
 mod retry_budget;
+mod run_times;
+mod second_send;
 mod target_rate;
 
 pub use self::{
@@ -32,5 +34,7 @@
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryDecision, RetryLimits},
+    run_times::RunTimes,
+    second_send::{LostSends, SecondTarget},
     target_rate::{RateHosts, TargetRate},
 };
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -122,6 +122,8 @@
                 evidence = Some(Evidence::Bad);
             }
             self.record_time(&route.name, time, selected);
+            self.record_run(&route.name, time, selected);
+            handle.lost.borrow_mut().record_answer();
             self.record_success(outbound.fingerprint);
             self.shared
                 .notices
@@ -414,7 +416,11 @@
         rates.get(service).is_some_and(FailureRate::is_high)
     }
 
-    fn record_evidence(self: &Rc<Front>, handle: &Rc<TargetHandle>, evidence: Option<Evidence>) {
+    pub(super) fn record_evidence(
+        self: &Rc<Front>,
+        handle: &Rc<TargetHandle>,
+        evidence: Option<Evidence>,
+    ) {
         let mut ejection = handle.ejection.borrow_mut();
         // Failures over lost links say nothing about the target.
         let evidence = evidence.filter(|e| *e == Evidence::Good || !self.shared.links.is_lost());
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -3,10 +3,12 @@
 mod accept;
 mod access;
 mod admit;
+mod ask;
 mod attempt;
 mod caller_stream;
 mod connection;
 mod forward;
+mod homes;
 mod idle;
 mod idle_callers;
 mod lost_links;
@@ -17,6 +19,7 @@
 mod request;
 mod request_log;
 mod response;
+mod second_send;
 mod select;
 mod targets;
 mod tokens;
@@ -48,6 +51,7 @@
 pub use self::caller_stream::CallerStream;
 use self::{
     forward::Forwarder,
+    homes::RouteRuns,
     idle::ConnectionCounter,
     idle_callers::{ConnectionUsage, IdleTracker},
     pipeline::Pipeline,
@@ -113,6 +117,8 @@
     targets: TargetTable,
     retry_budgets: RefCell<BTreeMap<Arc<str>, RetryBudget>>,
     latencies: RefCell<BTreeMap<Arc<str>, LatencyEstimator>>,
+    /// Runs of each route whose targets report how fast they are.
+    route_runs: RefCell<BTreeMap<Arc<str>, RouteRuns>>,
     /// Failure rate of the targets of each service.
     failure_rates: RefCell<BTreeMap<Arc<str>, FailureRate>>,
     /// Load shedding by priority, for each service.
@@ -182,6 +188,7 @@
         shared,
         retry_budgets: RefCell::default(),
         latencies: RefCell::default(),
+        route_runs: RefCell::default(),
         failure_rates: RefCell::default(),
         shedders: RefCell::default(),
         region_rtts: RefCell::default(),
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -371,13 +371,15 @@
             self.note_first_attempt(service);
         }
         let origin = outbound.forwarded.as_ref().map(|f| &f.region);
+        let excluded = state.excluded.clone();
         let criteria = Criteria {
             service,
             affinity_hash: hash,
+            draw: rand::random(),
             region: origin.unwrap_or(&self.shared.settings.region),
-            excluded: &state.excluded,
+            excluded: &excluded,
         };
-        let selected = match self.select_target(view, access, &criteria) {
+        let selected = match self.select_asking(view, access, &criteria).await {
             Ok(selected) => selected,
             // None was reached so far: the check may find that the links are lost.
             Err(NoTarget::Absent) if state.delivered == 0 && self.finds_loss(state).await => {
@@ -397,7 +399,9 @@
             }
         }
         state.set_spent(true);
-        let result = self.attempt(access, &selected, outbound).await;
+        let (selected, result) = self
+            .attempt_twice(access, &criteria, selected, outbound, state)
+            .await;
         let may_have_run = !matches!(
             result,
             AttemptResult::Rerouted | AttemptResult::NotSent(_) | AttemptResult::NotRun(_)
@@ -407,7 +411,7 @@
     }
 
     /// Updates the state after an attempt, and returns the result if the request is complete.
-    fn after_attempt(
+    pub(super) fn after_attempt(
         &self,
         access: &Access,
         selected: &SelectedTarget,
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -86,6 +86,8 @@
     /// Requests that the target had, as far as was known.
     busy: u32,
     slots: u32,
+    /// Time that work took at the target, as a multiple of the usual.
+    pace: f64,
     /// Age of the load that the target reported.
     load_age: Duration,
     /// Remaining time of the request.
@@ -105,7 +107,7 @@
     fn log(&self, id: &str, now: Duration) {
         log::info!(
             target: "request", event = "sent", id = id, route = &*self.route, workspace = self.workspace(), to = &*self.to,
-            region = &*self.region, rank = self.rank, busy = self.busy, slots = self.slots,
+            region = &*self.region, rank = self.rank, busy = self.busy, slots = self.slots, pace = (self.pace * 100.0).round() / 100.0,
             load_age_ms = millis(self.load_age), left_ms = millis(self.time_left),
             change = self.change, belief_age_ms = millis(self.belief_age),
             held_ms = millis(now.saturating_sub(self.at)); "sent"
@@ -116,7 +118,7 @@
     fn log_answered(&self, id: &str, end: &RequestEnd, time: Duration) {
         log::info!(
             target: "request", event = "answered", id = id, route = &*self.route, workspace = self.workspace(), to = &*self.to,
-            region = &*self.region, rank = self.rank, busy = self.busy, slots = self.slots,
+            region = &*self.region, rank = self.rank, busy = self.busy, slots = self.slots, pace = (self.pace * 100.0).round() / 100.0,
             load_age_ms = millis(self.load_age), left_ms = millis(self.time_left),
             change = self.change, belief_age_ms = millis(self.belief_age),
             status = end.response.status().as_u16(), time_ms = millis(time); "answered"
@@ -163,6 +165,7 @@
             rank: selected.rank,
             busy: selected.busy,
             slots: handle.target.slots,
+            pace: selected.pace,
             load_age: handle.load_age(now),
             time_left: outbound.deadline.saturating_duration_since(Instant::now()),
             change: self.shared.view.load().change,
@@ -330,7 +333,7 @@
         decision
     }
 
-    fn budget(&self, service: &Arc<str>) -> RefMut<'_, RetryBudget> {
+    pub(super) fn budget(&self, service: &Arc<str>) -> RefMut<'_, RetryBudget> {
         RefMut::map(self.retry_budgets.borrow_mut(), |retry_budgets| {
             let budget = retry_budgets.entry(Arc::clone(service));
             budget.or_insert_with(RetryBudget::open)
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -31,15 +31,33 @@
     pub(super) rank: usize,
     /// Estimated number of requests that the target ran or queued when it was selected.
     pub(super) busy: u32,
+    /// Time that work took there, as a multiple of the usual, when it was selected.
+    pub(super) pace: f64,
+    /// Whether the target started recently or had no requests for a while.
+    pub(super) is_cold: bool,
     /// Number of the last change in the view that the selection used.
     pub(super) change: u64,
 }
 
+impl SelectedTarget {
+    /// Returns a selection of the same target once more, in the view of this change.
+    pub(super) fn again(&self, change: u64) -> SelectedTarget {
+        SelectedTarget {
+            handle: Rc::clone(&self.handle),
+            region: Arc::clone(&self.region),
+            change,
+            ..*self
+        }
+    }
+}
+
 /// What a target is selected for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Criteria<'a> {
     pub(super) service: &'a Arc<str>,
     pub(super) affinity_hash: u64,
+    /// Drawn uniformly in 0 to 1, once for each request.
+    pub(super) draw: f64,
     /// Region whose targets are preferred.
     pub(super) region: &'a Arc<str>,
     /// Targets that are left out.
@@ -82,6 +100,7 @@
         let Criteria {
             service,
             affinity_hash,
+            draw,
             region,
             excluded,
         } = *criteria;
@@ -108,7 +127,15 @@
         } else {
             rand::random()
         };
-        while let Some(Choice { index, rank }) = pick(route, hash, &candidates, &rate_limited) {
+        let paces: Vec<_> = handles.iter().map(|handle| handle.pace(now)).collect();
+        let has_homes = route.sticky && handles.iter().any(|handle| handle.reports_pace());
+        let pick = |candidates: &[Candidate], rate_limited: &[usize]| match has_homes {
+            true => self
+                .pick_home(route, (hash, draw), candidates, &paces)
+                .filter(|choice| !rate_limited.contains(&choice.index)),
+            false => pick(route, hash, candidates, rate_limited),
+        };
+        while let Some(Choice { index, rank }) = pick(&candidates, &rate_limited) {
             if !self.admits_rate(view, &handles[index], now) {
                 is_limited = true;
                 rate_limited.push(index);
@@ -130,6 +157,8 @@
                 region: Arc::clone(&known[index].region),
                 rank,
                 busy,
+                pace: paces[index],
+                is_cold: cold,
                 change: view.change,
             });
         }
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -11,7 +11,7 @@
 use dunlinrock_decide::{
     admit::{
         CrashedRun, RunTicket, TargetRuns,
-        direct::{ColdStartLimiter, Ejection, TargetRate},
+        direct::{ColdStartLimiter, Ejection, LostSends, TargetRate},
     },
     steer::hash,
 };
@@ -33,6 +33,12 @@
 /// which others have begun.
 const LOAD_DECAY_TIME: Duration = Duration::from_secs(1);
 
+/// Time over which a reported pace decays to the usual one.
+const PACE_DECAY_TIME: Duration = Duration::from_millis(600);
+
+/// Pace in percent at which work takes its usual time.
+const USUAL_PACE: f64 = 100.0;
+
 /// State of one target as this host sees it.
 #[derive(Debug)]
 pub(super) struct TargetHandle {
@@ -40,6 +46,8 @@
     pub(super) id_hash: u64,
     pub(super) ejection: RefCell<Ejection>,
     pub(super) cold_limiter: RefCell<ColdStartLimiter>,
+    /// Sends that were cancelled for second sends that answered.
+    pub(super) lost: RefCell<LostSends>,
     /// Rate that the target names for all hosts together.
     pub(super) rate: RefCell<TargetRate>,
     /// Notifies requests in flight at the target that it is down.
@@ -48,6 +56,9 @@
     in_flight: Cell<u32>,
     /// Requests of other hosts in flight at the target, and when that was reported.
     reported_load: Cell<(u32, Duration)>,
+    /// Time that work takes as a multiple of the usual, and when the target reported it; `None` if
+    /// it never did.
+    reported_pace: Cell<Option<(f64, Duration)>>,
     idle: RefCell<Vec<IdleConnection>>,
     /// Requests of this host that the target runs or has left without a response.
     runs: RefCell<TargetRuns>,
@@ -64,10 +75,12 @@
             target,
             ejection: RefCell::new(Ejection::open()),
             cold_limiter: RefCell::new(ColdStartLimiter::open()),
+            lost: RefCell::default(),
             rate: RefCell::new(TargetRate::open()),
             down_notify: Notify::new(),
             in_flight: Cell::new(0),
             reported_load: Cell::new((0, Duration::ZERO)),
+            reported_pace: Cell::new(None),
             idle: RefCell::default(),
             runs: RefCell::default(),
             is_checked: Cell::new(false),
@@ -108,8 +121,44 @@
     /// host's own.
     pub(super) fn record_load(&self, load: ReportedLoad, now: Duration) {
         let in_flight = self.in_flight.get().saturating_sub(1);
+        self.record_load_beside(load, in_flight, now);
+    }
+
+    /// Records the load that the answer to a question reports, which counts none of this host's
+    /// requests more than those in flight.
+    pub(super) fn record_load_at_rest(&self, load: ReportedLoad, now: Duration) {
+        self.record_load_beside(load, self.in_flight.get(), now);
+    }
+
+    /// Records a reported load, in which this many requests of this host count.
+    fn record_load_beside(&self, load: ReportedLoad, in_flight: u32, now: Duration) {
         let reported_load = (load.running + load.waiting).saturating_sub(in_flight);
         self.reported_load.set((reported_load, now));
+        if let Some(percent) = load.pace {
+            let pace = f64::from(percent) / USUAL_PACE;
+            self.reported_pace.set(Some((pace, now)));
+        }
+    }
+
+    /// Returns the estimated time that work takes at the target now, as a multiple of the usual;
+    /// 1.0 while it is unknown.
+    pub(super) fn pace(&self, now: Duration) -> f64 {
+        let Some((pace, at)) = self.reported_pace.get() else {
+            return 1.0;
+        };
+        let age = now.saturating_sub(at).div_duration_f64(PACE_DECAY_TIME);
+        1.0 + (pace - 1.0) * (1.0 - age).max(0.0)
+    }
+
+    /// Returns the time since the target last reported its pace; `None` if it never did.
+    pub(super) fn pace_age(&self, now: Duration) -> Option<Duration> {
+        let (_, at) = self.reported_pace.get()?;
+        Some(now.saturating_sub(at))
+    }
+
+    /// Whether the target has ever reported its pace.
+    pub(super) fn reports_pace(&self) -> bool {
+        self.reported_pace.get().is_some()
     }
 
     /// Counts a request as in flight until the guard is dropped.
--- a/crates/steer/src/affinity/mod.rs
+++ b/crates/steer/src/affinity/mod.rs
@@ -27,6 +27,14 @@
 //! assert_ne!(choose_affine(7, &both, &config).unwrap().index, index);
 //! ```
 
+mod ask;
+mod homes;
+
+pub use self::{
+    ask::Question,
+    homes::{Home, SecondHome, choose_between},
+};
+
 use crate::hash::{mix64, score};
 
 /// Number of candidates drawn for a request that may go to any target. With two, both are busy one
@@ -131,6 +139,34 @@
     any_candidate(object, candidates)
 }
 
+/// Chooses between an object's two homes, the first two targets of its ranking, by what the host
+/// knows of them: see [`choose_between`]. Returns `None` if there is no candidate.
+///
+/// `paces` holds the time that work takes at each candidate now, as a multiple of the usual;
+/// `objective` is the route's latency objective in usual runs; `draw` is uniform in 0 to 1.
+pub fn choose_home(
+    object: u64,
+    candidates: &[Candidate],
+    paces: &[f64],
+    (seen, objective, draw): (&SecondHome, f64, f64),
+    config: &AffinityConfig,
+) -> Option<Choice> {
+    let ranked = rank(object, candidates, config);
+    let home = |index: usize| Home {
+        slots: candidates[index].slots,
+        busy: candidates[index].busy,
+        pace: paces[index],
+        way: candidates[index].rtt_ratio * objective,
+    };
+    let rank = match &*ranked {
+        [] => return any_candidate(object, candidates),
+        [_] => 0,
+        [(_, first), (_, second), ..] => choose_between(&home(*first), &home(*second), seen, draw),
+    };
+    let index = ranked[rank].1;
+    Some(Choice { index, rank })
+}
+
 /// Chooses the least loaded of a few targets, for a request that gains nothing from affinity.
 /// Returns `None` if there is no candidate.
 ///
