--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -18,6 +18,8 @@
 mod ranks;
 mod recent_hosts;
 mod retry_budget;
+mod run_times;
+mod second_send;
 mod shared_load;
 mod target_rate;
 
@@ -35,6 +37,8 @@
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryDecision, RetryLimits},
+    run_times::RunTimes,
+    second_send::{LostSends, SecondTarget},
     shared_load::{LoadCollector, LoadFigure, Reporter, SaidLoad, TargetLoad, ToldLoad},
     target_rate::{RateHosts, TargetRate},
 };
--- a/crates/admit/src/direct/shared_load/target_load.rs
+++ b/crates/admit/src/direct/shared_load/target_load.rs
@@ -113,6 +113,11 @@
         said.map_or(1.0, |said| said.pace_factor())
     }
 
+    /// Returns the age of the pace; `None` if the target never reported one.
+    pub fn pace_age(&self, now: Duration) -> Option<Duration> {
+        self.pace.map(|pace| pace.age(now))
+    }
+
     /// Returns the age of the last response to this host that reported a load; its age from the
     /// start of the clock if there was none.
     pub fn own_age(&self, now: Duration) -> Duration {
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -3,10 +3,12 @@
 mod accept;
 mod access;
 mod admit;
+mod ask;
 mod attempt;
 mod caller_stream;
 mod connection;
 mod forward;
+mod homes;
 mod idle;
 mod idle_callers;
 mod idle_limit;
@@ -19,6 +21,7 @@
 mod request;
 mod request_log;
 mod response;
+mod second_send;
 mod select;
 mod targets;
 mod tokens;
@@ -52,6 +55,7 @@
 pub use self::caller_stream::CallerStream;
 use self::{
     forward::Forwarder,
+    homes::RouteRuns,
     idle::ConnectionCounter,
     idle_callers::{ConnectionUsage, IdleTracker},
     loads::LoadExchange,
@@ -118,6 +122,8 @@
     targets: TargetTable,
     retry_budgets: RefCell<BTreeMap<Arc<str>, RetryBudget>>,
     latencies: RefCell<BTreeMap<Arc<str>, LatencyEstimator>>,
+    /// Runs of each route whose targets report how fast they are.
+    route_runs: RefCell<BTreeMap<Arc<str>, RouteRuns>>,
     /// Failure rate of the targets of each service.
     failure_rates: RefCell<BTreeMap<Arc<str>, FailureRate>>,
     /// How long connections to the targets of each service may rest.
@@ -192,6 +198,7 @@
         shared,
         retry_budgets: RefCell::default(),
         latencies: RefCell::default(),
+        route_runs: RefCell::default(),
         failure_rates: RefCell::default(),
         idle_limits: RefCell::new(IdleLimits::open()),
         shedders: RefCell::default(),
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -11,7 +11,9 @@
 use dunlinrock_decide::{
     admit::{
         CrashedRun, RunTicket, TargetRuns,
-        direct::{ColdStartLimiter, Ejection, LoadFigure, TargetLoad, TargetRate, ToldLoad},
+        direct::{
+            ColdStartLimiter, Ejection, LoadFigure, LostSends, TargetLoad, TargetRate, ToldLoad,
+        },
     },
     steer::hash,
 };
@@ -36,6 +38,8 @@
     pub(super) id_hash: u64,
     pub(super) ejection: RefCell<Ejection>,
     pub(super) cold_limiter: RefCell<ColdStartLimiter>,
+    /// Sends that were cancelled for second sends that answered.
+    pub(super) lost: RefCell<LostSends>,
     /// Rate that the target names for all hosts together.
     pub(super) rate: RefCell<TargetRate>,
     /// Notifies requests in flight at the target that it is down.
@@ -65,6 +69,7 @@
             target,
             ejection: RefCell::new(Ejection::open()),
             cold_limiter: RefCell::new(ColdStartLimiter::open()),
+            lost: RefCell::default(),
             rate: RefCell::new(TargetRate::open()),
             down_notify: Notify::new(),
             in_flight: Cell::new(0),
@@ -98,6 +103,16 @@
         self.load.get().pace(now)
     }
 
+    /// Returns the time since the target last reported its pace; `None` if it never did.
+    pub(super) fn pace_age(&self, now: Duration) -> Option<Duration> {
+        self.load.get().pace_age(now)
+    }
+
+    /// Whether the target has ever reported its pace.
+    pub(super) fn reports_pace(&self) -> bool {
+        self.pace_age(Duration::ZERO).is_some()
+    }
+
     /// Returns the age of the load that the target reported last.
     pub(super) fn load_age(&self, now: Duration) -> Duration {
         self.load.get().own_age(now)
@@ -113,6 +128,17 @@
     /// host's own.
     pub(super) fn record_load(&self, reported: ReportedLoad, now: Duration) {
         let in_flight = self.in_flight.get().saturating_sub(1);
+        self.record_load_beside(reported, in_flight, now);
+    }
+
+    /// Records the load that the answer to a question reports, which counts none of this host's
+    /// requests more than those in flight.
+    pub(super) fn record_load_at_rest(&self, reported: ReportedLoad, now: Duration) {
+        self.record_load_beside(reported, self.in_flight.get(), now);
+    }
+
+    /// Records a reported load, in which this many requests of this host count.
+    fn record_load_beside(&self, reported: ReportedLoad, in_flight: u32, now: Duration) {
         let total = reported.running.saturating_add(reported.waiting);
         let mut load = self.load.get();
         load.record_own(total, reported.pace, in_flight, now);
