--- a/crates/admit/src/direct/cold_start.rs
+++ b/crates/admit/src/direct/cold_start.rs
@@ -34,8 +34,17 @@
     /// not be enough: the first requests of all hosts could still arrive in the same second, when
     /// the target is coldest.
     pub fn host_rate(&self, me: u64, hosts: &[u64], target: u64) -> u32 {
-        let limit = ((self.rate * self.factor + self.slack) * UTILIZATION).max(1.0) as usize;
-        share_of(limit, me, hosts, target)
+        share_of(self.limit(), me, hosts, target)
+    }
+
+    /// Returns the fraction of the hosts that may send to a cold target at all.
+    pub fn senders(&self, hosts: usize) -> f64 {
+        (self.limit() as f64 / hosts.max(1) as f64).min(1.0)
+    }
+
+    /// Returns the requests per window that all hosts together send.
+    fn limit(&self) -> usize {
+        ((self.rate * self.factor + self.slack) * UTILIZATION).max(1.0) as usize
     }
 }
 
@@ -55,7 +64,7 @@
 }
 
 /// Mixes a pair of hashes into 64 bits (the finalizer of `SplitMix64`).
-fn mix(a: u64, b: u64) -> u64 {
+pub(super) fn mix(a: u64, b: u64) -> u64 {
     let mut n = (a ^ b.rotate_left(32)).wrapping_add(0x9e37_79b9_7f4a_7c15);
     n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -17,6 +17,8 @@
 mod ranks;
 mod recent_hosts;
 mod retry_budget;
+mod start_pace;
+mod start_paces;
 mod target_rate;
 
 pub use self::{
@@ -32,5 +34,7 @@
     ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryDecision, RetryLimits},
+    start_pace::{Start, StartPace, StartResult, least_chance, place},
+    start_paces::{BegunRamp, ListedTarget, StartEvidence, StartPaces},
     target_rate::{RateHosts, TargetRate},
 };
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -361,6 +361,7 @@
         let load = (dialect.parse_load)(&response.headers);
         if let Some(load) = load {
             handle.record_load(load, self.shared.now());
+            self.record_start_load(handle, load);
         }
         let status = response.status;
         if response.headers.contains_key(&dialect.not_run)
@@ -425,10 +426,18 @@
         let mut rates = self.failure_rates.borrow_mut();
         let rate = rates.entry(Arc::clone(&handle.target.service)).or_default();
         rate.record(evidence);
+        let was_ejected = ejection.is_ejected();
         let is_new = ejection.on_end(evidence, *rate, self.shared.now());
+        let is_common = rate.is_high();
         drop(rates);
-        let is_down = ejection.is_down();
+        let (is_down, is_ejected) = (ejection.is_down(), ejection.is_ejected());
         drop(ejection);
+        self.record_start_result(handle, evidence, is_common);
+        match (was_ejected, is_ejected) {
+            (true, false) => self.ramp_recovered(&handle.target.id, self.shared.now()),
+            (false, true) => self.record_start_failure(&handle.target.id),
+            _ => {}
+        }
         if is_down && evidence == Evidence::Down {
             let (front, handle) = (Rc::clone(self), Rc::clone(handle));
             tokio::task::spawn_local(async move {
--- a/crates/edge/src/front/lost_links.rs
+++ b/crates/edge/src/front/lost_links.rs
@@ -27,7 +27,9 @@
         match (self.was_lost.replace(is_lost), is_lost) {
             (false, true) => self.targets.close_idle(),
             (true, false) => {
-                self.targets.forget_unreachable();
+                for id in self.targets.forget_unreachable() {
+                    self.ramp_recovered(&id, self.shared.now());
+                }
                 self.forwarder.clear();
             }
             _ => {}
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -18,6 +18,7 @@
 mod request_log;
 mod response;
 mod select;
+mod start_ramp;
 mod targets;
 mod tokens;
 
@@ -32,7 +33,9 @@
 };
 
 use dunlinrock_decide::{
-    admit::direct::{BodyBudget, FailureRate, LatencyEstimator, PriorityShedder, RetryBudget},
+    admit::direct::{
+        BodyBudget, FailureRate, LatencyEstimator, PriorityShedder, RetryBudget, StartPaces,
+    },
     steer::hash,
 };
 use dunlinrock_node::wire::Client;
@@ -115,6 +118,10 @@
     latencies: RefCell<BTreeMap<Arc<str>, LatencyEstimator>>,
     /// Failure rate of the targets of each service.
     failure_rates: RefCell<BTreeMap<Arc<str>, FailureRate>>,
+    /// Ramps of the targets that have started or recovered.
+    start_paces: RefCell<StartPaces>,
+    /// Last change of the view that `start_paces` has seen.
+    paced_change: Cell<u64>,
     /// Load shedding by priority, for each service.
     shedders: RefCell<BTreeMap<Arc<str>, PriorityShedder>>,
     /// Minimum time in which a connection to a target of a region was opened: an estimate of the
@@ -184,6 +191,8 @@
         latencies: RefCell::default(),
         failure_rates: RefCell::default(),
         shedders: RefCell::default(),
+        start_paces: RefCell::new(StartPaces::open()),
+        paced_change: Cell::new(0),
         region_rtts: RefCell::default(),
         request_log: RequestLog::open(),
         running: Cell::new(0),
--- a/crates/edge/src/front/notices.rs
+++ b/crates/edge/src/front/notices.rs
@@ -78,6 +78,8 @@
         if !self.shared.notices.record_backoff(target, time, now) {
             return;
         }
+        self.record_start_failure(&target.id);
+        self.ramp_recovered(&target.id, now.saturating_add(time));
         self.shared.meters.count("target_backoffs");
         if self.may_log(Kind::Failure) {
             log::info!(
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -231,6 +231,7 @@
         let freshness = self.key_freshness();
         let view = self.shared.view.load_full();
         self.targets.prune(&view);
+        self.sync_start_paces(&view);
         self.prune_tokens(&view);
         if self.rejects_new() {
             return decline("this host is about to end", Duration::ZERO);
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -108,7 +108,17 @@
         } else {
             rand::random()
         };
-        while let Some(Choice { index, rank }) = pick(route, hash, &candidates, &rate_limited) {
+        let mut held = self.hold_starting(view, criteria, hash, (&handles, &mut candidates));
+        loop {
+            let choice = pick(route, hash, &candidates, &rate_limited);
+            if !held.is_empty() && lacks_room(choice, &candidates) {
+                self.shared.meters.count("start_gave_way");
+                held.drain(..).for_each(|i| candidates[i].healthy = true);
+                continue;
+            }
+            let Some(Choice { index, rank }) = choice else {
+                break;
+            };
             if !self.admits_rate(view, &handles[index], now) {
                 is_limited = true;
                 rate_limited.push(index);
@@ -197,6 +207,16 @@
         is_admitted
     }
 
+    /// Returns the limits on requests to a cold target of a service.
+    pub(super) fn cold_limits(&self, view: &View, service: &Arc<str>) -> ColdStartLimits {
+        let services = view.config.as_ref().map(|c| &c.services);
+        let service = services.and_then(|services| services.get(service));
+        ColdStartLimits {
+            rate: service.map(|s| s.rate).unwrap_or_default(),
+            ..self.shared.reloadable.load().cold
+        }
+    }
+
     /// Whether this host's share of a cold target's rate allows one more request now.
     fn admits_cold(
         &self,
@@ -205,15 +225,7 @@
         handle: &TargetHandle,
         now: Duration,
     ) -> bool {
-        let rate = view
-            .config
-            .as_ref()
-            .and_then(|c| c.services.get(service))
-            .map(|s| s.rate);
-        let limits = ColdStartLimits {
-            rate: rate.unwrap_or_default(),
-            ..self.shared.reloadable.load().cold
-        };
+        let limits = self.cold_limits(view, service);
         let host_rate = limits.host_rate(self.name_hash, &view.sharer_hashes, handle.id_hash);
         // Without a usable share, this host may not know the others: one request may be too many
         // already, but a cold target that gets none from anybody never becomes warm.
@@ -241,6 +253,12 @@
     (!rate_limited.contains(&choice.index)).then_some(choice)
 }
 
+/// Whether a choice has no free slot.
+fn lacks_room(choice: Option<Choice>, candidates: &[Candidate]) -> bool {
+    let candidate = choice.map(|choice| &candidates[choice.index]);
+    candidate.is_none_or(|c| !c.healthy || c.busy >= c.slots)
+}
+
 fn allows(access: &Access, known: &KnownTarget, excluded: &BTreeSet<Arc<str>>) -> bool {
     access.allows(&known.region) && !excluded.contains(&known.target.id)
 }
--- a/crates/edge/src/front/targets.rs
+++ b/crates/edge/src/front/targets.rs
@@ -275,10 +275,19 @@
     }
 
     /// Forgets which targets were not reached, after lost links are restored.
-    pub(super) fn forget_unreachable(&self) {
-        for handle in self.handles.borrow().values() {
-            handle.ejection.borrow_mut().forget_unreachable();
+    ///
+    /// Returns those that were ejected for it.
+    pub(super) fn forget_unreachable(&self) -> Vec<Arc<str>> {
+        let mut recovered = Vec::new();
+        for (id, handle) in &*self.handles.borrow() {
+            let mut ejection = handle.ejection.borrow_mut();
+            let was_ejected = ejection.is_ejected();
+            ejection.forget_unreachable();
+            if was_ejected && !ejection.is_ejected() {
+                recovered.push(Arc::clone(id));
+            }
         }
+        recovered
     }
 
     /// Removes targets that get no more requests, and closes their idle connections.
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -25,6 +25,10 @@
 /// store is up to a second old; with less than this the host would refuse callers all the time.
 const MIN_REVOKE: Duration = Duration::from_secs(2);
 
+/// Minimum ramp of a target that has started. Hosts learn of a target up to some hundred milliseconds
+/// after one another; in a shorter ramp each would see another part of it.
+const MIN_START_RAMP: Duration = Duration::from_millis(500);
+
 /// Listen addresses of a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listen {
@@ -55,6 +59,9 @@
     pub budget: RetryLimits,
     /// Limits on requests to cold targets, over all hosts; the rate comes from the configuration.
     pub cold: ColdStartLimits,
+    /// Time in which a target that has started or recovered gets all its requests; `None` if at
+    /// once.
+    pub start_ramp: Option<Duration>,
     /// Time after which a revoked key works on no host, if that is required.
     pub revoke: Option<Duration>,
     /// Tolerances of workspaces' rate limits, over all hosts; the rates come from the
@@ -120,6 +127,7 @@
             factor: check.number("bounds.cold_factor", bounds.cold_factor, 1.5),
             slack: check.number("bounds.cold_slack", bounds.cold_slack, 2.0),
         },
+        start_ramp: start_ramp(&bounds, &mut check),
         revoke: revoke(&bounds, &mut check),
         limit: limit(&bounds, &mut check),
     };
@@ -185,6 +193,15 @@
     }
 }
 
+fn start_ramp(bounds: &EdgeBounds, check: &mut Check) -> Option<Duration> {
+    let text = bounds.start_ramp.as_deref()?;
+    let time = check.duration("bounds.start_ramp", Some(text), text);
+    if time < MIN_START_RAMP {
+        check.report("bounds.start_ramp", text, "give 500ms or more");
+    }
+    Some(time)
+}
+
 fn revoke(bounds: &EdgeBounds, check: &mut Check) -> Option<Duration> {
     let text = bounds.revoke.as_deref()?;
     let time = check.duration("bounds.revoke", Some(text), text);
