--- a/crates/admit/src/direct/start_pace.rs
+++ b/crates/admit/src/direct/start_pace.rs
@@ -24,9 +24,13 @@
 /// Length of an object's turn, as a fraction of the ramp.
 const TURN: f64 = 0.5;
 
-/// Part with which a target begins that has some of its objects: it was ejected or paused, its entry
-/// had lapsed, or it was cold. All objects begin with their turns.
-const WARM_PART: f64 = TURN;
+/// Part with which a target begins that was ejected or paused, or whose entry had lapsed: the turns
+/// of all objects begin.
+const RECOVERED_PART: f64 = TURN;
+
+/// Part with which a target begins that was cold: it has run some requests of most objects, and half
+/// of them come home at once.
+const WARMED_PART: f64 = 0.75;
 
 /// Time for which the part grows faster after a good answer, as a fraction of the ramp.
 const GOOD_NEWS: f64 = 0.25;
@@ -42,9 +46,13 @@
 /// Maximum number of setbacks that count: each doubles the length of the ramp.
 const MAX_SETBACKS: u32 = 2;
 
-/// Maximum load of the other targets of a service for the sake of those in their ramp, as a multiple
-/// of their usual load.
-const MAX_EXTRA: f64 = 2.0;
+/// Maximum additional load of the other targets of a service for the sake of those in their ramps,
+/// as a fraction of their load.
+const MAX_EXTRA: f64 = 1.0;
+
+/// Load in requests per slot from which the others of a service have no room: with more, a part of
+/// the requests waits for a slot.
+const FULL_LOAD: f64 = 0.7;
 
 /// Separates the order of an object's targets from its place at one of them.
 const PLACE_SEED: u64 = 0x57a2;
@@ -93,7 +101,8 @@
         let setbacks = setbacks.min(MAX_SETBACKS);
         let part = match start {
             Start::New => 0.0,
-            Start::Cold | Start::Recovered => WARM_PART * lowered(setbacks),
+            Start::Recovered => RECOVERED_PART * lowered(setbacks),
+            Start::Cold => WARMED_PART * lowered(setbacks),
         };
         StartPace {
             begin,
@@ -175,12 +184,15 @@
 }
 
 /// Returns the least chance of a request at a target in its ramp, such that the others of its
-/// service get at most [`MAX_EXTRA`] times their usual load. `ramping` and `all` are the slots of
-/// the targets in their ramps and of all.
-pub fn least_chance(ramping: f64, all: f64) -> f64 {
-    let others = (all - ramping).max(0.0);
+/// service have room for what it does not get. `ramping` and `all` are the slots of the targets in
+/// their ramps and of all; `load` is the usual load of the others in requests per slot, if known.
+pub fn least_chance(ramping: f64, all: f64, load: Option<f64>) -> f64 {
     if ramping <= 0.0 {
         return 1.0;
     }
-    (1.0 - (MAX_EXTRA - 1.0) * others / ramping).clamp(0.0, 1.0)
+    let room = load.map_or(MAX_EXTRA, |load| {
+        FULL_LOAD / load.max(f64::MIN_POSITIVE) - 1.0
+    });
+    let others = (all - ramping).max(0.0);
+    (1.0 - room.clamp(0.0, MAX_EXTRA) * others / ramping).clamp(0.0, 1.0)
 }
--- a/crates/admit/src/direct/start_paces.rs
+++ b/crates/admit/src/direct/start_paces.rs
@@ -114,6 +114,12 @@
         self.ramps.get(id)
     }
 
+    /// Returns the usual load of a service's targets that are not in their ramps, in requests per
+    /// slot; `None` if they report none.
+    pub fn usual_load(&self, service: &str) -> Option<f64> {
+        self.loads.get(service).copied()
+    }
+
     /// Records the targets that are listed now, and returns the ramps that begin. Until the host has
     /// seen a list that `is_complete`, and in that one, it finds targets that ran before, unless
     /// they are cold.
--- a/crates/edge/src/front/start_ramp.rs
+++ b/crates/edge/src/front/start_ramp.rs
@@ -61,10 +61,9 @@
         let weight = |(_, candidate): &(_, &Candidate)| weight(candidate);
         let all = ramps.iter().zip(&*candidates);
         let ramping = all.clone().filter(|(ramp, _)| ramp.is_some());
-        let least = least_chance(
-            ramping.map(|r| weight(&r)).sum(),
-            all.map(|r| weight(&r)).sum(),
-        );
+        let ramping = ramping.map(|ramp| weight(&ramp)).sum();
+        let load = paces.usual_load(criteria.service);
+        let least = least_chance(ramping, all.map(|one| weight(&one)).sum(), load);
         let limits = self.cold_limits(view, criteria.service);
         let senders = limits.senders(view.sharer_count());
         let (now, draw) = (self.shared.now(), rand::random::<u64>());
