--- a/crates/admit/src/direct/start_pace.rs
+++ b/crates/admit/src/direct/start_pace.rs
@@ -50,9 +50,9 @@
 /// as a fraction of their load.
 const MAX_EXTRA: f64 = 1.0;
 
-/// Load in requests per slot from which the others of a service have no room: with more, a part of
-/// the requests waits for a slot.
-const FULL_LOAD: f64 = 0.7;
+/// Load in requests per slot from which the others of a service have no room: objects are uneven, and
+/// the busiest targets have about twice the mean.
+const FULL_LOAD: f64 = 0.5;
 
 /// Separates the order of an object's targets from its place at one of them.
 const PLACE_SEED: u64 = 0x57a2;
