--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -21,6 +21,8 @@
 mod run_times;
 mod second_send;
 mod shared_load;
+mod start_pace;
+mod start_paces;
 mod target_rate;
 
 pub use self::{
@@ -40,5 +42,7 @@
     run_times::RunTimes,
     second_send::{LostSends, SecondTarget},
     shared_load::{LoadCollector, LoadFigure, Reporter, SaidLoad, TargetLoad, ToldLoad},
+    start_pace::{Start, StartPace, StartResult, least_chance, place},
+    start_paces::{BegunRamp, ListedTarget, StartEvidence, StartPaces},
     target_rate::{RateHosts, TargetRate},
 };
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -23,6 +23,7 @@
 mod response;
 mod second_send;
 mod select;
+mod start_ramp;
 mod targets;
 mod tokens;
 
@@ -39,6 +40,7 @@
 use dunlinrock_decide::{
     admit::direct::{
         BodyBudget, FailureRate, IdleLimits, LatencyEstimator, PriorityShedder, RetryBudget,
+        StartPaces,
     },
     steer::hash,
 };
@@ -128,6 +130,10 @@
     failure_rates: RefCell<BTreeMap<Arc<str>, FailureRate>>,
     /// How long connections to the targets of each service may rest.
     idle_limits: RefCell<IdleLimits>,
+    /// Ramps of the targets that have started or recovered.
+    start_paces: RefCell<StartPaces>,
+    /// Last change of the view that `start_paces` has seen.
+    paced_change: Cell<u64>,
     /// Load shedding by priority, for each service.
     shedders: RefCell<BTreeMap<Arc<str>, PriorityShedder>>,
     /// Minimum time in which a connection to a target of a region was opened: an estimate of the
@@ -202,6 +208,8 @@
         failure_rates: RefCell::default(),
         idle_limits: RefCell::new(IdleLimits::open()),
         shedders: RefCell::default(),
+        start_paces: RefCell::new(StartPaces::open()),
+        paced_change: Cell::new(0),
         region_rtts: RefCell::default(),
         request_log: RequestLog::open(),
         running: Cell::new(0),
