--- a/crates/admit/src/direct/latency.rs
+++ b/crates/admit/src/direct/latency.rs
@@ -52,6 +52,11 @@
         mean.mul_f64(f64::from(ahead) / f64::from(slots.max(1)))
     }
 
+    /// Returns the expected time of a run; zero before any was recorded.
+    pub fn expected_run(&self) -> Duration {
+        self.mean.unwrap_or_default()
+    }
+
     /// Returns whether a response time is so long that its target is considered slow; always false
     /// before any run was recorded.
     pub fn is_slow(&self, time: Duration, busy: u32, slots: u32) -> bool {
--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -9,14 +9,15 @@
 mod cold_start;
 mod connections;
 mod ejection;
+mod entry;
 mod latency;
 mod limit;
 mod link;
 mod notices;
 mod own_share;
-mod ranks;
 mod recent_hosts;
 mod retry_budget;
+mod returns;
 mod target_rate;
 
 pub use self::{
@@ -24,13 +25,14 @@
     cold_start::{ColdStartLimiter, ColdStartLimits},
     connections::{AcceptDecision, ConnectionLimits, OpenConnections},
     ejection::{Ejection, Evidence, FailureRate},
+    entry::{EntryGate, FairShares, Place, Urgency},
     latency::LatencyEstimator,
     limit::{LimitShare, RateLimitConfig, TokenBucket, TokenCache, TokenGrant},
     link::{Link, LinkCheck, LinkStatus},
     notices::{Admission, Notices, Process},
     own_share::{HostShare, OwnShare},
-    ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryDecision, RetryLimits},
+    returns::{Refusal, Return, ReturnBook},
     target_rate::{RateHosts, TargetRate},
 };
--- a/crates/admit/src/direct/retry_budget.rs
+++ b/crates/admit/src/direct/retry_budget.rs
@@ -4,15 +4,18 @@
 //! attempt, and each of those would fail as well. The budget allows retries as a ratio of the
 //! requests, and a few more so that a quiet service may still retry.
 //!
-//! When requests differ in priority, the retries that higher priorities have recently asked for are
-//! left to them.
+//! When requests differ in urgency, the retries that more urgent ones have recently asked for are
+//! left to them, as long as the less urgent get a fixed part of what all get.
 
 use std::{
     collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
-use super::{own_share::HostShare, ranks::EQUAL_FRACTION};
+use super::{
+    entry::{FLOOR, Urgency},
+    own_share::HostShare,
+};
 
 /// Buckets of the sliding window; an attempt leaves the window at most one bucket late.
 const WINDOW_BUCKETS: u32 = 10;
@@ -54,13 +57,13 @@
     pub is_granted: bool,
     /// Retries of the last window, without this one.
     pub used: u32,
-    /// Retries that this host's share allows now; some of them may be left to higher priorities.
+    /// Retries that this host's share allows now; some of them may be left to more urgent requests.
     pub left: f64,
     /// This host's share of the slack.
     pub share: HostShare,
 }
 
-/// Retries of one priority.
+/// Retries of requests of one urgency.
 #[derive(Clone, Copy, Debug, Default)]
 struct RetryCounts {
     requested: u32,
@@ -77,7 +80,7 @@
     credit: f64,
     /// Retries that were made from the slack.
     slack_used: f64,
-    retries: BTreeMap<u8, RetryCounts>,
+    retries: BTreeMap<Urgency, RetryCounts>,
 }
 
 /// Retry budget of one service at one host: its requests and retries in the last window.
@@ -103,33 +106,32 @@
         bucket.credit += UTILIZATION * limits.ratio;
     }
 
-    /// Takes a retry for a request of priority `rank` if this host's share has one left that higher
-    /// priorities have not recently asked for. `share` is its share of the slack; `draw` is uniform in
-    /// 0 to 1.
+    /// Takes a retry for a request if this host's share has one left that more urgent requests have
+    /// not recently asked for, or that it needs for its floor. `share` is the host's share of the
+    /// slack.
     pub fn try_retry(
         &mut self,
         limits: &RetryLimits,
         share: &HostShare,
-        rank: u8,
-        draw: f64,
+        urgency: Urgency,
         now: Duration,
     ) -> RetryDecision {
-        self.counts_of(limits, rank, now).requested += 1;
+        self.counts_of(limits, urgency, now).requested += 1;
         let slack = self.slack(limits, share, now);
         let credit = self.credits(limits, now).map(|credit| *credit).sum::<f64>();
         let slack_used: f64 = self.buckets.iter().map(|b| b.slack_used).sum();
         let left = credit + (slack - slack_used).max(0.0);
         let used = self.sum(|_, retries| retries.granted);
-        let taken = match draw < EQUAL_FRACTION {
+        let taken = match self.is_below_floor(urgency) {
             true => used,
-            false => self.used_or_reserved(rank),
+            false => self.used_or_reserved(urgency),
         };
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let in_window = UTILIZATION * limits.ratio * f64::from(requests) + slack;
         let is_granted = left >= 1.0 && f64::from(taken + 1) <= in_window;
         if is_granted {
             self.spend(limits, now);
-            self.counts_of(limits, rank, now).granted += 1;
+            self.counts_of(limits, urgency, now).granted += 1;
         }
         RetryDecision {
             is_granted,
@@ -139,14 +141,27 @@
         }
     }
 
-    /// Returns the retries of the window, with all that priorities above `rank` asked for.
-    fn used_or_reserved(&self, rank: u8) -> u32 {
-        self.sum(|other, retries| match other < rank {
+    /// Returns the retries of the window, with all that more urgent requests asked for.
+    fn used_or_reserved(&self, urgency: Urgency) -> u32 {
+        self.sum(|other, retries| match other < urgency {
             true => retries.requested,
             false => retries.granted,
         })
     }
 
+    /// Whether retries of this urgency were granted less than [`FLOOR`] times as often as all.
+    fn is_below_floor(&self, urgency: Urgency) -> bool {
+        let own = |count: fn(&RetryCounts) -> u32| {
+            f64::from(self.sum(|other, retries| match other == urgency {
+                true => count(retries),
+                false => 0,
+            }))
+        };
+        let all = |count: fn(&RetryCounts) -> u32| f64::from(self.sum(|_, r| count(r)));
+        let (granted, requested) = (own(|r| r.granted), own(|r| r.requested));
+        granted * all(|r| r.requested) < FLOOR * all(|r| r.granted) * requested
+    }
+
     /// Takes one retry from the credit of the oldest requests, and what is missing from the slack.
     fn spend(&mut self, limits: &RetryLimits, now: Duration) {
         let mut missing = 1.0_f64;
@@ -183,15 +198,20 @@
         }
     }
 
-    /// Returns the sum of a count over the window and all priorities.
-    fn sum(&self, count: impl Fn(u8, &RetryCounts) -> u32) -> u32 {
+    /// Returns the sum of a count over the window and all requests.
+    fn sum(&self, count: impl Fn(Urgency, &RetryCounts) -> u32) -> u32 {
         let all = self.buckets.iter().flat_map(|s| &s.retries);
-        all.map(|(rank, retries)| count(*rank, retries)).sum()
+        all.map(|(urgency, retries)| count(*urgency, retries)).sum()
     }
 
-    /// Returns the counts of a priority in the bucket of `now`.
-    fn counts_of(&mut self, limits: &RetryLimits, rank: u8, now: Duration) -> &mut RetryCounts {
-        self.bucket(limits, now).retries.entry(rank).or_default()
+    /// Returns the counts of an urgency in the bucket of `now`.
+    fn counts_of(
+        &mut self,
+        limits: &RetryLimits,
+        urgency: Urgency,
+        now: Duration,
+    ) -> &mut RetryCounts {
+        self.bucket(limits, now).retries.entry(urgency).or_default()
     }
 
     /// Returns the bucket of `now`, after removing those that have left the window.
--- a/crates/edge/src/front/admit.rs
+++ b/crates/edge/src/front/admit.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use http::Uri;
+use http::{HeaderMap, Uri};
 
 use super::{
     Front,
@@ -16,11 +16,19 @@
 
 impl Front {
     /// Returns the response to a request that is denied access. The request has not run.
-    pub(super) fn access_denied(&self, cause: &AccessError, uri: &Uri) -> RequestEnd {
+    pub(super) fn access_denied(
+        &self,
+        cause: &AccessError,
+        headers: &HeaderMap,
+        uri: &Uri,
+    ) -> RequestEnd {
         match cause {
-            AccessError::NoConfig | AccessError::StaleKeys { .. } => {
-                decline(&cause.to_string(), OTHER_HOST_RETRY_AFTER)
+            // All hosts may have started together.
+            AccessError::NoConfig => {
+                let left = self.caller_time(headers).unwrap_or(MAX_BACKOFF);
+                decline(&cause.to_string(), self.unconfigured_return(left))
             }
+            AccessError::StaleKeys { .. } => decline(&cause.to_string(), OTHER_HOST_RETRY_AFTER),
             AccessError::NoRoute => no_route(uri),
             AccessError::MissingKey
             | AccessError::MalformedKey
@@ -53,7 +61,8 @@
         }
         let workspace = access.workspace.as_ref().filter(|w| w.is_limited());
         if let Some(workspace) = workspace.filter(|_| !state.may_have_run) {
-            match self.admit(view, workspace, state.token.take()).await {
+            let held = state.token.take();
+            match self.admit(view, workspace, (access, outbound), held).await {
                 Ok(token) => state.token = Some(token),
                 Err(end) => return Some(end),
             }
@@ -76,21 +85,26 @@
         self: &Rc<Front>,
         view: &View,
         workspace: &Workspace,
+        (access, outbound): (&Access, &OutboundRequest),
         held: Option<Token>,
     ) -> Result<Token, RequestEnd> {
         if let Some(token) = held.filter(Token::is_valid) {
             return Ok(token);
         }
-        self.acquire_token(view, workspace)
-            .await
-            .map_err(|e| match e {
-                NoToken::Exhausted(retry_after) => {
-                    limited(&workspace.name, retry_after.clamp(MIN_BACKOFF, MAX_BACKOFF))
-                }
+        let acquired = self.acquire_token(view, workspace).await;
+        acquired.map_err(|e| {
+            let earliest = match e {
+                NoToken::Exhausted(time) => time.clamp(MIN_BACKOFF, MAX_BACKOFF),
+                NoToken::NoOwner => MIN_BACKOFF,
+            };
+            let retry = self.return_without_token(outbound, access.priority(), earliest);
+            match e {
+                NoToken::Exhausted(_) => limited(&workspace.name, retry),
                 NoToken::NoOwner => {
                     let cause = format!("nobody counts the limit of {}", workspace.name);
-                    decline(&cause, MIN_BACKOFF)
+                    decline(&cause, retry)
                 }
-            })
+            }
+        })
     }
 }
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -44,6 +44,10 @@
     pub(super) forwarded: Option<Forwarded>,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
+    /// The caller's own deadline.
+    pub(super) caller_deadline: Instant,
+    /// Until when an answer is within the route's objective.
+    pub(super) objective_end: Instant,
     /// Attempts that are not in a log line yet.
     pub(super) unlogged: RefCell<Vec<Sent>>,
 }
@@ -123,6 +127,7 @@
             }
             self.record_time(&route.name, time, selected);
             self.record_success(outbound.fingerprint);
+            self.record_served(&handle.target.service);
             self.shared
                 .notices
                 .record_answer(&handle.target, self.shared.now());
--- a/crates/edge/src/front/lost_links.rs
+++ b/crates/edge/src/front/lost_links.rs
@@ -86,7 +86,8 @@
         };
         self.shared.meters.count("forward_failed");
         self.log_failed_attempt(outbound, &cause, state.delivered);
-        self.after_failure(&access.route, outbound, state, (&cause, MIN_BACKOFF))
+        let ends = self.ends_after_failure(&access.route, outbound, state);
+        ends.then(|| state.give_up(&cause, MIN_BACKOFF))
     }
 
     /// Returns the result of a request that another host has answered. Its refusal promises that the
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod caller_stream;
 mod connection;
+mod entry;
 mod forward;
 mod idle;
 mod idle_callers;
@@ -17,6 +18,7 @@
 mod request;
 mod request_log;
 mod response;
+mod returns;
 mod select;
 mod targets;
 mod tokens;
@@ -32,7 +34,9 @@
 };
 
 use dunlinrock_decide::{
-    admit::direct::{BodyBudget, FailureRate, LatencyEstimator, PriorityShedder, RetryBudget},
+    admit::direct::{
+        BodyBudget, EntryGate, FailureRate, LatencyEstimator, RetryBudget, ReturnBook,
+    },
     steer::hash,
 };
 use dunlinrock_node::wire::Client;
@@ -115,8 +119,12 @@
     latencies: RefCell<BTreeMap<Arc<str>, LatencyEstimator>>,
     /// Failure rate of the targets of each service.
     failure_rates: RefCell<BTreeMap<Arc<str>, FailureRate>>,
-    /// Load shedding by priority, for each service.
-    shedders: RefCell<BTreeMap<Arc<str>, PriorityShedder>>,
+    /// Admission to the queues of each service's targets.
+    gates: RefCell<BTreeMap<Arc<str>, EntryGate>>,
+    /// When refused callers come back to each service.
+    return_books: RefCell<BTreeMap<Arc<str>, ReturnBook>>,
+    /// The same without a configuration or a token.
+    general_book: RefCell<ReturnBook>,
     /// Minimum time in which a connection to a target of a region was opened: an estimate of the
     /// round-trip time.
     region_rtts: RefCell<BTreeMap<Arc<str>, Duration>>,
@@ -166,10 +174,11 @@
         }
     };
     let target_connections = ConnectionCounter::open(shared.settings.connections.max_idle());
+    let name_hash = hash::hash_str(&shared.settings.name);
     let front = Rc::new(Front {
         forwarder: Forwarder::open(Rc::clone(&target_connections)),
         was_lost: Cell::new(false),
-        name_hash: hash::hash_str(&shared.settings.name),
+        name_hash,
         targets: TargetTable::default(),
         idle_callers: Rc::default(),
         target_connections,
@@ -183,7 +192,9 @@
         retry_budgets: RefCell::default(),
         latencies: RefCell::default(),
         failure_rates: RefCell::default(),
-        shedders: RefCell::default(),
+        gates: RefCell::default(),
+        return_books: RefCell::default(),
+        general_book: RefCell::new(Front::general_book(name_hash)),
         region_rtts: RefCell::default(),
         request_log: RequestLog::open(),
         running: Cell::new(0),
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -48,10 +48,6 @@
 /// closed and running requests end.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// Latest expected response that is still worth a slot, in objectives of the route. While there is
-/// more work than slots, a late response makes the next one late as well.
-const MAX_WAIT_OBJECTIVES: f64 = 2.5;
-
 /// Minimum remaining time with which another attempt is useful.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
 
@@ -238,14 +234,22 @@
         let credentials = (self.shared.dialect.parse_credentials)(&head.headers);
         let access = match self.authorize(&view, freshness, &head.headers, &head.uri, credentials) {
             Ok(access) => access,
-            Err(e) => return self.access_denied(&e, &head.uri),
+            Err(e) => return self.access_denied(&e, &head.headers, &head.uri),
         };
-        let remaining = self.remaining_time(&head.headers, &access.route);
-        let remaining = remaining.saturating_sub(waited);
+        let caller_left = self
+            .caller_time(&head.headers)
+            .unwrap_or(access.route.timeout)
+            .saturating_sub(waited);
+        let remaining = caller_left.min(access.route.timeout.saturating_sub(waited));
         if remaining <= MIN_ATTEMPT_TIME {
             return refuse("too little time is left", OTHER_HOST_RETRY_AFTER);
         }
-        let deadline = Instant::now() + remaining;
+        let now = Instant::now();
+        let times = Times {
+            deadline: now + remaining,
+            caller_deadline: now + caller_left,
+            objective_end: now + access.route.objective.saturating_sub(waited),
+        };
         let max_bytes = view.config.as_ref().map_or(0, |c| c.limits.body);
         let Some(_permit) = self.reserve_body(body.as_ref(), max_bytes) else {
             return decline("the host holds all bodies that it may", FULL_RETRY_AFTER);
@@ -258,7 +262,7 @@
         let fingerprint = fingerprint(&head, &body, &access, affinity_key);
         let outbound = OutboundRequest {
             forwarded,
-            ..self.outbound_request(head, fingerprint, credentials, body, deadline)
+            ..self.outbound_request(head, fingerprint, credentials, body, &times)
         };
         let end = self.run(&outbound).await;
         if let Some(workspace) = &access.workspace {
@@ -268,12 +272,11 @@
         end
     }
 
-    /// Returns the remaining time that the caller's header states, at most the route's timeout.
-    fn remaining_time(&self, headers: &HeaderMap, route: &Route) -> Duration {
+    /// Returns the remaining time that the caller's header states.
+    pub(super) fn caller_time(&self, headers: &HeaderMap) -> Option<Duration> {
         let left = headers.get(&self.shared.dialect.time_left);
         let left = left.and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
-        left.map_or(route.timeout, Duration::from_millis)
-            .min(route.timeout)
+        left.map(Duration::from_millis)
     }
 
     /// Reserves memory for a body of the length that its headers state, or else of the maximum
@@ -293,7 +296,7 @@
         fingerprint: Fingerprint,
         credentials: Credentials,
         body: Bytes,
-        deadline: Instant,
+        times: &Times,
     ) -> OutboundRequest {
         let id = self.id_of(&head.headers);
         let mut headers = head.headers;
@@ -307,7 +310,9 @@
             headers,
             credentials,
             body,
-            deadline,
+            deadline: times.deadline,
+            caller_deadline: times.caller_deadline,
+            objective_end: times.objective_end,
             forwarded: None,
             unlogged: RefCell::default(),
         }
@@ -333,7 +338,7 @@
                         .await
                 }
                 Err(e) if state.may_have_run => Some(lost(e.to_string())),
-                Err(e) => Some(self.access_denied(e, &outbound.uri)),
+                Err(e) => Some(self.access_denied(e, &outbound.headers, &outbound.uri)),
             };
             if let Some(end) = ended {
                 let tried: Vec<_> = state.tried.iter().map(|id| &**id).collect();
@@ -385,16 +390,16 @@
             }
             Err(none) => return Some(state.give_up(&none.to_string(), none.retry_after())),
         };
+        let place = (access, service);
         if let Some((cause, retry)) = self.shed_cause(access, service, &selected, outbound) {
             selected.handle.cancel_selection();
-            return Some(state.give_up(&cause, retry));
+            return Some(self.give_up_full(place, outbound, state, (&cause, retry, true)));
         }
-        if state.delivered > 0 {
-            let retry = self.try_retry(service, outbound, access.priority());
-            if !retry.is_granted {
-                selected.handle.cancel_selection();
-                return Some(state.give_up(&spent_cause(&retry), MIN_BACKOFF));
-            }
+        if state.delivered > 0
+            && let Some(cause) = self.retry_refused(access, service, &selected, outbound)
+        {
+            selected.handle.cancel_selection();
+            return Some(self.give_up_full(place, outbound, state, (&cause, MIN_BACKOFF, false)));
         }
         state.set_spent(true);
         let result = self.attempt(access, &selected, outbound).await;
@@ -448,74 +453,55 @@
             state.excluded.insert(Arc::clone(&target.id));
         }
         self.log_failed_attempt(outbound, &cause, state.delivered);
-        let retry = self.retry_after(access, &target.service);
-        self.after_failure(&access.route, outbound, state, (&cause, retry))
+        let ends = self.ends_after_failure(&access.route, outbound, state);
+        ends.then(|| {
+            let retry = self.retry_after(access, &target.service);
+            let place = (access, &target.service);
+            self.give_up_full(place, outbound, state, (&cause, retry, false))
+        })
     }
 
-    /// Returns the result of a request whose last attempt failed, for this cause, unless another may
-    /// follow. Its caller may come back after `retry`.
-    pub(super) fn after_failure(
+    /// Whether no other attempt may follow one that failed.
+    pub(super) fn ends_after_failure(
         &self,
         route: &Route,
         outbound: &OutboundRequest,
         state: &RetryState,
-        (cause, retry): (&str, Duration),
-    ) -> Option<RequestEnd> {
+    ) -> bool {
         let ended = state.delivered >= route.attempts || !has_time(outbound);
         let once = state.may_have_run && !route.repeatable;
-        (ended || once).then(|| state.give_up(cause, retry))
+        ended || once
     }
 
-    /// Returns why a request is shed, if it cannot be answered in time or would take queue capacity
-    /// reserved for higher priorities. Run all the same, it would take a slot from a request that
-    /// can be answered.
-    fn shed_cause(
+    /// Returns why another attempt is not made: its answer would come too late, or the retry budget
+    /// leaves none.
+    fn retry_refused(
         &self,
         access: &Access,
         service: &Arc<str>,
         selected: &SelectedTarget,
         outbound: &OutboundRequest,
-    ) -> Option<(String, Duration)> {
-        let (route, slots) = (&access.route, selected.handle.target.slots);
-        let remaining = outbound.deadline.saturating_duration_since(Instant::now());
-        let latency = self.latency(&route.name);
-        let limit = latency.concurrency_limit(
-            slots,
-            remaining.min(route.objective.mul_f64(MAX_WAIT_OBJECTIVES)),
-        );
-        let capacity = self.capacity_for(access, service, selected, limit);
-        if selected.busy < capacity {
-            return None;
+    ) -> Option<String> {
+        let latency = self.latency(&access.route.name);
+        let wait = latency.queue_delay(selected.busy, selected.handle.target.slots);
+        let time = wait + latency.expected_run();
+        if !outbound.is_in_time(time) {
+            self.shared.meters.count("retries_too_late");
+            return Some("another run would end too late".to_owned());
         }
-        let wait = latency.queue_delay(selected.busy, slots);
-        let why = match selected.busy < limit {
-            true => ", the rest of its queue is for more urgent ones",
-            false => "",
-        };
-        let cause = format!(
-            "{} has {} for {slots} slots{why}",
-            selected.handle.target.id, selected.busy
-        );
-        Some((cause, wait.clamp(MIN_BACKOFF, MAX_BACKOFF)))
+        let retry = self.try_retry(service, outbound, outbound.urgency(access, time));
+        (!retry.is_granted).then(|| spent_cause(&retry))
     }
+}
 
-    /// Returns how many requests a target may have in flight for one more of this priority to be
-    /// sent, where `limit` applies to the highest priority.
-    fn capacity_for(
-        &self,
-        access: &Access,
-        service: &Arc<str>,
-        selected: &SelectedTarget,
-        limit: u32,
-    ) -> u32 {
-        let (now, priority) = (self.shared.now(), access.priority());
-        let mut shedders = self.shedders.borrow_mut();
-        let shedder = shedders.entry(Arc::clone(service)).or_default();
-        let slots = selected.handle.target.slots;
-        let capacity = shedder.concurrency_limit(priority, limit, slots, rand::random(), now);
-        shedder.record(priority, selected.busy >= capacity, now);
-        capacity
-    }
+/// Until when a request is worth an answer.
+struct Times {
+    /// The earlier of the caller's deadline and the route's timeout.
+    deadline: Instant,
+    /// The caller's own deadline.
+    caller_deadline: Instant,
+    /// Until when an answer is within the route's objective.
+    objective_end: Instant,
 }
 
 fn spent_cause(retry: &RetryDecision) -> String {
--- a/crates/edge/src/front/request_log.rs
+++ b/crates/edge/src/front/request_log.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::RefMut, fmt, sync::Arc, time::Duration};
 
-use dunlinrock_decide::admit::direct::{Evidence, LatencyEstimator, RetryBudget, RetryDecision};
+use dunlinrock_decide::admit::direct::{
+    Evidence, LatencyEstimator, RetryBudget, RetryDecision, Urgency,
+};
 use dunlinrock_node::clock::millis;
 use tokio::time::Instant;
 
@@ -306,13 +308,11 @@
         &self,
         service: &Arc<str>,
         outbound: &OutboundRequest,
-        priority: u8,
+        urgency: Urgency,
     ) -> RetryDecision {
         let rules = self.shared.reloadable.load().budget;
         let (now, share) = (self.shared.now(), self.shared.host_share());
-        let decision =
-            self.budget(service)
-                .try_retry(&rules, &share, priority, rand::random(), now);
+        let decision = self.budget(service).try_retry(&rules, &share, urgency, now);
         let hosts = share.since.map_or(0, |_| share.hosts);
         self.shared.meters.gauge("retry_hosts", hosts as u64);
         if !decision.is_granted {
@@ -323,7 +323,7 @@
         if self.may_log(Kind::Failure) {
             log::info!(
                 target: "request", event = "retry", id = &*outbound.id, service = &**service,
-                priority = priority, used = decision.used, left = (decision.left * 10.0).round() / 10.0,
+                priority = urgency.priority, is_late = urgency.is_late, used = decision.used, left = (decision.left * 10.0).round() / 10.0,
                 hosts = hosts; "sent again, within the retry budget"
             );
         }
