--- a/crates/admit/src/direct/mod.rs
+++ b/crates/admit/src/direct/mod.rs
@@ -9,15 +9,16 @@
 mod cold_start;
 mod connections;
 mod ejection;
+mod entry;
 mod idle_limit;
 mod latency;
 mod limit;
 mod link;
 mod notices;
 mod own_share;
-mod ranks;
 mod recent_hosts;
 mod retry_budget;
+mod returns;
 mod run_times;
 mod second_send;
 mod shared_load;
@@ -30,15 +31,16 @@
     cold_start::{ColdStartLimiter, ColdStartLimits},
     connections::{AcceptDecision, ConnectionLimits, OpenConnections},
     ejection::{Ejection, Evidence, FailureRate},
+    entry::{EntryGate, FairShares, Place, Urgency},
     idle_limit::{IdleLimitChange, IdleLimits},
     latency::LatencyEstimator,
     limit::{LimitShare, RateLimitConfig, TokenBucket, TokenCache, TokenGrant},
     link::{Link, LinkCheck, LinkStatus},
     notices::{Admission, Notices, Process},
     own_share::{HostShare, OwnShare},
-    ranks::PriorityShedder,
     recent_hosts::RecentHosts,
     retry_budget::{RetryBudget, RetryDecision, RetryLimits},
+    returns::{Refusal, Return, ReturnBook},
     run_times::RunTimes,
     second_send::{LostSends, SecondTarget},
     shared_load::{LoadCollector, LoadFigure, Reporter, SaidLoad, TargetLoad, ToldLoad},
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod caller_stream;
 mod connection;
+mod entry;
 mod forward;
 mod homes;
 mod idle;
@@ -21,6 +22,7 @@
 mod request;
 mod request_log;
 mod response;
+mod returns;
 mod second_send;
 mod select;
 mod start_ramp;
@@ -39,7 +41,7 @@
 
 use dunlinrock_decide::{
     admit::direct::{
-        BodyBudget, FailureRate, IdleLimits, LatencyEstimator, PriorityShedder, RetryBudget,
+        BodyBudget, EntryGate, FailureRate, IdleLimits, LatencyEstimator, RetryBudget, ReturnBook,
         StartPaces,
     },
     steer::hash,
@@ -134,8 +136,12 @@
     start_paces: RefCell<StartPaces>,
     /// Last change of the view that `start_paces` has seen.
     paced_change: Cell<u64>,
-    /// Load shedding by priority, for each service.
-    shedders: RefCell<BTreeMap<Arc<str>, PriorityShedder>>,
+    /// Admission to the queues of each service's targets.
+    gates: RefCell<BTreeMap<Arc<str>, EntryGate>>,
+    /// When refused callers come back to each service.
+    return_books: RefCell<BTreeMap<Arc<str>, ReturnBook>>,
+    /// The same without a configuration or a token.
+    general_book: RefCell<ReturnBook>,
     /// Minimum time in which a connection to a target of a region was opened: an estimate of the
     /// round-trip time.
     region_rtts: RefCell<BTreeMap<Arc<str>, Duration>>,
@@ -187,10 +193,11 @@
         }
     };
     let target_connections = ConnectionCounter::open(shared.settings.connections.max_idle());
+    let name_hash = hash::hash_str(&shared.settings.name);
     let front = Rc::new(Front {
         forwarder: Forwarder::open(Rc::clone(&target_connections)),
         was_lost: Cell::new(false),
-        name_hash: hash::hash_str(&shared.settings.name),
+        name_hash,
         targets: TargetTable::default(),
         idle_callers: Rc::default(),
         target_connections,
@@ -207,9 +214,11 @@
         route_runs: RefCell::default(),
         failure_rates: RefCell::default(),
         idle_limits: RefCell::new(IdleLimits::open()),
-        shedders: RefCell::default(),
         start_paces: RefCell::new(StartPaces::open()),
         paced_change: Cell::new(0),
+        gates: RefCell::default(),
+        return_books: RefCell::default(),
+        general_book: RefCell::new(Front::general_book(name_hash)),
         region_rtts: RefCell::default(),
         request_log: RequestLog::open(),
         running: Cell::new(0),
--- a/crates/edge/src/front/second_send.rs
+++ b/crates/edge/src/front/second_send.rs
@@ -15,10 +15,6 @@
 };
 use crate::model::Route;
 
-/// Rank of a second send in the retry budget: below every priority, so that requests without any
-/// answer come first.
-const SECOND_RANK: u8 = u8::MAX;
-
 impl Front {
     /// Sends a request to one target, and a second time if its run takes unusually long. Returns
     /// the send that decides, and its result; the state covers the other one.
@@ -148,9 +144,8 @@
     fn try_second(&self, service: &Arc<str>, outbound: &OutboundRequest) -> bool {
         let rules = self.shared.reloadable.load().budget;
         let (now, share) = (self.shared.now(), self.shared.host_share());
-        let decision = self
-            .budget(service)
-            .try_retry(&rules, &share, SECOND_RANK, 1.0, now);
+        // Requests without any answer come first.
+        let decision = self.budget(service).try_spare(&rules, &share, now);
         if !decision.is_granted {
             self.shared.meters.count("second_refused");
             return false;
