--- a/crates/admit/src/direct/idle_limit.rs
+++ b/crates/admit/src/direct/idle_limit.rs
@@ -86,7 +86,8 @@
 struct Limit {
     /// Shortest rest that broke.
     broken: Duration,
-    until: Duration,
+    /// Time of the last break.
+    since: Duration,
     /// Longer rests that have worked since the last break.
     worked: u32,
 }
@@ -95,11 +96,15 @@
     fn open(broken: Duration, now: Duration) -> Limit {
         Limit {
             broken,
-            until: now + HOLD,
+            since: now,
             worked: 0,
         }
     }
 
+    fn is_over(&self, now: Duration) -> bool {
+        now >= self.since + HOLD
+    }
+
     fn allowed(&self) -> Duration {
         self.broken.mul_f64(ALLOWED_FRACTION).max(MIN_LIMIT)
     }
@@ -157,7 +162,7 @@
         let Some(known) = self.services.get_mut(service) else {
             return true;
         };
-        let exceeds = |limit: &Limit| now < limit.until && rest > limit.allowed();
+        let exceeds = |limit: &Limit| !limit.is_over(now) && rest > limit.allowed();
         let by_service = known.limit.as_ref().is_some_and(exceeds);
         if !is_repeatable {
             return !by_service && !known.targets.get(&target).is_some_and(exceeds);
@@ -169,25 +174,27 @@
         !by_service
     }
 
-    /// Records that a target answered on a connection that had rested for `rest`. Returns the change
-    /// of the service's limit, if there is one.
+    /// Records that a target answered a request that was sent at `sent` on a connection that had
+    /// rested for `rest`. Returns the change of the service's limit, if there is one.
     pub fn record_answer(
         &mut self,
         service: &Arc<str>,
         target: u64,
         rest: Duration,
+        sent: Duration,
         now: Duration,
     ) -> Option<IdleLimitChange> {
         let from = self.limit(service);
         let known = self.services.entry(Arc::clone(service)).or_default();
         known.record(target, rest, false, now);
-        let is_refuted = |limit: &Limit| rest >= limit.broken;
+        // What was sent before the break may have worked before connections were forgotten.
+        let is_refuted = |limit: &Limit| sent >= limit.since && rest >= limit.broken;
         if known.targets.get(&target).is_some_and(is_refuted) {
             known.targets.remove(&target);
         }
         if let Some(limit) = &mut known.limit {
-            limit.worked += u32::from(rest > limit.allowed());
-            if limit.worked >= PROBES || now >= limit.until {
+            limit.worked += u32::from(sent >= limit.since && rest > limit.allowed());
+            if limit.worked >= PROBES || limit.is_over(now) {
                 known.forget();
             }
         }
@@ -212,7 +219,7 @@
             false => ALONE,
         };
         let known = self.services.entry(Arc::clone(service)).or_default();
-        if known.limit.is_some_and(|limit| now >= limit.until) {
+        if known.limit.is_some_and(|limit| limit.is_over(now)) {
             known.forget();
         }
         known.record(target, rest, true, now);
@@ -236,7 +243,7 @@
 
 impl ServiceLimit {
     fn is_limited(&self, now: Duration) -> bool {
-        self.limit.is_some_and(|limit| now < limit.until)
+        self.limit.is_some_and(|limit| !limit.is_over(now))
     }
 
     /// Forgets the limit and what led to it.
@@ -259,7 +266,7 @@
     }
 
     fn limit_target(&mut self, target: u64, rest: Duration, now: Duration) {
-        self.targets.retain(|_, limit| now < limit.until);
+        self.targets.retain(|_, limit| !limit.is_over(now));
         let earlier = self.targets.get(&target).map_or(rest, |limit| limit.broken);
         self.targets
             .insert(target, Limit::open(rest.min(earlier), now));
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -215,7 +215,7 @@
                 return Err(ExchangeError::Rerouted);
             }
             let was_used = connection.is_used();
-            let rest = connection.rest();
+            let (rest, sent_at) = (connection.rest(), self.shared.now());
             sent.set(Some(rest));
             let run = handle.start_run(outbound.fingerprint, self.shared.clock);
             let on_head =
@@ -226,7 +226,7 @@
             };
             match exchanged {
                 Ok((response, is_reusable)) => {
-                    self.record_rest(handle, rest);
+                    self.record_rest(handle, rest, sent_at);
                     match response.status {
                         // Another process than the expected one.
                         StatusCode::MISDIRECTED_REQUEST => run.withdraw(),
--- a/crates/edge/src/front/idle_limit.rs
+++ b/crates/edge/src/front/idle_limit.rs
@@ -26,11 +26,12 @@
         })
     }
 
-    /// Records a response on a connection that had rested for `rest`.
-    pub(super) fn record_rest(&self, handle: &TargetHandle, rest: Duration) {
+    /// Records the response to a request that was sent at `sent`, on a connection that had rested for
+    /// `rest`.
+    pub(super) fn record_rest(&self, handle: &TargetHandle, rest: Duration, sent: Duration) {
         let (service, now) = (&handle.target.service, self.shared.now());
         let mut limits = self.idle_limits.borrow_mut();
-        let change = limits.record_answer(service, handle.id_hash, rest, now);
+        let change = limits.record_answer(service, handle.id_hash, rest, sent, now);
         drop(limits);
         self.log_idle_limit(service, change);
     }
