--- a/crates/edge/src/front/accept.rs
+++ b/crates/edge/src/front/accept.rs
@@ -94,6 +94,7 @@
         meters.gauge("callers_idle", front.idle_callers.count().into());
         meters.gauge("targets_open", open.targets.into());
         meters.gauge("links_lost", front.shared.links.is_lost().into());
+        meters.gauge("response_bytes", front.response_memory.used());
         meters.gauge("body_bytes", front.body_budget.borrow().used());
         front.log_pressure(open);
     }
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -220,8 +220,9 @@
             let run = handle.start_run(outbound.fingerprint, self.shared.clock);
             let on_head =
                 |status, headers: &HeaderMap| self.record_notices(handle, status, headers);
+            let request = self.request(access, handle, outbound);
             let exchanged = tokio::select! {
-                exchanged = connection.exchange(self.request(access, handle, outbound), on_head) => exchanged,
+                exchanged = connection.exchange(request, &self.response_memory, on_head) => exchanged,
                 () = wait_down(handle, &access.route) => Err(ExchangeError::Sent("the target is down".to_owned())),
             };
             match exchanged {
--- a/crates/edge/src/front/caller_stream.rs
+++ b/crates/edge/src/front/caller_stream.rs
@@ -21,6 +21,8 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    sync::Notify,
+    time::Instant,
 };
 
 /// Size of the read-ahead buffer. While a caller has filled it, its disconnect is not seen; heads
@@ -30,6 +32,9 @@
 /// End of a request head.
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
+/// Interval between two checks of a caller that has not read its response.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Size of one read.
 const READ_CHUNK: usize = 4 << 10;
 
@@ -51,6 +56,10 @@
     waker: Option<Waker>,
     /// Whether the caller has closed its direction, or the connection is broken.
     is_over: bool,
+    /// Since when bytes wait to be written; `None` if all are.
+    unread_since: Option<Instant>,
+    /// Notifies [`CallerStream::unread_for`] that bytes begin to wait.
+    unread: Rc<Notify>,
 }
 
 impl CallerStream {
@@ -64,6 +73,8 @@
             is_paused: false,
             waker: None,
             is_over: false,
+            unread_since: None,
+            unread: Rc::default(),
         })))
     }
 
@@ -93,6 +104,24 @@
         inner.is_over
     }
 
+    /// Waits until the caller takes longer than `time` to read a response while `is_pressed`.
+    pub(super) async fn unread_for(&self, time: Duration, is_pressed: impl Fn() -> bool) {
+        let unread = Rc::clone(&self.0.borrow().unread);
+        loop {
+            unread.notified().await;
+            while let Some(since) = self.unread_since() {
+                if since.elapsed() >= time && is_pressed() {
+                    return;
+                }
+                tokio::time::sleep(UNREAD_CHECK_INTERVAL).await;
+            }
+        }
+    }
+
+    fn unread_since(&self) -> Option<Instant> {
+        self.0.borrow().unread_since
+    }
+
     /// Pauses reads of the HTTP library until the guard is dropped. Bytes read ahead meanwhile
     /// begin with the next request.
     pub(super) fn pause_reads(&self) -> ReadPause {
@@ -185,6 +214,13 @@
         self.parsed = self.parsed.saturating_sub(n);
     }
 
+    fn note_write(&mut self, written: &Poll<io::Result<usize>>) {
+        if written.is_pending() && self.unread_since.is_none() {
+            self.unread_since = Some(Instant::now());
+            self.unread.notify_one();
+        }
+    }
+
     /// Reads once into the buffer; an error counts as the end.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let mut chunk = [0; READ_CHUNK];
@@ -223,7 +259,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write(cx, buf)
+        let inner = &mut *self.0.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write(cx, buf);
+        inner.note_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -231,7 +270,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(cx, bufs)
+        let inner = &mut *self.0.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(cx, bufs);
+        inner.note_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -239,7 +281,10 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(cx)
+        let inner = &mut *self.0.borrow_mut();
+        // The library flushes once it has written all that it holds.
+        inner.unread_since = None;
+        Pin::new(&mut inner.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/edge/src/front/connection.rs
+++ b/crates/edge/src/front/connection.rs
@@ -4,13 +4,17 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::Instant};
 
-use super::idle::{ConnectionCounter, OpenGuard};
+use super::{
+    body_memory::ResponseMemory,
+    bounded_stream::{BoundedStream, ByteAllowance},
+    idle::{ConnectionCounter, OpenGuard},
+};
 
 /// Timeout for opening a connection. A round trip between regions takes some tens of milliseconds;
 /// a lost packet is retransmitted only after a second, and another target is tried before that.
@@ -34,6 +38,17 @@
 /// be.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Maximum size of the head of a response, in bytes, and of the buffer that the HTTP library reads
+/// into.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Maximum number of bytes that arrive before the head of a response is complete, interim responses
+/// included. The library may read on into the body before it hands over the head, by some buffers.
+const MAX_BYTES_TO_HEAD: u64 = 4 * MAX_HEAD_BYTES as u64;
+
+/// Maximum number of bytes that arrive for the body of a response, with their framing.
+const MAX_FRAMED_BYTES: u64 = 2 * MAX_RESPONSE_BYTES as u64;
+
 /// How long a connection is kept idle if the target does not say.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(8);
 
@@ -74,6 +89,8 @@
     task: JoinHandle<()>,
     /// Until when the connection may be reused.
     reusable_until: Instant,
+    /// How many more bytes may arrive.
+    allowance: ByteAllowance,
     /// When the last exchange on it was completed; `None` before the first.
     used_at: Option<Instant>,
     open: OpenGuard,
@@ -101,7 +118,12 @@
                 _ => unsent(&e),
             })?;
         configure_socket(&stream).map_err(|e| unsent(&e))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let allowance = ByteAllowance::open(MAX_BYTES_TO_HEAD);
+        let stream = BoundedStream::open(stream, allowance.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|e| unsent(&e))?;
         let task = tokio::task::spawn_local(async move {
             if let Err(e) = connection.await {
@@ -113,6 +135,7 @@
             sender,
             task,
             reusable_until,
+            allowance,
             used_at: None,
             open,
         })
@@ -149,11 +172,13 @@
     pub(super) async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        memory: &ResponseMemory,
         on_head: impl FnOnce(StatusCode, &HeaderMap),
     ) -> Result<(BufferedResponse, bool), ExchangeError> {
         if let Err(e) = self.sender.ready().await {
             return Err(ExchangeError::NotSent(e.to_string()));
         }
+        self.allowance.set(MAX_BYTES_TO_HEAD);
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             // The library returns the request if it has not begun to send it.
@@ -168,13 +193,11 @@
             }
         };
         let (head, body) = response.into_parts();
+        self.allowance.set(MAX_FRAMED_BYTES);
         on_head(head.status, &head.headers);
         let closes = closes(&head.headers);
         self.reusable_until = Instant::now() + idle_time(&head.headers);
-        let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(e) => return Err(ExchangeError::Sent(e.to_string())),
-        };
+        let body = memory.collect(body, MAX_RESPONSE_BYTES).await?;
         self.used_at = Some(Instant::now());
         let buffered = BufferedResponse {
             status: head.status,
--- a/crates/edge/src/front/forward.rs
+++ b/crates/edge/src/front/forward.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{
+    body_memory::ResponseMemory,
     connection::{BufferedResponse, ExchangeError, TargetConnection},
     idle::{ConnectionCounter, IdleConnection},
 };
@@ -137,14 +138,16 @@
 pub(super) struct Forwarder {
     peers: RefCell<BTreeMap<SocketAddr, Peer>>,
     connections: Rc<ConnectionCounter>,
+    memory: ResponseMemory,
 }
 
 impl Forwarder {
     /// Opens a forwarder without connections; they count like those to targets.
-    pub(super) fn open(connections: Rc<ConnectionCounter>) -> Forwarder {
+    pub(super) fn open(connections: Rc<ConnectionCounter>, memory: ResponseMemory) -> Forwarder {
         Forwarder {
             peers: RefCell::default(),
             connections,
+            memory,
         }
     }
 
@@ -198,7 +201,9 @@
             };
             let exchanged = match opened {
                 Ok(mut connection) => {
-                    let exchanged = connection.exchange(request(), |_, _| {}).await;
+                    let exchanged = connection
+                        .exchange(request(), &self.memory, |_, _| {})
+                        .await;
                     exchanged.map(|(response, is_reusable)| {
                         if is_reusable {
                             connection.limit_reuse(idle_time);
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -4,6 +4,8 @@
 mod access;
 mod admit;
 mod attempt;
+mod body_memory;
+mod bounded_stream;
 mod caller_stream;
 mod connection;
 mod forward;
@@ -50,6 +52,7 @@
 
 pub use self::caller_stream::CallerStream;
 use self::{
+    body_memory::ResponseMemory,
     forward::Forwarder,
     idle::ConnectionCounter,
     idle_callers::{ConnectionUsage, IdleTracker},
@@ -104,6 +107,9 @@
 /// Maximum interval between two checks whether a connection is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a caller may take to read a response while the memory for responses is short.
+const MAX_UNREAD_TIME: Duration = Duration::from_secs(2);
+
 /// Interval between two checks whether the last request has ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -148,6 +154,8 @@
     was_lost: Cell<bool>,
     /// Memory for request bodies.
     body_budget: RefCell<BodyBudget>,
+    /// Memory for responses.
+    response_memory: ResponseMemory,
     /// Whether the number of connections was near the limit at the last check.
     near_limit: Cell<bool>,
     /// When the graceful shutdown started.
@@ -171,8 +179,10 @@
         }
     };
     let target_connections = ConnectionCounter::open(shared.settings.connections.max_idle());
+    let response_memory = ResponseMemory::open(shared.settings.memory);
     let front = Rc::new(Front {
-        forwarder: Forwarder::open(Rc::clone(&target_connections)),
+        forwarder: Forwarder::open(Rc::clone(&target_connections), response_memory.clone()),
+        response_memory,
         was_lost: Cell::new(false),
         name_hash: hash::hash_str(&shared.settings.name),
         targets: TargetTable::default(),
@@ -306,6 +316,10 @@
     let served = tokio::select! {
         served = served => served,
         () = usage.idle_for(idle_time) => Ok(()),
+        () = caller_stream.unread_for(MAX_UNREAD_TIME, || front.response_memory.is_pressed()) => {
+            front.shared.meters.count("slow_closed");
+            Ok(())
+        }
     };
     caller_stream.linger(LINGER_TIMEOUT).await;
     if let Err(e) = served {
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -235,6 +235,9 @@
         if self.rejects_new() {
             return decline("this host is about to end", Duration::ZERO);
         }
+        if self.response_memory.is_pressed() {
+            return decline("the host holds all responses that it may", FULL_RETRY_AFTER);
+        }
         let credentials = (self.shared.dialect.parse_credentials)(&head.headers);
         let access = match self.authorize(&view, freshness, &head.headers, &head.uri, credentials) {
             Ok(access) => access,
