--- a/crates/edge/src/front/idle_limit.rs
+++ b/crates/edge/src/front/idle_limit.rs
@@ -4,7 +4,7 @@
 
 use dunlinrock_decide::admit::direct::IdleLimitChange;
 
-use super::{Front, connection::TargetConnection, request_log::Kind, targets::TargetHandle};
+use super::{Front, connection::TargetConnection, targets::TargetHandle};
 
 impl Front {
     /// Takes a kept connection that may carry a request, and closes those that have rested too long
@@ -57,9 +57,6 @@
         let Some(IdleLimitChange { from, to }) = change else {
             return;
         };
-        if !self.may_log(Kind::Failure) {
-            return;
-        }
         let ms = |limit: Option<Duration>| limit.map(|limit| limit.as_millis() as u64);
         log::info!(
             target: "belief", event = "idle_limit", service = service, from_ms:? = ms(from),
