--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -222,18 +222,19 @@
                 return Err(ExchangeError::Rerouted);
             }
             let was_used = connection.is_used();
-            let rest = connection.rest();
+            let (rest, sent_at) = (connection.rest(), self.shared.now());
             sent.set(Some(rest));
             let run = handle.start_run(outbound.fingerprint, self.shared.clock);
             let on_head =
                 |status, headers: &HeaderMap| self.record_notices(handle, status, headers);
+            let request = self.request(access, handle, outbound);
             let exchanged = tokio::select! {
-                exchanged = connection.exchange(self.request(access, handle, outbound), on_head) => exchanged,
+                exchanged = connection.exchange(request, &self.response_memory, on_head) => exchanged,
                 () = wait_down(handle, &access.route) => Err(ExchangeError::Sent("the target is down".to_owned())),
             };
             match exchanged {
                 Ok((response, is_reusable)) => {
-                    self.record_rest(handle, rest);
+                    self.record_rest(handle, rest, sent_at);
                     match response.status {
                         // Another process than the expected one.
                         StatusCode::MISDIRECTED_REQUEST => run.withdraw(),
--- a/crates/edge/src/front/idle_limit.rs
+++ b/crates/edge/src/front/idle_limit.rs
@@ -4,7 +4,7 @@
 
 use dunlinrock_decide::admit::direct::IdleLimitChange;
 
-use super::{Front, connection::TargetConnection, request_log::Kind, targets::TargetHandle};
+use super::{Front, connection::TargetConnection, targets::TargetHandle};
 
 impl Front {
     /// Takes a kept connection that may carry a request, and closes those that have rested too long
@@ -26,11 +26,12 @@
         })
     }
 
-    /// Records a response on a connection that had rested for `rest`.
-    pub(super) fn record_rest(&self, handle: &TargetHandle, rest: Duration) {
+    /// Records the response to a request that was sent at `sent`, on a connection that had rested for
+    /// `rest`.
+    pub(super) fn record_rest(&self, handle: &TargetHandle, rest: Duration, sent: Duration) {
         let (service, now) = (&handle.target.service, self.shared.now());
         let mut limits = self.idle_limits.borrow_mut();
-        let change = limits.record_answer(service, handle.id_hash, rest, now);
+        let change = limits.record_answer(service, handle.id_hash, rest, sent, now);
         drop(limits);
         self.log_idle_limit(service, change);
     }
@@ -56,9 +57,6 @@
         let Some(IdleLimitChange { from, to }) = change else {
             return;
         };
-        if !self.may_log(Kind::Failure) {
-            return;
-        }
         let ms = |limit: Option<Duration>| limit.map(|limit| limit.as_millis() as u64);
         log::info!(
             target: "belief", event = "idle_limit", service = service, from_ms:? = ms(from),
