--- a/crates/edge/src/front/returns.rs
+++ b/crates/edge/src/front/returns.rs
@@ -92,11 +92,10 @@
 
     /// Counts a booking, and returns the time that the caller is told.
     fn count_return(&self, booked: Return) -> Duration {
-        let name = match booked.is_booked {
-            true => "returns_booked",
-            false => "returns_without_room",
-        };
-        self.shared.meters.count(name);
+        match booked.is_booked {
+            true => self.shared.meters.count("returns_booked"),
+            false => self.shared.meters.count("returns_without_room"),
+        }
         booked.after
     }
 
