--- a/crates/edge/tests/priorities.rs
+++ b/crates/edge/tests/priorities.rs
@@ -94,7 +94,7 @@
     while served.len() > SLOTS {
         answer_one(&mut served);
     }
-    // A third of them is treated like requests of the highest priority.
+    // Some are let in for their floor.
     let refused = (0..100).find_map(|_| match desk() {
         Ok(stream) => {
             served.push(stream);
