--- a/crates/admit/src/direct/returns.rs
+++ b/crates/admit/src/direct/returns.rs
@@ -97,14 +97,14 @@
             false => SPREAD_RATE,
         };
         let rate = (served * BOOKED_FRACTION).max(floor);
-        let first = slot_of(now + refusal.earliest).saturating_add(1);
-        let last = slot_of(now + HORIZON.max(refusal.earliest));
+        let first = slot_of(now.saturating_add(refusal.earliest)).saturating_add(1);
+        let last = slot_of(now.saturating_add(HORIZON.max(refusal.earliest)));
         let is_most_urgent = self.is_most_urgent(refusal.priority);
         let is_free = |slot: &u64| {
             let booked = self.slots.get(slot).into_iter().flat_map(BTreeMap::values);
             u64::from(booked.sum::<u32>()) < self.capacity(*slot, rate, is_most_urgent)
         };
-        let slot = (first..=last).find(is_free).unwrap_or(last + 1);
+        let slot = (first..=last).find(is_free).unwrap_or(last.saturating_add(1));
         let after = start_of(slot).saturating_sub(now);
         let is_booked = slot <= last && after <= refusal.patience;
         if is_booked {
