--- a/crates/admit/src/direct/returns.rs
+++ b/crates/admit/src/direct/returns.rs
@@ -104,7 +104,9 @@
             let booked = self.slots.get(slot).into_iter().flat_map(BTreeMap::values);
             u64::from(booked.sum::<u32>()) < self.capacity(*slot, rate, is_most_urgent)
         };
-        let slot = (first..=last).find(is_free).unwrap_or(last.saturating_add(1));
+        let slot = (first..=last)
+            .find(is_free)
+            .unwrap_or(last.saturating_add(1));
         let after = start_of(slot).saturating_sub(now);
         let is_booked = slot <= last && after <= refusal.patience;
         if is_booked {
--- a/crates/edge/src/front/entry.rs
+++ b/crates/edge/src/front/entry.rs
@@ -1,8 +1,8 @@
-//! Admission to a target's queue, by urgency, by workspace and by booked returns.
+//! Admission to a target's queue, by urgency, by workspace and by booked returns, and of retries.
 
 use std::{sync::Arc, time::Duration};
 
-use dunlinrock_decide::admit::direct::{Place, Urgency};
+use dunlinrock_decide::admit::direct::{Place, RetryDecision, Urgency};
 use tokio::time::Instant;
 
 use super::{
@@ -77,6 +77,26 @@
         capacity
     }
 
+    /// Returns why another attempt is not made: its answer would come too late, or the retry budget
+    /// leaves none.
+    pub(super) fn retry_refused(
+        &self,
+        access: &Access,
+        service: &Arc<str>,
+        selected: &SelectedTarget,
+        outbound: &OutboundRequest,
+    ) -> Option<String> {
+        let latency = self.latency(&access.route.name);
+        let wait = latency.queue_delay(selected.busy, selected.handle.target.slots);
+        let time = wait + latency.expected_run();
+        if !outbound.is_in_time(time) {
+            self.shared.meters.count("retries_too_late");
+            return Some("another run would end too late".to_owned());
+        }
+        let retry = self.try_retry(service, outbound, outbound.urgency(access, time));
+        (!retry.is_granted).then(|| spent_cause(&retry))
+    }
+
     /// Records that a request left a target's queue to others.
     fn log_gave_way(
         &self,
@@ -111,3 +131,17 @@
         Instant::now() + time <= self.deadline
     }
 }
+
+fn spent_cause(retry: &RetryDecision) -> String {
+    let RetryDecision {
+        used, left, share, ..
+    } = retry;
+    let hosts = share.hosts;
+    let slack = match share.since {
+        Some(_) => "with",
+        None => "without",
+    };
+    format!(
+        "the retry budget is spent: {used} used, {left:.1} left, one of {hosts} hosts, {slack} slack"
+    )
+}
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -9,7 +9,6 @@
 };
 
 use bytes::Bytes;
-use dunlinrock_decide::admit::direct::RetryDecision;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request::Parts};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -472,26 +471,6 @@
         let once = state.may_have_run && !route.repeatable;
         ended || once
     }
-
-    /// Returns why another attempt is not made: its answer would come too late, or the retry budget
-    /// leaves none.
-    fn retry_refused(
-        &self,
-        access: &Access,
-        service: &Arc<str>,
-        selected: &SelectedTarget,
-        outbound: &OutboundRequest,
-    ) -> Option<String> {
-        let latency = self.latency(&access.route.name);
-        let wait = latency.queue_delay(selected.busy, selected.handle.target.slots);
-        let time = wait + latency.expected_run();
-        if !outbound.is_in_time(time) {
-            self.shared.meters.count("retries_too_late");
-            return Some("another run would end too late".to_owned());
-        }
-        let retry = self.try_retry(service, outbound, outbound.urgency(access, time));
-        (!retry.is_granted).then(|| spent_cause(&retry))
-    }
 }
 
 /// Until when a request is worth an answer.
@@ -504,20 +483,6 @@
     objective_end: Instant,
 }
 
-fn spent_cause(retry: &RetryDecision) -> String {
-    let RetryDecision {
-        used, left, share, ..
-    } = retry;
-    let hosts = share.hosts;
-    let slack = match share.since {
-        Some(_) => "with",
-        None => "without",
-    };
-    format!(
-        "the retry budget is spent: {used} used, {left:.1} left, one of {hosts} hosts, {slack} slack"
-    )
-}
-
 fn has_time(outbound: &OutboundRequest) -> bool {
     outbound.deadline.saturating_duration_since(Instant::now()) > MIN_ATTEMPT_TIME
 }
