--- a/crates/admit/src/direct/shared_load/mod.rs
+++ b/crates/admit/src/direct/shared_load/mod.rs
@@ -78,13 +78,18 @@
 
 /// Returns what is left of a number of requests at this age, as it decays over [`EXPIRY`].
 fn decay(requests: u16, age: Duration) -> u16 {
-    let remaining = 1.0 - age.div_duration_f64(EXPIRY);
-    (f64::from(requests) * remaining.max(0.0)).round() as u16
+    scale(requests, EXPIRY.saturating_sub(age), EXPIRY)
 }
 
 /// Returns what is left of a told number of requests, which is renewed while messages pass.
 fn decay_told(requests: u16, age: Duration) -> u16 {
-    let (late, span) = (age.saturating_sub(FRESH_TIME), EXPIRY - FRESH_TIME);
-    let remaining = 1.0 - late.div_duration_f64(span);
-    (f64::from(requests) * remaining.max(0.0)).round() as u16
+    const SPAN: Duration = EXPIRY.saturating_sub(FRESH_TIME);
+    scale(requests, EXPIRY.saturating_sub(age).min(SPAN), SPAN)
+}
+
+/// Returns a number of requests times `part` of `whole`, which are at most some seconds, rounded.
+/// Each request reads the load of all targets, so that this takes no floating-point division.
+fn scale(requests: u16, part: Duration, whole: Duration) -> u16 {
+    let (part, whole) = (part.as_nanos() as u64, whole.as_nanos() as u64);
+    ((u64::from(requests) * part + whole / 2) / whole) as u16
 }
