--- a/crates/admit/src/direct/shared_load/collector.rs
+++ b/crates/admit/src/direct/shared_load/collector.rs
@@ -74,6 +74,8 @@
     total: u16,
     pace: Option<u16>,
     at: Duration,
+    /// When a report told it.
+    heard_at: Duration,
     /// Whether it said so to a host of this region.
     is_local: bool,
 }
@@ -164,19 +166,20 @@
         let is_local = reporter.region.is_none();
         for figure in figures {
             if let Some(said) = figure.said.filter(|said| said.age < EXPIRY) {
-                self.record_said(figure.target, said, is_local, at);
+                let said = Said {
+                    total: said.total,
+                    pace: said.pace,
+                    at: at.saturating_sub(said.age),
+                    heard_at: now,
+                    is_local,
+                };
+                self.record_said(figure.target, said);
             }
         }
         true
     }
 
-    fn record_said(&mut self, target: u32, said: SaidLoad, is_local: bool, reported_at: Duration) {
-        let said = Said {
-            total: said.total,
-            pace: said.pace,
-            at: reported_at.saturating_sub(said.age),
-            is_local,
-        };
+    fn record_said(&mut self, target: u32, said: Said) {
         let is_full = self.said.len() >= MAX_SAID;
         match self.said.entry(target) {
             Entry::Vacant(entry) if !is_full => {
@@ -230,11 +233,12 @@
         })
     }
 
-    /// Returns the sums of this region's hosts, and what targets said to them after `since`, for the
+    /// Returns the sums of this region's hosts, and what they told after `since` that targets
+    /// said, for the
     /// collectors of other regions.
     pub fn region_figures(&mut self, since: Duration, now: Duration) -> Vec<LoadFigure> {
         self.refresh(now);
-        let new = |said: &&Said| said.is_local && said.at > since;
+        let new = |said: &&Said| said.is_local && said.heard_at > since;
         let mut figures: BTreeMap<u32, LoadFigure> = BTreeMap::new();
         for (&target, sum) in self.sums.iter().filter(|(_, sum)| sum.local > 0) {
             let in_flight = u16::try_from(sum.local).unwrap_or(u16::MAX);
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -309,6 +309,31 @@
     assert!(all_granted, "no share waits for a host that is gone");
 }
 
+/// Guards against hosts that disagree on who takes over a duty when the one that has it is gone:
+/// without it, the others keep their order.
+#[test]
+fn a_duty_passes_to_the_next_host_in_the_same_order() {
+    let list = |hosts: &[usize]| -> List { hosts.iter().map(|h| (entry(*h), rev(1))).collect() };
+    let now = Duration::from_secs(100);
+    let domains = domains();
+    let names = |owners: &LimitOwners, duty: &str| -> Vec<Arc<str>> {
+        let ranking = owners.ranking("north", duty, now);
+        ranking.iter().map(|host| Arc::clone(&host.name)).collect()
+    };
+    let all = LimitOwners::next(None, &list(&[0, 1, 2, 4, 6]), &domains, now);
+    assert_eq!(all.share_of("h1").map(|s| &**s), Some("south"));
+    assert_eq!(all.share_size("north"), 4);
+    for duty in (0..40).map(|n| format!("d{n}")) {
+        let mut expected = names(&all, &duty);
+        let first = expected.remove(0);
+        assert_eq!(all.owner("north", &duty, now).unwrap().name, first);
+        let gone: usize = first[1..].parse().unwrap();
+        let left: Vec<_> = [0, 2, 4, 6].into_iter().filter(|h| *h != gone).collect();
+        let rest = LimitOwners::next(None, &list(&left), &domains, now);
+        assert_eq!(names(&rest, &duty), expected);
+    }
+}
+
 fn limited(rate: f64) -> Config {
     let mut config = config(1);
     config.workspaces = vec![Arc::new(Workspace {
