--- a/crates/admit/src/direct/start_pace.rs
+++ b/crates/admit/src/direct/start_pace.rs
@@ -6,9 +6,9 @@
 //!
 //! The order is a hash of object and target, and the part grows with time from a moment that all
 //! hosts see alike, so hosts agree without messages. A host that hears from the target corrects its
-//! own part: it grows twice as fast for a while after an answer that shows room, and halves after
-//! one that is late, rejected or failed, or that reports more load than the others of the service
-//! have. Each answer reports the load of all hosts together; a host that hears nothing goes by time.
+//! own part: it grows twice as fast for a while after an answer that shows room. It stops after one
+//! that is late, rejected or failed, or that reports more load than the others of the service have,
+//! and halves after a second one in a row, or if that is the first that it hears. Each answer reports the load of all hosts together; a host that hears nothing goes by time.
 //!
 //! Before an object comes home, some of its requests do: the first of them warm the target for the
 //! others, where otherwise all that arrive during the first run would run cold beside each other.
@@ -35,7 +35,7 @@
 /// Time for which the part grows faster after a good answer, as a fraction of the ramp.
 const GOOD_NEWS: f64 = 0.25;
 
-/// Time after a fall in which the part neither grows nor falls again, as a fraction of the ramp:
+/// Time after a bad result in which the part neither grows nor falls, as a fraction of the ramp:
 /// requests that were in flight end together.
 const SETTLING: f64 = 0.125;
 
@@ -91,6 +91,9 @@
     since: Duration,
     /// Until when it grows faster.
     fast_until: Duration,
+    /// Whether the last result was bad, or there was none: another bad one is a fall. Single requests
+    /// fail at any target, and a fall sends objects away that are warm already.
+    is_doubtful: bool,
     /// Setbacks of the target's earlier starts, at most [`MAX_SETBACKS`].
     setbacks: u32,
 }
@@ -110,6 +113,7 @@
             part,
             since: begin,
             fast_until: begin,
+            is_doubtful: true,
             setbacks,
         }
     }
@@ -141,14 +145,18 @@
         self.since = now;
         match result {
             StartResult::Good => {
+                self.is_doubtful = false;
                 self.fast_until = now + self.length.mul_f64(GOOD_NEWS);
                 false
             }
             StartResult::Bad => {
-                self.part /= 2.0;
                 self.since = now + self.length.mul_f64(SETTLING);
                 self.fast_until = self.since;
-                true
+                let falls = std::mem::replace(&mut self.is_doubtful, true);
+                if falls {
+                    self.part /= 2.0;
+                }
+                falls
             }
         }
     }
