--- a/crates/admit/src/direct/start_pace.rs
+++ b/crates/admit/src/direct/start_pace.rs
@@ -24,13 +24,9 @@
 /// Length of an object's turn, as a fraction of the ramp.
 const TURN: f64 = 0.5;
 
-/// Part with which a target begins that was ejected or paused, or whose entry had lapsed: the turns
-/// of all objects begin.
-const RECOVERED_PART: f64 = TURN;
-
-/// Part with which a target begins that was cold: it has run some requests of most objects, and half
-/// of them come home at once.
-const WARMED_PART: f64 = 0.75;
+/// Part with which a target begins that has most of its objects: it was ejected or paused, its entry
+/// had lapsed, or its cold time has warmed it. Half of them come home at once.
+const WARM_PART: f64 = 0.75;
 
 /// Time for which the part grows faster after a good answer, as a fraction of the ramp.
 const GOOD_NEWS: f64 = 0.25;
@@ -104,8 +100,7 @@
         let setbacks = setbacks.min(MAX_SETBACKS);
         let part = match start {
             Start::New => 0.0,
-            Start::Recovered => RECOVERED_PART * lowered(setbacks),
-            Start::Cold => WARMED_PART * lowered(setbacks),
+            Start::Cold | Start::Recovered => WARM_PART * lowered(setbacks),
         };
         StartPace {
             begin,
