--- a/crates/edge/src/front/ask.rs
+++ b/crates/edge/src/front/ask.rs
@@ -102,7 +102,8 @@
         }
         let on_head =
             |status: StatusCode, headers: &_| self.record_notices(handle, status, headers);
-        let (response, is_reusable) = connection.exchange(request, on_head).await?;
+        let exchanged = connection.exchange(request, &self.response_memory, on_head);
+        let (response, is_reusable) = exchanged.await?;
         // A late second response to an earlier request has that one's id.
         let is_other = response
             .headers
