--- a/crates/edge/src/front/second_send.rs
+++ b/crates/edge/src/front/second_send.rs
@@ -58,6 +58,11 @@
         };
         match failed {
             Some(failed) => {
+                // A refusal after this would claim that the request has not run.
+                if matches!(failed, AttemptResult::Answered(_)) {
+                    state.delivered += 1;
+                    state.may_have_run = true;
+                }
                 self.after_attempt(access, loser, outbound, state, failed);
             }
             None => {
