--- a/crates/admit/src/direct/shared_load/collector.rs
+++ b/crates/admit/src/direct/shared_load/collector.rs
@@ -101,7 +101,7 @@
 
 /// Reports of a region's hosts and of other regions.
 ///
-/// Invariants: of each reporter only the last report counts, and none that is older than [`EXPIRY`];
+/// Invariants: of each reporter only the last report counts, and none that is older than `EXPIRY`;
 /// `reports`, their figures and `said` are bounded.
 #[derive(Clone, Debug, Default)]
 pub struct LoadCollector {
--- a/crates/steer/src/host_draw/mod.rs
+++ b/crates/steer/src/host_draw/mod.rs
@@ -33,7 +33,7 @@
 }
 
 /// Returns the indexes of the hosts to name, in a random order that `seed` determines; about as many
-/// as the hosts are worth in hosts of the greatest capacity, and at least [`MIN_HOSTS`].
+/// as the hosts are worth in hosts of the greatest capacity, and at least three.
 pub fn draw(hosts: &[HostCapacity], seed: u64) -> Vec<usize> {
     let mut order: Vec<usize> = (0..hosts.len()).collect();
     order.sort_by_key(|i| mix64(seed ^ mix64(*i as u64)));
