--- a/crates/admit/src/direct/entry/gate.rs
+++ b/crates/admit/src/direct/entry/gate.rs
@@ -130,8 +130,8 @@
         before.map(|(_, r)| r.decayed(now)).fold(0.0, f64::max)
     }
 
-    /// Whether requests this urgent were let in less than [`FLOOR`] times as often as all.
-    fn is_below_floor(&self, urgency: Urgency, now: Duration) -> bool {
+    /// Whether requests this urgent were let in less than a third as often as all.
+    pub fn is_below_floor(&self, urgency: Urgency, now: Duration) -> bool {
         let (all_asked, all_in) = self.total.values(now);
         let counts = self.counts.get(&urgency).copied().unwrap_or_default();
         let (asked, let_in) = counts.values(now);
--- a/crates/admit/src/direct/entry/shares.rs
+++ b/crates/admit/src/direct/entry/shares.rs
@@ -51,11 +51,12 @@
         used.let_in.add(let_in, SHARE_TIME, now);
     }
 
-    /// Whether a workspace has had more than its fair share.
+    /// Whether a workspace has had more than its fair share. One alone has none: nobody else could
+    /// use the room.
     pub fn is_above(&mut self, workspace: &str, now: Duration) -> bool {
         let level = self.level(now);
         let used = self.uses.get(workspace);
-        used.is_some_and(|u| u.let_in.value(SHARE_TIME, now) > level)
+        self.uses.len() > 1 && used.is_some_and(|u| u.let_in.value(SHARE_TIME, now) > level)
     }
 
     fn level(&mut self, now: Duration) -> f64 {
--- a/crates/admit/src/direct/shared_load/collector.rs
+++ b/crates/admit/src/direct/shared_load/collector.rs
@@ -7,6 +7,9 @@
 
 use super::{EXPIRY, LoadFigure, MAX_REQUESTS, SaidLoad, ToldLoad, USUAL_PACE};
 
+/// Rate at which two hosts' clocks may drift apart, in seconds per second.
+const MAX_DRIFT: f64 = 0.001;
+
 /// Maximum number of hosts and regions whose reports are kept; a report of another one is dropped.
 const MAX_REPORTERS: usize = 512;
 
@@ -150,11 +153,14 @@
         if sent < report.sent {
             return false;
         }
-        report.offset = report.offset.min(offset);
-        let delay = Duration::try_from_secs_f64(offset - report.offset).unwrap_or_default();
-        if delay >= EXPIRY {
+        let delay = |least: f64| Duration::try_from_secs_f64(offset - least).unwrap_or_default();
+        if delay(report.offset) >= EXPIRY {
             return false;
         }
+        // Without this, the drift of two clocks would count as delay, more and more.
+        let drift = now.saturating_sub(report.at).as_secs_f64() * MAX_DRIFT;
+        report.offset = (report.offset + drift).min(offset);
+        let delay = delay(report.offset);
         report.sent = sent;
         report.at = now.saturating_sub(delay);
         let figures = &figures[..figures.len().min(MAX_FIGURES)];
--- a/crates/edge/src/front/ask.rs
+++ b/crates/edge/src/front/ask.rs
@@ -48,7 +48,9 @@
     /// Returns how long a selected target's answer is waited for; `None` if it is not asked.
     fn question(&self, access: &Access, selected: &SelectedTarget) -> Option<Duration> {
         let handle = &selected.handle;
-        if selected.is_cold || !access.route.sticky || !handle.reports_pace() {
+        // A selection of these is limited, and cannot be taken back wholly.
+        let is_limited = selected.is_cold || handle.rate.borrow().rate().is_some();
+        if is_limited || !access.route.sticky || !handle.reports_pace() {
             return None;
         }
         let usual = {
@@ -86,7 +88,7 @@
         handle: &Rc<TargetHandle>,
         path: &str,
     ) -> Result<BufferedResponse, ExchangeError> {
-        let mut connection = match self.take_kept(handle, true) {
+        let mut connection = match self.take_kept(handle, false) {
             Some(connection) => connection,
             None => self.open_connection(handle).await?,
         };
--- a/crates/edge/src/front/attempt.rs
+++ b/crates/edge/src/front/attempt.rs
@@ -105,6 +105,10 @@
             Ok(Err(ExchangeError::Sent(cause))) => {
                 (AttemptResult::Lost(cause), Some(Evidence::Bad))
             }
+            Ok(Err(ExchangeError::NoRoom)) => {
+                let cause = "the host holds all responses that it may".to_owned();
+                (AttemptResult::Lost(cause), None)
+            }
             Ok(Err(ExchangeError::Unreachable(cause))) => {
                 (AttemptResult::Lost(cause), Some(Evidence::Down))
             }
@@ -122,7 +126,7 @@
             }
         };
         let mut evidence = evidence;
-        if matches!(result, AttemptResult::Answered(_)) {
+        if let AttemptResult::Answered(response) = &result {
             let (time, slots) = (start.elapsed(), handle.target.slots);
             if self
                 .latency(&route.name)
@@ -131,7 +135,10 @@
                 evidence = Some(Evidence::Bad);
             }
             self.record_time(&route.name, time, selected);
-            self.record_run(&route.name, time, selected);
+            // A failure may come at once, and says nothing about how long runs take.
+            if response.status.is_success() {
+                self.record_run(&route.name, time, selected);
+            }
             handle.lost.borrow_mut().record_answer();
             self.record_success(outbound.fingerprint);
             self.record_served(&handle.target.service);
@@ -168,7 +175,7 @@
                 let (front, handle) = (Rc::clone(self), Rc::clone(handle));
                 tokio::task::spawn_local(async move { front.check_target(&handle).await });
             }
-            Ok(Ok(_) | Err(ExchangeError::Rerouted | ExchangeError::NotSent(_))) | Err(_) => {}
+            Ok(Ok(_) | Err(_)) | Err(_) => {}
         }
     }
 
@@ -235,6 +242,10 @@
             match exchanged {
                 Ok((response, is_reusable)) => {
                     self.record_rest(handle, rest, sent_at);
+                    // What an answer to another request says of its run is not true of this one's.
+                    if self.is_foreign(outbound, &response) {
+                        return Err(ExchangeError::Sent("an answer to another request".into()));
+                    }
                     match response.status {
                         // Another process than the expected one.
                         StatusCode::MISDIRECTED_REQUEST => run.withdraw(),
@@ -369,6 +380,14 @@
         echoed.is_some_and(|id| id.as_bytes() == outbound.id.as_bytes())
     }
 
+    /// Whether a response names another request.
+    fn is_foreign(&self, outbound: &OutboundRequest, response: &BufferedResponse) -> bool {
+        let has_id = response
+            .headers
+            .contains_key(&self.shared.dialect.request_id);
+        has_id && !self.matches_request(outbound, response)
+    }
+
     /// Classifies a response, and returns what it indicates about the target.
     fn classify(
         &self,
--- a/crates/edge/src/front/body_memory.rs
+++ b/crates/edge/src/front/body_memory.rs
@@ -54,9 +54,10 @@
                 return Err(sent(&"the response is too large"));
             }
             if !held.extend(&data) {
-                return Err(sent(&"the host holds all responses that it may"));
+                return Err(ExchangeError::NoRoom);
             }
         }
+        held.bytes.shrink_to_fit();
         Ok(Bytes::from_owner(held))
     }
 
--- a/crates/edge/src/front/caller_stream.rs
+++ b/crates/edge/src/front/caller_stream.rs
@@ -215,9 +215,16 @@
     }
 
     fn note_write(&mut self, written: &Poll<io::Result<usize>>) {
-        if written.is_pending() && self.unread_since.is_none() {
-            self.unread_since = Some(Instant::now());
-            self.unread.notify_one();
+        match written {
+            Poll::Pending if self.unread_since.is_none() => {
+                self.unread_since = Some(Instant::now());
+                self.unread.notify_one();
+            }
+            // The caller reads, if slowly.
+            Poll::Ready(Ok(1..)) if self.unread_since.is_some() => {
+                self.unread_since = Some(Instant::now());
+            }
+            _ => {}
         }
     }
 
--- a/crates/edge/src/front/connection.rs
+++ b/crates/edge/src/front/connection.rs
@@ -69,6 +69,8 @@
     Sent(String),
     /// Like `Sent`, and the connection ended before any byte of a response.
     Broken(String),
+    /// Like `Sent`: this host has no memory for the response.
+    NoRoom,
     /// Like `Sent`, and the target does not answer the kernel's keep-alive probes either.
     Unreachable(String),
 }
--- a/crates/edge/src/front/entry.rs
+++ b/crates/edge/src/front/entry.rs
@@ -64,7 +64,10 @@
         let gate = gates.entry(Arc::clone(service)).or_default();
         let place = gate.place(urgency, workspace, now);
         let capacity = gate.concurrency_limit(place, limit, slots, now);
-        let kept = self.room_kept(service, urgency.priority);
+        let kept = match gate.is_below_floor(place.urgency, now) {
+            true => 0,
+            false => self.room_kept(service, urgency.priority) / self.target_count(service),
+        };
         let capacity = capacity.saturating_sub(kept).max(slots);
         let is_refused = selected.busy >= capacity;
         gate.record(place, workspace, is_refused, now);
@@ -77,6 +80,13 @@
         capacity
     }
 
+    /// Returns the number of a service's targets, at least 1.
+    fn target_count(&self, service: &Arc<str>) -> u32 {
+        let view = self.shared.view.load();
+        let count = view.services.get(service).map_or(0, Vec::len);
+        u32::try_from(count).unwrap_or(u32::MAX).max(1)
+    }
+
     /// Returns why another attempt is not made: its answer would come too late, or the retry budget
     /// leaves none.
     pub(super) fn retry_refused(
@@ -93,7 +103,14 @@
             self.shared.meters.count("retries_too_late");
             return Some("another run would end too late".to_owned());
         }
-        let retry = self.try_retry(service, outbound, outbound.urgency(access, time));
+        let urgency = {
+            let mut gates = self.gates.borrow_mut();
+            let gate = gates.entry(Arc::clone(service)).or_default();
+            let now = self.shared.now();
+            gate.place(outbound.urgency(access, time), None, now)
+                .urgency
+        };
+        let retry = self.try_retry(service, outbound, urgency);
         (!retry.is_granted).then(|| spent_cause(&retry))
     }
 
--- a/crates/edge/src/front/forward.rs
+++ b/crates/edge/src/front/forward.rs
@@ -229,6 +229,9 @@
                     | ExchangeError::Broken(e)
                     | ExchangeError::Unreachable(e),
                 ) => ForwardResult::Lost(e),
+                Err(ExchangeError::NoRoom) => {
+                    ForwardResult::Lost("no room for the answer".to_owned())
+                }
                 Err(ExchangeError::Rerouted) => ForwardResult::NotRun("rerouted".to_owned()),
             };
         }
--- a/crates/edge/src/front/loads.rs
+++ b/crates/edge/src/front/loads.rs
@@ -46,6 +46,9 @@
 /// most.
 const TIME_PER_HOST: Duration = Duration::from_millis(5);
 
+/// Maximum time between two reports.
+const MAX_PERIOD: Duration = Duration::from_millis(500);
+
 /// Priority of routes whose requests must find room when others compete for it. A configuration
 /// that has none does not need the loads to be shared.
 const URGENT_PRIORITY: u8 = 0;
@@ -101,7 +104,9 @@
         let owners = &view.limit_owners;
         let share = owners.share_of(&self.shared.settings.name)?;
         let hosts = owners.share_size(share) as u32;
-        (hosts > 1).then(|| period.max(TIME_PER_HOST * hosts))
+        let period = period.max(TIME_PER_HOST * hosts);
+        // What is told less often has decayed before it is told again.
+        (hosts > 1 && period <= MAX_PERIOD).then_some(period)
     }
 
     async fn share_loads(&self) {
--- a/crates/edge/src/front/second_send.rs
+++ b/crates/edge/src/front/second_send.rs
@@ -52,6 +52,15 @@
             (false, true) => (false, first.await, Some(result)),
             (false, false) => (true, other.await, Some(result)),
         };
+        // The target's own failure is a better answer than that the other send has none.
+        let (is_second, result, failed) = match (result, failed) {
+            (result, Some(own @ AttemptResult::Answered(_)))
+                if !matches!(result, AttemptResult::Answered(_)) =>
+            {
+                (!is_second, own, Some(result))
+            }
+            (result, failed) => (is_second, result, failed),
+        };
         let (winner, loser) = match is_second {
             true => (&second, &selected),
             false => (&selected, &second),
@@ -128,21 +137,27 @@
         };
         let other = self.select_target(&view, access, &criteria).ok();
         let other = other.filter(|other| {
-            let is_suitable = is_suitable(&other.handle, 0);
+            let is_suitable = other.rank == 0 && is_suitable(&other.handle, 0);
             if !is_suitable {
                 other.handle.cancel_selection();
             }
             is_suitable
         });
-        let second = other.or_else(|| {
-            let is_usual = first.handle.reports_pace() && is_suitable(&first.handle, 1);
-            is_usual.then(|| first.again(view.change))
-        })?;
+        let Some(other) = other else {
+            let is_usual = takes_again(first) && is_suitable(&first.handle, 1);
+            return (is_usual && self.try_second(service, outbound)).then(|| first.again());
+        };
         if !self.try_second(service, outbound) {
-            second.handle.cancel_selection();
+            other.handle.cancel_selection();
             return None;
         }
-        Some(second)
+        // Of the two homes, the one that the first send did not go to. The change is that of the
+        // first selection: access was checked for that, and is checked again if the view differs.
+        Some(SelectedTarget {
+            rank: usize::from(first.rank == 0),
+            change: first.change,
+            ..other
+        })
     }
 
     /// Takes a second send from the retry budget of a service.
@@ -174,6 +189,14 @@
     }
 }
 
+/// Whether a target may get the same request again without being selected: nothing limits what this
+/// host sends to it.
+fn takes_again(first: &SelectedTarget) -> bool {
+    let handle = &first.handle;
+    let is_limited = first.is_cold || handle.rate.borrow().rate().is_some();
+    !is_limited && !handle.ejection.borrow().is_ejected()
+}
+
 /// Whether a result ends the request, whatever becomes of its other send.
 fn is_useful(result: &AttemptResult) -> bool {
     match result {
--- a/crates/edge/src/front/select.rs
+++ b/crates/edge/src/front/select.rs
@@ -40,12 +40,11 @@
 }
 
 impl SelectedTarget {
-    /// Returns a selection of the same target once more, in the view of this change.
-    pub(super) fn again(&self, change: u64) -> SelectedTarget {
+    /// Returns the same selection once more.
+    pub(super) fn again(&self) -> SelectedTarget {
         SelectedTarget {
             handle: Rc::clone(&self.handle),
             region: Arc::clone(&self.region),
-            change,
             ..*self
         }
     }
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -29,9 +29,10 @@
 /// longer one, what is told has decayed before the next report.
 const LOAD_PERIODS: RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_millis(500);
-/// Minimum ramp of a target that has started. Hosts learn of a target up to some hundred milliseconds
-/// after one another; in a shorter ramp each would see another part of it.
-const MIN_START_RAMP: Duration = Duration::from_millis(500);
+
+/// Ramps that a target that has started may have. Hosts learn of a target up to some hundred
+/// milliseconds after one another; in a shorter ramp each would see another part of it.
+const START_RAMPS: RangeInclusive<Duration> = Duration::from_millis(500)..=Duration::from_secs(60);
 
 /// Listen addresses of a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -207,8 +208,8 @@
 fn start_ramp(bounds: &EdgeBounds, check: &mut Check) -> Option<Duration> {
     let text = bounds.start_ramp.as_deref()?;
     let time = check.duration("bounds.start_ramp", Some(text), text);
-    if time < MIN_START_RAMP {
-        check.report("bounds.start_ramp", text, "give 500ms or more");
+    if !START_RAMPS.contains(&time) {
+        check.report("bounds.start_ramp", text, "give 500ms to 60s");
     }
     Some(time)
 }
--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -12,7 +12,8 @@
     model::{Entry, Route, Target},
     settings::Settings,
 };
-use support::{Deployment, Script, ScriptedTarget, config, count_matches, request};
+use rstest::rstest;
+use support::{Deployment, Head, Script, ScriptedTarget, config, count_matches, request};
 
 #[test]
 fn a_response_is_forwarded_unchanged_with_the_targets_signature() {
@@ -103,6 +104,31 @@
     assert!(!answer.contains("again"), "{answer}");
 }
 
+/// A late second answer to an earlier request says that it has not run, while the target runs the
+/// next one. Believed, it would let that run twice, or be refused as not run.
+#[rstest]
+#[case::shed("503 Service Unavailable", "Unrun: 1\r\n")]
+#[case::another_process("421 Misdirected Request", "")]
+fn a_not_run_answer_to_another_request_is_not_believed(
+    #[case] status: &'static str,
+    #[case] more: &'static str,
+) {
+    let open = || {
+        ScriptedTarget::open(move |head| {
+            let earlier = Head {
+                text: "Id: earlier\r\n".to_owned(),
+                ..head.clone()
+            };
+            Script::Write(earlier.answer_with(status, more, ""))
+        })
+    };
+    let (a, b) = (open(), open());
+    let deployment = Deployment::open(config(1), &[&a, &b]);
+    let answer = deployment.call("POST", "/once/a", "r1");
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(a.count() + b.count(), 1, "a request that may run once");
+}
+
 /// A full target sheds the request and another one runs it. The caller sees one response, also for
 /// a request that is not idempotent.
 #[test]
--- a/crates/steer/src/host_draw/mod.rs
+++ b/crates/steer/src/host_draw/mod.rs
@@ -45,7 +45,7 @@
     let offset = to_unit_f64(mix64(seed)) * step;
     let mut end = offset;
     let mut named = Vec::new();
-    for index in order {
+    for &index in &order {
         let start = end;
         end += weights[index];
         if (end / step).floor() > (start / step).floor() {
@@ -54,7 +54,7 @@
     }
     match named.len() >= MIN_HOSTS {
         true => named,
-        false => fill(named, &weights),
+        false => fill(named, &order, &weights),
     }
 }
 
@@ -84,9 +84,11 @@
     times.collect()
 }
 
-/// Adds the hosts of the greatest capacity that are missing in a small sample.
-fn fill(mut named: Vec<usize>, weights: &[f64]) -> Vec<usize> {
-    let mut missing: Vec<_> = (0..weights.len()).filter(|i| !named.contains(i)).collect();
+/// Adds the hosts of the greatest capacity that are missing in a small sample, in this order among
+/// equals.
+fn fill(mut named: Vec<usize>, order: &[usize], weights: &[f64]) -> Vec<usize> {
+    let missing = order.iter().copied().filter(|i| !named.contains(i));
+    let mut missing: Vec<_> = missing.collect();
     missing.sort_by(|a, b| weights[*b].total_cmp(&weights[*a]));
     missing.truncate(MIN_HOSTS - named.len());
     named.extend(missing);
--- a/crates/steer/tests/hosts_by_capacity.rs
+++ b/crates/steer/tests/hosts_by_capacity.rs
@@ -65,6 +65,21 @@
     assert!(draw(&[], 1).is_empty());
 }
 
+/// One or two large hosts beside small ones: the names that make three must not fall on the same small
+/// host each time.
+#[test]
+fn small_hosts_that_fill_an_answer_take_turns() {
+    for large in [1, 2] {
+        let hosts: Vec<_> = vec![LARGE; large].into_iter().chain([SMALL; 8]).collect();
+        let shares = shares(&hosts);
+        let small = &shares[large..];
+        let mean = small.iter().sum::<f64>() / small.len() as f64;
+        for share in small {
+            assert!((share / mean - 1.0).abs() < 0.1, "{share} of {mean}");
+        }
+    }
+}
+
 /// Hosts of an earlier release announce no link, and older ones no processor; read as zero they
 /// would get no callers at all.
 #[test]
