--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -17,9 +17,10 @@
 
     pub fn get(&self, name: &str) -> &Json {
         match self {
-            Json::Table(rows) => {
-                rows.iter().find(|(n, _)| n == name).map_or(&Json::Null, |(_, v)| v)
-            }
+            Json::Table(rows) => rows
+                .iter()
+                .find(|(n, _)| n == name)
+                .map_or(&Json::Null, |(_, v)| v),
             _ => &Json::Null,
         }
     }
--- a/review/standin/link.rs
+++ b/review/standin/link.rs
@@ -31,8 +31,12 @@
                 let cut = Arc::clone(&cut);
                 thread::spawn(move || {
                     wait(&cut);
-                    let Ok(host) = TcpStream::connect(to) else { return };
-                    let (Ok(c), Ok(h)) = (caller.try_clone(), host.try_clone()) else { return };
+                    let Ok(host) = TcpStream::connect(to) else {
+                        return;
+                    };
+                    let (Ok(c), Ok(h)) = (caller.try_clone(), host.try_clone()) else {
+                        return;
+                    };
                     let other = Arc::clone(&cut);
                     thread::spawn(move || pass(h, c, &other));
                     pass(caller, host, &cut);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -29,7 +29,7 @@
     let held = match case.as_str() {
         "stop-while-read" => cases::stop_while_read(trouble),
         "stop-while-sending" => cases::stop_while_sending(trouble),
-        "leave-behind-requests" => cases::leave_behind_requests(trouble),
+        "deadly-request" => cases::deadly_request(trouble),
         "cut-while-uploading" => cases::cut_while_uploading(trouble),
         "slow-worker-stop" => cases::slow_worker_stop(trouble),
         _ => None,
