--- a/crates/edge/src/front/accept.rs
+++ b/crates/edge/src/front/accept.rs
@@ -8,7 +8,7 @@
     time::Instant,
 };
 
-use super::{Front, serve_connection};
+use super::{Front, callers};
 
 /// Backoff after a failed accept: without free descriptors, accept fails again immediately.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
@@ -72,7 +72,7 @@
         match queue.next(listener).await {
             Ok((stream, waited)) => {
                 let is_full = front.on_accept();
-                let served = serve_connection(Rc::clone(front), stream, waited, is_full);
+                let served = callers::serve(Rc::clone(front), stream, waited, is_full);
                 tokio::task::spawn_local(served);
             }
             Err(e) => {
@@ -91,7 +91,8 @@
         let open = front.open_connections();
         let meters = &front.shared.meters;
         meters.gauge("callers_open", open.callers.into());
-        meters.gauge("callers_idle", front.idle_callers.count().into());
+        meters.gauge("callers_idle", front.callers.unused_count().into());
+        meters.gauge("callers_unread", front.callers.undelivered_count().into());
         meters.gauge("targets_open", open.targets.into());
         meters.gauge("links_lost", front.shared.links.is_lost().into());
         meters.gauge("response_bytes", front.response_memory.used());
@@ -104,7 +105,7 @@
     /// Returns the number of open connections.
     pub(super) fn open_connections(&self) -> OpenConnections {
         OpenConnections {
-            callers: self.open_callers.get(),
+            callers: self.callers.open_count(),
             targets: self.target_connections.count(),
         }
     }
@@ -139,7 +140,7 @@
     }
 
     fn close_idle(&self, max: u32) {
-        for _ in 0..self.idle_callers.close_oldest(max, MIN_EVICTION_IDLE) {
+        for _ in 0..self.callers.close_oldest(max, MIN_EVICTION_IDLE) {
             self.shared.meters.count("idle_closed");
         }
     }
@@ -151,7 +152,7 @@
         if self.near_limit.replace(is_near) == is_near {
             return;
         }
-        let (callers, idle, targets) = (open.callers, self.idle_callers.count(), open.targets);
+        let (callers, idle, targets) = (open.callers, self.callers.unused_count(), open.targets);
         if is_near {
             log::warn!(
                 target: "host", event = "pressed", callers = callers, idle = idle,
--- a/crates/edge/src/front/pipeline.rs
+++ b/crates/edge/src/front/callers/pipeline.rs
@@ -11,9 +11,8 @@
 use http::{HeaderName, HeaderValue, Method, Request, header, request::Parts};
 use tokio::task::JoinHandle;
 
-use super::{
-    Front, caller_stream::CallerStream, request::CallerGone, response::RequestEnd, select,
-};
+use super::stream::CallerStream;
+use crate::front::{Front, request::CallerGone, response::RequestEnd, select};
 
 /// Maximum number of requests of one connection that are started early: callers send a few at once,
 /// and one that sends more must not take all slots.
@@ -25,7 +24,7 @@
 
 /// Requests of one connection that were started early.
 #[derive(Debug, Default)]
-pub(super) struct Pipeline {
+pub(in crate::front) struct Pipeline {
     started: RefCell<BTreeMap<Arc<str>, PipelinedRequest>>,
 }
 
@@ -52,12 +51,12 @@
 
 impl Pipeline {
     /// Whether no request was started early that still waits for its turn.
-    pub(super) fn is_empty(&self) -> bool {
+    pub(in crate::front) fn is_empty(&self) -> bool {
         self.started.borrow().is_empty()
     }
 
     /// Returns the result of a request, if it was started early.
-    pub(super) async fn take(&self, id: &str, head: &Parts) -> Option<RequestEnd> {
+    pub(in crate::front) async fn take(&self, id: &str, head: &Parts) -> Option<RequestEnd> {
         let mut started = self.started.borrow_mut().remove(id)?;
         let target = head
             .uri
@@ -78,7 +77,7 @@
     ///
     /// A body that arrives in pieces is read ahead as well. If its second piece were taken for a
     /// request, a caller could have anything run in another caller's name.
-    pub(super) async fn watch(
+    pub(in crate::front) async fn watch(
         &self,
         front: &Rc<Front>,
         stream: &CallerStream,
--- /dev/null
+++ b/crates/edge/src/front/callers/registry.rs
@@ -0,0 +1,163 @@
+//! Open connections of callers: which of them are idle, which still owe a caller bytes, and which
+//! are closed when descriptors run short.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::{sync::Notify, time::Instant};
+
+use super::stream::CallerStream;
+
+/// Maximum interval between two checks whether a connection is idle.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// When the last request on a connection ended, and the connection's number.
+type IdleKey = (Instant, u64);
+
+/// Open connections of callers.
+#[derive(Debug, Default)]
+pub(in crate::front) struct Registry {
+    /// Connections without a running request, the longest unused first.
+    unused: RefCell<BTreeMap<IdleKey, UnusedConnection>>,
+    last_number: Cell<u64>,
+    open: Cell<u32>,
+}
+
+#[derive(Debug)]
+struct UnusedConnection {
+    stream: CallerStream,
+    /// Asks the connection to close.
+    close_notify: Rc<Notify>,
+}
+
+impl Registry {
+    /// Returns the number of open connections.
+    pub(in crate::front) fn open_count(&self) -> u32 {
+        self.open.get()
+    }
+
+    /// Returns the number of connections without a running request.
+    pub(in crate::front) fn unused_count(&self) -> u32 {
+        u32::try_from(self.unused.borrow().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of connections without a running request whose callers have not received
+    /// all bytes of their responses.
+    pub(in crate::front) fn undelivered_count(&self) -> u32 {
+        let unused = self.unused.borrow();
+        let undelivered = unused.values().filter(|c| !c.stream.is_delivered());
+        u32::try_from(undelivered.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Asks up to `max` connections that have been unused for `time` or more to close, the longest
+    /// unused first. Returns how many.
+    pub(in crate::front) fn close_oldest(&self, max: u32, time: Duration) -> u32 {
+        let mut unused = self.unused.borrow_mut();
+        let mut closed = 0;
+        while closed < max {
+            let Some(first) = unused.first_entry() else {
+                break;
+            };
+            if first.key().0.elapsed() < time {
+                break;
+            }
+            first.remove().close_notify.notify_one();
+            closed += 1;
+        }
+        closed
+    }
+}
+
+/// Usage of one connection.
+#[derive(Debug)]
+pub(in crate::front) struct ConnectionUsage {
+    registry: Rc<Registry>,
+    number: u64,
+    stream: CallerStream,
+    /// Requests being served; the library serves one at a time.
+    running: Cell<u32>,
+    /// When the last request ended, or the connection was opened.
+    since: Cell<Instant>,
+    /// Asks the connection to close.
+    close_notify: Rc<Notify>,
+}
+
+/// One request on the connection.
+#[derive(Debug)]
+pub(in crate::front) struct UsageGuard<'a>(&'a ConnectionUsage);
+
+impl ConnectionUsage {
+    /// Registers a connection as unused until its first request.
+    pub(in crate::front) fn open(registry: &Rc<Registry>, stream: CallerStream) -> ConnectionUsage {
+        registry.last_number.set(registry.last_number.get() + 1);
+        registry.open.set(registry.open.get() + 1);
+        let usage = ConnectionUsage {
+            registry: Rc::clone(registry),
+            number: registry.last_number.get(),
+            stream,
+            running: Cell::new(0),
+            since: Cell::new(Instant::now()),
+            close_notify: Rc::default(),
+        };
+        usage.mark_unused();
+        usage
+    }
+
+    /// Marks the connection as used until the guard is dropped.
+    pub(in crate::front) fn start(&self) -> UsageGuard<'_> {
+        self.running.set(self.running.get() + 1);
+        self.registry.unused.borrow_mut().remove(&self.key());
+        UsageGuard(self)
+    }
+
+    /// Waits until the connection has been unused for `time`, or is asked to close while unused.
+    pub(in crate::front) async fn idle_for(&self, time: Duration) {
+        while self.running.get() > 0 || self.since.get().elapsed() < time {
+            tokio::select! {
+                () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {}
+                () = self.close_notify.notified() => {
+                    // A request may have been read since the connection was asked to close.
+                    if self.running.get() == 0 {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn key(&self) -> IdleKey {
+        (self.since.get(), self.number)
+    }
+
+    /// Marks the connection as unused from now on.
+    fn mark_unused(&self) {
+        self.since.set(Instant::now());
+        let connection = UnusedConnection {
+            stream: self.stream.clone(),
+            close_notify: Rc::clone(&self.close_notify),
+        };
+        let mut unused = self.registry.unused.borrow_mut();
+        unused.insert(self.key(), connection);
+    }
+}
+
+impl Drop for ConnectionUsage {
+    fn drop(&mut self) {
+        self.registry.unused.borrow_mut().remove(&self.key());
+        self.registry.open.set(self.registry.open.get() - 1);
+    }
+}
+
+impl Drop for UsageGuard<'_> {
+    fn drop(&mut self) {
+        let running = self.0.running.get() - 1;
+        self.0.running.set(running);
+        if running == 0 {
+            self.0.mark_unused();
+        }
+    }
+}
--- a/crates/edge/src/front/caller_stream.rs
+++ b/crates/edge/src/front/callers/stream.rs
@@ -7,7 +7,7 @@
 //! and the end behind them is seen.
 
 use std::{
-    cell::RefCell,
+    cell::{RefCell, RefMut},
     io,
     mem::MaybeUninit,
     pin::Pin,
@@ -22,9 +22,10 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     sync::Notify,
-    time::Instant,
 };
 
+use super::delivery::Delivery;
+
 /// Size of the read-ahead buffer. While a caller has filled it, its disconnect is not seen; heads
 /// of pipelined requests are a few hundred bytes each.
 const MAX_READ_AHEAD: usize = 32 << 10;
@@ -56,8 +57,7 @@
     waker: Option<Waker>,
     /// Whether the caller has closed its direction, or the connection is broken.
     is_over: bool,
-    /// Since when bytes wait to be written; `None` if all are.
-    unread_since: Option<Instant>,
+    delivery: Delivery,
     /// Notifies [`CallerStream::unread_for`] that bytes begin to wait.
     unread: Rc<Notify>,
 }
@@ -73,11 +73,16 @@
             is_paused: false,
             waker: None,
             is_over: false,
-            unread_since: None,
+            delivery: Delivery::open(),
             unread: Rc::default(),
         })))
     }
 
+    /// Turns off the kernel's delay of small writes.
+    pub(super) fn set_nodelay(&self) -> io::Result<()> {
+        self.0.borrow().stream.set_nodelay(true)
+    }
+
     /// Waits until more bytes were read ahead; returns false once the caller has closed the
     /// connection. Must be polled by the task that serves the connection.
     pub(super) async fn wait_for_more(&self) -> bool {
@@ -104,13 +109,13 @@
         inner.is_over
     }
 
-    /// Waits until the caller takes longer than `time` to read a response while `is_pressed`.
+    /// Waits until the caller receives nothing for longer than `time` while `is_pressed`.
     pub(super) async fn unread_for(&self, time: Duration, is_pressed: impl Fn() -> bool) {
         let unread = Rc::clone(&self.0.borrow().unread);
         loop {
             unread.notified().await;
-            while let Some(since) = self.unread_since() {
-                if since.elapsed() >= time && is_pressed() {
+            while self.0.borrow().delivery.is_unwritten() {
+                if self.quiet_for() >= time && is_pressed() {
                     return;
                 }
                 tokio::time::sleep(UNREAD_CHECK_INTERVAL).await;
@@ -118,8 +123,22 @@
         }
     }
 
-    fn unread_since(&self) -> Option<Instant> {
-        self.0.borrow().unread_since
+    /// Whether the caller has received all bytes that were written to it.
+    pub(super) fn is_delivered(&self) -> bool {
+        self.updated().is_complete()
+    }
+
+    /// Returns the time since the caller last received bytes.
+    pub(super) fn quiet_for(&self) -> Duration {
+        self.updated().quiet_for()
+    }
+
+    /// Returns how far the bytes have come at this moment.
+    fn updated(&self) -> RefMut<'_, Delivery> {
+        RefMut::map(self.0.borrow_mut(), |inner| {
+            inner.delivery.update(&inner.stream);
+            &mut inner.delivery
+        })
     }
 
     /// Pauses reads of the HTTP library until the guard is dropped. Bytes read ahead meanwhile
@@ -162,6 +181,7 @@
     /// response: a caller that had already sent its next request would lose the response to the one
     /// that ran.
     pub(super) async fn linger(&self, time: Duration) {
+        self.0.borrow_mut().delivery.on_flushed();
         let drained = std::future::poll_fn(|cx| {
             // A connection that cannot be shut down is broken, which the next read reports.
             let _ = Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx);
@@ -216,15 +236,13 @@
 
     fn note_write(&mut self, written: &Poll<io::Result<usize>>) {
         match written {
-            Poll::Pending if self.unread_since.is_none() => {
-                self.unread_since = Some(Instant::now());
-                self.unread.notify_one();
-            }
-            // The caller reads, if slowly.
-            Poll::Ready(Ok(1..)) if self.unread_since.is_some() => {
-                self.unread_since = Some(Instant::now());
+            Poll::Pending => {
+                if self.delivery.on_blocked() {
+                    self.unread.notify_one();
+                }
             }
-            _ => {}
+            Poll::Ready(Ok(1..)) => self.delivery.on_written(),
+            Poll::Ready(_) => {}
         }
     }
 
@@ -290,7 +308,7 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let inner = &mut *self.0.borrow_mut();
         // The library flushes once it has written all that it holds.
-        inner.unread_since = None;
+        inner.delivery.on_flushed();
         Pin::new(&mut inner.stream).poll_flush(cx)
     }
 
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -7,19 +7,17 @@
 mod attempt;
 mod body_memory;
 mod bounded_stream;
-mod caller_stream;
+mod callers;
 mod connection;
 mod entry;
 mod forward;
 mod homes;
 mod idle;
-mod idle_callers;
 mod idle_limit;
 mod loads;
 mod lost_links;
 mod no_target;
 mod notices;
-mod pipeline;
 mod quarantine;
 mod request;
 mod request_log;
@@ -49,50 +47,19 @@
     steer::hash,
 };
 use dunlinrock_node::wire::Client;
-use http::Request;
-use hyper::{
-    body::{Body, Incoming},
-    server::conn::http1,
-    service::service_fn,
-};
-use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, runtime::Builder, task::LocalSet, time::Instant};
+use tokio::{runtime::Builder, task::LocalSet, time::Instant};
 
-pub use self::caller_stream::CallerStream;
+pub use self::callers::CallerStream;
 use self::{
-    body_memory::ResponseMemory,
-    forward::Forwarder,
-    homes::RouteRuns,
-    idle::ConnectionCounter,
-    idle_callers::{ConnectionUsage, IdleTracker},
-    loads::LoadExchange,
-    pipeline::Pipeline,
-    quarantine::KnownQuarantine,
-    request::CallerConnection,
-    request_log::RequestLog,
-    targets::TargetTable,
-    tokens::Tokens,
+    body_memory::ResponseMemory, callers::Registry, forward::Forwarder, homes::RouteRuns,
+    idle::ConnectionCounter, loads::LoadExchange, quarantine::KnownQuarantine,
+    request_log::RequestLog, targets::TargetTable, tokens::Tokens,
 };
 use crate::{
     control::MAX_TOKEN_BYTES,
     host::{Phase, Shared},
-    model::Limits,
-};
-
-/// Limits on callers that apply until a configuration is known.
-const DEFAULT_LIMITS: Limits = Limits {
-    head: 16 << 10,
-    body: 1 << 20,
-    idle: Duration::from_secs(15),
 };
 
-/// Minimum size of a buffer that the HTTP library accepts.
-const MIN_BUFFER: usize = 8 << 10;
-
-/// Timeout for the request on a connection that is accepted at the connection limit. The request is
-/// refused, and its connection must not stay open.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Delay between the start of a graceful shutdown and the first closed connection. Until then
 /// callers are served as before: lookups that name this host have mostly expired by then, and
 /// callers that were disconnected earlier would reconnect to it.
@@ -105,18 +72,6 @@
 /// Fraction of the grace period after which the process ends, whatever still runs.
 const DRAIN_FRACTION: f64 = 0.9;
 
-/// How long a connection is read after its last response. Callers close it when they see the
-/// half-close, a round trip later. A request that arrives in this time is not answered, so it must
-/// stay below what a caller may lose unnoticed.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(120);
-
-/// How much longer than the callers' idle limit a connection is kept, so that the host is never the
-/// side that closes first.
-const IDLE_SLACK: Duration = Duration::from_secs(2);
-
-/// Maximum interval between two checks whether a connection is idle.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
 /// How long a caller may take to read a response while the memory for responses is short.
 const MAX_UNREAD_TIME: Duration = Duration::from_secs(2);
 
@@ -155,9 +110,7 @@
     /// Requests being served.
     running: Cell<u32>,
     /// Open connections of callers.
-    open_callers: Cell<u32>,
-    /// Tracks which of them are idle.
-    idle_callers: Rc<IdleTracker>,
+    callers: Rc<Registry>,
     /// Tokens for requests of workspaces with a rate limit.
     tokens: RefCell<Tokens>,
     /// Exchange of the targets' loads with other hosts.
@@ -209,7 +162,7 @@
         was_lost: Cell::new(false),
         name_hash,
         targets: TargetTable::default(),
-        idle_callers: Rc::default(),
+        callers: Rc::default(),
         target_connections,
         tokens: RefCell::default(),
         loads: LoadExchange::default(),
@@ -232,7 +185,6 @@
         region_rtts: RefCell::default(),
         request_log: RequestLog::open(),
         running: Cell::new(0),
-        open_callers: Cell::new(0),
         draining_since: Cell::new(None),
     });
     tokio::task::spawn_local(loads::share(Rc::clone(&front)));
@@ -279,80 +231,3 @@
             .is_some_and(|since| since.elapsed() >= CLOSE_DELAY)
     }
 }
-
-/// Counts an open connection of a caller until it is dropped.
-struct OpenGuard(Rc<Front>);
-
-impl OpenGuard {
-    fn count(front: &Rc<Front>) -> OpenGuard {
-        front.open_callers.set(front.open_callers.get() + 1);
-        OpenGuard(Rc::clone(front))
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.open_callers.set(self.0.open_callers.get() - 1);
-    }
-}
-
-/// Serves a connection that may have waited for `waited` in the listen queue. If the host is at its
-/// connection limit (`is_full`), the request is refused.
-async fn serve_connection(front: Rc<Front>, stream: TcpStream, waited: Duration, is_full: bool) {
-    let _open = OpenGuard::count(&front);
-    if let Err(e) = stream.set_nodelay(true) {
-        log::debug!(target: "host", error:% = e; "cannot set up a caller's connection");
-        return;
-    }
-    let limits = front
-        .shared
-        .view
-        .load()
-        .config
-        .as_ref()
-        .map_or(DEFAULT_LIMITS, |c| c.limits.clone());
-    let connection = CallerConnection {
-        stream: CallerStream::open(stream),
-        pipeline: Pipeline::default(),
-        waited: Cell::new(waited),
-        is_full,
-    };
-    let caller_stream = connection.stream.clone();
-    let usage = ConnectionUsage::open(&front.idle_callers);
-    let idle_time = if is_full {
-        REFUSAL_TIMEOUT
-    } else {
-        limits.idle + IDLE_SLACK
-    };
-    let service = service_fn(|request: Request<Incoming>| {
-        let used = usage.start();
-        // Paused here, before the library reads on: behind a request without a body the next one
-        // begins.
-        let pause = request
-            .body()
-            .is_end_stream()
-            .then(|| caller_stream.pause_reads());
-        let served = request::serve(&front, &connection, request);
-        async move {
-            let _guards = (used, pause);
-            served.await
-        }
-    });
-    // The library's timeout for a head counts the pause between two requests as part of the second
-    // head and closes without a response, so idle connections are closed here instead.
-    let served = http1::Builder::new()
-        .max_buf_size(limits.head.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(caller_stream.clone()), service);
-    let served = tokio::select! {
-        served = served => served,
-        () = usage.idle_for(idle_time) => Ok(()),
-        () = caller_stream.unread_for(MAX_UNREAD_TIME, || front.response_memory.is_pressed()) => {
-            front.shared.meters.count("slow_closed");
-            Ok(())
-        }
-    };
-    caller_stream.linger(LINGER_TIMEOUT).await;
-    if let Err(e) = served {
-        log::debug!(target: "host", error:% = e; "a caller's connection failed");
-    }
-}
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -1,12 +1,6 @@
 //! Handling of one request of a caller, from its head to its response.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::BTreeSet,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header, request::Parts};
@@ -18,11 +12,10 @@
     Front,
     access::{Access, fingerprint},
     attempt::{AttemptResult, OutboundRequest},
-    caller_stream::CallerStream,
+    callers::CallerConnection,
     connection::strip_hop_by_hop,
     forward::{DECLINED, Forwarded, LeavingTarget},
     no_target::NoTarget,
-    pipeline::Pipeline,
     response::{RequestEnd, answered, decline, late, lost, read_body, refuse},
     select::{self, Criteria, SelectedTarget},
     tokens::Token,
@@ -131,18 +124,6 @@
     }
 }
 
-/// A caller's connection.
-#[derive(Debug)]
-pub(super) struct CallerConnection {
-    pub(super) stream: CallerStream,
-    pub(super) pipeline: Pipeline,
-    /// How long the first request may have waited before the connection was accepted.
-    pub(super) waited: Cell<Duration>,
-    /// Whether the host was full when the connection was opened: its request is refused and the
-    /// connection closed.
-    pub(super) is_full: bool,
-}
-
 /// Serves one request; an error closes the connection.
 pub(super) async fn serve(
     front: &Rc<Front>,
