--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -202,17 +202,25 @@
     }
 }
 
-/// Waits until a graceful shutdown is complete: new requests are refused and the last one has
-/// ended, or the grace period is over.
+/// Waits until a graceful shutdown is complete: new requests are refused, the last one has ended and
+/// its caller has received the response, or the grace period is over.
 async fn drained(front: &Front) {
     let grace = front.shared.reloadable.load().grace;
     tokio::time::sleep(grace.mul_f64(ACCEPT_FRACTION)).await;
     let deadline = Instant::now() + grace.mul_f64(DRAIN_FRACTION - ACCEPT_FRACTION);
-    while front.running.get() > 0 && Instant::now() < deadline {
+    let is_drained = || front.running.get() == 0 && front.callers.undelivered_count() == 0;
+    while !is_drained() && Instant::now() < deadline {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
-    // Responses that are ready are still being written.
+    // A caller that has just received its response may have sent the next request.
     tokio::time::sleep(DRAIN_CHECK_INTERVAL * 2).await;
+    let (running, unread) = (front.running.get(), front.callers.undelivered_count());
+    if running > 0 || unread > 0 {
+        log::warn!(
+            target: "host", event = "cut", running = running, unread = unread;
+            "the grace period is over: requests and unread responses are cut off"
+        );
+    }
 }
 
 impl Front {
--- /dev/null
+++ b/crates/edge/tests/unread_responses.rs
@@ -0,0 +1,134 @@
+//! Responses that are written and not yet read by their callers.
+
+mod support;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::{Duration, Instant},
+};
+
+use dunlinrock_edge::settings::Settings;
+use rstest::rstest;
+use socket2::{Domain, Socket, Type};
+use support::{Deployment, Head, Script, ScriptedTarget, config, read_all, request};
+
+/// Length of a response in bytes that the kernel does not hold for a caller that does not read.
+const HUGE: usize = 1_000_000;
+
+/// Length of a response in bytes that the kernel holds, but not in the caller's receive buffer.
+const LARGE: usize = 40_000;
+
+/// Callers of one host that read slowly.
+const CALLERS: usize = 200;
+
+fn script(head: &Head) -> Script {
+    Script::Write(match head.id() {
+        "huge" => head.answer(&"x".repeat(HUGE)),
+        "large" => head.answer(&"x".repeat(LARGE)),
+        _ => head.answer("run"),
+    })
+}
+
+/// Opens a connection that buffers little, like that of a caller behind a slow link.
+fn connect(address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a small buffer");
+    socket.set_tcp_mss(1460).expect("an Ethernet's segments");
+    socket.connect(&address.into()).expect("the host listens");
+    socket.into()
+}
+
+/// Sends a request on a connection that buffers little, and reads the first bytes of the response.
+fn begin(deployment: &Deployment, id: &str, more: &str) -> TcpStream {
+    let mut stream = connect(deployment.callers());
+    let text = request("GET", "/read/a", id, more);
+    stream.write_all(text.as_bytes()).expect("the host reads");
+    let mut first = [0; 12];
+    stream.read_exact(&mut first).expect("the response begins");
+    assert_eq!(&first, b"HTTP/1.1 200");
+    stream
+}
+
+/// Reads the rest of a response that began, and returns how many bytes came.
+fn rest(stream: &mut TcpStream, length: usize) -> usize {
+    let mut rest = Vec::new();
+    let mut part = stream.take(length as u64);
+    let _ = part.read_to_end(&mut rest);
+    rest.len()
+}
+
+/// Waits until a stopping host refuses new requests, and for as long again as a host without work
+/// then takes to end.
+fn wait_until_idle_host_would_end(deployment: &Deployment) {
+    while let Ok(mut probe) = TcpStream::connect(deployment.callers()) {
+        let text = request("GET", "/read/a", "probe", "Connection: close\r\n");
+        let _ = probe.write_all(text.as_bytes());
+        if !read_all(&mut probe).starts_with("HTTP/1.1 200") {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    std::thread::sleep(Duration::from_millis(300));
+}
+
+fn settings_with_grace(seconds: u64) -> Settings {
+    let mut settings = support::settings();
+    settings.reloadable.grace = Duration::from_secs(seconds);
+    settings
+}
+
+/// Guards against a stopping host that ends once its requests are computed, and drops what their
+/// callers have not read.
+#[rstest]
+#[case::held_by_the_host("huge", HUGE, "")]
+#[case::held_by_the_kernel("large", LARGE, "")]
+#[case::closing("huge", HUGE, "Connection: close\r\n")]
+fn a_stopping_host_waits_for_callers_that_still_read(
+    #[case] id: &str,
+    #[case] length: usize,
+    #[case] more: &str,
+) {
+    let scripted = ScriptedTarget::open(script);
+    let deployment = Deployment::open_with(settings_with_grace(8), config(1), &[&scripted]);
+    let mut slow = begin(&deployment, id, more);
+    deployment.host.start_shutdown();
+    wait_until_idle_host_would_end(&deployment);
+    assert!(rest(&mut slow, length) >= length, "the response is whole");
+    deployment.host.join().expect("the host ends");
+}
+
+/// Guards against a stopping host that is held by callers that have received all, or that waits for
+/// more than the slowest of many.
+#[test]
+fn a_stopping_host_ends_once_the_last_of_many_callers_has_read() {
+    let scripted = ScriptedTarget::open(script);
+    let grace = 20;
+    let mut settings = settings_with_grace(grace);
+    settings.memory = 1 << 30;
+    let deployment = Deployment::open_with(settings, config(1), &[&scripted]);
+    let mut slow: Vec<_> = (0..CALLERS)
+        .map(|_| begin(&deployment, "large", ""))
+        .collect();
+    let start = Instant::now();
+    deployment.host.start_shutdown();
+    wait_until_idle_host_would_end(&deployment);
+    for stream in &mut slow {
+        assert!(rest(stream, LARGE) >= LARGE, "the response is whole");
+    }
+    deployment.host.join().expect("the host ends");
+    assert!(start.elapsed() < Duration::from_secs(grace).mul_f64(0.9));
+}
+
+/// Guards against a caller that never reads and holds a stopping host beyond its grace period.
+#[test]
+fn a_caller_that_never_reads_does_not_hold_a_stopping_host_beyond_its_grace_period() {
+    let scripted = ScriptedTarget::open(script);
+    let deployment = Deployment::open_with(settings_with_grace(2), config(1), &[&scripted]);
+    let _huge = begin(&deployment, "huge", "");
+    let _large = begin(&deployment, "large", "Connection: close\r\n");
+    let start = Instant::now();
+    deployment.host.start_shutdown();
+    deployment.host.join().expect("the host ends");
+    assert!(start.elapsed() < Duration::from_secs(2));
+}
