--- a/crates/edge/src/front/callers/registry.rs
+++ b/crates/edge/src/front/callers/registry.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Waits until the connection is asked to close.
+    pub(super) async fn evicted(&self) {
+        self.close_notify.notified().await;
+    }
+
     fn key(&self) -> IdleKey {
         (self.since.get(), self.number)
     }
--- a/crates/edge/src/front/callers/serve.rs
+++ b/crates/edge/src/front/callers/serve.rs
@@ -11,7 +11,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use super::{Pipeline, registry::ConnectionUsage, stream::CallerStream};
+use super::{
+    Pipeline,
+    registry::ConnectionUsage,
+    stream::{CallerStream, LingerLimits},
+};
 use crate::{
     front::{Front, MAX_UNREAD_TIME, request},
     model::Limits,
@@ -31,10 +35,14 @@
 /// refused, and its connection must not stay open.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How long a connection is read after its last response. Callers close it when they see the
-/// half-close, a round trip later. A request that arrives in this time is not answered, so it must
-/// stay below what a caller may lose unnoticed.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(120);
+/// How long a caller that has received all its responses must be silent before its connection is
+/// closed. Callers close it when they see the half-close, a round trip later. A request that arrives
+/// in this time is not answered, so it must stay below what a caller may lose unnoticed.
+const LINGER_SILENCE: Duration = Duration::from_millis(120);
+
+/// How long a caller that has received all its responses may go on sending, as one does whose upload
+/// was refused before it was read.
+const LINGER_SURPLUS: Duration = Duration::from_secs(5);
 
 /// How much longer than the callers' idle limit a connection is kept, so that the host is never the
 /// side that closes first.
@@ -83,8 +91,28 @@
     } else {
         limits.idle + IDLE_SLACK
     };
-    serve_requests(&front, &connection, &usage, limits.head, idle_time).await;
-    connection.stream.linger(LINGER_TIMEOUT).await;
+    let end = serve_requests(&front, &connection, &usage, limits.head, idle_time).await;
+    let linger = LingerLimits {
+        silence: LINGER_SILENCE,
+        stall: match end {
+            ServeEnd::Complete => idle_time,
+            ServeEnd::GivenUp => Duration::ZERO,
+        },
+        surplus: idle_time.min(LINGER_SURPLUS),
+    };
+    tokio::select! {
+        () = connection.stream.linger(&linger) => {}
+        () = usage.evicted() => {}
+    }
+}
+
+/// How serving the requests of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServeEnd {
+    /// All responses are written, or the connection failed.
+    Complete,
+    /// The caller was idle, or did not read its responses.
+    GivenUp,
 }
 
 /// Serves requests until one side closes the connection, or it has been idle for `idle_time`.
@@ -94,7 +122,7 @@
     usage: &ConnectionUsage,
     max_head: usize,
     idle_time: Duration,
-) {
+) -> ServeEnd {
     let stream = &connection.stream;
     let service = service_fn(|request: Request<Incoming>| {
         let used = usage.start();
@@ -117,10 +145,12 @@
             if let Err(e) = served {
                 log::debug!(target: "host", error:% = e; "a caller's connection failed");
             }
+            ServeEnd::Complete
         }
-        () = usage.idle_for(idle_time) => {}
+        () = usage.idle_for(idle_time) => ServeEnd::GivenUp,
         () = stream.unread_for(MAX_UNREAD_TIME, || front.response_memory.is_pressed()) => {
             front.shared.meters.count("slow_closed");
+            ServeEnd::GivenUp
         }
     }
 }
--- a/crates/edge/src/front/callers/stream.rs
+++ b/crates/edge/src/front/callers/stream.rs
@@ -22,6 +22,7 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     sync::Notify,
+    time::Instant,
 };
 
 use super::delivery::Delivery;
@@ -39,6 +40,17 @@
 /// Size of one read.
 const READ_CHUNK: usize = 4 << 10;
 
+/// Limits of a lingering close.
+#[derive(Clone, Debug)]
+pub(super) struct LingerLimits {
+    /// How long a caller that has received all must be silent.
+    pub(super) silence: Duration,
+    /// How long a caller may receive nothing while bytes wait for it.
+    pub(super) stall: Duration,
+    /// How long a caller that has received all may go on sending.
+    pub(super) surplus: Duration,
+}
+
 /// A caller's connection, shared by the HTTP library and by tasks that wait for its end.
 #[derive(Clone, Debug)]
 pub struct CallerStream(Rc<RefCell<Inner>>);
@@ -174,27 +186,48 @@
 
 impl CallerStream {
     /// Lingering close: shuts down the sending direction, then reads and drops what still arrives
-    /// until the caller closes its direction or `time` is over. Call it once the last response is
-    /// written.
+    /// until the caller closes its direction, or has received all and sends nothing more, or a limit
+    /// is reached. Call it once the HTTP library has dropped the stream.
     ///
-    /// A connection that is closed with unread bytes is reset, and the reset overtakes the
-    /// response: a caller that had already sent its next request would lose the response to the one
-    /// that ran.
-    pub(super) async fn linger(&self, time: Duration) {
+    /// A connection that is closed with unread bytes, or gets bytes later, is reset, and the reset
+    /// overtakes the response: a caller that had already sent its next request would lose the
+    /// response to the one that ran.
+    pub(super) async fn linger(&self, limits: &LingerLimits) {
         self.0.borrow_mut().delivery.on_flushed();
-        let drained = std::future::poll_fn(|cx| {
-            // A connection that cannot be shut down is broken, which the next read reports.
-            let _ = Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx);
-            let mut inner = self.0.borrow_mut();
-            while !inner.is_over {
-                inner.buffer.clear();
-                inner.parsed = 0;
+        // A connection that cannot be shut down is broken, which the next read reports.
+        let _ =
+            std::future::poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx))
+                .await;
+        let mut delivered_at = None;
+        loop {
+            let read = tokio::time::timeout(limits.silence, self.discard()).await;
+            if matches!(read, Ok(false)) {
+                return;
+            }
+            let is_silent = read.is_err();
+            if self.is_delivered() {
+                let since: &mut Instant = delivered_at.get_or_insert_with(Instant::now);
+                if is_silent || since.elapsed() >= limits.surplus {
+                    return;
+                }
+            } else if self.quiet_for() >= limits.stall {
+                return;
+            }
+        }
+    }
+
+    /// Reads and drops bytes once; returns false at the end of the connection.
+    async fn discard(&self) -> bool {
+        std::future::poll_fn(|cx| {
+            let inner = &mut *self.0.borrow_mut();
+            inner.buffer.clear();
+            inner.parsed = 0;
+            if !inner.is_over {
                 ready!(inner.poll_fill(cx));
             }
-            Poll::Ready(())
-        });
-        // A caller that does not close in time has received its response long ago.
-        let _ = tokio::time::timeout(time, drained).await;
+            Poll::Ready(!inner.is_over)
+        })
+        .await
     }
 }
 
--- a/crates/edge/tests/unread_responses.rs
+++ b/crates/edge/tests/unread_responses.rs
@@ -132,3 +132,48 @@
     deployment.host.join().expect("the host ends");
     assert!(start.elapsed() < Duration::from_secs(2));
 }
+
+/// Guards against a reset that overtakes responses: the host closes behind its last response, and
+/// the caller sends on before it has read them.
+#[rstest]
+#[case::at_a_stop("", true)]
+fn responses_survive_requests_sent_behind_the_last(#[case] more: &str, #[case] stops: bool) {
+    let scripted = ScriptedTarget::open(script);
+    let deployment = Deployment::open_with(settings_with_grace(8), config(1), &[&scripted]);
+    let mut slow = begin(&deployment, "large", "");
+    if stops {
+        deployment.host.start_shutdown();
+        // From then on the host closes connections behind the next response.
+        std::thread::sleep(Duration::from_millis(1200));
+    }
+    let last = request("GET", "/read/a", "last", more);
+    slow.write_all(last.as_bytes()).expect("the host reads");
+    for n in 0..4 {
+        std::thread::sleep(Duration::from_millis(300));
+        let behind = request("GET", "/read/a", &format!("behind{n}"), "");
+        slow.write_all(behind.as_bytes()).expect("the host reads");
+    }
+    let text = read_all(&mut slow);
+    assert!(text.len() > LARGE, "{} bytes", text.len());
+    assert!(text.ends_with("run"), "the last response is whole");
+    let heads = scripted.heads();
+    let behind = heads.iter().filter(|head| head.id().starts_with("behind"));
+    assert_eq!(behind.count(), 0, "what is not answered has not run");
+}
+
+/// Guards against a response that is lost because its caller is still sending the body that the host
+/// has refused.
+#[test]
+fn a_caller_that_sends_a_refused_body_gets_the_refusal() {
+    let scripted = ScriptedTarget::open(script);
+    let deployment = Deployment::open(config(1), &[&scripted]);
+    let text = request("POST", "/once/a", "r1", "Content-Length: 10000000\r\n");
+    let mut stream = deployment.send(&text);
+    for _ in 0..20 {
+        let sent = stream.write_all(&[b'x'; 50_000]);
+        sent.expect("the connection stays open while the caller sends");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let answer = read_all(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+}
