--- a/crates/edge/src/front/accept.rs
+++ b/crates/edge/src/front/accept.rs
@@ -8,7 +8,10 @@
     time::Instant,
 };
 
-use super::{Front, callers};
+use super::{
+    Front, MAX_UNREAD_TIME,
+    callers::{self, EvictionLimits},
+};
 
 /// Backoff after a failed accept: without free descriptors, accept fails again immediately.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
@@ -139,10 +142,19 @@
         }
     }
 
+    /// Asks up to `max` connections to close whose callers are owed nothing, or do not read it.
     fn close_idle(&self, max: u32) {
-        for _ in 0..self.callers.close_oldest(max, MIN_EVICTION_IDLE) {
+        let limits = EvictionLimits {
+            idle: MIN_EVICTION_IDLE,
+            stall: MAX_UNREAD_TIME,
+        };
+        let evicted = self.callers.evict(max, &limits);
+        for _ in 0..evicted.idle {
             self.shared.meters.count("idle_closed");
         }
+        for _ in 0..evicted.slow {
+            self.shared.meters.count("slow_closed");
+        }
     }
 
     /// Logs when the number of connections comes near the limit, and when it is below again.
--- a/crates/edge/src/front/callers/mod.rs
+++ b/crates/edge/src/front/callers/mod.rs
@@ -13,6 +13,6 @@
 pub use self::stream::CallerStream;
 pub(super) use self::{
     pipeline::Pipeline,
-    registry::Registry,
+    registry::{EvictionLimits, Registry},
     serve::{CallerConnection, serve},
 };
--- a/crates/edge/src/front/callers/registry.rs
+++ b/crates/edge/src/front/callers/registry.rs
@@ -34,6 +34,24 @@
     close_notify: Rc<Notify>,
 }
 
+/// Which connections may be closed when descriptors run short.
+#[derive(Clone, Debug)]
+pub(in crate::front) struct EvictionLimits {
+    /// How long a connection must have been idle.
+    pub(in crate::front) idle: Duration,
+    /// How long a caller must have received nothing of a response that waits for it.
+    pub(in crate::front) stall: Duration,
+}
+
+/// How many connections were asked to close.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(in crate::front) struct Evicted {
+    /// Idle connections.
+    pub(in crate::front) idle: u32,
+    /// Connections whose callers had not read a response.
+    pub(in crate::front) slow: u32,
+}
+
 impl Registry {
     /// Returns the number of open connections.
     pub(in crate::front) fn open_count(&self) -> u32 {
@@ -53,22 +71,43 @@
         u32::try_from(undelivered.count()).unwrap_or(u32::MAX)
     }
 
-    /// Asks up to `max` connections that have been unused for `time` or more to close, the longest
-    /// unused first. Returns how many.
-    pub(in crate::front) fn close_oldest(&self, max: u32, time: Duration) -> u32 {
+    /// Asks up to `max` connections to close: idle ones, the longest idle first, and then those
+    /// whose callers do not read their responses.
+    pub(in crate::front) fn evict(&self, max: u32, limits: &EvictionLimits) -> Evicted {
+        let is_idle = |key: &IdleKey, connection: &UnusedConnection| {
+            key.0.elapsed() >= limits.idle && connection.is_idle_for(limits.idle)
+        };
+        let idle = self.close_where(max, is_idle);
+        let is_slow = |_: &IdleKey, connection: &UnusedConnection| {
+            connection.stream.is_abandoned(limits.stall)
+        };
+        let slow = self.close_where(max - idle, is_slow);
+        Evicted { idle, slow }
+    }
+
+    fn close_where(
+        &self,
+        max: u32,
+        may_close: impl Fn(&IdleKey, &UnusedConnection) -> bool,
+    ) -> u32 {
         let mut unused = self.unused.borrow_mut();
-        let mut closed = 0;
-        while closed < max {
-            let Some(first) = unused.first_entry() else {
-                break;
-            };
-            if first.key().0.elapsed() < time {
-                break;
-            }
-            first.remove().close_notify.notify_one();
-            closed += 1;
+        let chosen: Vec<IdleKey> = unused
+            .iter()
+            .filter(|(key, connection)| may_close(key, connection))
+            .map(|(key, _)| *key)
+            .take(max as usize)
+            .collect();
+        for connection in chosen.iter().filter_map(|key| unused.remove(key)) {
+            connection.close_notify.notify_one();
         }
-        closed
+        chosen.len() as u32
+    }
+}
+
+impl UnusedConnection {
+    /// Whether the caller has received all, and did so at least `time` ago.
+    fn is_idle_for(&self, time: Duration) -> bool {
+        self.stream.is_delivered() && self.stream.quiet_for() >= time
     }
 }
 
@@ -114,9 +153,13 @@
         UsageGuard(self)
     }
 
-    /// Waits until the connection has been unused for `time`, or is asked to close while unused.
+    /// Waits until the connection is asked to close while unused, or no request has run on it and
+    /// its caller has received nothing for `time`.
     pub(in crate::front) async fn idle_for(&self, time: Duration) {
-        while self.running.get() > 0 || self.since.get().elapsed() < time {
+        while self.running.get() > 0
+            || self.since.get().elapsed() < time
+            || self.stream.quiet_for() < time
+        {
             tokio::select! {
                 () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {}
                 () = self.close_notify.notified() => {
--- a/crates/edge/src/front/callers/stream.rs
+++ b/crates/edge/src/front/callers/stream.rs
@@ -70,6 +70,8 @@
     /// Whether the caller has closed its direction, or the connection is broken.
     is_over: bool,
     delivery: Delivery,
+    /// Until when the caller waits for the last response; `None` if it waits for none.
+    owed_until: Option<Instant>,
     /// Notifies [`CallerStream::unread_for`] that bytes begin to wait.
     unread: Rc<Notify>,
 }
@@ -86,6 +88,7 @@
             waker: None,
             is_over: false,
             delivery: Delivery::open(),
+            owed_until: None,
             unread: Rc::default(),
         })))
     }
@@ -121,13 +124,14 @@
         inner.is_over
     }
 
-    /// Waits until the caller receives nothing for longer than `time` while `is_pressed`.
+    /// Waits until `is_pressed` while the caller has not read a response that it may lose: see
+    /// [`CallerStream::is_abandoned`].
     pub(super) async fn unread_for(&self, time: Duration, is_pressed: impl Fn() -> bool) {
         let unread = Rc::clone(&self.0.borrow().unread);
         loop {
             unread.notified().await;
             while self.0.borrow().delivery.is_unwritten() {
-                if self.quiet_for() >= time && is_pressed() {
+                if self.is_abandoned(time) && is_pressed() {
                     return;
                 }
                 tokio::time::sleep(UNREAD_CHECK_INTERVAL).await;
@@ -135,6 +139,11 @@
         }
     }
 
+    /// Records that the caller waits for a response until `deadline`.
+    pub(in crate::front) fn owe_until(&self, deadline: Instant) {
+        self.0.borrow_mut().owed_until = Some(deadline);
+    }
+
     /// Whether the caller has received all bytes that were written to it.
     pub(super) fn is_delivered(&self) -> bool {
         self.updated().is_complete()
@@ -145,6 +154,16 @@
         self.updated().quiet_for()
     }
 
+    /// Whether a response waits for the caller that may be given up if resources are short: the
+    /// caller has received nothing of it for `time`, or its deadline has passed.
+    pub(super) fn is_abandoned(&self, time: Duration) -> bool {
+        let is_overdue = |deadline| Instant::now() >= deadline;
+        let owed_until = self.0.borrow().owed_until;
+        let delivery = self.updated();
+        !delivery.is_complete()
+            && (delivery.quiet_for() >= time || owed_until.is_some_and(is_overdue))
+    }
+
     /// Returns how far the bytes have come at this moment.
     fn updated(&self) -> RefMut<'_, Delivery> {
         RefMut::map(self.0.borrow_mut(), |inner| {
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -165,6 +165,9 @@
     match answered {
         Ok(end) => {
             front.log_end(&id, &end, time);
+            if let Some(deadline) = end.deadline {
+                connection.stream.owe_until(deadline);
+            }
             let mut response = end.response;
             if !is_forwarded {
                 response.headers_mut().remove(DECLINED);
@@ -253,7 +256,10 @@
             let is_limited = end.outcome == Outcome::Limited;
             self.shared.meters.workspace(&workspace.name, is_limited);
         }
-        end
+        RequestEnd {
+            deadline: Some(times.deadline),
+            ..end
+        }
     }
 
     /// Returns the remaining time that the caller's header states.
--- a/crates/edge/src/front/response.rs
+++ b/crates/edge/src/front/response.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::{
     access::AccessError,
@@ -26,6 +27,8 @@
     pub(super) tried: String,
     /// Attempts that are not in a log line yet.
     pub(super) unlogged: Vec<Sent>,
+    /// When the caller stops waiting for the response, if the request was read.
+    pub(super) deadline: Option<Instant>,
     pub(super) response: Response<Full<Bytes>>,
 }
 
@@ -87,6 +90,7 @@
         fingerprint: None,
         tried: String::new(),
         unlogged: Vec::new(),
+        deadline: None,
         response,
     }
 }
@@ -101,6 +105,7 @@
         fingerprint: None,
         tried: String::new(),
         unlogged: Vec::new(),
+        deadline: None,
         response,
     }
 }
--- a/crates/edge/tests/unread_responses.rs
+++ b/crates/edge/tests/unread_responses.rs
@@ -8,10 +8,11 @@
     time::{Duration, Instant},
 };
 
+use dunlinrock_decide::admit::direct::ConnectionLimits;
 use dunlinrock_edge::settings::Settings;
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
-use support::{Deployment, Head, Script, ScriptedTarget, config, read_all, request};
+use support::{Deployment, Head, Script, ScriptedTarget, config, get, read_all, request};
 
 /// Length of a response in bytes that the kernel does not hold for a caller that does not read.
 const HUGE: usize = 1_000_000;
@@ -177,3 +178,134 @@
     let answer = read_all(&mut stream);
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
 }
+
+/// Guards against a connection that counts as idle while its caller still reads a response.
+#[rstest]
+#[case::held_by_the_host("huge", HUGE)]
+#[case::held_by_the_kernel("large", LARGE)]
+fn a_caller_that_reads_for_longer_than_the_idle_limit_gets_all(
+    #[case] id: &str,
+    #[case] length: usize,
+) {
+    let scripted = ScriptedTarget::open(script);
+    let mut config = config(1);
+    config.limits.idle = Duration::from_millis(500);
+    let deployment = Deployment::open(config, &[&scripted]);
+    let mut slow = begin(&deployment, id, "");
+    let mut read = 0;
+    for _ in 0..25 {
+        read += rest(&mut slow, length / 50);
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    let next = request("GET", "/read/a", "next", "");
+    slow.write_all(next.as_bytes()).expect("the host reads");
+    read += rest(&mut slow, length - read);
+    assert!(read >= length, "{read} bytes");
+}
+
+/// Guards against a caller that never reads and keeps its connection without end.
+#[rstest]
+#[case::held_by_the_host("huge", "")]
+#[case::held_by_the_kernel("large", "")]
+#[case::closing("large", "Connection: close\r\n")]
+fn a_caller_that_never_reads_is_closed_after_the_idle_limit(#[case] id: &str, #[case] more: &str) {
+    let scripted = ScriptedTarget::open(script);
+    let mut config = config(1);
+    config.limits.idle = Duration::from_millis(500);
+    let deployment = Deployment::open(config, &[&scripted]);
+    let _slow = begin(&deployment, id, more);
+    wait_for_metric(&deployment, "edge.callers_open 1\n");
+    wait_for_metric(&deployment, "edge.callers_open 0\n");
+}
+
+/// Settings of a process with 256 file descriptors: 136 connections of callers and to targets.
+fn few_connections() -> Settings {
+    let mut settings = support::settings();
+    settings.connections = ConnectionLimits::for_descriptors(256);
+    settings
+}
+
+/// Guards against a connection that is closed for a new one while its caller still reads, though
+/// idle ones are open.
+#[test]
+fn idle_connections_make_room_before_those_of_callers_that_read() {
+    let scripted = ScriptedTarget::open(script);
+    let deployment = Deployment::open_with(few_connections(), config(1), &[&scripted]);
+    let mut slow = begin(&deployment, "large", "");
+    let mut idle: Vec<_> = (0..few_connections().connections.max_open * 3 / 4)
+        .map(|n| {
+            rest(&mut slow, 20);
+            begin(&deployment, &format!("r{n}"), "")
+        })
+        .collect();
+    let metrics = metrics_address(&deployment);
+    while !get(metrics, "/metrics").contains("edge.idle_closed ") {
+        std::thread::sleep(Duration::from_millis(20));
+        rest(&mut slow, 100);
+        let answer = deployment.call("GET", "/read/a", "more");
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer}");
+    }
+    assert!(read_all(&mut idle[0]).ends_with("run"), "the longest idle");
+    let last = request("GET", "/read/a", "last", "Connection: close\r\n");
+    slow.write_all(last.as_bytes()).expect("the host reads");
+    let text = read_all(&mut slow);
+    assert!(text.ends_with("run"), "all responses: {}", text.len());
+}
+
+/// Guards against callers that never read and hold the descriptors that others need.
+#[test]
+fn callers_that_never_read_make_room_for_others() {
+    let scripted = ScriptedTarget::open(script);
+    let deployment = Deployment::open_with(few_connections(), config(1), &[&scripted]);
+    let _slow: Vec<_> = (0..few_connections().connections.max_open * 4 / 5)
+        .map(|_| begin(&deployment, "large", ""))
+        .collect();
+    while !get(metrics_address(&deployment), "/metrics").contains("edge.slow_closed ") {
+        deployment.call("GET", "/read/a", "more");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let answer = deployment.call("GET", "/read/a", "more");
+    assert!(answer.ends_with("run"), "{answer}");
+}
+
+/// Guards against a caller that reads a few bytes at a time past its deadline, and holds the memory
+/// that others need.
+#[test]
+fn a_caller_past_its_deadline_makes_room_although_it_reads() {
+    let scripted = ScriptedTarget::open(|head| {
+        Script::Write(match head.id() {
+            "huge" => head.answer(&"x".repeat(7 * HUGE)),
+            _ => head.answer("run"),
+        })
+    });
+    let mut settings = support::settings();
+    settings.memory = 16_000_000;
+    let deployment = Deployment::open_with(settings, config(1), &[&scripted]);
+    let mut slow = connect(deployment.callers());
+    let text = request("GET", "/read/a", "huge", "").replace("Left: 20000", "Left: 3000");
+    slow.write_all(text.as_bytes()).expect("the host reads");
+    let mut refused = 0;
+    rest(&mut slow, 100);
+    while !deployment.call("GET", "/read/a", "more").ends_with("run") {
+        refused += 1;
+        rest(&mut slow, 4000);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert!(refused > 0, "the memory was short");
+    assert!(
+        read_all(&mut slow).len() < 7 * HUGE,
+        "the slow one was closed"
+    );
+}
+
+fn metrics_address(deployment: &Deployment) -> SocketAddr {
+    let listen = &deployment.host.shared().settings.listen;
+    listen.metrics.expect("the settings name one")
+}
+
+/// Waits for a line of the metrics while callers come and go.
+fn wait_for_metric(deployment: &Deployment, line: &str) {
+    while !get(metrics_address(deployment), "/metrics").contains(line) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
