--- a/crates/edge/src/front/callers/pipeline.rs
+++ b/crates/edge/src/front/callers/pipeline.rs
@@ -71,9 +71,9 @@
         task.await.ok()
     }
 
-    /// Starts pipelined requests as they are seen, until the caller disconnects. `at_request_start`
-    /// must only be true if the bytes read ahead begin with a request, that is, behind one without
-    /// a body.
+    /// Starts pipelined requests as they are seen, until the caller disconnects. `may_pipeline` must
+    /// only be true if the bytes read ahead begin with a request that will be answered, that is,
+    /// behind one without a body that does not close the connection.
     ///
     /// A body that arrives in pieces is read ahead as well. If its second piece were taken for a
     /// request, a caller could have anything run in another caller's name.
@@ -81,10 +81,10 @@
         &self,
         front: &Rc<Front>,
         stream: &CallerStream,
-        at_request_start: bool,
+        may_pipeline: bool,
     ) -> CallerGone {
         loop {
-            while at_request_start && stream.parse_ahead(|bytes| self.start(front, bytes)) {}
+            while may_pipeline && stream.parse_ahead(|bytes| self.start(front, bytes)) {}
             if !stream.wait_for_more().await {
                 return CallerGone;
             }
--- a/crates/edge/src/front/callers/registry.rs
+++ b/crates/edge/src/front/callers/registry.rs
@@ -74,8 +74,9 @@
     /// Asks up to `max` connections to close: idle ones, the longest idle first, and then those
     /// whose callers do not read their responses.
     pub(in crate::front) fn evict(&self, max: u32, limits: &EvictionLimits) -> Evicted {
+        let now = Instant::now();
         let is_idle = |key: &IdleKey, connection: &UnusedConnection| {
-            key.0.elapsed() >= limits.idle && connection.is_idle_for(limits.idle)
+            now.duration_since(key.0) >= limits.idle && connection.is_idle_for(limits.idle)
         };
         let idle = self.close_where(max, is_idle);
         let is_slow = |_: &IdleKey, connection: &UnusedConnection| {
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, header, request::Parts};
+use http::{HeaderMap, HeaderValue, Request, Response, Version, header, request::Parts};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
@@ -144,7 +144,7 @@
         front.log_left_unread(&id, waited);
         return Err(CallerGone);
     }
-    let at_request_start = body.is_end_stream();
+    let may_pipeline = body.is_end_stream() && !closes_behind(&head);
     let answer = async {
         if connection.is_full {
             return decline(
@@ -159,7 +159,7 @@
     };
     let answered = tokio::select! {
         end = answer => Ok(end),
-        gone = connection.pipeline.watch(front, &connection.stream, at_request_start) => Err(gone),
+        gone = connection.pipeline.watch(front, &connection.stream, may_pipeline) => Err(gone),
     };
     let time = front.shared.now() - start;
     match answered {
@@ -478,6 +478,16 @@
     objective_end: Instant,
 }
 
+/// Whether the connection closes behind the response because the caller says so, or speaks HTTP/1.0.
+fn closes_behind(head: &Parts) -> bool {
+    let options = head.headers.get_all(header::CONNECTION).iter();
+    let asks_to_close = options
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"));
+    asks_to_close || head.version == Version::HTTP_10
+}
+
 fn has_time(outbound: &OutboundRequest) -> bool {
     outbound.deadline.saturating_duration_since(Instant::now()) > MIN_ATTEMPT_TIME
 }
--- a/crates/edge/tests/unread_responses.rs
+++ b/crates/edge/tests/unread_responses.rs
@@ -137,6 +137,7 @@
 /// Guards against a reset that overtakes responses: the host closes behind its last response, and
 /// the caller sends on before it has read them.
 #[rstest]
+#[case::asked_by_the_caller("Connection: close\r\n", false)]
 #[case::at_a_stop("", true)]
 fn responses_survive_requests_sent_behind_the_last(#[case] more: &str, #[case] stops: bool) {
     let scripted = ScriptedTarget::open(script);
